--- /dev/null
+++ b/src/framework/base/error.h
@@ -0,0 +1,29 @@
+// The error type of the whole product: says at which step, and with which peer,
+// something failed.
+#ifndef CAROBMAST_FRAMEWORK_BASE_ERROR_H_
+#define CAROBMAST_FRAMEWORK_BASE_ERROR_H_
+
+#include <stdexcept>
+#include <string>
+
+namespace carobmast {
+
+// An error with the step that failed (e.g. "log append") and the peer with
+// which it failed (an address, a file name, or "local").
+class Error : public std::runtime_error {
+ public:
+  Error(std::string step, std::string peer, const std::string& reason);
+
+  const std::string& step() const { return step_; }
+  const std::string& peer() const { return peer_; }
+  const std::string& reason() const { return reason_; }
+
+ private:
+  std::string step_;
+  std::string peer_;
+  std::string reason_;
+};
+
+}  // namespace carobmast
+
+#endif  // CAROBMAST_FRAMEWORK_BASE_ERROR_H_
--- /dev/null
+++ b/src/framework/statechart/state_chart.h
@@ -0,0 +1,100 @@
+// Interprets a checked chart for objects of type Context.
+#ifndef CAROBMAST_FRAMEWORK_STATECHART_STATE_CHART_H_
+#define CAROBMAST_FRAMEWORK_STATECHART_STATE_CHART_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "framework/statechart/chart_file.h"
+
+namespace carobmast::statechart {
+
+// A guard or an action that a chart may name.
+template <typename Context>
+struct NamedGuard {
+  std::string name;
+  std::function<bool(const Context&)> test;
+};
+template <typename Context>
+struct NamedAction {
+  std::string name;
+  std::function<void(Context&)> run;
+};
+
+// What a chart is bound to. State and Event are enums whose values count from 0
+// in the order of `states` and `events`.
+template <typename Context>
+struct ChartOptions {
+  std::vector<std::string> states;
+  std::vector<std::string> events;
+  std::vector<NamedGuard<Context>> guards;
+  std::vector<NamedAction<Context>> actions;
+};
+
+// An immutable chart, shared by all the objects that follow it; each object
+// keeps only its current State.
+template <typename State, typename Event, typename Context>
+class StateChart {
+ public:
+  // Throws Error when the chart is refused (see ParseChart).
+  StateChart(std::string_view yaml, const std::string& source,
+             ChartOptions<Context> options)
+      : options_(std::move(options)),
+        table_(ParseChart(yaml, MakeVocabulary(options_), source)) {}
+
+  State initial() const { return static_cast<State>(table_.initial); }
+
+  bool IsFinal(State state) const {
+    return table_.is_final[static_cast<std::size_t>(state)];
+  }
+
+  // Runs the actions of the first transition whose guard holds and returns the
+  // next state; returns `current` when the event is ignored.
+  State Fire(State current, Event event, Context& context) const {
+    for (const Transition& transition :
+         table_.transitions[static_cast<std::size_t>(current)]
+                           [static_cast<std::size_t>(event)]) {
+      if (!Allows(transition, context)) continue;
+      for (const int action : transition.actions) {
+        options_.actions[static_cast<std::size_t>(action)].run(context);
+      }
+      return static_cast<State>(transition.target);
+    }
+    return current;
+  }
+
+  const std::string& StateName(State state) const {
+    return options_.states[static_cast<std::size_t>(state)];
+  }
+
+  std::string Draw() const {
+    return DrawChart(table_, MakeVocabulary(options_));
+  }
+
+ private:
+  static Vocabulary MakeVocabulary(const ChartOptions<Context>& options) {
+    Vocabulary vocabulary{.states = options.states, .events = options.events};
+    for (const NamedGuard<Context>& guard : options.guards) {
+      vocabulary.guards.push_back(guard.name);
+    }
+    for (const NamedAction<Context>& action : options.actions) {
+      vocabulary.actions.push_back(action.name);
+    }
+    return vocabulary;
+  }
+
+  bool Allows(const Transition& transition, const Context& context) const {
+    if (!transition.guard.has_value()) return true;
+    return options_.guards[static_cast<std::size_t>(*transition.guard)].test(
+        context);
+  }
+
+  ChartOptions<Context> options_;
+  ChartTable table_;
+};
+
+}  // namespace carobmast::statechart
+
+#endif  // CAROBMAST_FRAMEWORK_STATECHART_STATE_CHART_H_
