--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,7 +1,7 @@
-// Entry point of the one binary.
-#include <iostream>
+// Entry point of the one binary: lists the commands of all modules.
+#include "framework/cli/command.h"
 
-int main() {
-  std::cout << "carobmast " << CAROBMAST_VERSION << "\n";
-  return 0;
+int main(int argc, char** argv) {
+  const std::vector<carobmast::cli::Command> commands = {};
+  return carobmast::cli::Dispatch(commands, argc, argv);
 }
--- /dev/null
+++ b/src/framework/net/tests/http_test.cc
@@ -0,0 +1,139 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+
+#include "framework/base/error.h"
+#include "framework/net/http_client.h"
+#include "framework/net/http_server.h"
+
+namespace carobmast::net {
+
+namespace asio = boost::asio;
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(ParsesAddresses);
+  CPPUNIT_TEST(AnswersAndReusesConnections);
+  CPPUNIT_TEST(TellsNotSentFromUnknown);
+  CPPUNIT_TEST(StopLetsRequestsInFlightEnd);
+  CPPUNIT_TEST(HandlerErrorsBecomeStatus400);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ParsesAddresses() {
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{80}, ParseAddress("127.0.0.1:80").port);
+    for (const char* text : {"localhost:80", "127.0.0.1", "127.0.0.1:70000"}) {
+      CPPUNIT_ASSERT_THROW_MESSAGE(text, ParseAddress(text), Error);
+    }
+  }
+
+  void AnswersAndReusesConnections() {
+    Ref<HttpServer> server =
+        Serve([](ServerRequest request) { return Echo(std::move(request)); });
+    Run([&]() -> asio::awaitable<void> {
+      for (int i = 0; i < 3; ++i) {
+        const HttpAnswer answer = co_await client_->Call(
+            server->address(),
+            {.method = "POST", .target = "/a?x=1%202", .body = "hello"});
+        CPPUNIT_ASSERT(answer.outcome == CallOutcome::kAnswered);
+        CPPUNIT_ASSERT_EQUAL(std::string("POST /a 1 2 hello"), answer.body);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server->connections());
+    });
+  }
+
+  void TellsNotSentFromUnknown() {
+    Ref<HttpServer> server = Serve([](ServerRequest) { return Cut(); });
+    const Address address = server->address();
+    Run([&]() -> asio::awaitable<void> {
+      HttpAnswer answer = co_await client_->Call(address, {});
+      CPPUNIT_ASSERT(answer.outcome == CallOutcome::kUnknown);
+      co_await server->Stop(Duration::zero());
+      answer = co_await client_->Call(address, {});
+      CPPUNIT_ASSERT(answer.outcome == CallOutcome::kNotSent);
+    });
+  }
+
+  void StopLetsRequestsInFlightEnd() {
+    Ref<HttpServer> server = Serve([](ServerRequest) { return Slow(); });
+    bool answered = false;
+    asio::co_spawn(
+        context_,
+        [&]() -> asio::awaitable<void> {
+          const HttpAnswer answer =
+              co_await client_->Call(server->address(), {});
+          CPPUNIT_ASSERT_EQUAL(200, answer.status);
+          answered = true;
+        },
+        asio::detached);
+    Run([&]() -> asio::awaitable<void> {
+      co_await Pause(std::chrono::milliseconds(20));
+      co_await server->Stop(std::chrono::seconds(5));
+    });
+    CPPUNIT_ASSERT(answered);
+  }
+
+  void HandlerErrorsBecomeStatus400() {
+    Ref<HttpServer> server = Serve([](ServerRequest) { return Fail(); });
+    Run([&]() -> asio::awaitable<void> {
+      const HttpAnswer answer = co_await client_->Call(server->address(), {});
+      CPPUNIT_ASSERT_EQUAL(400, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("check with local: no\n"), answer.body);
+    });
+  }
+
+ private:
+  static asio::awaitable<void> Pause(Duration duration) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  static asio::awaitable<ServerAnswer> Echo(ServerRequest request) {
+    co_return ServerAnswer{.body = request.method + " " + request.path + " " +
+                                   request.QueryOr("x", "") + " " +
+                                   request.body};
+  }
+  static asio::awaitable<ServerAnswer> Cut() {
+    co_return ServerAnswer{.body = "a long answer", .cut_after_bytes = 20};
+  }
+  static asio::awaitable<ServerAnswer> Slow() {
+    co_await Pause(std::chrono::milliseconds(100));
+    co_return ServerAnswer{.body = "late"};
+  }
+  static asio::awaitable<ServerAnswer> Fail() {
+    throw Error("check", "local", "no");
+    co_return ServerAnswer{};
+  }
+
+  Ref<HttpServer> Serve(ServerHandler handler) {
+    return MakeRef<HttpServer>(
+        context_.get_executor(),
+        HttpServerOptions{.listen = {.ip = "127.0.0.1", .port = 0},
+                          .handler = std::move(handler)});
+  }
+
+  // Runs `body` to its end; rethrows what it throws.
+  void Run(const std::function<asio::awaitable<void>()>& body) {
+    std::exception_ptr failure;
+    bool done = false;
+    asio::co_spawn(context_, body(), [&](std::exception_ptr error) {
+      failure = std::move(error);
+      done = true;
+    });
+    while (!done) context_.run_one();
+    context_.poll();
+    if (failure) std::rethrow_exception(failure);
+  }
+
+  asio::io_context context_;
+  Ref<HttpClient> client_ =
+      MakeRef<HttpClient>(context_.get_executor(), HttpClientOptions{});
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpTest, "http_test");
+
+}  // namespace carobmast::net
