--- /dev/null
+++ b/src/requests/connection_pool.h
@@ -0,0 +1,92 @@
+// The connections of this gateway to instances: which are opening, busy or
+// idle. An idle connection serves the next request to its instance.
+#ifndef CAROBMAST_REQUESTS_CONNECTION_POOL_H_
+#define CAROBMAST_REQUESTS_CONNECTION_POOL_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "framework/base/time.h"
+#include "framework/statechart/state_chart.h"
+#include "requests/types/request.h"
+
+namespace carobmast::requests {
+
+enum class ConnectionState { kOpening, kBusy, kIdle, kClosed };
+
+enum class ConnectionEvent { kOpened, kTaken, kReleased, kDropped, kFailed };
+
+struct ConnectionPoolOptions {
+  // Idle connections kept for one address.
+  std::size_t max_idle = 16;
+  Duration idle_timeout = std::chrono::seconds(20);
+  // Tells the I/O code to close a connection.
+  std::function<void(ConnectionId)> close;
+  // Overrides the embedded chart when not empty.
+  std::string_view chart;
+};
+
+class ConnectionPool {
+ public:
+  explicit ConnectionPool(ConnectionPoolOptions options);
+
+  struct Taken {
+    ConnectionId id = 0;
+    // It has to be opened first.
+    bool fresh = false;
+  };
+  // The most recently used idle connection to `address`, or a new one.
+  Taken Take(const std::string& address);
+
+  void OnOpened(ConnectionId id);
+  // The peer closed it or it failed.
+  void OnFailed(ConnectionId id);
+  // Its answer is whole; it is kept when `reusable`.
+  void Release(ConnectionId id, bool reusable, MonotonicTime now);
+  // Closes it: its answer is not whole, or may come late.
+  void Drop(ConnectionId id);
+  // Closes the connections that were idle for too long.
+  void CloseIdle(MonotonicTime now);
+  // Closes all idle connections to `address`.
+  void CloseIdleTo(const std::string& address);
+
+  std::size_t open() const { return connections_.size(); }
+  std::size_t idle() const;
+
+ private:
+  struct Connection {
+    ConnectionId id = 0;
+    std::string address;
+    ConnectionState state = ConnectionState::kOpening;
+    MonotonicTime idle_since;
+    // Arguments of the event being handled.
+    bool reusable = false;
+    MonotonicTime now;
+    ConnectionPool* pool = nullptr;
+  };
+  using Chart =
+      statechart::StateChart<ConnectionState, ConnectionEvent, Connection>;
+
+  static Chart MakeChart(std::string_view yaml);
+  void Fire(ConnectionId id, ConnectionEvent event, bool reusable,
+            MonotonicTime now);
+  bool MayKeep(const Connection& connection) const;
+  void Keep(Connection& connection);
+  void Close(Connection& connection);
+
+  ConnectionPoolOptions options_;
+  Chart chart_;
+  ConnectionId next_id_ = 1;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  // Idle connections by address, least recently used first.
+  std::map<std::string, std::vector<ConnectionId>> idle_;
+};
+
+}  // namespace carobmast::requests
+
+#endif  // CAROBMAST_REQUESTS_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/requests/internal/instance_health.cc
@@ -0,0 +1,52 @@
+#include "requests/instance_health.h"
+
+#include <algorithm>
+
+namespace carobmast::requests {
+
+namespace {
+
+// Ejections double in length up to this often.
+constexpr std::uint32_t kMaxDoublings = 10;
+
+}  // namespace
+
+void InstanceHealth::OnAnswer(Duration latency, Duration expected,
+                              std::uint32_t slots) {
+  failures_ = 0;
+  if (on_trial_) {
+    on_trial_ = false;
+    slowness_ = 1;
+  }
+  if (expected <= Duration::zero()) return;
+  const double ratio = static_cast<double>(latency.count()) /
+                       static_cast<double>(expected.count());
+  slowness_ +=
+      options_.weight * (std::min(ratio, options_.max_slowness) - slowness_);
+  if (++answers_since_step_ < options_.answers_per_step) return;
+  answers_since_step_ = 0;
+  if (is_slow()) {
+    held_back_ = std::min(held_back_ + 1, slots - 1);
+  } else if (slowness_ < options_.well_below && held_back_ > 0) {
+    --held_back_;
+    if (held_back_ == 0) ejections_ = 0;
+  }
+}
+
+void InstanceHealth::OnFailure(MonotonicTime now) {
+  ++failures_;
+  const bool eject = on_trial_ || failures_ >= options_.failures_to_eject;
+  if (!eject || IsEjected(now)) return;
+  const Duration length =
+      options_.eject_for * (1U << std::min(ejections_, kMaxDoublings));
+  ejected_until_ = now + std::min(length, options_.eject_for_at_most);
+  ++ejections_;
+  on_trial_ = true;
+}
+
+std::uint32_t InstanceHealth::Limit(std::uint32_t slots) const {
+  if (on_trial_) return 1;
+  return slots > held_back_ ? slots - held_back_ : 1;
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/internal/policy.cc
@@ -0,0 +1,118 @@
+#include "requests/policy.h"
+
+#include <algorithm>
+#include <memory>
+#include <tuple>
+
+#include "framework/base/error.h"
+
+namespace carobmast::requests {
+
+namespace {
+
+using Candidates = std::vector<InstanceState*>;
+
+std::size_t Below(Random& random, std::size_t bound) {
+  return static_cast<std::size_t>(random() % bound);
+}
+
+InstanceState* PickRandom(const Candidates& candidates, Random& random) {
+  return candidates[Below(random, candidates.size())];
+}
+
+// The least of `candidates` by `less`, ties broken at random.
+template <typename Key>
+InstanceState* PickLeast(const Candidates& candidates, Random& random,
+                         const Key& key) {
+  const std::size_t start = Below(random, candidates.size());
+  InstanceState* best = candidates[start];
+  for (std::size_t i = 1; i < candidates.size(); ++i) {
+    InstanceState* next = candidates[(start + i) % candidates.size()];
+    if (key(*next) < key(*best)) best = next;
+  }
+  return best;
+}
+
+// Slow instances last, then those with fewer requests of this gateway.
+std::tuple<bool, std::uint32_t> Outstanding(const InstanceState& instance) {
+  return {instance.health.is_slow(), instance.outstanding};
+}
+
+InstanceState* PickOfTwo(const Candidates& candidates, Random& random) {
+  InstanceState* one = PickRandom(candidates, random);
+  InstanceState* other = PickRandom(candidates, random);
+  return Outstanding(*other) < Outstanding(*one) ? other : one;
+}
+
+// Probes older than this are not used.
+constexpr Duration kProbeAge = std::chrono::milliseconds(100);
+// Requests that may follow one probe.
+constexpr std::uint32_t kProbeUses = 3;
+// An instance with at least this many requests in flight counts as hot: it is
+// chosen only when all are, and then by its requests in flight.
+constexpr std::uint32_t kHot = 8;
+
+InstanceState* PickProbed(const Candidates& candidates, Random& random) {
+  MonotonicTime newest{};
+  for (const InstanceState* candidate : candidates) {
+    newest = std::max(newest, candidate->probed_at);
+  }
+  Candidates probed;
+  for (InstanceState* candidate : candidates) {
+    const bool fresh = candidate->probed_at != MonotonicTime{} &&
+                       newest - candidate->probed_at < kProbeAge;
+    if (fresh && candidate->probe_uses < kProbeUses)
+      probed.push_back(candidate);
+  }
+  InstanceState* best =
+      probed.size() < 2
+          ? PickOfTwo(candidates, random)
+          : PickLeast(probed, random, [](const InstanceState& instance) {
+              const bool hot = instance.probed_in_flight >= kHot;
+              return std::make_tuple(hot, hot ? instance.probed_in_flight : 0,
+                                     instance.probed_latency,
+                                     instance.probed_in_flight);
+            });
+  ++best->probe_uses;
+  ++best->probed_in_flight;
+  return best;
+}
+
+Policy MakeRoundRobin() {
+  const std::shared_ptr<std::size_t> next = std::make_shared<std::size_t>(0);
+  return {.name = "round_robin",
+          .pick = [next](const Candidates& candidates, Random&) {
+            return candidates[(*next)++ % candidates.size()];
+          }};
+}
+
+}  // namespace
+
+const std::vector<std::string>& PolicyNames() {
+  static const std::vector<std::string> kNames = {
+      "round_robin", "power_of_two", "least_outstanding", "probing", "homed"};
+  return kNames;
+}
+
+Policy MakePolicy(const std::string& name) {
+  if (name == "round_robin") return MakeRoundRobin();
+  if (name == "power_of_two") {
+    return {.name = name, .pick = PickOfTwo, .spills_early = true};
+  }
+  if (name == "least_outstanding" || name == "homed") {
+    return {.name = name,
+            .pick =
+                [](const Candidates& candidates, Random& random) {
+                  return PickLeast(candidates, random, Outstanding);
+                },
+            .spills_early = true,
+            .homed = name == "homed"};
+  }
+  if (name == "probing") {
+    return {
+        .name = name, .pick = PickProbed, .spills_early = true, .probes = true};
+  }
+  throw Error("policy", "local", "unknown policy \"" + name + "\"");
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/internal/request_core.cc
@@ -0,0 +1,628 @@
+#include "requests/request_core.h"
+
+#include <algorithm>
+
+namespace carobmast::requests {
+
+namespace {
+
+// Between two attempts to give waiting requests a slot when nothing else
+// happens.
+constexpr Duration kPumpInterval = std::chrono::milliseconds(1);
+constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
+// Weight of the newest interval between two ends in the rate of a service.
+constexpr double kRateWeight = 0.02;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+
+bool IsWorthRetry(int status) {
+  return status >= kBadGateway && status <= kGatewayTimeout;
+}
+
+}  // namespace
+
+struct RequestCore::Service : RefCounted<RequestCore::Service> {
+  Service(ServicePoolOptions pool_options, const ServiceRules& service_rules,
+          double retry_share)
+      : rules(service_rules),
+        pool(std::move(pool_options)),
+        sizes(service_rules.classes),
+        queue(sizes.classes().size()),
+        budget(retry_share),
+        running(sizes.classes().size(), 0) {}
+
+  ServiceRules rules;
+  ServicePool pool;
+  SizeLearner sizes;
+  RequestQueue queue;
+  RetryBudget budget;
+  // Requests in flight at instances, by size class.
+  std::vector<std::uint32_t> running;
+  // Average time between two ends of attempts.
+  double end_interval_ns = 0;
+  MonotonicTime last_end{};
+  bool pump_scheduled = false;
+  bool return_scheduled = false;
+};
+
+RequestCore::RequestCore(CoreOptions options, CoreHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      random_(options_.seed),
+      attempt_chart_(MakeAttemptChart()),
+      connections_([this] {
+        ConnectionPoolOptions pool = options_.connections;
+        pool.close = hooks_.close_connection;
+        return pool;
+      }()) {
+  attempt_actions_ = {
+      .close_connection =
+          [this](Attempt& attempt) { connections_.Drop(attempt.connection); },
+      .release_connection =
+          [this](Attempt& attempt) {
+            connections_.Release(attempt.connection, attempt.reusable, now_);
+          }};
+  MakePolicy(options_.policy);
+}
+
+Ref<RequestCore::Service> RequestCore::MakeService(const ServiceRules& rules) {
+  ServicePoolOptions pool{.service = rules.name,
+                          .gateway = options_.gateway,
+                          .zone = options_.zone,
+                          .policy = MakePolicy(options_.policy)};
+  pool.tell = [this](const std::string& peer, const PeerMessage& message) {
+    ++counters_.told;
+    if (hooks_.tell) hooks_.tell(peer, message);
+  };
+  return MakeRef<Service>(std::move(pool), rules, options_.retry_share);
+}
+
+void RequestCore::SetServices(const std::vector<ServiceRules>& rules,
+                              MonotonicTime now) {
+  std::map<std::string, Ref<Service>> next;
+  for (const ServiceRules& rule : rules) {
+    const auto known = services_.find(rule.name);
+    Ref<Service>& service = next[rule.name];
+    if (known == services_.end()) {
+      service = MakeService(rule);
+      service->pool.SetPeers(peers_);
+      GiveInstances(*service);
+      continue;
+    }
+    // Size classes of a known service stay until the process is replaced.
+    service = known->second;
+    service->rules = rule;
+  }
+  services_ = std::move(next);
+  Tick(now);
+}
+
+void RequestCore::GiveInstances(Service& service) {
+  std::vector<Instance> own;
+  for (const Instance& instance : instances_) {
+    if (instance.service == service.rules.name) own.push_back(instance);
+  }
+  service.pool.SetInstances(own);
+}
+
+void RequestCore::SetInstances(const std::vector<Instance>& instances,
+                               MonotonicTime now) {
+  instances_ = instances;
+  for (const auto& [name, service] : services_) {
+    GiveInstances(*service);
+    Dispatch(*service, now);
+  }
+}
+
+void RequestCore::SetPeers(const std::vector<GatewayPeer>& peers,
+                           MonotonicTime now) {
+  if (peers == peers_) return;
+  peers_ = peers;
+  for (const auto& [name, service] : services_) {
+    service->pool.SetPeers(peers_);
+    Dispatch(*service, now);
+  }
+}
+
+void RequestCore::OnRequest(const CallerRequest& caller, MonotonicTime now) {
+  now_ = now;
+  ++counters_.requests;
+  const auto found = services_.find(caller.service);
+  const Reason missing =
+      stopping_ ? Reason::kStopping : Reason::kUnknownService;
+  if (stopping_ || found == services_.end()) {
+    ++counters_.refused[static_cast<std::size_t>(missing)];
+    return hooks_.refuse(caller.id, {.reason = missing});
+  }
+  Service& service = *found->second;
+  const Duration time = std::min(
+      service.rules.deadline, caller.timeout.value_or(service.rules.deadline));
+  const std::optional<Refusal> refusal = Admit(caller, service, time, now);
+  if (refusal.has_value()) {
+    ++counters_.refused[static_cast<std::size_t>(refusal->reason)];
+    return hooks_.refuse(caller.id, *refusal);
+  }
+  service.budget.OnRequest();
+  ++team_requests_[service.rules.team];
+  const Ref<Request> request = MakeRef<Request>();
+  request->caller = caller;
+  request->service = found->second;
+  request->arrived = now;
+  request->deadline = now + time;
+  request->wait_until =
+      now + Duration(static_cast<Duration::rep>(
+                static_cast<double>(time.count()) * options_.max_wait_share));
+  request->deadline_timer =
+      timers_.insert({request->deadline,
+                      {.kind = TimerKind::kDeadline, .request = caller.id}});
+  requests_[caller.id] = request;
+  if (!caller.key.empty() && !caller.idempotent) {
+    request->state = RequestState::kClaiming;
+    return hooks_.claim(caller.id, caller.key);
+  }
+  Enqueue(*request, now);
+  Dispatch(service, now);
+}
+
+std::optional<Refusal> RequestCore::Admit(const CallerRequest& caller,
+                                          Service& service, Duration time,
+                                          MonotonicTime now) {
+  if (!service.pool.IsServed()) return Refusal{.reason = Reason::kNoInstance};
+  const std::uint32_t team_limit = service.rules.team_max_requests;
+  if (team_limit > 0 && team_requests_[service.rules.team] >= team_limit) {
+    return Refusal{.reason = Reason::kTeamLimit};
+  }
+  if (service.queue.size() >= options_.max_waiting) {
+    return Refusal{.reason = Reason::kQueueFull};
+  }
+  const Duration wait = ExpectedWait(service, now);
+  const Duration longest(static_cast<Duration::rep>(
+      static_cast<double>(time.count()) * options_.max_wait_share));
+  const Duration length = service.sizes.Expected(caller.operation);
+  if (wait > longest || (wait > Duration::zero() && wait + length > time)) {
+    return Refusal{.reason = Reason::kDeadlineTooNear};
+  }
+  return std::nullopt;
+}
+
+Duration RequestCore::ExpectedWait(const Service& service,
+                                   MonotonicTime now) const {
+  const std::size_t ahead = service.queue.Ahead(service.rules.priority, now);
+  return Duration(static_cast<Duration::rep>(service.end_interval_ns *
+                                             static_cast<double>(ahead)));
+}
+
+void RequestCore::Enqueue(Request& request, MonotonicTime now) {
+  Service& service = *request.service;
+  request.state = RequestState::kWaiting;
+  request.size_class = service.sizes.ClassOf(request.caller.operation);
+  request.place = service.queue.Push(request.caller.id, request.size_class,
+                                     service.rules.priority, request.arrived);
+  now_ = now;
+}
+
+bool RequestCore::MayRun(const Service& service, std::size_t size_class) const {
+  const std::uint32_t share = service.sizes.classes()[size_class].max_share;
+  if (share >= 100) return true;
+  const std::uint32_t most =
+      std::max<std::uint32_t>(1, service.pool.Capacity() * share / 100);
+  return service.running[size_class] < most;
+}
+
+void RequestCore::Dispatch(Service& service, MonotonicTime now) {
+  now_ = now;
+  while (true) {
+    const std::optional<RequestId> front = service.queue.Front(
+        [&](std::size_t size_class) { return MayRun(service, size_class); });
+    if (!front.has_value()) break;
+    Request& request = *requests_.at(*front);
+    if (ShedStale(service, request, now)) continue;
+    const Ref<InstanceState> instance =
+        service.pool.Pick(request.caller.idempotent, now, random_);
+    if (instance == nullptr) {
+      service.pool.Ask(service.queue.size(), now);
+      break;
+    }
+    service.queue.Remove(request.caller.id, request.place);
+    Start(request, instance, now);
+  }
+  if (service.queue.size() > 0) SchedulePump(service, now);
+}
+
+bool RequestCore::ShedStale(Service& service, Request& request,
+                            MonotonicTime now) {
+  const bool too_late =
+      now + service.sizes.Expected(request.caller.operation) > request.deadline;
+  if (now <= request.wait_until && !too_late) return false;
+  if (!too_late && request.attempts > 0) return false;
+  service.queue.Remove(request.caller.id, request.place);
+  Refuse(request, Reason::kDeadlineTooNear,
+         request.may_have_run ? Ran::kUnknown : Ran::kNo);
+  return true;
+}
+
+void RequestCore::Start(Request& request, const Ref<InstanceState>& instance,
+                        MonotonicTime now) {
+  Service& service = *request.service;
+  const ConnectionPool::Taken connection =
+      connections_.Take(instance->instance.address);
+  const Ref<Attempt> attempt = MakeRef<Attempt>();
+  attempt->id = next_attempt_++;
+  attempt->request = request.caller.id;
+  attempt->connection = connection.id;
+  attempt->instance = instance;
+  attempt->state = attempt_chart_.initial();
+  attempt->started = now;
+  attempt->actions = &attempt_actions_;
+  attempts_[attempt->id] = attempt;
+  request.attempt = attempt;
+  request.state = RequestState::kSending;
+  ++request.attempts;
+  ++service.running[request.size_class];
+  service.pool.OnStart(*instance);
+  ++counters_.attempts;
+  if (request.attempts > 1) ++counters_.retries;
+  if (!instance->local) ++counters_.spilled;
+  if (service.pool.probes()) Probe(service);
+  hooks_.send({.attempt = attempt->id,
+               .request = request.caller.id,
+               .connection = connection.id,
+               .fresh = connection.fresh,
+               .service = service.rules.name,
+               .instance = instance->instance.name,
+               .address = instance->instance.address,
+               .deadline = request.deadline,
+               .number = request.attempts});
+}
+
+void RequestCore::Probe(Service& service) {
+  const std::vector<Ref<InstanceState>>& instances = service.pool.instances();
+  std::vector<const InstanceState*> local;
+  for (const Ref<InstanceState>& state : instances) {
+    if (state->local && !state->instance.leaving) local.push_back(state.get());
+  }
+  if (local.empty()) return;
+  for (std::uint32_t i = 0; i < options_.probes_per_request; ++i) {
+    const InstanceState& chosen = *local[random_() % local.size()];
+    ++counters_.told;
+    hooks_.probe(service.rules.name, chosen.instance.name,
+                 chosen.instance.address);
+  }
+}
+
+void RequestCore::OnClaim(RequestId id, ClaimOutcome outcome,
+                          MonotonicTime now) {
+  now_ = now;
+  Request* request = FindRequest(id);
+  if (request == nullptr || request->state != RequestState::kClaiming) return;
+  switch (outcome) {
+    case ClaimOutcome::kTaken: {
+      request->key_claimed = true;
+      const Ref<Service> service = request->service;
+      Enqueue(*request, now);
+      return Dispatch(*service, now);
+    }
+    case ClaimOutcome::kTakenBefore:
+      return Refuse(*request, Reason::kKeyClaimed, Ran::kUnknown);
+    case ClaimOutcome::kRanBefore:
+      return Refuse(*request, Reason::kKeyClaimed, Ran::kYes);
+    case ClaimOutcome::kUnavailable:
+      return Refuse(*request, Reason::kKeyUnavailable, Ran::kUnknown);
+  }
+}
+
+void RequestCore::OnCallerGone(RequestId id, MonotonicTime now) {
+  now_ = now;
+  const Ref<Request> request = FindRequest(id);
+  if (request == nullptr) return;
+  ++counters_.refused[static_cast<std::size_t>(Reason::kCallerGone)];
+  if (request->state == RequestState::kWaiting) {
+    request->service->queue.Remove(id, request->place);
+  }
+  const Ref<Attempt> attempt = request->attempt;
+  if (attempt == nullptr) {
+    return Finish(*request, request->may_have_run ? Ran::kUnknown : Ran::kNo);
+  }
+  const Ref<Service> service = request->service;
+  FireAttempt(*attempt, AttemptEvent::kCancelled, now);
+  const bool unknown =
+      request->may_have_run || RanAfter(attempt->state) != Ran::kNo;
+  Finish(*request, unknown ? Ran::kUnknown : Ran::kNo);
+  Dispatch(*service, now);
+}
+
+void RequestCore::OnConnected(AttemptId id) {
+  const Ref<Attempt> attempt = FindAttempt(id);
+  if (attempt != nullptr) connections_.OnOpened(attempt->connection);
+}
+
+void RequestCore::OnSent(AttemptId id) {
+  const Ref<Attempt> attempt = FindAttempt(id);
+  if (attempt == nullptr) return;
+  FireAttempt(*attempt, AttemptEvent::kFirstByteSent, now_);
+}
+
+HeadVerdict RequestCore::OnAnswerHead(AttemptId id, const AnswerHead& head,
+                                      MonotonicTime now) {
+  now_ = now;
+  const Ref<Attempt> attempt = FindAttempt(id);
+  if (attempt == nullptr || attempt->state != AttemptState::kSent) {
+    ++counters_.late_answers;
+    return HeadVerdict::kDrop;
+  }
+  Request* request = FindRequest(attempt->request);
+  if (head.status >= kFirstServerError && !head.refused) {
+    attempt->instance->health.OnFailure(now);
+  }
+  attempt->refused = head.refused;
+  attempt->drained = head.refused || (IsWorthRetry(head.status) &&
+                                      request->caller.idempotent &&
+                                      MayRetry(*request, now));
+  if (attempt->drained) return HeadVerdict::kDrain;
+  attempt->passed = true;
+  if (head.status < kFirstServerError) Learn(*attempt, *request, now);
+  return HeadVerdict::kPass;
+}
+
+void RequestCore::Learn(const Attempt& attempt, const Request& request,
+                        MonotonicTime now) {
+  SizeLearner& sizes = request.service->sizes;
+  const Duration latency = now - attempt.started;
+  attempt.instance->health.OnAnswer(latency,
+                                    sizes.Expected(request.caller.operation),
+                                    attempt.instance->instance.slots);
+  sizes.OnAnswer(request.caller.operation, latency);
+}
+
+void RequestCore::OnAnswerEnd(AttemptId id, AnswerEnd end, MonotonicTime now) {
+  now_ = now;
+  const Ref<Attempt> attempt = FindAttempt(id);
+  if (attempt == nullptr) return;
+  const Ref<Request> request = FindRequest(attempt->request);
+  attempt->reusable = end == AnswerEnd::kWhole;
+  if (attempt->refused) {
+    FireAttempt(*attempt, AttemptEvent::kTargetRefused, now);
+    return RetryOrRefuse(*request, Reason::kRefused, now);
+  }
+  const Ref<Service> service = request->service;
+  const bool cut = end == AnswerEnd::kCut;
+  FireAttempt(*attempt,
+              cut ? AttemptEvent::kAnswerCut : AttemptEvent::kAnswerWhole, now);
+  if (cut) attempt->instance->health.OnFailure(now);
+  if (attempt->drained) {
+    request->may_have_run = true;
+    BackOff(*request, now);
+  } else if (cut) {
+    ++counters_.refused[static_cast<std::size_t>(Reason::kAnswerCut)];
+    Finish(*request, Ran::kUnknown);
+    hooks_.cut(request->caller.id);
+  } else {
+    ++counters_.answered;
+    Finish(*request, Ran::kYes);
+  }
+  Dispatch(*service, now);
+}
+
+void RequestCore::OnAttemptFailed(AttemptId id, MonotonicTime now) {
+  now_ = now;
+  const Ref<Attempt> attempt = FindAttempt(id);
+  if (attempt == nullptr) return;
+  const Ref<Request> request = FindRequest(attempt->request);
+  attempt->instance->health.OnFailure(now);
+  FireAttempt(*attempt, AttemptEvent::kConnectionFailed, now);
+  if (RanAfter(attempt->state) != Ran::kNo) request->may_have_run = true;
+  RetryOrRefuse(*request, Reason::kInstanceFailed, now);
+}
+
+void RequestCore::OnConnectionLost(ConnectionId id) {
+  connections_.OnFailed(id);
+}
+
+void RequestCore::FireAttempt(Attempt& attempt, AttemptEvent event,
+                              MonotonicTime now) {
+  now_ = now;
+  attempt.state = attempt_chart_.Fire(attempt.state, event, attempt);
+  if (attempt_chart_.IsFinal(attempt.state)) EndAttempt(&attempt, now);
+}
+
+void RequestCore::EndAttempt(const Ref<Attempt>& attempt, MonotonicTime now) {
+  attempts_.erase(attempt->id);
+  Request* request = FindRequest(attempt->request);
+  Service& service = *request->service;
+  request->attempt = nullptr;
+  --service.running[request->size_class];
+  service.pool.OnEnd(*attempt->instance);
+  if (service.last_end != MonotonicTime{}) {
+    const double interval =
+        static_cast<double>((now - service.last_end).count());
+    service.end_interval_ns +=
+        kRateWeight * (interval - service.end_interval_ns);
+  }
+  service.last_end = now;
+  if (service.pool.homed()) SchedulePump(service, now);
+}
+
+bool RequestCore::MayRetry(Request& request, MonotonicTime now) {
+  const bool possible = request.caller.replayable && !stopping_ &&
+                        request.attempts < options_.max_attempts;
+  if (!possible || now >= request.deadline) return false;
+  return request.service->budget.Take();
+}
+
+void RequestCore::RetryOrRefuse(Request& request, Reason reason,
+                                MonotonicTime now) {
+  const Ref<Request> keep = &request;
+  const Ref<Service> service = request.service;
+  const bool repeatable = request.caller.idempotent || !request.may_have_run;
+  if (repeatable && MayRetry(request, now)) {
+    BackOff(request, now);
+  } else {
+    Refuse(request, reason, request.may_have_run ? Ran::kUnknown : Ran::kNo);
+  }
+  Dispatch(*service, now);
+}
+
+// Waits for a random part of a time that doubles with each attempt.
+void RequestCore::BackOff(Request& request, MonotonicTime now) {
+  request.state = RequestState::kBackingOff;
+  const Duration longest = options_.back_off * (1U << (request.attempts - 1));
+  const Duration wait(static_cast<Duration::rep>(
+      random_() % static_cast<std::uint64_t>(longest.count())));
+  timers_.insert({now + wait,
+                  {.kind = TimerKind::kRetry, .request = request.caller.id}});
+}
+
+void RequestCore::Refuse(Request& request, Reason reason, Ran ran) {
+  ++counters_.refused[static_cast<std::size_t>(reason)];
+  const RequestId id = request.caller.id;
+  Finish(request, ran);
+  hooks_.refuse(id, {.reason = reason, .ran = ran});
+}
+
+void RequestCore::Finish(Request& request, Ran ran) {
+  const Ref<Request> keep = &request;
+  timers_.erase(request.deadline_timer);
+  --team_requests_[request.service->rules.team];
+  requests_.erase(request.caller.id);
+  if (request.key_claimed && hooks_.key_ended) {
+    hooks_.key_ended(request.caller.key, ran);
+  }
+}
+
+void RequestCore::OnDeadline(Request& request, MonotonicTime now) {
+  const Ref<Request> keep = &request;
+  const Ref<Attempt> attempt = request.attempt;
+  if (request.state == RequestState::kClaiming) {
+    return Refuse(request, Reason::kKeyUnavailable, Ran::kUnknown);
+  }
+  if (request.state == RequestState::kWaiting) {
+    request.service->queue.Remove(request.caller.id, request.place);
+  }
+  if (attempt == nullptr) {
+    return Refuse(request, Reason::kDeadlinePassed,
+                  request.may_have_run ? Ran::kUnknown : Ran::kNo);
+  }
+  // An answer that began in time goes on under the I/O code's idle timeout.
+  if (attempt->passed) return;
+  attempt->instance->health.OnFailure(now);
+  FireAttempt(*attempt, AttemptEvent::kTimedOut, now);
+  if (RanAfter(attempt->state) != Ran::kNo) request.may_have_run = true;
+  const Ref<Service> service = request.service;
+  Refuse(request, Reason::kDeadlinePassed,
+         request.may_have_run ? Ran::kUnknown : Ran::kNo);
+  Dispatch(*service, now);
+}
+
+void RequestCore::Stop() { stopping_ = true; }
+
+void RequestCore::Tick(MonotonicTime now) {
+  now_ = now;
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const Timer timer = timers_.begin()->second;
+    if (timer.kind == TimerKind::kDeadline) {
+      // Finish() erases it by its iterator: leave a valid one behind.
+      Request& request = *requests_.at(timer.request);
+      timers_.erase(request.deadline_timer);
+      request.deadline_timer = timers_.insert({MonotonicTime::max(), timer});
+      OnDeadline(request, now);
+      continue;
+    }
+    timers_.erase(timers_.begin());
+    RunTimer(timer, now);
+  }
+  if (now < next_housekeeping_) return;
+  next_housekeeping_ = now + kHousekeepingInterval;
+  connections_.CloseIdle(now);
+  for (const auto& [name, service] : services_) service->pool.TakeBack(now);
+}
+
+void RequestCore::RunTimer(const Timer& timer, MonotonicTime now) {
+  if (timer.kind == TimerKind::kRetry) {
+    Request* request = FindRequest(timer.request);
+    if (request == nullptr) return;
+    const Ref<Service> service = request->service;
+    Enqueue(*request, now);
+    return Dispatch(*service, now);
+  }
+  const auto found = services_.find(timer.service);
+  if (found == services_.end()) return;
+  Service& service = *found->second;
+  if (timer.kind == TimerKind::kPump) {
+    service.pump_scheduled = false;
+    return Dispatch(service, now);
+  }
+  service.return_scheduled = false;
+  if (service.queue.size() == 0) service.pool.ReturnIdle();
+}
+
+// Waiting requests are looked at again soon; without any, lent slots go back.
+void RequestCore::SchedulePump(Service& service, MonotonicTime now) {
+  if (service.queue.size() > 0) {
+    if (service.pump_scheduled) return;
+    service.pump_scheduled = true;
+    timers_.insert({now + kPumpInterval,
+                    {.kind = TimerKind::kPump, .service = service.rules.name}});
+    return;
+  }
+  if (service.return_scheduled || !service.pool.HasIdleCredits()) return;
+  service.return_scheduled = true;
+  timers_.insert({now + options_.keep_credits,
+                  {.kind = TimerKind::kReturn, .service = service.rules.name}});
+}
+
+std::optional<MonotonicTime> RequestCore::NextWake() const {
+  if (timers_.empty()) return std::nullopt;
+  const MonotonicTime next = timers_.begin()->first;
+  if (next == MonotonicTime::max()) return std::nullopt;
+  return next;
+}
+
+void RequestCore::OnPeerMessage(const std::string& peer,
+                                const PeerMessage& message, MonotonicTime now) {
+  const auto found = services_.find(message.service);
+  if (found == services_.end()) return;
+  Service& service = *found->second;
+  service.pool.OnPeerMessage(peer, message, service.queue.size(), now);
+  Dispatch(service, now);
+  SchedulePump(service, now);
+}
+
+void RequestCore::OnProbe(const std::string& service,
+                          const std::string& instance, std::uint32_t in_flight,
+                          Duration latency, MonotonicTime now) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return;
+  InstanceState* state = found->second->pool.Find(instance);
+  if (state == nullptr) return;
+  state->probed_in_flight = in_flight;
+  state->probed_latency = latency;
+  state->probed_at = now;
+  state->probe_uses = 0;
+}
+
+bool RequestCore::HasService(const std::string& name) const {
+  return services_.contains(name);
+}
+
+std::size_t RequestCore::open_instances() const {
+  std::size_t open = 0;
+  for (const auto& [name, service] : services_) {
+    for (const Ref<InstanceState>& state : service->pool.instances()) {
+      if (!state->instance.leaving) ++open;
+    }
+  }
+  return open;
+}
+
+RequestCore::Request* RequestCore::FindRequest(RequestId id) {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? nullptr : found->second.get();
+}
+
+Ref<Attempt> RequestCore::FindAttempt(AttemptId id) {
+  const auto found = attempts_.find(id);
+  return found == attempts_.end() ? nullptr : found->second;
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/internal/request_queue.cc
@@ -0,0 +1,65 @@
+#include "requests/request_queue.h"
+
+namespace carobmast::requests {
+
+namespace {
+
+// A request of lower priority waits as if it had arrived this much later for
+// each step, so that nothing starves.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(100);
+
+MonotonicTime Order(config::Priority priority, MonotonicTime arrived) {
+  return arrived + kPriorityStep * static_cast<int>(priority);
+}
+
+}  // namespace
+
+RequestQueue::Place RequestQueue::Push(RequestId id, std::size_t size_class,
+                                       config::Priority priority,
+                                       MonotonicTime arrived) {
+  const Place place{.size_class = size_class,
+                    .order = Order(priority, arrived)};
+  queues_[size_class].insert({place.order, id});
+  return place;
+}
+
+void RequestQueue::Remove(RequestId id, const Place& place) {
+  queues_[place.size_class].erase({place.order, id});
+}
+
+std::optional<RequestId> RequestQueue::Front(
+    const std::function<bool(std::size_t size_class)>& may_run) const {
+  const std::pair<MonotonicTime, RequestId>* first = nullptr;
+  for (std::size_t i = 0; i < queues_.size(); ++i) {
+    if (queues_[i].empty() || !may_run(i)) continue;
+    const std::pair<MonotonicTime, RequestId>& front = *queues_[i].begin();
+    if (first == nullptr || front < *first) first = &front;
+  }
+  if (first == nullptr) return std::nullopt;
+  return first->second;
+}
+
+std::size_t RequestQueue::size() const {
+  std::size_t total = 0;
+  for (const auto& queue : queues_) total += queue.size();
+  return total;
+}
+
+std::size_t RequestQueue::Ahead(config::Priority priority,
+                                MonotonicTime now) const {
+  // The queues are short: a bound on their sum is kept by the core.
+  const std::pair<MonotonicTime, RequestId> place{Order(priority, now), 0};
+  std::size_t ahead = 0;
+  for (const auto& queue : queues_) {
+    if (queue.empty() || place < *queue.begin()) continue;
+    if (*queue.rbegin() < place) {
+      ahead += queue.size();
+    } else {
+      ahead += static_cast<std::size_t>(
+          std::distance(queue.begin(), queue.lower_bound(place)));
+    }
+  }
+  return ahead;
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/internal/service_pool.cc
@@ -0,0 +1,379 @@
+#include "requests/service_pool.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace carobmast::requests {
+
+namespace {
+
+// A peer without free slots is asked again after this time, then twice as long.
+constexpr Duration kFirstBackOff = std::chrono::milliseconds(1);
+constexpr Duration kMaxBackOff = std::chrono::milliseconds(16);
+
+// 64-bit FNV-1a: the same in every process and version.
+std::uint64_t Hash(const std::string& gateway, const std::string& instance) {
+  constexpr std::uint64_t kOffset = 14695981039346656037ULL;
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  std::uint64_t hash = kOffset;
+  for (const std::string* text : {&gateway, &instance}) {
+    for (const char c : *text) {
+      hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+    }
+    hash = (hash ^ 0xff) * kPrime;
+  }
+  return hash ^ (hash >> 31);
+}
+
+template <typename T>
+T CeilDivide(T value, std::size_t by) {
+  return static_cast<T>((value + by - 1) / by);
+}
+
+}  // namespace
+
+ServicePool::ServicePool(ServicePoolOptions options)
+    : options_(std::move(options)) {}
+
+void ServicePool::SetInstances(const std::vector<Instance>& instances) {
+  std::map<std::string, Ref<InstanceState>> known;
+  for (const Ref<InstanceState>& state : instances_) {
+    state->gone = true;
+    known[state->instance.name] = state;
+  }
+  std::map<std::string, Ref<InstanceState>> next;
+  for (const Instance& instance : instances) {
+    Ref<InstanceState>& state = next[instance.name];
+    const auto found = known.find(instance.name);
+    state = found != known.end() ? found->second : MakeRef<InstanceState>();
+    const bool leaving = state->instance.leaving || instance.leaving;
+    state->instance = instance;
+    state->instance.leaving = leaving;
+    state->local = instance.zone == options_.zone;
+    state->gone = false;
+  }
+  instances_.clear();
+  for (const auto& [name, state] : next) instances_.push_back(state);
+  Rehome();
+}
+
+void ServicePool::SetPeers(const std::vector<GatewayPeer>& peers) {
+  std::map<std::string, Peer> next;
+  gateways_in_zone_ = 1;
+  for (const GatewayPeer& peer : peers) {
+    const auto known = peers_.find(peer.name);
+    next[peer.name] = known != peers_.end() ? known->second : Peer{};
+    next[peer.name].zone = peer.zone;
+    if (peer.zone == options_.zone) ++gateways_in_zone_;
+  }
+  peers_ = std::move(next);
+  gateways_ = peers_.size() + 1;
+  Rehome();
+}
+
+std::vector<std::string> ServicePool::GatewaysFor(
+    const std::string& zone) const {
+  std::vector<std::string> in_zone;
+  std::vector<std::string> all = {options_.gateway};
+  if (options_.zone == zone) in_zone.push_back(options_.gateway);
+  for (const auto& [name, peer] : peers_) {
+    all.push_back(name);
+    if (peer.zone == zone) in_zone.push_back(name);
+  }
+  return in_zone.empty() ? all : in_zone;
+}
+
+// Rendezvous hashing with an upper bound, so that all gateways of a zone are
+// the home of about equally many instances.
+void ServicePool::Rehome() {
+  std::map<std::string, std::size_t> in_zone;
+  for (const Ref<InstanceState>& state : instances_) {
+    ++in_zone[state->instance.zone];
+  }
+  std::map<std::string, std::size_t> taken;
+  for (const Ref<InstanceState>& state : instances_) {
+    const std::vector<std::string> gateways = GatewaysFor(state->instance.zone);
+    const std::size_t bound =
+        CeilDivide(in_zone[state->instance.zone], gateways.size());
+    const std::string* home = nullptr;
+    std::uint64_t best = 0;
+    for (const std::string& gateway : gateways) {
+      const std::uint64_t score = Hash(gateway, state->instance.name);
+      const std::string key = state->instance.zone + '/' + gateway;
+      if (taken[key] >= bound || (home != nullptr && score <= best)) continue;
+      home = &gateway;
+      best = score;
+    }
+    ++taken[state->instance.zone + '/' + *home];
+    state->homed_here = *home == options_.gateway;
+    if (state->homed_here) state->credits = 0;
+  }
+}
+
+bool ServicePool::IsOpen(const InstanceState& instance, bool idempotent,
+                         MonotonicTime now) const {
+  if (instance.instance.leaving) return false;
+  if (instance.health.IsEjected(now)) return false;
+  return idempotent || !instance.health.on_trial();
+}
+
+std::uint32_t ServicePool::Room(const InstanceState& instance) const {
+  const std::uint32_t limit =
+      options_.policy.homed ? HomedRoom(instance) : SharedRoom(instance);
+  return limit > instance.outstanding ? limit - instance.outstanding : 0;
+}
+
+std::uint32_t ServicePool::HomedRoom(const InstanceState& instance) const {
+  if (!instance.homed_here) return instance.credits;
+  const std::uint32_t limit = instance.health.Limit(instance.instance.slots);
+  return limit > instance.lent_total ? limit - instance.lent_total : 0;
+}
+
+std::uint32_t ServicePool::SharedRoom(const InstanceState& instance) const {
+  const std::uint32_t share = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(instance.instance.connections / gateways_));
+  return instance.health.on_trial() ? 1 : share;
+}
+
+bool ServicePool::IsUnderShare(const InstanceState& instance) const {
+  if (!instance.local) return instance.outstanding < 1;
+  const std::uint32_t limit = instance.health.Limit(instance.instance.slots);
+  return instance.outstanding < CeilDivide(limit, gateways_in_zone_);
+}
+
+bool ServicePool::TooManyEjected(MonotonicTime now) const {
+  std::size_t open = 0;
+  std::size_t ejected = 0;
+  for (const Ref<InstanceState>& state : instances_) {
+    if (state->instance.leaving) continue;
+    ++(state->health.IsEjected(now) ? ejected : open);
+  }
+  return ejected > open;
+}
+
+void ServicePool::Collect(
+    bool idempotent, MonotonicTime now,
+    const std::function<bool(const InstanceState&)>& test) {
+  candidates_.clear();
+  for (const Ref<InstanceState>& state : instances_) {
+    if (!IsOpen(*state, idempotent, now)) continue;
+    if (Room(*state) > 0 && test(*state)) candidates_.push_back(state.get());
+  }
+}
+
+Ref<InstanceState> ServicePool::Pick(bool idempotent, MonotonicTime now,
+                                     Random& random) {
+  const auto local = [](const InstanceState& state) { return state.local; };
+  const auto any = [](const InstanceState&) { return true; };
+  if (options_.policy.spills_early && !options_.policy.homed) {
+    Collect(idempotent, now, [this](const InstanceState& state) {
+      return state.local && IsUnderShare(state);
+    });
+    if (candidates_.empty()) {
+      Collect(idempotent, now, [this](const InstanceState& state) {
+        return IsUnderShare(state);
+      });
+    }
+  } else {
+    Collect(idempotent, now, local);
+  }
+  if (candidates_.empty()) Collect(idempotent, now, local);
+  if (candidates_.empty()) Collect(idempotent, now, any);
+  if (candidates_.empty()) return PickEjected(now, random);
+  return options_.policy.pick(candidates_, random);
+}
+
+// With most instances ejected the ejections say more about the requests than
+// about the instances, and are not heeded.
+Ref<InstanceState> ServicePool::PickEjected(MonotonicTime now, Random& random) {
+  if (!TooManyEjected(now)) return nullptr;
+  candidates_.clear();
+  for (const Ref<InstanceState>& state : instances_) {
+    if (!state->instance.leaving && Room(*state) > 0) {
+      candidates_.push_back(state.get());
+    }
+  }
+  if (candidates_.empty()) return nullptr;
+  return options_.policy.pick(candidates_, random);
+}
+
+void ServicePool::OnStart(InstanceState& instance) { ++instance.outstanding; }
+
+void ServicePool::OnEnd(InstanceState& instance) { --instance.outstanding; }
+
+void ServicePool::Ask(std::size_t waiting, MonotonicTime now) {
+  if (!homed() || peers_.empty()) return;
+  std::uint32_t asks = 0;
+  for (auto& [name, peer] : peers_) {
+    if (peer.asking && now >= peer.ask_until) peer.asking = false;
+    if (peer.asking) ++asks;
+  }
+  std::vector<std::string> order;
+  for (const auto& [name, peer] : peers_) order.push_back(name);
+  std::rotate(
+      order.begin(),
+      order.begin() + static_cast<std::ptrdiff_t>(next_peer_++ % order.size()),
+      order.end());
+  std::stable_partition(order.begin(), order.end(),
+                        [this](const std::string& name) {
+                          return peers_[name].zone == options_.zone;
+                        });
+  for (const std::string& name : order) {
+    if (asks >= options_.max_asks) return;
+    Peer& peer = peers_[name];
+    if (peer.asking || now < peer.not_before) continue;
+    peer.asking = true;
+    peer.ask_until = now + options_.ask_timeout;
+    ++asks;
+    options_.tell(name,
+                  {.verb = PeerVerb::kAsk,
+                   .service = options_.service,
+                   .want = static_cast<std::uint32_t>(
+                       std::min<std::size_t>(waiting, options_.max_ask))});
+  }
+}
+
+void ServicePool::ReturnIdle() {
+  std::map<std::string, PeerMessage> messages;
+  for (const Ref<InstanceState>& state : instances_) {
+    if (state->credits <= state->outstanding) continue;
+    PeerMessage& message = messages[state->lender];
+    message.slots.push_back({.instance = state->instance.name,
+                             .count = state->credits - state->outstanding});
+    state->credits = state->outstanding;
+  }
+  for (auto& [peer, message] : messages) {
+    message.verb = PeerVerb::kReturn;
+    message.service = options_.service;
+    options_.tell(peer, message);
+  }
+}
+
+bool ServicePool::HasIdleCredits() const {
+  return std::any_of(instances_.begin(), instances_.end(),
+                     [](const Ref<InstanceState>& state) {
+                       return state->credits > state->outstanding;
+                     });
+}
+
+void ServicePool::OnPeerMessage(const std::string& peer,
+                                const PeerMessage& message, std::size_t waiting,
+                                MonotonicTime now) {
+  if (!homed()) return;
+  switch (message.verb) {
+    case PeerVerb::kAsk:
+      return Lend(peer, std::min(message.want, options_.max_ask), waiting, now);
+    case PeerVerb::kGrant:
+      return TakeGrant(peer, message, now);
+    case PeerVerb::kReturn:
+      return TakeReturn(peer, message);
+  }
+}
+
+void ServicePool::Lend(const std::string& peer, std::uint32_t want,
+                       std::size_t waiting, MonotonicTime now) {
+  PeerMessage grant{.verb = PeerVerb::kGrant, .service = options_.service};
+  std::vector<InstanceState*> free;
+  std::uint32_t slots = 0;
+  for (const Ref<InstanceState>& state : instances_) {
+    const bool fit = state->homed_here && IsOpen(*state, false, now) &&
+                     !state->health.is_slow();
+    if (!fit || Room(*state) == 0) continue;
+    free.push_back(state.get());
+    slots += Room(*state);
+  }
+  const std::uint32_t kept =
+      options_.reserve + static_cast<std::uint32_t>(waiting);
+  want = slots > kept ? std::min(want, slots - kept) : 0;
+  std::stable_sort(free.begin(), free.end(),
+                   [this](const InstanceState* a, const InstanceState* b) {
+                     return Room(*a) > Room(*b);
+                   });
+  for (InstanceState* state : free) {
+    if (want == 0) break;
+    LentSlots& lent = state->lent[peer];
+    ++lent.count;
+    lent.until = now + options_.lend_for;
+    ++state->lent_total;
+    --want;
+    grant.slots.push_back({.instance = state->instance.name, .count = 1});
+  }
+  options_.tell(peer, grant);
+}
+
+void ServicePool::TakeGrant(const std::string& peer, const PeerMessage& message,
+                            MonotonicTime now) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) return;
+  Peer& from = found->second;
+  from.asking = false;
+  if (message.slots.empty()) {
+    from.back_off = std::clamp(from.back_off * 2, kFirstBackOff, kMaxBackOff);
+    from.not_before = now + from.back_off;
+    return;
+  }
+  from.back_off = Duration::zero();
+  for (const SlotCount& slot : message.slots) {
+    InstanceState* state = Find(slot.instance);
+    if (state == nullptr || state->homed_here) continue;
+    state->credits += slot.count;
+    state->lender = peer;
+  }
+}
+
+void ServicePool::TakeReturn(const std::string& peer,
+                             const PeerMessage& message) {
+  for (const SlotCount& slot : message.slots) {
+    InstanceState* state = Find(slot.instance);
+    if (state == nullptr) continue;
+    const auto lent = state->lent.find(peer);
+    if (lent == state->lent.end()) continue;
+    const std::uint32_t back = std::min(slot.count, lent->second.count);
+    lent->second.count -= back;
+    state->lent_total -= back;
+    if (lent->second.count == 0) state->lent.erase(lent);
+  }
+}
+
+void ServicePool::TakeBack(MonotonicTime now) {
+  for (const Ref<InstanceState>& state : instances_) {
+    std::erase_if(state->lent, [&](const auto& entry) {
+      if (now < entry.second.until) return false;
+      state->lent_total -= entry.second.count;
+      return true;
+    });
+  }
+}
+
+bool ServicePool::IsServed() const {
+  return std::any_of(
+      instances_.begin(), instances_.end(),
+      [](const Ref<InstanceState>& state) { return !state->instance.leaving; });
+}
+
+std::uint32_t ServicePool::Capacity() const {
+  std::uint32_t total = 0;
+  for (const Ref<InstanceState>& state : instances_) {
+    if (state->instance.leaving) continue;
+    if (homed()) {
+      if (state->homed_here) total += state->instance.slots;
+      continue;
+    }
+    if (state->local) {
+      total += CeilDivide(state->instance.slots, gateways_in_zone_);
+    }
+  }
+  return std::max<std::uint32_t>(1, total);
+}
+
+InstanceState* ServicePool::Find(const std::string& instance) const {
+  const auto found = std::lower_bound(
+      instances_.begin(), instances_.end(), instance,
+      [](const Ref<InstanceState>& state, const std::string& name) {
+        return state->instance.name < name;
+      });
+  if (found == instances_.end()) return nullptr;
+  return (*found)->instance.name == instance ? found->get() : nullptr;
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/internal/size_learner.cc
@@ -0,0 +1,63 @@
+#include "requests/size_learner.h"
+
+#include <algorithm>
+
+namespace carobmast::requests {
+
+namespace {
+
+// Operations that are remembered for one service.
+constexpr std::size_t kMaxOperations = 1024;
+// Weight of the newest latency, once this many were seen.
+constexpr std::uint64_t kWindow = 50;
+// A mean must pass a class's bound by this factor before the class changes.
+constexpr double kHysteresis = 1.2;
+constexpr Duration kShortUpTo = std::chrono::milliseconds(100);
+constexpr std::uint32_t kLongShare = 50;
+
+double Nanoseconds(Duration duration) {
+  return static_cast<double>(duration.count());
+}
+
+}  // namespace
+
+SizeLearner::SizeLearner(std::vector<config::SizeClass> classes)
+    : classes_(std::move(classes)) {
+  if (!classes_.empty()) return;
+  classes_.push_back({.name = "short", .up_to = kShortUpTo});
+  classes_.push_back({.name = "long", .max_share = kLongShare});
+}
+
+void SizeLearner::OnAnswer(const std::string& operation, Duration latency) {
+  if (operations_.size() >= kMaxOperations && !operations_.contains(operation))
+    return;
+  Learned& learned = operations_[operation];
+  ++learned.answers;
+  const double weight =
+      1.0 / static_cast<double>(std::min(learned.answers, kWindow));
+  learned.mean_ns += weight * (Nanoseconds(latency) - learned.mean_ns);
+  const std::size_t now = Classify(learned.mean_ns);
+  const bool steady = Classify(learned.mean_ns * kHysteresis) == now &&
+                      Classify(learned.mean_ns / kHysteresis) == now;
+  if (steady || learned.answers == 1) learned.size_class = now;
+}
+
+Duration SizeLearner::Expected(const std::string& operation) const {
+  const auto found = operations_.find(operation);
+  if (found == operations_.end()) return Duration::zero();
+  return Duration(static_cast<Duration::rep>(found->second.mean_ns));
+}
+
+std::size_t SizeLearner::ClassOf(const std::string& operation) const {
+  const auto found = operations_.find(operation);
+  return found == operations_.end() ? 0 : found->second.size_class;
+}
+
+std::size_t SizeLearner::Classify(double mean_ns) const {
+  for (std::size_t i = 0; i + 1 < classes_.size(); ++i) {
+    if (mean_ns <= Nanoseconds(classes_[i].up_to)) return i;
+  }
+  return classes_.size() - 1;
+}
+
+}  // namespace carobmast::requests
--- /dev/null
+++ b/src/requests/request_queue.h
@@ -0,0 +1,47 @@
+// Requests of one service that wait for a slot: one queue for each size class,
+// each in the order of arrival with a head start by priority.
+#ifndef CAROBMAST_REQUESTS_REQUEST_QUEUE_H_
+#define CAROBMAST_REQUESTS_REQUEST_QUEUE_H_
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "config/types/objects.h"
+#include "framework/base/time.h"
+#include "requests/types/request.h"
+
+namespace carobmast::requests {
+
+class RequestQueue {
+ public:
+  explicit RequestQueue(std::size_t classes) : queues_(classes) {}
+
+  // Where a request waits; needed to take it out again.
+  struct Place {
+    std::size_t size_class = 0;
+    MonotonicTime order;
+  };
+
+  Place Push(RequestId id, std::size_t size_class, config::Priority priority,
+             MonotonicTime arrived);
+  void Remove(RequestId id, const Place& place);
+
+  // The first in order of those whose class `may_run`; stays in the queue.
+  std::optional<RequestId> Front(
+      const std::function<bool(std::size_t size_class)>& may_run) const;
+
+  std::size_t size() const;
+  // Requests that go before one of that priority that arrives at `now`.
+  std::size_t Ahead(config::Priority priority, MonotonicTime now) const;
+
+ private:
+  std::vector<std::set<std::pair<MonotonicTime, RequestId>>> queues_;
+};
+
+}  // namespace carobmast::requests
+
+#endif  // CAROBMAST_REQUESTS_REQUEST_QUEUE_H_
--- /dev/null
+++ b/src/requests/service_pool.h
@@ -0,0 +1,116 @@
+// The instances of one service as one gateway sees them: which have room for a
+// request, and, under the policy `homed`, whose slots they are.
+#ifndef CAROBMAST_REQUESTS_SERVICE_POOL_H_
+#define CAROBMAST_REQUESTS_SERVICE_POOL_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "framework/base/intrusive.h"
+#include "requests/instance_state.h"
+#include "requests/policy.h"
+#include "requests/types/peer_message.h"
+
+namespace carobmast::requests {
+
+struct ServicePoolOptions {
+  std::string service;
+  // This gateway's name and zone.
+  std::string gateway;
+  std::string zone;
+  Policy policy;
+  // Slots lent to a peer are taken back after this time.
+  Duration lend_for = std::chrono::seconds(30);
+  // An ask that got no grant is given up after this time.
+  Duration ask_timeout = std::chrono::milliseconds(50);
+  // Slots asked for at once from one peer.
+  std::uint32_t max_ask = 8;
+  // Peers asked at once.
+  std::uint32_t max_asks = 3;
+  // Free slots that the home keeps for itself.
+  std::uint32_t reserve = 1;
+  std::function<void(const std::string& peer, const PeerMessage&)> tell;
+};
+
+class ServicePool {
+ public:
+  explicit ServicePool(ServicePoolOptions options);
+
+  // The whole list. An instance once leaving stays so under its name.
+  void SetInstances(const std::vector<Instance>& instances);
+  // The other gateways that are reachable.
+  void SetPeers(const std::vector<GatewayPeer>& peers);
+
+  // An instance for the next request, or null when none has room. A request
+  // that may run only once is kept from instances on trial.
+  Ref<InstanceState> Pick(bool idempotent, MonotonicTime now, Random& random);
+  void OnStart(InstanceState& instance);
+  void OnEnd(InstanceState& instance);
+
+  // Asks peers for slots for `waiting` requests.
+  void Ask(std::size_t waiting, MonotonicTime now);
+  // Gives back lent slots that are not in use.
+  void ReturnIdle();
+  void OnPeerMessage(const std::string& peer, const PeerMessage& message,
+                     std::size_t waiting, MonotonicTime now);
+  // Takes back slots that were lent for too long.
+  void TakeBack(MonotonicTime now);
+
+  // Whether any instance takes new requests.
+  bool IsServed() const;
+  bool HasIdleCredits() const;
+  bool homed() const { return options_.policy.homed; }
+  bool probes() const { return options_.policy.probes; }
+  // Slots that this gateway can count on.
+  std::uint32_t Capacity() const;
+  const std::vector<Ref<InstanceState>>& instances() const {
+    return instances_;
+  }
+  InstanceState* Find(const std::string& instance) const;
+
+ private:
+  struct Peer {
+    std::string zone;
+    bool asking = false;
+    MonotonicTime ask_until;
+    // Not asked before this time, because it had no slots.
+    MonotonicTime not_before;
+    Duration back_off = Duration::zero();
+  };
+
+  void Rehome();
+  std::vector<std::string> GatewaysFor(const std::string& zone) const;
+  bool IsOpen(const InstanceState& instance, bool idempotent,
+              MonotonicTime now) const;
+  std::uint32_t Room(const InstanceState& instance) const;
+  std::uint32_t HomedRoom(const InstanceState& instance) const;
+  std::uint32_t SharedRoom(const InstanceState& instance) const;
+  // Whether the instance has fewer requests of this gateway than its share.
+  bool IsUnderShare(const InstanceState& instance) const;
+  bool TooManyEjected(MonotonicTime now) const;
+  Ref<InstanceState> PickEjected(MonotonicTime now, Random& random);
+  void Collect(bool idempotent, MonotonicTime now,
+               const std::function<bool(const InstanceState&)>& test);
+  void Lend(const std::string& peer, std::uint32_t want, std::size_t waiting,
+            MonotonicTime now);
+  void TakeGrant(const std::string& peer, const PeerMessage& message,
+                 MonotonicTime now);
+  void TakeReturn(const std::string& peer, const PeerMessage& message);
+
+  ServicePoolOptions options_;
+  // In the order of their names.
+  std::vector<Ref<InstanceState>> instances_;
+  std::map<std::string, Peer> peers_;
+  std::size_t gateways_in_zone_ = 1;
+  std::size_t gateways_ = 1;
+  // Where the next round of asks begins.
+  std::size_t next_peer_ = 0;
+  std::vector<InstanceState*> candidates_;
+};
+
+}  // namespace carobmast::requests
+
+#endif  // CAROBMAST_REQUESTS_SERVICE_POOL_H_
--- /dev/null
+++ b/src/requests/size_learner.h
@@ -0,0 +1,47 @@
+// Learns how long the operations of a service take, from the latencies of their
+// answers. Declared sizes are not used.
+#ifndef CAROBMAST_REQUESTS_SIZE_LEARNER_H_
+#define CAROBMAST_REQUESTS_SIZE_LEARNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/types/objects.h"
+#include "framework/base/time.h"
+
+namespace carobmast::requests {
+
+class SizeLearner {
+ public:
+  // `classes` as configured, shortest first; when empty, two classes are used:
+  // short, and long with half of the slots.
+  explicit SizeLearner(std::vector<config::SizeClass> classes = {});
+
+  void OnAnswer(const std::string& operation, Duration latency);
+
+  // The usual latency of the operation; zero when none was seen yet.
+  Duration Expected(const std::string& operation) const;
+  // Index of the operation's class; the shortest for an unknown operation.
+  std::size_t ClassOf(const std::string& operation) const;
+
+  const std::vector<config::SizeClass>& classes() const { return classes_; }
+
+ private:
+  struct Learned {
+    double mean_ns = 0;
+    std::uint64_t answers = 0;
+    std::size_t size_class = 0;
+  };
+
+  std::size_t Classify(double mean_ns) const;
+
+  std::vector<config::SizeClass> classes_;
+  std::map<std::string, Learned> operations_;
+};
+
+}  // namespace carobmast::requests
+
+#endif  // CAROBMAST_REQUESTS_SIZE_LEARNER_H_
--- /dev/null
+++ b/src/requests/types/instance.h
@@ -0,0 +1,32 @@
+// Plain data about the instances of services.
+#ifndef CAROBMAST_REQUESTS_TYPES_INSTANCE_H_
+#define CAROBMAST_REQUESTS_TYPES_INSTANCE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "platform/types/worker.h"
+
+namespace carobmast::requests {
+
+// One instance of a service, as the schedulers list it.
+struct Instance {
+  std::string service;
+  // Unique among the instances of the service.
+  std::string name;
+  // "ip:port".
+  std::string address;
+  std::string zone;
+  // Requests that it serves at once.
+  std::uint32_t slots = 8;
+  // Connections that it accepts, from all gateways together.
+  std::uint32_t connections = 64;
+  // It gets no new requests.
+  bool leaving = false;
+
+  friend bool operator==(const Instance&, const Instance&) = default;
+};
+
+}  // namespace carobmast::requests
+
+#endif  // CAROBMAST_REQUESTS_TYPES_INSTANCE_H_
