--- /dev/null
+++ b/src/work/types/records.h
@@ -0,0 +1,166 @@
+// Records of the log stream "work", as plain data.
+#ifndef CAROBMAST_WORK_TYPES_RECORDS_H_
+#define CAROBMAST_WORK_TYPES_RECORDS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "config/types/objects.h"
+#include "platform/types/log_record.h"
+#include "platform/types/worker.h"
+
+namespace carobmast::work {
+
+// A batch job is submitted: its specification is frozen at this moment, later
+// configuration sets don't change it.
+struct SubmitRecord {
+  // Unique for ever, 1 to 64 letters, digits or '-'. The id to ask about.
+  std::string submission;
+  config::BatchJob spec;
+
+  friend bool operator==(const SubmitRecord& a, const SubmitRecord& b) {
+    return a.submission == b.submission && a.spec.name == b.spec.name;
+  }
+};
+
+// A submission is cancelled. Tasks that run are stopped; finished tasks stay
+// finished.
+struct CancelRecord {
+  std::string submission;
+};
+
+// One process says that it is alive.
+struct HeartbeatRecord {
+  // "name/incarnation".
+  std::string scheduler;
+  std::string zone;
+};
+
+// A scheduler becomes the owner of a cell. Holds only if `previous` is still
+// the cell's token; the offset of the record is the new token.
+struct ClaimRecord {
+  std::string cell;
+  std::string zone;
+  std::string scheduler;
+  platform::FencingToken previous = 0;
+};
+
+// The owner gives its cell up and sends no command after this record.
+struct RelinquishRecord {
+  std::string cell;
+  platform::FencingToken token = 0;
+};
+
+// A worker as a member of a cell.
+struct CellMember {
+  std::string worker;
+  std::string address;
+  std::string pool;
+};
+
+// The owner adds workers to its cell, or removes workers that are gone.
+struct MembersRecord {
+  std::string cell;
+  platform::FencingToken token = 0;
+  std::vector<CellMember> add;
+  std::vector<std::string> remove;
+};
+
+// The owner takes tasks for its cell. A task that another cell holds stays
+// there.
+struct TakeRecord {
+  std::string cell;
+  platform::FencingToken token = 0;
+  std::vector<std::string> tasks;
+};
+
+enum class TaskResult {
+  kFinished,   // ended with success
+  kFailed,     // ended with an error; counts against the job's attempts
+  kReleased,   // ended or never started; any cell may take the task again
+  kCancelled,  // ended because its job was cancelled
+};
+
+struct ResultEntry {
+  // The last attempt that may have been started.
+  platform::AttemptId id;
+  TaskResult result = TaskResult::kReleased;
+  std::string checkpoint;
+  std::string reason;
+};
+
+// The owner reports tasks of its cell of which no attempt runs any more.
+struct ResultsRecord {
+  std::string cell;
+  platform::FencingToken token = 0;
+  std::vector<ResultEntry> results;
+};
+
+// One cell in a snapshot.
+struct CellSnapshot {
+  std::string cell;
+  std::string zone;
+  std::string owner;
+  platform::FencingToken token = 0;
+  std::uint32_t claims = 0;
+  std::vector<CellMember> members;
+};
+
+// The stages of a task in the log.
+enum class TaskStage {
+  kPending,    // no cell holds it
+  kAssigned,   // a cell holds it
+  kFinished,   // ended with success
+  kHeld,       // failed as often as its job allows
+  kCancelled,  // ended or never started, because its job was cancelled
+};
+
+// One task in a snapshot.
+struct TaskSnapshot {
+  std::string task;
+  TaskStage stage = TaskStage::kPending;
+  std::string cell;
+  platform::Offset taken_at = 0;
+  std::uint32_t next_attempt = 1;
+  std::uint32_t failures = 0;
+  std::string checkpoint;
+  std::string reason;
+};
+
+// One job in a snapshot.
+struct JobSnapshot {
+  SubmitRecord submit;
+  platform::Offset offset = 0;
+  bool cancelled = false;
+  // Wall time of the record that ended it; 0 while it has not ended.
+  std::int64_t ended_at_ms = 0;
+};
+
+// A part of the state after all records up to and including `base`. The parts
+// of one snapshot share `snapshot` and are appended together.
+struct SnapshotRecord {
+  std::string snapshot;
+  platform::Offset base = 0;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+  std::vector<CellSnapshot> cells;
+  std::vector<JobSnapshot> jobs;
+  std::vector<TaskSnapshot> tasks;
+  std::vector<HeartbeatRecord> schedulers;
+};
+
+// A record of a kind that a later version writes; folding it changes nothing.
+struct UnknownRecord {
+  std::string kind;
+};
+
+using WorkRecord =
+    std::variant<SubmitRecord, CancelRecord, HeartbeatRecord, ClaimRecord,
+                 RelinquishRecord, MembersRecord, TakeRecord, ResultsRecord,
+                 SnapshotRecord, UnknownRecord>;
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_TYPES_RECORDS_H_
