--- /dev/null
+++ b/src/gateway/internal/caller_port.cc
@@ -0,0 +1,262 @@
+#include "gateway/caller_port.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "framework/base/error.h"
+#include "gateway/http_rules.h"
+#include "gateway/target_port.h"
+
+namespace carobmast::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+// How often a stop looks whether all requests have ended.
+constexpr Duration kStopPoll = std::chrono::milliseconds(10);
+// After a failed accept, for example without free file descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+tcp::acceptor Listen(const asio::any_io_executor& executor,
+                     const net::Address& address) {
+  tcp::acceptor acceptor(executor);
+  error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(address.ip),
+                               address.port);
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) throw Error("listen", address.ToString(), error.message());
+  return acceptor;
+}
+
+asio::awaitable<void> Sleep(asio::any_io_executor executor, Duration time) {
+  asio::steady_timer timer(executor, time);
+  error_code error;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+asio::awaitable<bool> Write(boost::beast::tcp_stream& stream,
+                            const std::string& text) {
+  error_code error;
+  co_await asio::async_write(stream, asio::buffer(text),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+}  // namespace
+
+CallerPort::CallerPort(asio::any_io_executor executor,
+                       CallerPortOptions options)
+    : executor_(std::move(executor)),
+      options_(std::move(options)),
+      acceptor_(Listen(executor_, options_.listen)) {}
+
+void CallerPort::Start() {
+  asio::co_spawn(executor_, Accept(), asio::detached);
+}
+
+net::Address CallerPort::address() const {
+  const tcp::endpoint endpoint = acceptor_.local_endpoint();
+  return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
+}
+
+asio::awaitable<void> CallerPort::Accept() {
+  while (acceptor_.is_open()) {
+    error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (!acceptor_.is_open()) co_return;
+    if (error) {
+      co_await Sleep(executor_, kAcceptPause);
+      continue;
+    }
+    ++counters_.connections;
+    if (connections_.size() >= options_.max_connections) {
+      ++counters_.turned_away;
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    asio::co_spawn(executor_,
+                   Serve(MakeRef<CallerConnection>(std::move(socket))),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> CallerPort::Serve(Ref<CallerConnection> caller) {
+  connections_.insert(caller);
+  bool open = true;
+  while (open) {
+    caller->idle = true;
+    open = co_await ServeOne(caller);
+  }
+  error_code error;
+  caller->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  caller->stream.close();
+  connections_.erase(caller);
+}
+
+asio::awaitable<bool> CallerPort::ServeOne(Ref<CallerConnection> caller) {
+  const Ref<Exchange> exchange = MakeRef<Exchange>(caller);
+  exchange->parser.header_limit(options_.max_head_bytes);
+  exchange->parser.body_limit(boost::none);
+  error_code error;
+  caller->stream.expires_after(options_.idle_timeout);
+  co_await http::async_read_header(
+      caller->stream, caller->buffer, exchange->parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  caller->idle = false;
+  if (error) {
+    const bool malformed =
+        error.category() ==
+        http::make_error_code(http::error::bad_method).category();
+    if (malformed && error != http::error::end_of_stream &&
+        error != http::error::partial_message) {
+      co_await TurnDown(exchange, error.message());
+    }
+    co_return false;
+  }
+  const std::optional<std::string> fault = FindFault(exchange->parser.get());
+  if (fault.has_value()) {
+    co_await TurnDown(exchange, *fault);
+    co_return false;
+  }
+  if (!co_await ReadPrefix(exchange)) co_return false;
+  const MonotonicTime started = MonotonicClock::now();
+  HandOver(exchange);
+  co_await WaitDone(exchange);
+  if (options_.on_done) options_.on_done(exchange->id, started);
+  exchanges_.erase(exchange->id);
+  co_return !exchange->close;
+}
+
+asio::awaitable<bool> CallerPort::ReadPrefix(Ref<Exchange> exchange) {
+  CallerConnection& caller = *exchange->caller;
+  RequestParser& parser = exchange->parser;
+  caller.stream.expires_after(options_.idle_timeout);
+  if (!parser.is_done() &&
+      parser.get()[http::field::expect] == "100-continue" &&
+      !co_await Write(caller.stream, kContinue)) {
+    co_return false;
+  }
+  std::array<char, 16 * 1024> piece;
+  error_code error;
+  while (!parser.is_done() && exchange->prefix.size() < options_.prefix_bytes) {
+    const std::size_t got =
+        co_await ReadPiece(caller.stream, caller.buffer, parser, piece.data(),
+                           piece.size(), error);
+    exchange->prefix.append(piece.data(), got);
+    if (!error) continue;
+    if (error.category() ==
+        http::make_error_code(http::error::bad_chunk).category()) {
+      co_await TurnDown(exchange, error.message());
+    }
+    co_return false;
+  }
+  co_return true;
+}
+
+void CallerPort::HandOver(const Ref<Exchange>& exchange) {
+  const RequestHead& head = exchange->parser.get();
+  exchange->id = next_request_++;
+  exchanges_[exchange->id] = exchange;
+  const boost::core::string_view parent = head["traceparent"];
+  exchange->traceparent = std::string(parent.data(), parent.size());
+  if (options_.trace) {
+    exchange->traceparent = options_.trace(exchange->traceparent, exchange->id);
+  }
+  const boost::core::string_view key = head[kKeyField];
+  core_->OnRequest({.id = exchange->id,
+                    .service = ServiceOf(head,
+                                         [this](const std::string& name) {
+                                           return core_->HasService(name);
+                                         }),
+                    .operation = OperationOf(head),
+                    .idempotent = IsIdempotent(head),
+                    .replayable = exchange->parser.is_done(),
+                    .key = std::string(key.data(), key.size()),
+                    .timeout = TimeoutOf(head)},
+                   MonotonicClock::now());
+}
+
+asio::awaitable<void> CallerPort::WaitDone(Ref<Exchange> exchange) {
+  while (!exchange->done || exchange->pumping) {
+    error_code error;
+    if (exchange->done && exchange->pumping) {
+      // The answer came before the whole request was read.
+      exchange->caller->stream.cancel();
+    }
+    co_await exchange->changed.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (!exchange->refusal.has_value()) co_return;
+  if (!exchange->parser.is_done() || !exchange->parser.keep_alive() ||
+      stopping_) {
+    exchange->close = true;
+  }
+  exchange->caller->stream.expires_after(options_.idle_timeout);
+  const bool sent =
+      co_await Write(exchange->caller->stream,
+                     FormatRefusal(*exchange->refusal, "", exchange->close));
+  if (!sent) exchange->close = true;
+}
+
+asio::awaitable<void> CallerPort::TurnDown(Ref<Exchange> exchange,
+                                           std::string detail) {
+  ++counters_.malformed;
+  exchange->caller->stream.expires_after(options_.idle_timeout);
+  co_await Write(
+      exchange->caller->stream,
+      FormatRefusal({.reason = requests::Reason::kMalformed}, detail, true));
+}
+
+void CallerPort::Refuse(requests::RequestId id,
+                        const requests::Refusal& refusal) {
+  const Ref<Exchange> exchange = Find(id);
+  if (exchange == nullptr) return;
+  exchange->refusal = refusal;
+  exchange->done = true;
+  exchange->Wake();
+}
+
+void CallerPort::Cut(requests::RequestId id) {
+  const Ref<Exchange> exchange = Find(id);
+  if (exchange == nullptr) return;
+  exchange->close = true;
+  exchange->done = true;
+  exchange->Wake();
+}
+
+Ref<Exchange> CallerPort::Find(requests::RequestId id) const {
+  const auto found = exchanges_.find(id);
+  return found == exchanges_.end() ? nullptr : found->second;
+}
+
+void CallerPort::CloseIdle() {
+  for (const Ref<CallerConnection>& caller : connections_) {
+    if (caller->idle) caller->stream.cancel();
+  }
+}
+
+asio::awaitable<void> CallerPort::Stop(Duration grace) {
+  const MonotonicTime end = MonotonicClock::now() + grace;
+  stopping_ = true;
+  acceptor_.close();
+  const MonotonicTime duck =
+      std::min(end, MonotonicClock::now() + options_.lame_duck);
+  while (!connections_.empty() && MonotonicClock::now() < end) {
+    if (MonotonicClock::now() >= duck) CloseIdle();
+    co_await Sleep(executor_, kStopPoll);
+  }
+}
+
+}  // namespace carobmast::gateway
--- /dev/null
+++ b/src/gateway/internal/http_front.cc
@@ -0,0 +1,67 @@
+#include "gateway/http_front.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace carobmast::gateway {
+
+namespace asio = boost::asio;
+
+HttpFront::HttpFront(asio::any_io_executor executor, HttpFrontOptions options)
+    : executor_(executor),
+      callers_(executor, std::move(options.callers)),
+      targets_(executor, MakeTargets(std::move(options.targets))),
+      wake_(executor),
+      core_(std::move(options.core), MakeHooks(std::move(options.hooks))) {
+  wake_.expires_at(MonotonicTime::max());
+  callers_.SetCore(&core_);
+  targets_.SetCore(&core_);
+}
+
+TargetPortOptions HttpFront::MakeTargets(TargetPortOptions options) {
+  options.stopping = [this] { return callers_.stopping(); };
+  return options;
+}
+
+requests::CoreHooks HttpFront::MakeHooks(requests::CoreHooks hooks) {
+  hooks.send = [this](const requests::SendOrder& order) {
+    targets_.Send(order, callers_.Find(order.request));
+  };
+  hooks.close_connection = [this](requests::ConnectionId id) {
+    targets_.Close(id);
+  };
+  hooks.refuse = [this](requests::RequestId id,
+                        const requests::Refusal& refusal) {
+    callers_.Refuse(id, refusal);
+  };
+  hooks.cut = [this](requests::RequestId id) { callers_.Cut(id); };
+  hooks.wake = [this](MonotonicTime at) { wake_.expires_at(at); };
+  return hooks;
+}
+
+void HttpFront::Start() {
+  running_ = true;
+  callers_.Start();
+  asio::co_spawn(executor_, Tick(), asio::detached);
+}
+
+asio::awaitable<void> HttpFront::Tick() {
+  while (running_) {
+    boost::system::error_code error;
+    co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    // Cancelled when an earlier time was set.
+    if (error) continue;
+    core_.Tick(MonotonicClock::now());
+    wake_.expires_at(core_.NextWake().value_or(MonotonicTime::max()));
+  }
+}
+
+asio::awaitable<void> HttpFront::Stop(Duration grace) {
+  co_await callers_.Stop(grace);
+  running_ = false;
+  wake_.cancel();
+}
+
+}  // namespace carobmast::gateway
--- /dev/null
+++ b/src/gateway/internal/read_piece.h
@@ -0,0 +1,33 @@
+#ifndef CAROBMAST_GATEWAY_INTERNAL_READ_PIECE_H_
+#define CAROBMAST_GATEWAY_INTERNAL_READ_PIECE_H_
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "gateway/target_port.h"
+
+namespace carobmast::gateway {
+
+template <typename Parser>
+boost::asio::awaitable<std::size_t> ReadPiece(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser, char* data, std::size_t size,
+    boost::system::error_code& error) {
+  parser.get().body().data = data;
+  parser.get().body().size = size;
+  std::size_t got = 0;
+  while (!parser.is_done() && got == 0 && !error) {
+    co_await boost::beast::http::async_read_some(
+        stream, buffer, parser,
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error == boost::beast::http::error::need_buffer) error = {};
+    got = size - parser.get().body().size;
+  }
+  co_return got;
+}
+
+}  // namespace carobmast::gateway
+
+#endif  // CAROBMAST_GATEWAY_INTERNAL_READ_PIECE_H_
--- /dev/null
+++ b/src/gateway/tests/http_front_test.cc
@@ -0,0 +1,302 @@
+// The real data path over loopback: a front, instances made by hand, and a
+// caller that writes bytes.
+#include "gateway/http_front.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <vector>
+
+namespace carobmast::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+// What an instance does with each connection's requests, in order.
+struct Script {
+  // Answers in order; the last is repeated.
+  std::vector<std::string> answers;
+  // Closes the connection after each answer.
+  bool close_after = false;
+  Duration delay = Duration::zero();
+};
+
+// An instance that takes any bytes ending in `end` for a request.
+class FakeInstance {
+ public:
+  FakeInstance(asio::io_context& context, Script script)
+      : script_(std::move(script)),
+        acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  void Close() { acceptor_.close(); }
+
+  // Heads that arrived, each with the body that came along.
+  std::vector<std::string> requests;
+  std::string end = "\r\n\r\n";
+
+ private:
+  asio::awaitable<void> Accept() {
+    error_code error;
+    while (!error) {
+      tcp::socket socket = co_await acceptor_.async_accept(
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    error_code error;
+    std::string buffer;
+    while (true) {
+      const std::size_t got = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(buffer), end,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      requests.push_back(buffer.substr(0, got));
+      buffer.erase(0, got);
+      asio::steady_timer timer(socket.get_executor(), script_.delay);
+      co_await timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      const std::string answer =
+          script_.answers[std::min(next_++, script_.answers.size() - 1)];
+      co_await asio::async_write(
+          socket, asio::buffer(answer),
+          asio::redirect_error(asio::use_awaitable, error));
+      if (script_.close_after) co_return;
+    }
+  }
+
+  Script script_;
+  tcp::acceptor acceptor_;
+  std::size_t next_ = 0;
+};
+
+}  // namespace
+
+class HttpFrontTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpFrontTest);
+  CPPUNIT_TEST(PassesWholeAnswer);
+  CPPUNIT_TEST(KeepsConnections);
+  CPPUNIT_TEST(PassesChunkedBodies);
+  CPPUNIT_TEST(RefusesSmuggledRequests);
+  CPPUNIT_TEST(TellsNotRunWhenNothingListens);
+  CPPUNIT_TEST(TellsUnknownWhenAnswerNeverComes);
+  CPPUNIT_TEST(CutsCallerWhenAnswerIsCut);
+  CPPUNIT_TEST(SendsNonIdempotentRequestOnce);
+  CPPUNIT_TEST(RetriesIdempotentRequest);
+  CPPUNIT_TEST(RefusesAnswerWithoutLength);
+  CPPUNIT_TEST(StopAnswersRequestInFlight);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PassesWholeAnswer() {
+    Serve({.answers = {kOk}});
+    const std::string answer = Ask("GET /portal/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(Has(answer, "HTTP/1.1 200 OK"));
+    CPPUNIT_ASSERT(Has(answer, "carobmast-ran: yes"));
+    CPPUNIT_ASSERT(Has(answer, "\r\n\r\nhello"));
+    CPPUNIT_ASSERT(Has(instance_->requests.at(0), "GET /portal/x HTTP/1.1"));
+  }
+
+  void KeepsConnections() {
+    Serve({.answers = {kOk}});
+    const std::string one = "GET /portal HTTP/1.1\r\nHost: a\r\n\r\n";
+    // Two requests at once on one connection are answered in order.
+    const std::string answer = Ask(one + one);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Count(answer, "hello"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, front_->core().connections().open());
+  }
+
+  void PassesChunkedBodies() {
+    Serve({.answers = {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"}});
+    instance_->end = "0\r\n\r\n";
+    const std::string answer =
+        Ask("POST /portal HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+            "\r\n\r\n4\r\nwxyz\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(Has(instance_->requests.at(0), "\r\n\r\n4\r\nwxyz\r\n0"));
+    CPPUNIT_ASSERT(Has(answer, "abc"));
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+  }
+
+  void RefusesSmuggledRequests() {
+    Serve({.answers = {kOk}});
+    const std::string head = "POST /portal HTTP/1.1\r\nHost: a\r\n";
+    const std::vector<std::string> broken = {
+        "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+        "Content-Length: 4\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        "Content-Length: -1\r\n\r\n",
+        "Host: b\r\nContent-Length: 0\r\n\r\n",
+        "X: a\rInjected: b\r\nContent-Length: 0\r\n\r\n",
+        "X : a\r\nContent-Length: 0\r\n\r\n"};
+    for (const std::string& rest : broken) {
+      const std::string answer = Ask(head + rest);
+      CPPUNIT_ASSERT_MESSAGE(rest, answer.starts_with("HTTP/1.1 400 "));
+      CPPUNIT_ASSERT_MESSAGE(rest, Has(answer, "carobmast-ran: no"));
+      CPPUNIT_ASSERT_MESSAGE(rest, Has(answer, "Connection: close"));
+      CPPUNIT_ASSERT_MESSAGE(rest, closed_);
+    }
+    CPPUNIT_ASSERT(instance_->requests.empty());
+  }
+
+  void TellsNotRunWhenNothingListens() {
+    Serve({.answers = {kOk}});
+    instance_->Close();
+    const std::string answer = Ask("POST /portal HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(Has(answer, "carobmast-ran: no"));
+    CPPUNIT_ASSERT(Has(answer, "carobmast-reason: instance-failed"));
+  }
+
+  void TellsUnknownWhenAnswerNeverComes() {
+    Serve({.answers = {kOk}, .delay = std::chrono::seconds(5)});
+    const std::string answer =
+        Ask("POST /portal HTTP/1.1\r\nHost: a\r\ncarobmast-timeout: 100ms\r\n"
+            "\r\n");
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 504 "));
+    CPPUNIT_ASSERT(Has(answer, "carobmast-ran: unknown"));
+    // Its answer may come late: the connection serves nothing else.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, front_->core().connections().open());
+  }
+
+  void CutsCallerWhenAnswerIsCut() {
+    Serve({.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhel"},
+           .close_after = true});
+    const std::string answer = Ask("POST /portal HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(closed_);
+    CPPUNIT_ASSERT(Has(answer, "Content-Length: 50"));
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nhel"));
+  }
+
+  void SendsNonIdempotentRequestOnce() {
+    Serve({.answers = {""}, .close_after = true});
+    const std::string answer = Ask("POST /portal HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(Has(answer, "carobmast-ran: unknown"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instance_->requests.size());
+  }
+
+  void RetriesIdempotentRequest() {
+    Serve({.answers = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", kOk}});
+    const std::string answer = Ask("GET /portal HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(Has(answer, "hello"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, instance_->requests.size());
+  }
+
+  void RefusesAnswerWithoutLength() {
+    Serve({.answers = {"HTTP/1.1 200 OK\r\n\r\nhello"}, .close_after = true});
+    const std::string answer = Ask("POST /portal HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(Has(answer, "carobmast-ran: unknown"));
+  }
+
+  void StopAnswersRequestInFlight() {
+    Serve({.answers = {kOk}, .delay = std::chrono::milliseconds(50)});
+    std::string answer;
+    bool stopped = false;
+    asio::co_spawn(context_,
+                   Call("GET /portal HTTP/1.1\r\nHost: a\r\n\r\n", answer),
+                   asio::detached);
+    while (instance_->requests.empty()) context_.run_one();
+    asio::co_spawn(context_, Stop(stopped), asio::detached);
+    while (!stopped) context_.run_one();
+    CPPUNIT_ASSERT(Has(answer, "hello"));
+    CPPUNIT_ASSERT(Has(answer, "Connection: close"));
+  }
+
+ private:
+  static bool Has(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+  }
+
+  static std::size_t Count(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    std::size_t at = text.find(part);
+    while (at != std::string::npos) {
+      ++count;
+      at = text.find(part, at + 1);
+    }
+    return count;
+  }
+
+  void Serve(Script script) {
+    instance_ = std::make_unique<FakeInstance>(context_, std::move(script));
+    HttpFrontOptions options{.callers = {.listen = {.ip = "127.0.0.1"}},
+                             .core = {.gateway = "gw-1", .zone = "zg-a"}};
+    front_ = std::make_unique<HttpFront>(context_.get_executor(),
+                                         std::move(options));
+    front_->core().SetServices({{.name = "portal"}}, MonotonicClock::now());
+    front_->core().SetInstances({{.service = "portal",
+                                  .name = "portal-0/1",
+                                  .address = instance_->address(),
+                                  .zone = "zg-a"}},
+                                MonotonicClock::now());
+    front_->Start();
+  }
+
+  asio::awaitable<void> Stop(bool& stopped) {
+    co_await front_->Stop(std::chrono::seconds(5));
+    stopped = true;
+  }
+
+  // Sends `bytes` and collects what comes until nothing has for a while.
+  asio::awaitable<void> Call(std::string bytes, std::string& answer) {
+    boost::beast::tcp_stream stream(context_);
+    const net::Address address = front_->callers().address();
+    co_await stream.async_connect(
+        tcp::endpoint(asio::ip::make_address(address.ip), address.port),
+        asio::use_awaitable);
+    co_await asio::async_write(stream, asio::buffer(bytes),
+                               asio::use_awaitable);
+    error_code error;
+    std::array<char, 4096> piece;
+    while (!error) {
+      stream.expires_after(std::chrono::milliseconds(400));
+      const std::size_t got = co_await stream.async_read_some(
+          asio::buffer(piece),
+          asio::redirect_error(asio::use_awaitable, error));
+      answer.append(piece.data(), got);
+    }
+    closed_ = error != boost::beast::error::timeout;
+  }
+
+  std::string Ask(const std::string& bytes) {
+    std::string answer;
+    bool ended = false;
+    asio::co_spawn(context_, Call(bytes, answer),
+                   [&ended](const std::exception_ptr&) { ended = true; });
+    while (!ended) context_.run_one();
+    return answer;
+  }
+
+  asio::io_context context_;
+  std::unique_ptr<FakeInstance> instance_;
+  std::unique_ptr<HttpFront> front_;
+  bool closed_ = false;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpFrontTest, "http_front_test");
+
+}  // namespace carobmast::gateway
--- /dev/null
+++ b/src/requests/internal/endpoint_table.cc
@@ -0,0 +1,30 @@
+#include "requests/endpoint_table.h"
+
+namespace carobmast::requests {
+
+bool EndpointTable::Take(const std::vector<CellList>& lists) {
+  bool changed = false;
+  for (const CellList& list : lists) {
+    CellList& held = cells_[list.cell];
+    if (list.token < held.token) continue;
+    changed = changed || held.instances != list.instances;
+    held = list;
+  }
+  return changed;
+}
+
+std::vector<Instance> EndpointTable::All() const {
+  std::vector<Instance> all;
+  for (const auto& [name, cell] : cells_) {
+    all.insert(all.end(), cell.instances.begin(), cell.instances.end());
+  }
+  return all;
+}
+
+std::size_t EndpointTable::size() const {
+  std::size_t total = 0;
+  for (const auto& [name, cell] : cells_) total += cell.instances.size();
+  return total;
+}
+
+}  // namespace carobmast::requests
--- a/src/requests/internal/request_core.cc
+++ b/src/requests/internal/request_core.cc
@@ -66,6 +66,8 @@
   MakePolicy(options_.policy);
 }
 
+RequestCore::~RequestCore() = default;
+
 Ref<RequestCore::Service> RequestCore::MakeService(const ServiceRules& rules) {
   ServicePoolOptions pool{.service = rules.name,
                           .gateway = options_.gateway,
@@ -153,9 +155,8 @@
   request->wait_until =
       now + Duration(static_cast<Duration::rep>(
                 static_cast<double>(time.count()) * options_.max_wait_share));
-  request->deadline_timer =
-      timers_.insert({request->deadline,
-                      {.kind = TimerKind::kDeadline, .request = caller.id}});
+  request->deadline_timer = AddTimer(
+      request->deadline, {.kind = TimerKind::kDeadline, .request = caller.id});
   requests_[caller.id] = request;
   if (!caller.key.empty() && !caller.idempotent) {
     request->state = RequestState::kClaiming;
@@ -337,10 +338,11 @@
   if (attempt != nullptr) connections_.OnOpened(attempt->connection);
 }
 
-void RequestCore::OnSent(AttemptId id) {
+bool RequestCore::OnSent(AttemptId id) {
   const Ref<Attempt> attempt = FindAttempt(id);
-  if (attempt == nullptr) return;
+  if (attempt == nullptr) return false;
   FireAttempt(*attempt, AttemptEvent::kFirstByteSent, now_);
+  return true;
 }
 
 HeadVerdict RequestCore::OnAnswerHead(AttemptId id, const AnswerHead& head,
@@ -356,9 +358,9 @@
     attempt->instance->health.OnFailure(now);
   }
   attempt->refused = head.refused;
-  attempt->drained = head.refused || (IsWorthRetry(head.status) &&
-                                      request->caller.idempotent &&
-                                      MayRetry(*request, now));
+  attempt->drained =
+      head.refused || (IsWorthRetry(head.status) &&
+                       request->caller.idempotent && MayRetry(*request, now));
   if (attempt->drained) return HeadVerdict::kDrain;
   attempt->passed = true;
   if (head.status < kFirstServerError) Learn(*attempt, *request, now);
@@ -444,8 +446,8 @@
 }
 
 bool RequestCore::MayRetry(Request& request, MonotonicTime now) {
-  const bool possible = request.caller.replayable && !stopping_ &&
-                        request.attempts < options_.max_attempts;
+  const bool possible =
+      request.caller.replayable && request.attempts < options_.max_attempts;
   if (!possible || now >= request.deadline) return false;
   return request.service->budget.Take();
 }
@@ -469,8 +471,8 @@
   const Duration longest = options_.back_off * (1U << (request.attempts - 1));
   const Duration wait(static_cast<Duration::rep>(
       random_() % static_cast<std::uint64_t>(longest.count())));
-  timers_.insert({now + wait,
-                  {.kind = TimerKind::kRetry, .request = request.caller.id}});
+  AddTimer(now + wait,
+           {.kind = TimerKind::kRetry, .request = request.caller.id});
 }
 
 void RequestCore::Refuse(Request& request, Reason reason, Ran ran) {
@@ -524,7 +526,7 @@
       // Finish() erases it by its iterator: leave a valid one behind.
       Request& request = *requests_.at(timer.request);
       timers_.erase(request.deadline_timer);
-      request.deadline_timer = timers_.insert({MonotonicTime::max(), timer});
+      request.deadline_timer = AddTimer(MonotonicTime::max(), timer);
       OnDeadline(request, now);
       continue;
     }
@@ -561,14 +563,21 @@
   if (service.queue.size() > 0) {
     if (service.pump_scheduled) return;
     service.pump_scheduled = true;
-    timers_.insert({now + kPumpInterval,
-                    {.kind = TimerKind::kPump, .service = service.rules.name}});
+    AddTimer(now + kPumpInterval,
+             {.kind = TimerKind::kPump, .service = service.rules.name});
     return;
   }
   if (service.return_scheduled || !service.pool.HasIdleCredits()) return;
   service.return_scheduled = true;
-  timers_.insert({now + options_.keep_credits,
-                  {.kind = TimerKind::kReturn, .service = service.rules.name}});
+  AddTimer(now + options_.keep_credits,
+           {.kind = TimerKind::kReturn, .service = service.rules.name});
+}
+
+RequestCore::Timers::iterator RequestCore::AddTimer(MonotonicTime at,
+                                                    Timer timer) {
+  const auto added = timers_.insert({at, std::move(timer)});
+  if (added == timers_.begin() && hooks_.wake) hooks_.wake(at);
+  return added;
 }
 
 std::optional<MonotonicTime> RequestCore::NextWake() const {
--- a/src/requests/request_core.h
+++ b/src/requests/request_core.h
@@ -48,6 +48,8 @@
   std::function<void(const std::string& service, const std::string& instance,
                      const std::string& address)>
       probe;
+  // Tick is needed at this time, which is earlier than before.
+  std::function<void(MonotonicTime)> wake;
 };
 
 struct CoreOptions {
@@ -104,6 +106,9 @@
 class RequestCore {
  public:
   RequestCore(CoreOptions options, CoreHooks hooks);
+  ~RequestCore();
+  RequestCore(const RequestCore&) = delete;
+  RequestCore& operator=(const RequestCore&) = delete;
 
   // The configuration in force; whole.
   void SetServices(const std::vector<ServiceRules>& rules, MonotonicTime now);
@@ -117,8 +122,9 @@
   void OnClaim(RequestId id, ClaimOutcome outcome, MonotonicTime now);
 
   void OnConnected(AttemptId id);
-  // The first byte of the request may have left.
-  void OnSent(AttemptId id);
+  // Call it before the first byte of the request leaves. When it returns false
+  // the attempt has ended, and nothing may be sent.
+  bool OnSent(AttemptId id);
   HeadVerdict OnAnswerHead(AttemptId id, const AnswerHead& head,
                            MonotonicTime now);
   void OnAnswerEnd(AttemptId id, AnswerEnd end, MonotonicTime now);
@@ -199,6 +205,7 @@
   void Refuse(Request& request, Reason reason, Ran ran);
   void Learn(const Attempt& attempt, const Request& request, MonotonicTime now);
   void OnDeadline(Request& request, MonotonicTime now);
+  Timers::iterator AddTimer(MonotonicTime at, Timer timer);
   void RunTimer(const Timer& timer, MonotonicTime now);
   void SchedulePump(Service& service, MonotonicTime now);
 
