--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -55,10 +55,10 @@
 
   // An idle connection that the peer has not closed, or null.
   Ref<Connection> TakeIdle(const Address& address) {
-    std::list<Ref<Connection>>& idle = idle_[address];
-    while (!idle.empty()) {
-      Ref<Connection> connection = idle.back();
-      idle.pop_back();
+    std::list<Ref<Connection>>& waiting = idle[address];
+    while (!waiting.empty()) {
+      Ref<Connection> connection = waiting.back();
+      waiting.pop_back();
       if (IsQuiet(*connection)) return connection;
     }
     return nullptr;
@@ -77,15 +77,15 @@
   }
 
   void GiveBack(const Address& address, Ref<Connection> connection) {
-    std::list<Ref<Connection>>& idle = idle_[address];
-    if (idle.size() >= options.max_idle_connections) return;
+    std::list<Ref<Connection>>& waiting = idle[address];
+    if (waiting.size() >= options.max_idle_connections) return;
     connection->stream.expires_never();
-    idle.push_back(std::move(connection));
+    waiting.push_back(std::move(connection));
   }
 
   asio::any_io_executor executor;
   HttpClientOptions options;
-  std::map<Address, std::list<Ref<Connection>>> idle_;
+  std::map<Address, std::list<Ref<Connection>>> idle;
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -97,7 +97,7 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::Close() { impl_->idle_.clear(); }
+void HttpClient::Close() { impl_->idle.clear(); }
 
 asio::awaitable<HttpAnswer> HttpClient::Call(Address address, HttpCall call) {
   const Ref<Impl> impl = impl_;
