--- /dev/null
+++ b/src/work/internal/pick_worker.cc
@@ -0,0 +1,60 @@
+#include "work/pick_worker.h"
+
+#include <cstddef>
+#include <iterator>
+
+namespace carobmast::work {
+namespace {
+
+// Workers looked at for one task, besides those without enough processors.
+constexpr std::size_t kMaxProbes = 32;
+
+using FreeIndex = std::set<std::pair<std::uint64_t, std::string>>;
+
+bool Suits(const PlacementRequest& request, const OwnedWorker& worker) {
+  if (!request.cell.empty() && worker.cell != request.cell) return false;
+  return Fits(request.spec.resources, worker.Free());
+}
+
+template <typename Iterator>
+std::optional<std::string> FirstOf(const PlacementRequest& request,
+                                   const WorkerTable& workers, Iterator from,
+                                   Iterator to) {
+  std::size_t probes = 0;
+  for (Iterator at = from; at != to && probes < kMaxProbes; ++at, ++probes) {
+    if (Suits(request, *workers.Find(at->second))) return at->second;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> FirstInCell(const PlacementRequest& request,
+                                       const WorkerTable& workers,
+                                       const FreeIndex& index) {
+  for (const auto& [free, worker] : index) {
+    if (Suits(request, *workers.Find(worker))) return worker;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> Pick(const PlacementRequest& request,
+                                const WorkerTable& workers) {
+  const FreeIndex* index = workers.FreeIndex(request.spec.pool);
+  if (index == nullptr) return std::nullopt;
+  if (!request.cell.empty()) return FirstInCell(request, workers, *index);
+  const FreeIndex::const_iterator first =
+      index->lower_bound({request.spec.resources.milli_cpus, std::string()});
+  if (request.spec.kind == platform::TaskKind::kBatch) {
+    return FirstOf(request, workers, first, index->end());
+  }
+  return FirstOf(request, workers, index->rbegin(),
+                 std::make_reverse_iterator(first));
+}
+
+}  // namespace
+
+PickWorker PickFirstFit() {
+  return [](const PlacementRequest& request, const WorkerTable& workers,
+            MonotonicTime) { return Pick(request, workers); };
+}
+
+}  // namespace carobmast::work
--- a/src/work/internal/work_record.cc
+++ b/src/work/internal/work_record.cc
@@ -97,7 +97,8 @@
   for (const CellMember& member : members) {
     array.push_back(json::object{{"worker", member.worker},
                                  {"address", member.address},
-                                 {"pool", member.pool}});
+                                 {"pool", member.pool},
+                                 {"added_at", member.added_at}});
   }
   return array;
 }
@@ -109,7 +110,8 @@
     const JsonReader item = reader.Element(value);
     members.push_back({.worker = item.String("worker"),
                        .address = item.String("address"),
-                       .pool = item.String("pool")});
+                       .pool = item.String("pool"),
+                       .added_at = item.UnsignedOr("added_at", 0)});
   }
   return members;
 }
@@ -132,14 +134,13 @@
   std::vector<ResultEntry> results;
   for (const json::value& value : reader.Array("results")) {
     const JsonReader item = reader.Element(value);
-    results.push_back(
-        {.id = {.task = item.String("task"),
-                .attempt =
-                    static_cast<std::uint32_t>(item.Unsigned("attempt"))},
-         .result = ParseName<TaskResult>(kResultNames, item.String("result"),
-                                         source),
-         .checkpoint = item.StringOr("checkpoint", ""),
-         .reason = item.StringOr("reason", "")});
+    results.push_back({.id = {.task = item.String("task"),
+                              .attempt = static_cast<std::uint32_t>(
+                                  item.Unsigned("attempt"))},
+                       .result = ParseName<TaskResult>(
+                           kResultNames, item.String("result"), source),
+                       .checkpoint = item.StringOr("checkpoint", ""),
+                       .reason = item.StringOr("reason", "")});
   }
   return results;
 }
@@ -203,6 +204,7 @@
   for (const TaskSnapshot& task : tasks) {
     json::object item{{"task", task.task},
                       {"stage", NameOf(kStageNames, task.stage)},
+                      {"first_attempt", task.first_attempt},
                       {"next_attempt", task.next_attempt}};
     if (!task.cell.empty()) item["cell"] = task.cell;
     if (task.taken_at != 0) item["taken_at"] = task.taken_at;
@@ -225,6 +227,8 @@
              ParseName<TaskStage>(kStageNames, item.String("stage"), source),
          .cell = item.StringOr("cell", ""),
          .taken_at = item.UnsignedOr("taken_at", 0),
+         .first_attempt =
+             static_cast<std::uint32_t>(item.Unsigned("first_attempt")),
          .next_attempt =
              static_cast<std::uint32_t>(item.Unsigned("next_attempt")),
          .failures = static_cast<std::uint32_t>(item.UnsignedOr("failures", 0)),
@@ -234,28 +238,53 @@
   return tasks;
 }
 
-json::array EncodeSchedulers(const std::vector<HeartbeatRecord>& schedulers) {
+json::array EncodeSchedulers(const std::vector<SchedulerSnapshot>& schedulers) {
   json::array array;
-  for (const HeartbeatRecord& scheduler : schedulers) {
+  for (const SchedulerSnapshot& scheduler : schedulers) {
     array.push_back(json::object{{"scheduler", scheduler.scheduler},
-                                 {"zone", scheduler.zone}});
+                                 {"zone", scheduler.zone},
+                                 {"last_offset", scheduler.last_offset},
+                                 {"last_at_ms", scheduler.last_at_ms}});
   }
   return array;
 }
 
-HeartbeatRecord DecodeHeartbeat(const JsonReader& reader) {
-  return {.scheduler = reader.String("scheduler"),
-          .zone = reader.String("zone")};
-}
-
-std::vector<HeartbeatRecord> DecodeSchedulers(const JsonReader& reader) {
-  std::vector<HeartbeatRecord> schedulers;
+std::vector<SchedulerSnapshot> DecodeSchedulers(const JsonReader& reader) {
+  std::vector<SchedulerSnapshot> schedulers;
   for (const json::value& value : reader.Array("schedulers")) {
-    schedulers.push_back(DecodeHeartbeat(reader.Element(value)));
+    const JsonReader item = reader.Element(value);
+    schedulers.push_back({.scheduler = item.String("scheduler"),
+                          .zone = item.String("zone"),
+                          .last_offset = item.Unsigned("last_offset"),
+                          .last_at_ms = item.Int("last_at_ms")});
   }
   return schedulers;
 }
 
+json::array EncodeFinished(const std::vector<FinishedName>& names) {
+  json::array array;
+  for (const FinishedName& name : names) {
+    array.push_back(
+        json::object{{"job", name.job}, {"submission", name.submission}});
+  }
+  return array;
+}
+
+std::vector<FinishedName> DecodeFinished(const JsonReader& reader) {
+  std::vector<FinishedName> names;
+  for (const json::value& value : reader.Array("finished_names")) {
+    const JsonReader item = reader.Element(value);
+    names.push_back(
+        {.job = item.String("job"), .submission = item.String("submission")});
+  }
+  return names;
+}
+
+HeartbeatRecord DecodeHeartbeat(const JsonReader& reader) {
+  return {.scheduler = reader.String("scheduler"),
+          .zone = reader.String("zone")};
+}
+
 struct Encoder {
   json::object operator()(const SubmitRecord& record) const {
     return {{"kind", "submit"},
@@ -309,7 +338,8 @@
             {"cells", EncodeCells(record.cells)},
             {"jobs", EncodeJobs(record.jobs)},
             {"tasks", EncodeTasks(record.tasks)},
-            {"schedulers", EncodeSchedulers(record.schedulers)}};
+            {"schedulers", EncodeSchedulers(record.schedulers)},
+            {"finished_names", EncodeFinished(record.finished_names)}};
   }
   json::object operator()(const UnknownRecord& record) const {
     return {{"kind", record.kind}};
@@ -362,7 +392,8 @@
         .cells = DecodeCells(reader),
         .jobs = DecodeJobs(reader, source),
         .tasks = DecodeTasks(reader, source),
-        .schedulers = DecodeSchedulers(reader)};
+        .schedulers = DecodeSchedulers(reader),
+        .finished_names = DecodeFinished(reader)};
   }
   return UnknownRecord{.kind = kind};
 }
--- a/src/work/types/records.h
+++ b/src/work/types/records.h
@@ -58,6 +58,9 @@
   std::string worker;
   std::string address;
   std::string pool;
+  // Offset of the record that added it; set by the fold. No command with a
+  // lower token is meant for this membership.
+  platform::Offset added_at = 0;
 };
 
 // The owner adds workers to its cell, or removes workers that are gone.
@@ -123,6 +126,7 @@
   TaskStage stage = TaskStage::kPending;
   std::string cell;
   platform::Offset taken_at = 0;
+  std::uint32_t first_attempt = 1;
   std::uint32_t next_attempt = 1;
   std::uint32_t failures = 0;
   std::string checkpoint;
@@ -138,6 +142,20 @@
   std::int64_t ended_at_ms = 0;
 };
 
+// One scheduler in a snapshot.
+struct SchedulerSnapshot {
+  std::string scheduler;
+  std::string zone;
+  platform::Offset last_offset = 0;
+  std::int64_t last_at_ms = 0;
+};
+
+// The newest submission of a job that finished.
+struct FinishedName {
+  std::string job;
+  std::string submission;
+};
+
 // A part of the state after all records up to and including `base`. The parts
 // of one snapshot share `snapshot` and are appended together.
 struct SnapshotRecord {
@@ -148,7 +166,8 @@
   std::vector<CellSnapshot> cells;
   std::vector<JobSnapshot> jobs;
   std::vector<TaskSnapshot> tasks;
-  std::vector<HeartbeatRecord> schedulers;
+  std::vector<SchedulerSnapshot> schedulers;
+  std::vector<FinishedName> finished_names;
 };
 
 // A record of a kind that a later version writes; folding it changes nothing.
--- /dev/null
+++ b/src/work/types/task_spec.h
@@ -0,0 +1,29 @@
+// What a task needs in order to run.
+#ifndef CAROBMAST_WORK_TYPES_TASK_SPEC_H_
+#define CAROBMAST_WORK_TYPES_TASK_SPEC_H_
+
+#include <cstdint>
+#include <string>
+
+#include "config/types/objects.h"
+#include "platform/types/worker.h"
+
+namespace carobmast::work {
+
+struct TaskSpec {
+  platform::TaskKind kind = platform::TaskKind::kBatch;
+  // The service, standing worker or batch job that it belongs to.
+  std::string object;
+  std::string team;
+  std::string pool;
+  std::string program;
+  platform::Resources resources;
+  config::Priority priority = config::Priority::kNormal;
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  bool checkpoints = false;
+};
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_TYPES_TASK_SPEC_H_
