--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,81 @@
+// The gateway of one entry VM: the data path, fed with the configuration in
+// force, with instances from schedulers and with slots of other gateways.
+#ifndef CAROBMAST_GATEWAY_GATEWAY_H_
+#define CAROBMAST_GATEWAY_GATEWAY_H_
+
+#include <map>
+#include <string>
+
+#include "config/types/objects.h"
+#include "framework/daemon/daemon.h"
+#include "framework/settings/settings.h"
+#include "gateway/http_front.h"
+#include "requests/endpoint_table.h"
+
+namespace carobmast::gateway {
+
+// The settings that only a gateway has.
+struct GatewaySettings {
+  // Where callers reach it.
+  net::Address callers_address;
+  std::string policy = "homed";
+  std::size_t max_connections = 4096;
+  ByteCount max_head{16 * 1024};
+  // Longer bodies are passed on while they arrive, and never sent twice.
+  ByteCount retry_body{64 * 1024};
+  Duration idle_timeout = std::chrono::seconds(30);
+};
+
+// Reads callers_address, policy, max_connections, max_head, retry_body and
+// idle_timeout.
+GatewaySettings ReadGatewaySettings(settings::SettingsReader& reader);
+
+class Gateway {
+ public:
+  // Adds its calls, readiness tests and stop to the daemon. Throws Error when
+  // the callers' address is taken.
+  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings);
+
+  // The configuration in force.
+  void SetObjects(const config::Objects& objects);
+
+  // Begins to serve callers and to ask peers.
+  void Start();
+
+  HttpFront& front() { return front_; }
+
+ private:
+  enum class PeerRole { kUnknown, kScheduler, kGateway };
+  struct Peer {
+    daemon::PeerSettings settings;
+    PeerRole role = PeerRole::kUnknown;
+    std::uint64_t known_version = 0;
+    std::uint32_t failures = 0;
+    // A gateway that answers.
+    bool reachable = false;
+  };
+
+  HttpFrontOptions MakeFront(const GatewaySettings& settings);
+  boost::asio::awaitable<void> Watch(Peer& peer);
+  boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
+  boost::asio::awaitable<bool> AskHello(Peer& peer);
+  void SetReachable(Peer& peer, bool reachable);
+  void Tell(const std::string& peer, const requests::PeerMessage& message);
+  boost::asio::awaitable<void> AskSlots(std::string peer,
+                                        requests::PeerMessage message);
+  std::string AnswerSlots(const std::string& request);
+
+  daemon::Daemon& daemon_;
+  HttpFront front_;
+  requests::EndpointTable endpoints_;
+  // By name.
+  std::map<std::string, Peer> peers_;
+  // While a peer's call is handled: what the core tells that peer.
+  requests::PeerMessage* reply_ = nullptr;
+  bool configured_ = false;
+  bool running_ = false;
+};
+
+}  // namespace carobmast::gateway
+
+#endif  // CAROBMAST_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/internal/gateway.cc
@@ -0,0 +1,283 @@
+#include "gateway/gateway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <limits>
+#include <utility>
+
+#include "framework/base/error.h"
+#include "gateway/generated/gateway.pb.h"
+#include "requests/generated/endpoints.pb.h"
+
+namespace carobmast::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr char kEndpointsCall[] = "endpoints.list";
+constexpr char kHelloCall[] = "gateway.hello";
+constexpr char kSlotsCall[] = "gateway.slots";
+// Between two questions to one peer.
+constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+constexpr Duration kAskTimeout = std::chrono::seconds(1);
+constexpr Duration kSlotsTimeout = std::chrono::milliseconds(50);
+// Calls in a row that fail before a gateway counts as unreachable.
+constexpr std::uint32_t kFailuresToDrop = 2;
+constexpr std::int64_t kMostConnections = 1'000'000;
+
+proto::Slots ToProto(const std::string& from,
+                     const requests::PeerMessage& message) {
+  proto::Slots slots;
+  slots.set_from(from);
+  slots.set_verb(static_cast<proto::Slots::Verb>(message.verb));
+  slots.set_service(message.service);
+  slots.set_want(message.want);
+  for (const requests::SlotCount& slot : message.slots) {
+    proto::SlotCount& added = *slots.add_slots();
+    added.set_instance(slot.instance);
+    added.set_count(slot.count);
+  }
+  return slots;
+}
+
+requests::PeerMessage FromProto(const proto::Slots& slots) {
+  requests::PeerMessage message{.service = slots.service(),
+                                .want = slots.want()};
+  switch (slots.verb()) {
+    case proto::Slots::GRANT:
+      message.verb = requests::PeerVerb::kGrant;
+      break;
+    case proto::Slots::RETURN:
+      message.verb = requests::PeerVerb::kReturn;
+      break;
+    default:
+      message.verb = requests::PeerVerb::kAsk;
+  }
+  for (const proto::SlotCount& slot : slots.slots()) {
+    message.slots.push_back(
+        {.instance = slot.instance(), .count = slot.count()});
+  }
+  return message;
+}
+
+template <typename Message>
+Message Parse(const std::string& bytes, const char* call,
+              const std::string& peer) {
+  Message message;
+  if (!message.ParseFromString(bytes)) {
+    throw Error(call, peer, "the message is malformed");
+  }
+  return message;
+}
+
+std::vector<requests::CellList> CellsOf(
+    const requests::proto::EndpointsAnswer& answer) {
+  std::map<std::string, requests::CellList> cells;
+  for (const requests::proto::CellHead& head : answer.cells()) {
+    cells[head.cell()] = {.cell = head.cell(), .token = head.token()};
+  }
+  for (const requests::proto::Endpoint& endpoint : answer.endpoints()) {
+    requests::CellList& cell = cells[endpoint.cell()];
+    cell.cell = endpoint.cell();
+    cell.token = endpoint.token();
+    cell.instances.push_back({.service = endpoint.service(),
+                              .name = endpoint.instance(),
+                              .address = endpoint.address(),
+                              .zone = endpoint.zone(),
+                              .slots = endpoint.slots(),
+                              .connections = endpoint.connections(),
+                              .leaving = endpoint.leaving()});
+  }
+  std::vector<requests::CellList> lists;
+  for (auto& [name, cell] : cells) lists.push_back(std::move(cell));
+  return lists;
+}
+
+}  // namespace
+
+GatewaySettings ReadGatewaySettings(settings::SettingsReader& reader) {
+  GatewaySettings settings;
+  settings.callers_address = reader.Address("callers_address");
+  settings.policy = reader.StringOr("policy", settings.policy);
+  try {
+    requests::MakePolicy(settings.policy);
+  } catch (const Error& error) {
+    reader.Fail("policy", error.reason());
+  }
+  settings.max_connections = static_cast<std::size_t>(
+      reader.IntOr("max_connections", 1, kMostConnections,
+                   static_cast<std::int64_t>(settings.max_connections)));
+  settings.max_head = reader.ByteCountOr("max_head", settings.max_head);
+  settings.retry_body = reader.ByteCountOr("retry_body", settings.retry_body);
+  settings.idle_timeout =
+      reader.DurationOr("idle_timeout", settings.idle_timeout);
+  return settings;
+}
+
+Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings)
+    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings)) {
+  for (const daemon::PeerSettings& peer : daemon.settings().peers) {
+    peers_[peer.name] = {.settings = peer};
+  }
+  daemon.AddCall(kHelloCall,
+                 [this](std::string) -> asio::awaitable<std::string> {
+                   proto::Hello hello;
+                   hello.set_name(daemon_.settings().name);
+                   hello.set_zone(daemon_.settings().zone);
+                   co_return hello.SerializeAsString();
+                 });
+  daemon.AddCall(kSlotsCall,
+                 [this](std::string request) -> asio::awaitable<std::string> {
+                   co_return AnswerSlots(request);
+                 });
+  daemon.AddReadiness("configuration", [this] { return configured_; });
+  daemon.AddReadiness("instances",
+                      [this] { return front_.core().open_instances() > 0; });
+  daemon.AddStop([this](Duration grace) -> asio::awaitable<void> {
+    co_await front_.Stop(grace);
+    running_ = false;
+  });
+}
+
+HttpFrontOptions Gateway::MakeFront(const GatewaySettings& settings) {
+  HttpFrontOptions options;
+  options.callers.listen = settings.callers_address;
+  options.callers.max_connections = settings.max_connections;
+  options.callers.max_head_bytes =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(
+          settings.max_head.bytes, std::numeric_limits<std::uint32_t>::max()));
+  options.callers.prefix_bytes = settings.retry_body.bytes;
+  options.callers.idle_timeout = settings.idle_timeout;
+  options.targets.idle_timeout = settings.idle_timeout;
+  options.core.gateway = daemon_.settings().name;
+  options.core.zone = daemon_.settings().zone;
+  options.core.policy = settings.policy;
+  options.core.seed = std::random_device()();
+  options.hooks.tell = [this](const std::string& peer,
+                              const requests::PeerMessage& message) {
+    Tell(peer, message);
+  };
+  return options;
+}
+
+void Gateway::SetObjects(const config::Objects& objects) {
+  configured_ = true;
+  front_.core().SetServices(requests::RulesOf(objects), MonotonicClock::now());
+}
+
+void Gateway::Start() {
+  running_ = true;
+  front_.Start();
+  for (auto& [name, peer] : peers_) {
+    asio::co_spawn(daemon_.executor(), Watch(peer), asio::detached);
+  }
+}
+
+// Finds out what a peer is, and then asks it for what it knows. What it said
+// last is kept while it can't be reached.
+asio::awaitable<void> Gateway::Watch(Peer& peer) {
+  asio::steady_timer timer(daemon_.executor());
+  while (running_) {
+    bool answered = false;
+    if (peer.role != PeerRole::kGateway) answered = co_await AskEndpoints(peer);
+    if (peer.role != PeerRole::kScheduler) {
+      answered = co_await AskHello(peer) || answered;
+    }
+    peer.failures = answered ? 0 : peer.failures + 1;
+    if (peer.role == PeerRole::kGateway) {
+      SetReachable(peer, peer.failures < kFailuresToDrop);
+    }
+    timer.expires_after(kAskInterval);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+asio::awaitable<bool> Gateway::AskEndpoints(Peer& peer) {
+  requests::proto::EndpointsRequest request;
+  request.set_known_version(peer.known_version);
+  try {
+    const std::string bytes =
+        co_await daemon_.Peer(peer.settings.link)
+            ->Call(kEndpointsCall, request.SerializeAsString(), kAskTimeout);
+    const requests::proto::EndpointsAnswer answer =
+        Parse<requests::proto::EndpointsAnswer>(bytes, kEndpointsCall,
+                                                peer.settings.name);
+    peer.role = PeerRole::kScheduler;
+    peer.known_version = answer.version();
+    if (!answer.unchanged() && endpoints_.Take(CellsOf(answer))) {
+      front_.core().SetInstances(endpoints_.All(), MonotonicClock::now());
+    }
+    co_return true;
+  } catch (const Error&) {
+    co_return false;
+  }
+}
+
+asio::awaitable<bool> Gateway::AskHello(Peer& peer) {
+  try {
+    const std::string bytes = co_await daemon_.Peer(peer.settings.link)
+                                  ->Call(kHelloCall, "", kAskTimeout);
+    Parse<proto::Hello>(bytes, kHelloCall, peer.settings.name);
+    peer.role = PeerRole::kGateway;
+    co_return true;
+  } catch (const Error&) {
+    co_return false;
+  }
+}
+
+void Gateway::SetReachable(Peer& peer, bool reachable) {
+  if (peer.reachable == reachable) return;
+  peer.reachable = reachable;
+  std::vector<requests::GatewayPeer> gateways;
+  for (const auto& [name, other] : peers_) {
+    if (!other.reachable) continue;
+    gateways.push_back({.name = name, .zone = other.settings.zone});
+  }
+  front_.core().SetPeers(gateways, MonotonicClock::now());
+}
+
+void Gateway::Tell(const std::string& peer,
+                   const requests::PeerMessage& message) {
+  if (message.verb == requests::PeerVerb::kGrant) {
+    if (reply_ != nullptr) *reply_ = message;
+    return;
+  }
+  asio::co_spawn(daemon_.executor(), AskSlots(peer, message), asio::detached);
+}
+
+asio::awaitable<void> Gateway::AskSlots(std::string peer,
+                                        requests::PeerMessage message) {
+  // An ask without an answer times out in the core; slots whose return was lost
+  // are taken back by their home.
+  try {
+    const std::string bytes =
+        co_await daemon_.Peer(peers_.at(peer).settings.link)
+            ->Call(
+                kSlotsCall,
+                ToProto(daemon_.settings().name, message).SerializeAsString(),
+                kSlotsTimeout);
+    if (message.verb != requests::PeerVerb::kAsk) co_return;
+    front_.core().OnPeerMessage(
+        peer, FromProto(Parse<proto::Slots>(bytes, kSlotsCall, peer)),
+        MonotonicClock::now());
+  } catch (const Error&) {
+  }
+}
+
+std::string Gateway::AnswerSlots(const std::string& request) {
+  const proto::Slots slots = Parse<proto::Slots>(request, kSlotsCall, "a peer");
+  requests::PeerMessage reply{.verb = requests::PeerVerb::kGrant,
+                              .service = slots.service()};
+  reply_ = &reply;
+  front_.core().OnPeerMessage(slots.from(), FromProto(slots),
+                              MonotonicClock::now());
+  reply_ = nullptr;
+  return ToProto(daemon_.settings().name, reply).SerializeAsString();
+}
+
+}  // namespace carobmast::gateway
