--- /dev/null
+++ b/measure/requests_measure.cc
@@ -0,0 +1,359 @@
+#include "measure/requests_measure.h"
+
+#include <tclap/CmdLine.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <queue>
+
+#include "framework/base/error.h"
+#include "measure/requests_workload.h"
+
+namespace carobmast::measure {
+
+using requests::fakes::FakeCluster;
+using requests::fakes::FakeClusterOptions;
+using requests::fakes::InstanceMode;
+using requests::fakes::Outcome;
+
+namespace {
+
+// Requests of this first part are not counted.
+constexpr Duration kWarmUp = std::chrono::seconds(2);
+constexpr Duration kMeasured = std::chrono::seconds(8);
+// For requests that are in flight at the end.
+constexpr Duration kTail = std::chrono::seconds(5);
+constexpr Duration kToCaller = std::chrono::milliseconds(1);
+constexpr Duration kWithinZone = std::chrono::microseconds(50);
+constexpr char kIdeal[] = "ideal";
+constexpr char kBaseline[] = "round_robin";
+
+struct RequestsArguments {
+  Workload workload;
+  std::vector<std::string> policies;
+  std::vector<std::int64_t> loads;
+  std::uint64_t seed = 1;
+  std::size_t gateways = 6;
+  bool faults = true;
+};
+
+struct Result {
+  std::string policy;
+  std::int64_t load = 0;
+  std::vector<Duration> short_latencies;
+  std::vector<Duration> long_latencies;
+  std::uint64_t requests = 0;
+  // Whole answers with status 200 within the deadline.
+  std::uint64_t good = 0;
+  std::uint64_t good_short = 0;
+  std::uint64_t shorts = 0;
+  std::uint64_t late = 0;
+  std::uint64_t errors = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t violations = 0;
+  requests::CoreCounters counters;
+};
+
+Duration Quantile(std::vector<Duration> sorted, double part) {
+  if (sorted.empty()) return Duration::zero();
+  const std::size_t index =
+      static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1));
+  return sorted[index];
+}
+
+void AddLatency(Result& result, bool is_short, Duration latency) {
+  (is_short ? result.short_latencies : result.long_latencies)
+      .push_back(latency);
+}
+
+// What happens to one slot of the ideal queue.
+struct SlotState {
+  InstanceMode mode = InstanceMode::kHealthy;
+  double slowness = 1;
+};
+
+// One queue over all slots in the order of arrival: knows every slot, avoids
+// instances that are dead or fail, and takes slow ones last.
+Result RunIdeal(const RequestsArguments& arguments,
+                const std::vector<Request>& arrivals, std::int64_t load) {
+  const Workload& workload = arguments.workload;
+  Result result{.policy = kIdeal, .load = load};
+  std::vector<SlotState> instances(workload.instances);
+  std::vector<std::uint32_t> busy(workload.instances, 0);
+  std::deque<const Request*> waiting;
+  using End = std::pair<Duration, std::size_t>;
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends;
+  const Duration path = 2 * (kToCaller + kWithinZone);
+
+  const auto find_slot = [&]() {
+    std::size_t best = workload.instances;
+    for (std::size_t i = 0; i < workload.instances; ++i) {
+      if (instances[i].mode != InstanceMode::kHealthy) continue;
+      if (busy[i] >= workload.slots) continue;
+      if (best == workload.instances ||
+          instances[i].slowness < instances[best].slowness) {
+        best = i;
+      }
+    }
+    return best;
+  };
+  const auto start = [&](Duration now) {
+    while (!waiting.empty()) {
+      const std::size_t slot = find_slot();
+      if (slot == workload.instances) return;
+      const Request& request = *waiting.front();
+      waiting.pop_front();
+      ++busy[slot];
+      const Duration length(static_cast<Duration::rep>(
+          static_cast<double>(request.work.length.count()) *
+          instances[slot].slowness));
+      ends.emplace(now + length, slot);
+      if (request.at < kWarmUp) continue;
+      ++result.requests;
+      const Duration latency = now + length - request.at + path;
+      AddLatency(result, request.is_short, latency);
+      (latency <= workload.deadline + 2 * kToCaller ? result.good
+                                                    : result.late)++;
+    }
+  };
+  std::size_t next_fault = 0;
+  const auto advance = [&](Duration now) {
+    while (!ends.empty() && ends.top().first <= now) {
+      const End end = ends.top();
+      ends.pop();
+      --busy[end.second];
+      start(end.first);
+    }
+  };
+  for (const Request& request : arrivals) {
+    while (arguments.faults && next_fault < workload.faults.size() &&
+           workload.faults[next_fault].at + kWarmUp <= request.at) {
+      const Fault& fault = workload.faults[next_fault++];
+      advance(fault.at + kWarmUp);
+      instances[fault.instance] = {.mode = fault.mode,
+                                   .slowness = fault.slowness};
+    }
+    advance(request.at);
+    waiting.push_back(&request);
+    start(request.at);
+  }
+  advance(Duration::max());
+  return result;
+}
+
+void Schedule(FakeCluster& cluster, const RequestsArguments& arguments) {
+  if (!arguments.faults) return;
+  for (const Fault& fault : arguments.workload.faults) {
+    cluster.time().After(kWarmUp + fault.at, [&cluster, fault] {
+      cluster.SetMode(fault.instance, fault.mode);
+      cluster.SetSlowness(fault.instance, fault.slowness);
+    });
+  }
+}
+
+Result RunPolicy(const RequestsArguments& arguments,
+                 const std::vector<Request>& arrivals, std::int64_t load,
+                 const std::string& policy) {
+  const Workload& workload = arguments.workload;
+  Result result{.policy = policy, .load = load};
+  FakeClusterOptions options{.zones = workload.zones,
+                             .gateways = arguments.gateways,
+                             .instances = workload.instances,
+                             .slots = workload.slots,
+                             .connections = workload.connections,
+                             .deadline = workload.deadline,
+                             .classes = workload.classes,
+                             .policy = policy,
+                             .seed = arguments.seed,
+                             .to_caller = kToCaller,
+                             .within_zone = kWithinZone};
+  options.on_outcome = [&](const Outcome& outcome) {
+    const Request& request = arrivals[outcome.work.number - 1];
+    if (request.at < kWarmUp) return;
+    ++result.requests;
+    if (request.is_short) ++result.shorts;
+    if (outcome.refusal.has_value()) {
+      ++result.refused;
+      return;
+    }
+    if (!outcome.whole || outcome.status != 200) {
+      ++result.errors;
+      return;
+    }
+    const Duration latency = outcome.ended_at - outcome.sent_at;
+    AddLatency(result, request.is_short, latency);
+    if (latency > workload.deadline + 2 * kToCaller) {
+      ++result.late;
+      return;
+    }
+    ++result.good;
+    if (request.is_short) ++result.good_short;
+  };
+  FakeCluster cluster(options);
+  Schedule(cluster, arguments);
+  const MonotonicTime started = cluster.time().now();
+  for (const Request& request : arrivals) {
+    cluster.time().RunUntil(started + request.at);
+    cluster.Send(request.gateway, request.work);
+  }
+  cluster.time().RunUntil(started + kWarmUp + kMeasured + kTail);
+  result.violations = cluster.violations().size();
+  for (const std::string& violation : cluster.violations()) {
+    std::cerr << policy << ": " << violation << "\n";
+  }
+  result.counters = cluster.Counters();
+  return result;
+}
+
+std::string Milliseconds(Duration duration) {
+  const double ms = std::chrono::duration<double, std::milli>(duration).count();
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", ms);
+  return text.data();
+}
+
+std::string Ratio(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", value);
+  return text.data();
+}
+
+void EmitLatencies(YAML::Emitter& out, const std::string& name,
+                   std::vector<Duration> latencies) {
+  std::sort(latencies.begin(), latencies.end());
+  out << YAML::Key << name + "_ms" << YAML::Value << YAML::Flow
+      << YAML::BeginMap;
+  out << YAML::Key << "p50" << YAML::Value
+      << Milliseconds(Quantile(latencies, 0.5));
+  out << YAML::Key << "p99" << YAML::Value
+      << Milliseconds(Quantile(latencies, 0.99));
+  out << YAML::Key << "p999" << YAML::Value
+      << Milliseconds(Quantile(latencies, 0.999));
+  out << YAML::EndMap;
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration ShortP99(const Result& result) {
+  std::vector<Duration> sorted = result.short_latencies;
+  std::sort(sorted.begin(), sorted.end());
+  return Quantile(sorted, 0.99);
+}
+
+void EmitRefusals(YAML::Emitter& out, const requests::CoreCounters& counters) {
+  out << YAML::Key << "reasons" << YAML::Value << YAML::Flow << YAML::BeginMap;
+  for (std::size_t i = 0; i < requests::kReasonCount; ++i) {
+    if (counters.refused[i] == 0) continue;
+    out << YAML::Key << requests::ReasonName(static_cast<requests::Reason>(i))
+        << YAML::Value << counters.refused[i];
+  }
+  out << YAML::EndMap;
+}
+
+void Emit(YAML::Emitter& out, const Result& result, const Result& ideal) {
+  out << YAML::BeginMap;
+  out << YAML::Key << "policy" << YAML::Value << result.policy;
+  out << YAML::Key << "load_percent" << YAML::Value << result.load;
+  EmitLatencies(out, "short", result.short_latencies);
+  EmitLatencies(out, "long", result.long_latencies);
+  out << YAML::Key << "short_p99_to_ideal" << YAML::Value
+      << Ratio(static_cast<double>(ShortP99(result).count()) /
+               static_cast<double>(ShortP99(ideal).count()));
+  out << YAML::Key << "requests" << YAML::Value << result.requests;
+  out << YAML::Key << "goodput_per_second" << YAML::Value
+      << Ratio(static_cast<double>(result.good) / Seconds(kMeasured));
+  out << YAML::Key << "late" << YAML::Value << result.late;
+  if (result.policy != kIdeal) {
+    out << YAML::Key << "good_part_of_short" << YAML::Value
+        << Ratio(
+               static_cast<double>(result.good_short) /
+               static_cast<double>(std::max<std::uint64_t>(1, result.shorts)));
+    out << YAML::Key << "errors" << YAML::Value << result.errors;
+    out << YAML::Key << "refused" << YAML::Value << result.refused;
+    EmitRefusals(out, result.counters);
+    out << YAML::Key << "retries" << YAML::Value << result.counters.retries;
+    out << YAML::Key << "spill_part" << YAML::Value
+        << Ratio(static_cast<double>(result.counters.spilled) /
+                 static_cast<double>(result.counters.attempts));
+    out << YAML::Key << "messages_per_request" << YAML::Value
+        << Ratio(static_cast<double>(result.counters.told) /
+                 static_cast<double>(result.counters.requests));
+    out << YAML::Key << "violations" << YAML::Value << result.violations;
+  }
+  out << YAML::EndMap;
+}
+
+void RunAll(const RequestsArguments& arguments) {
+  YAML::Emitter out;
+  out << YAML::BeginMap;
+  out << YAML::Key << "workload" << YAML::Value << arguments.workload.service;
+  out << YAML::Key << "seed" << YAML::Value << arguments.seed;
+  out << YAML::Key << "gateways" << YAML::Value << arguments.gateways;
+  out << YAML::Key << "faults" << YAML::Value << arguments.faults;
+  out << YAML::Key << "results" << YAML::Value << YAML::BeginSeq;
+  for (const std::int64_t load : arguments.loads) {
+    const std::vector<Request> arrivals =
+        Draw(arguments.workload, load, arguments.gateways, kWarmUp + kMeasured,
+             arguments.seed);
+    const Result ideal = RunIdeal(arguments, arrivals, load);
+    Emit(out, ideal, ideal);
+    for (const std::string& policy : arguments.policies) {
+      Emit(out, RunPolicy(arguments, arrivals, load, policy), ideal);
+    }
+  }
+  out << YAML::EndSeq << YAML::EndMap;
+  std::cout << out.c_str() << "\n";
+}
+
+cli::ExitCode Run(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Measures routing and limits of requests");
+  TCLAP::ValueArg<std::string> workload("w", "workload",
+                                        "zagreb, montevideo or a file", false,
+                                        "zagreb", "NAME", line);
+  TCLAP::MultiArg<std::string> policy(
+      "p", "policy", "policies beside round_robin; all for all", false, "NAME",
+      line);
+  TCLAP::MultiArg<std::int64_t> load("l", "load",
+                                     "offered load in percent of all slots",
+                                     false, "PERCENT", line);
+  TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed", false, 1, "N", line);
+  TCLAP::ValueArg<std::size_t> gateways("g", "gateways", "gateways", false, 6,
+                                        "N", line);
+  TCLAP::SwitchArg calm("c", "calm", "without the faults of the workload",
+                        line);
+  TCLAP::ValueArg<std::string> output("o", "output", "yaml", false, "yaml",
+                                      "FORMAT", line);
+  const std::optional<cli::ExitCode> exit =
+      cli::ParseArguments(line, "requests", args);
+  if (exit.has_value()) return *exit;
+  RequestsArguments arguments{.workload = LoadWorkload(workload.getValue()),
+                              .policies = {kBaseline},
+                              .loads = load.getValue(),
+                              .seed = seed.getValue(),
+                              .gateways = gateways.getValue(),
+                              .faults = !calm.getValue()};
+  if (arguments.loads.empty()) arguments.loads = {40, 70, 90, 110, 150};
+  std::vector<std::string> wanted = policy.getValue();
+  if (wanted.empty()) wanted = {"homed"};
+  if (wanted.front() == "all") wanted = requests::PolicyNames();
+  for (const std::string& name : wanted) {
+    if (name != kBaseline) arguments.policies.push_back(name);
+  }
+  RunAll(arguments);
+  return cli::ExitCode::kDone;
+}
+
+}  // namespace
+
+cli::Command RequestsCommand() {
+  return {.name = "requests",
+          .summary = "routing, limits and retries of requests",
+          .run = Run};
+}
+
+}  // namespace carobmast::measure
--- /dev/null
+++ b/src/requests/fakes/fake_cluster.cc
@@ -0,0 +1,470 @@
+#include "requests/fakes/fake_cluster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobmast::requests::fakes {
+
+namespace {
+
+constexpr char kService[] = "service";
+// An instance that fails everything answers after this time.
+constexpr Duration kFailTime = std::chrono::microseconds(200);
+// A connection into a cut zone fails after this time.
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+// Weight of the newest latency that a probe reports.
+constexpr double kProbeWeight = 0.2;
+constexpr std::size_t kMaxViolations = 20;
+
+std::string InstanceName(std::size_t index) {
+  return "i" + std::to_string(1000 + index);
+}
+
+std::size_t InstanceIndex(const std::string& name) {
+  return std::stoul(name.substr(1)) - 1000;
+}
+
+std::string GatewayName(std::size_t index) {
+  return "g" + std::to_string(100 + index);
+}
+
+std::size_t GatewayIndex(const std::string& name) {
+  return std::stoul(name.substr(1)) - 100;
+}
+
+void Add(CoreCounters& sum, const CoreCounters& part) {
+  sum.requests += part.requests;
+  sum.answered += part.answered;
+  sum.attempts += part.attempts;
+  sum.retries += part.retries;
+  sum.spilled += part.spilled;
+  sum.told += part.told;
+  sum.late_answers += part.late_answers;
+  for (std::size_t i = 0; i < kReasonCount; ++i) {
+    sum.refused[i] += part.refused[i];
+  }
+}
+
+}  // namespace
+
+FakeCluster::FakeCluster(FakeClusterOptions options)
+    : options_(std::move(options)),
+      instances_(options_.instances),
+      gateways_(options_.gateways) {
+  for (std::size_t i = 0; i < gateways_.size(); ++i) StartCore(i);
+}
+
+const std::string& FakeCluster::ZoneOfGateway(std::size_t gateway) const {
+  return options_.zones[gateway % options_.zones.size()];
+}
+
+const std::string& FakeCluster::ZoneOfInstance(std::size_t instance) const {
+  return options_.zones[instance % options_.zones.size()];
+}
+
+std::vector<requests::Instance> FakeCluster::List() const {
+  std::vector<requests::Instance> list;
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    list.push_back({.service = kService,
+                    .name = InstanceName(i),
+                    .address = InstanceName(i),
+                    .zone = ZoneOfInstance(i),
+                    .slots = options_.slots,
+                    .connections = options_.connections,
+                    .leaving = instances_[i].leaving});
+  }
+  return list;
+}
+
+void FakeCluster::StartCore(std::size_t gateway) {
+  Gateway& started = gateways_[gateway];
+  ++started.incarnation;
+  started.uses.clear();
+  started.callers.clear();
+  started.backlog.clear();
+  started.paused = false;
+  CoreOptions core{
+      .gateway = GatewayName(gateway),
+      .zone = ZoneOfGateway(gateway),
+      .policy = options_.policy,
+      .seed = options_.seed * 1000 + gateway * 100 + started.incarnation};
+  if (options_.adjust) options_.adjust(core);
+  started.core = std::make_unique<RequestCore>(core, MakeHooks(gateway));
+  std::vector<GatewayPeer> peers;
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    if (i == gateway) continue;
+    peers.push_back({.name = GatewayName(i), .zone = ZoneOfGateway(i)});
+  }
+  started.core->SetPeers(peers, time_.now());
+  started.core->SetServices({{.name = kService,
+                              .team = "team",
+                              .deadline = options_.deadline,
+                              .classes = options_.classes}},
+                            time_.now());
+  started.core->SetInstances(List(), time_.now());
+}
+
+CoreHooks FakeCluster::MakeHooks(std::size_t gateway) {
+  CoreHooks hooks;
+  hooks.send = [this, gateway](const SendOrder& order) {
+    Transmit(gateway, order);
+  };
+  hooks.close_connection = [this, gateway](ConnectionId id) {
+    gateways_[gateway].uses.erase(id);
+  };
+  hooks.refuse = [this, gateway](RequestId id, const Refusal& refusal) {
+    const std::uint64_t caller = TakeCaller(gateway, id);
+    time_.After(options_.to_caller, [this, caller, refusal] {
+      EndCaller(caller, [&](Outcome& outcome) { outcome.refusal = refusal; });
+    });
+  };
+  hooks.cut = [this, gateway](RequestId id) {
+    const std::uint64_t caller = TakeCaller(gateway, id);
+    time_.After(options_.to_caller,
+                [this, caller] { EndCaller(caller, [](Outcome&) {}); });
+  };
+  hooks.tell = [this, gateway](const std::string& peer,
+                               const PeerMessage& message) {
+    const std::size_t to = GatewayIndex(peer);
+    const std::string& here = ZoneOfGateway(gateway);
+    if (IsCut(here, ZoneOfGateway(to))) return;
+    Deliver(to, Distance(here, ZoneOfGateway(to)),
+            [this, gateway, to, message] {
+              gateways_[to].core->OnPeerMessage(GatewayName(gateway), message,
+                                                time_.now());
+            });
+  };
+  hooks.probe = [this, gateway](const std::string& service,
+                                const std::string& name, const std::string&) {
+    const std::size_t instance = InstanceIndex(name);
+    const Duration distance =
+        Distance(ZoneOfGateway(gateway), ZoneOfInstance(instance));
+    time_.After(distance, [this, gateway, service, name, instance, distance] {
+      const Instance& probed = instances_[instance];
+      if (probed.mode == InstanceMode::kDead) return;
+      const std::uint32_t in_flight =
+          static_cast<std::uint32_t>(InFlight(instance));
+      const Duration latency(static_cast<Duration::rep>(probed.latency_ns));
+      Deliver(gateway, distance, [=, this] {
+        gateways_[gateway].core->OnProbe(service, name, in_flight, latency,
+                                         time_.now());
+      });
+    });
+  };
+  hooks.wake = [this, gateway](MonotonicTime at) { WakeAt(gateway, at); };
+  return hooks;
+}
+
+void FakeCluster::WakeAt(std::size_t gateway, MonotonicTime at) {
+  if (at == MonotonicTime::max()) return;
+  const Duration delay = std::max(Duration::zero(), Duration(at - time_.now()));
+  Deliver(gateway, delay, [this, gateway] {
+    RequestCore& core = *gateways_[gateway].core;
+    const std::optional<MonotonicTime> due = core.NextWake();
+    if (!due.has_value() || *due > time_.now()) return;
+    core.Tick(time_.now());
+    const std::optional<MonotonicTime> next = core.NextWake();
+    if (next.has_value()) WakeAt(gateway, *next);
+  });
+}
+
+Duration FakeCluster::Distance(const std::string& from,
+                               const std::string& to) const {
+  return from == to ? options_.within_zone : options_.between_zones;
+}
+
+bool FakeCluster::IsCut(const std::string& a, const std::string& b) const {
+  return a != b && (cut_zones_.contains(a) || cut_zones_.contains(b));
+}
+
+void FakeCluster::Deliver(std::size_t gateway, Duration delay,
+                          std::function<void()> handle) {
+  const std::uint64_t incarnation = gateways_[gateway].incarnation;
+  time_.After(delay, [this, gateway, incarnation, handle = std::move(handle)] {
+    Gateway& to = gateways_[gateway];
+    if (to.incarnation != incarnation) return;
+    if (to.paused) {
+      to.backlog.push_back(handle);
+    } else {
+      handle();
+    }
+  });
+}
+
+void FakeCluster::Send(std::size_t gateway, const Work& work) {
+  const std::uint64_t caller = next_caller_++;
+  callers_[caller].outcome = {.work = work, .sent_at = time_.now()};
+  ++callers_waiting_;
+  Deliver(gateway, options_.to_caller, [this, gateway, caller, work] {
+    Gateway& to = gateways_[gateway];
+    const RequestId id = to.next_request++;
+    to.callers[id] = caller;
+    to.core->OnRequest({.id = id,
+                        .service = kService,
+                        .operation = work.operation,
+                        .idempotent = work.idempotent,
+                        .key = work.key,
+                        .timeout = work.timeout},
+                       time_.now());
+  });
+}
+
+// From now on the answer is on its way to the caller.
+std::uint64_t FakeCluster::TakeCaller(std::size_t gateway, RequestId id) {
+  std::map<RequestId, std::uint64_t>& callers = gateways_[gateway].callers;
+  const std::uint64_t caller = callers.at(id);
+  callers.erase(id);
+  return caller;
+}
+
+void FakeCluster::Transmit(std::size_t gateway, const SendOrder& order) {
+  const std::size_t instance = InstanceIndex(order.instance);
+  gateways_[gateway].uses[order.connection] = {.order = order,
+                                               .instance = instance};
+  if (!order.fresh) {
+    Deliver(gateway, Duration::zero(),
+            [this, gateway, order] { Write(gateway, order); });
+    return;
+  }
+  const std::string& here = ZoneOfGateway(gateway);
+  const std::string& there = ZoneOfInstance(instance);
+  const bool fails = IsCut(here, there) ||
+                     instances_[instance].mode == InstanceMode::kDead ||
+                     InFlight(instance) >= options_.connections;
+  const Duration wait =
+      IsCut(here, there) ? kConnectTimeout : 2 * Distance(here, there);
+  Deliver(gateway, wait, [this, gateway, order, fails] {
+    if (fails) return FailConnection(gateway, order.connection);
+    gateways_[gateway].core->OnConnected(order.attempt);
+    Write(gateway, order);
+  });
+}
+
+void FakeCluster::Write(std::size_t gateway, const SendOrder& order) {
+  Gateway& from = gateways_[gateway];
+  if (!from.core->OnSent(order.attempt)) return;
+  const std::size_t instance = InstanceIndex(order.instance);
+  const std::string& here = ZoneOfGateway(gateway);
+  const std::string& there = ZoneOfInstance(instance);
+  if (IsCut(here, there)) return;
+  const Arrival arrival{.gateway = gateway,
+                        .incarnation = from.incarnation,
+                        .connection = order.connection,
+                        .caller = from.callers[order.request]};
+  time_.After(Distance(here, there),
+              [this, instance, arrival] { Arrive(instance, arrival); });
+}
+
+void FakeCluster::Arrive(std::size_t index, const Arrival& arrival) {
+  Instance& instance = instances_[index];
+  if (instance.leaving) ++instance.after_leaving;
+  switch (instance.mode) {
+    case InstanceMode::kDead:
+      return Deliver(
+          arrival.gateway,
+          Distance(ZoneOfInstance(index), ZoneOfGateway(arrival.gateway)),
+          [this, arrival] {
+            FailConnection(arrival.gateway, arrival.connection);
+          });
+    case InstanceMode::kFailing:
+      ++callers_[arrival.caller].runs;
+      ++runs_[callers_[arrival.caller].outcome.work.number];
+      return time_.After(kFailTime, [this, index, arrival] {
+        Answer(index, arrival, 500, true);
+      });
+    case InstanceMode::kRefusing:
+      return Answer(index, arrival, 503, false);
+    default:
+      instance.waiting.push_back(arrival);
+      RunNext(index);
+  }
+}
+
+void FakeCluster::RunNext(std::size_t index) {
+  Instance& instance = instances_[index];
+  while (instance.running < options_.slots && !instance.waiting.empty()) {
+    const Arrival arrival = instance.waiting.front();
+    instance.waiting.pop_front();
+    Run(index, arrival);
+  }
+}
+
+void FakeCluster::Run(std::size_t index, const Arrival& arrival) {
+  Instance& instance = instances_[index];
+  Caller& caller = callers_[arrival.caller];
+  const Work& work = caller.outcome.work;
+  ++caller.runs;
+  ++instance.running;
+  const std::uint32_t runs = ++runs_[work.number];
+  if (runs > 1 && !work.idempotent) Violation("ran more than once", caller);
+  const bool told_no = caller.ended && caller.outcome.refusal.has_value() &&
+                       caller.outcome.refusal->ran == Ran::kNo;
+  if (told_no) Violation("ran after \"not run\" was told", caller);
+  const Duration length(static_cast<Duration::rep>(
+      static_cast<double>(work.length.count()) * instance.slowness));
+  instance.latency_ns += kProbeWeight * (static_cast<double>(length.count()) -
+                                         instance.latency_ns);
+  const std::uint64_t life = instance.life;
+  time_.After(length, [this, index, arrival, life] {
+    Instance& after = instances_[index];
+    if (after.life != life) return;
+    --after.running;
+    Answer(index, arrival, 200, true);
+    RunNext(index);
+  });
+}
+
+void FakeCluster::Answer(std::size_t index, const Arrival& arrival, int status,
+                         bool ran) {
+  const Instance& instance = instances_[index];
+  if (instance.mode == InstanceMode::kHanging) return;
+  const std::string& here = ZoneOfInstance(index);
+  const std::string& there = ZoneOfGateway(arrival.gateway);
+  if (IsCut(here, there)) return;
+  if (gateways_[arrival.gateway].incarnation != arrival.incarnation) return;
+  const bool cut = instance.mode == InstanceMode::kCutting;
+  const std::uint64_t number = callers_[arrival.caller].outcome.work.number;
+  Deliver(arrival.gateway, Distance(here, there), [=, this] {
+    OnAnswer(arrival.gateway, arrival.connection, number, status, !ran, cut);
+  });
+}
+
+void FakeCluster::OnAnswer(std::size_t gateway, ConnectionId connection,
+                           std::uint64_t answer_to, int status, bool refused,
+                           bool cut) {
+  Gateway& at = gateways_[gateway];
+  const auto use = at.uses.find(connection);
+  // The connection was closed: its bytes reach nobody.
+  if (use == at.uses.end()) return;
+  const SendOrder order = use->second.order;
+  const HeadVerdict verdict = at.core->OnAnswerHead(
+      order.attempt, {.status = status, .refused = refused}, time_.now());
+  if (verdict == HeadVerdict::kDrop) return;
+  if (verdict == HeadVerdict::kPass && !cut) {
+    const std::uint64_t caller = TakeCaller(gateway, order.request);
+    time_.After(options_.to_caller, [this, caller, answer_to, status] {
+      EndCaller(caller, [&](Outcome& outcome) {
+        outcome.whole = true;
+        outcome.status = status;
+        outcome.answer_to = answer_to;
+      });
+    });
+  }
+  at.core->OnAnswerEnd(order.attempt, cut ? AnswerEnd::kCut : AnswerEnd::kWhole,
+                       time_.now());
+}
+
+void FakeCluster::FailConnection(std::size_t gateway, ConnectionId connection) {
+  Gateway& at = gateways_[gateway];
+  const auto use = at.uses.find(connection);
+  if (use == at.uses.end()) return;
+  const AttemptId attempt = use->second.order.attempt;
+  at.core->OnAttemptFailed(attempt, time_.now());
+  at.core->OnConnectionLost(connection);
+}
+
+void FakeCluster::EndCaller(std::uint64_t id,
+                            const std::function<void(Outcome&)>& set) {
+  Caller& caller = callers_[id];
+  if (caller.ended) return Violation("answered twice", caller);
+  caller.ended = true;
+  --callers_waiting_;
+  set(caller.outcome);
+  caller.outcome.ended_at = time_.now();
+  Check(caller);
+  if (options_.on_outcome) options_.on_outcome(caller.outcome);
+}
+
+void FakeCluster::Check(const Caller& caller) {
+  const Outcome& outcome = caller.outcome;
+  if (outcome.whole && outcome.answer_to != outcome.work.number) {
+    Violation("got another request's answer", caller);
+  }
+  if (!outcome.refusal.has_value()) return;
+  // Under a key the word is about all requests with that key.
+  const std::uint32_t runs =
+      outcome.work.key.empty() ? caller.runs : runs_[outcome.work.number];
+  if (outcome.refusal->ran == Ran::kNo && runs > 0) {
+    Violation("told \"not run\", and ran", caller);
+  }
+  if (outcome.refusal->ran == Ran::kYes && runs == 0) {
+    Violation("told \"ran\", and did not run", caller);
+  }
+}
+
+void FakeCluster::Violation(const std::string& text, const Caller& caller) {
+  if (violations_.size() >= kMaxViolations) return;
+  violations_.push_back(text + ": work " +
+                        std::to_string(caller.outcome.work.number) + " " +
+                        caller.outcome.work.operation);
+}
+
+void FakeCluster::SetMode(std::size_t index, InstanceMode mode) {
+  Instance& instance = instances_[index];
+  instance.mode = mode;
+  if (mode != InstanceMode::kDead) return;
+  ++instance.life;
+  instance.running = 0;
+  instance.waiting.clear();
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    if (IsCut(ZoneOfGateway(i), ZoneOfInstance(index))) continue;
+    std::vector<ConnectionId> broken;
+    for (const auto& [id, use] : gateways_[i].uses) {
+      if (use.instance == index) broken.push_back(id);
+    }
+    for (const ConnectionId id : broken) {
+      Deliver(i, Distance(ZoneOfGateway(i), ZoneOfInstance(index)),
+              [this, i, id] { FailConnection(i, id); });
+    }
+  }
+}
+
+void FakeCluster::SetSlowness(std::size_t instance, double factor) {
+  instances_[instance].slowness = factor;
+}
+
+void FakeCluster::SetLeaving(std::size_t instance, bool leaving) {
+  instances_[instance].leaving = leaving;
+  const std::vector<requests::Instance> list = List();
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    Deliver(i, Duration::zero(), [this, i, list] {
+      gateways_[i].core->SetInstances(list, time_.now());
+    });
+  }
+}
+
+void FakeCluster::Pause(std::size_t gateway) {
+  gateways_[gateway].paused = true;
+}
+
+void FakeCluster::Resume(std::size_t gateway) {
+  Gateway& resumed = gateways_[gateway];
+  resumed.paused = false;
+  const std::vector<std::function<void()>> backlog =
+      std::exchange(resumed.backlog, {});
+  for (const std::function<void()>& handle : backlog) handle();
+}
+
+void FakeCluster::Restart(std::size_t gateway) {
+  Gateway& old = gateways_[gateway];
+  Add(old.past, old.core->counters());
+  for (const auto& [id, caller] : old.callers) {
+    EndCaller(caller, [](Outcome&) {});
+  }
+  StartCore(gateway);
+}
+
+void FakeCluster::Cut(const std::string& zone) { cut_zones_.insert(zone); }
+
+void FakeCluster::Heal(const std::string& zone) { cut_zones_.erase(zone); }
+
+CoreCounters FakeCluster::Counters() const {
+  CoreCounters sum;
+  for (const Gateway& gateway : gateways_) {
+    Add(sum, gateway.past);
+    Add(sum, gateway.core->counters());
+  }
+  return sum;
+}
+
+}  // namespace carobmast::requests::fakes
