--- /dev/null
+++ b/src/config/internal/fold.cc
@@ -0,0 +1,160 @@
+#include "config/fold.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/kinds.h"
+#include "framework/base/error.h"
+
+namespace carobmast::config {
+namespace {
+
+// Compactions that are under way at once; more are not looked at.
+constexpr std::size_t kMaxGroups = 8;
+
+Verdict MakeVerdict(const platform::LogRecord& record, VerdictKind kind,
+                    std::string reason) {
+  return {.kind = kind,
+          .offset = record.offset,
+          .id = record.id,
+          .reason = std::move(reason)};
+}
+
+std::string DescribeErrors(const std::vector<CheckError>& errors) {
+  std::string text = errors.front().ToString();
+  if (errors.size() > 1) {
+    text += " (and " + std::to_string(errors.size() - 1) + " more)";
+  }
+  return text;
+}
+
+}  // namespace
+
+ConfigFold::ConfigFold(RuleTable rules) : rules_(std::move(rules)) {
+  head_.digest = set_.Digest();
+}
+
+Verdict ConfigFold::OnRecord(const platform::LogRecord& record) {
+  if (stopped_.has_value()) return *stopped_;
+  if (record.offset <= head_.through) {
+    return MakeVerdict(record, VerdictKind::kNoEffect, "folded before");
+  }
+  const Record decoded = DecodeRecord(record.data, max_rules());
+  if (const UnknownRecord* unknown = std::get_if<UnknownRecord>(&decoded)) {
+    stopped_ = MakeVerdict(record, VerdictKind::kUnknown,
+                           "format " + std::to_string(unknown->format) +
+                               " with rules " + std::to_string(unknown->rules) +
+                               " needs a newer program");
+    return *stopped_;
+  }
+  head_.through = record.offset;
+  if (const MalformedRecord* bad = std::get_if<MalformedRecord>(&decoded)) {
+    return MakeVerdict(record, VerdictKind::kRefused, bad->reason);
+  }
+  if (const PublishRecord* publish = std::get_if<PublishRecord>(&decoded)) {
+    return OnPublish(record, *publish);
+  }
+  return MakeVerdict(record, VerdictKind::kNoEffect, "compaction");
+}
+
+std::string ConfigFold::ReasonAgainst(const PublishRecord& publish) const {
+  if (publish.base != head_.offset) {
+    return "made for offset " + std::to_string(publish.base) +
+           ", but the set in force is that of offset " +
+           std::to_string(head_.offset);
+  }
+  if (publish.rules < head_.rules) {
+    return "checked by rules " + std::to_string(publish.rules) +
+           ", but the set in force follows rules " +
+           std::to_string(head_.rules);
+  }
+  if (!rules_.contains(publish.rules)) return "its rules are withdrawn";
+  for (const std::string& name : publish.change.remove) {
+    if (set_.Find(name) == nullptr) {
+      return "removes '" + name + "', which is not in the set";
+    }
+  }
+  return "";
+}
+
+Verdict ConfigFold::OnPublish(const platform::LogRecord& record,
+                              const PublishRecord& publish) {
+  Verdict verdict =
+      MakeVerdict(record, VerdictKind::kRefused, ReasonAgainst(publish));
+  verdict.publisher = publish.publisher;
+  if (!verdict.reason.empty()) return verdict;
+
+  const ObjectSet::Undo undo = set_.Apply(
+      publish.change, {.offset = record.offset, .at = record.appended_at});
+  const std::vector<CheckError> errors =
+      rules_.at(publish.rules)(set_, publish.change, undo.put);
+  if (!errors.empty()) {
+    verdict.reason = DescribeErrors(errors);
+  } else if (set_.Digest() != publish.digest) {
+    verdict.reason = "the set after the change has another digest";
+  }
+  if (!verdict.reason.empty()) {
+    set_.Revert(undo);
+    return verdict;
+  }
+  head_.offset = record.offset;
+  head_.digest = publish.digest;
+  head_.rules = publish.rules;
+  verdict.kind = VerdictKind::kAccepted;
+  verdict.change = publish.change;
+  verdict.replaced = undo.put;
+  return verdict;
+}
+
+void ConfigFold::Adopt(const WholeSet& whole) {
+  constexpr char kStep[] = "config adopt";
+  if (whole.head.offset < head_.offset || whole.head.through < head_.through) {
+    throw Error(kStep, "local", "the set is older than the one held");
+  }
+  if (!rules_.contains(whole.head.rules)) {
+    throw Error(kStep, "local", "the set needs a newer program");
+  }
+  if (whole.head.offset == head_.offset && whole.head.digest != head_.digest) {
+    throw Error(kStep, "local", "another digest at the same offset");
+  }
+  ObjectSet set;
+  for (const StampedObject& object : whole.objects) set.Put(object);
+  if (set.Digest() != whole.head.digest) {
+    throw Error(kStep, "local", "the set does not have the digest stated");
+  }
+  set_ = std::move(set);
+  head_ = whole.head;
+  stopped_.reset();
+}
+
+void ConfigFold::AdvanceThrough(platform::Offset through) {
+  if (stopped_.has_value()) return;
+  head_.through = std::max(head_.through, through);
+}
+
+std::optional<WholeSet> CompactionCollector::OnRecord(
+    const platform::LogRecord& record, platform::Offset first_kept) {
+  Record decoded = DecodeRecord(record.data, max_rules_);
+  CompactionRecord* part = std::get_if<CompactionRecord>(&decoded);
+  if (part == nullptr || part->head.through + 1 < first_kept) return {};
+  if (!groups_.contains(part->group) && groups_.size() >= kMaxGroups) {
+    groups_.erase(groups_.begin());
+  }
+  Group& group = groups_[part->group];
+  if (group.found.empty()) {
+    group.head = part->head;
+    group.parts = part->parts;
+  }
+  if (group.head != part->head || group.parts != part->parts) return {};
+  group.found.emplace(part->part, std::move(part->objects));
+  if (group.found.size() < group.parts) return {};
+  WholeSet whole{.head = group.head};
+  for (auto& found : group.found) {
+    std::move(found.second.begin(), found.second.end(),
+              std::back_inserter(whole.objects));
+  }
+  groups_.erase(part->group);
+  return whole;
+}
+
+}  // namespace carobmast::config
--- /dev/null
+++ b/src/config/types/head.h
@@ -0,0 +1,27 @@
+// Which set a process holds.
+#ifndef CAROBMAST_CONFIG_TYPES_HEAD_H_
+#define CAROBMAST_CONFIG_TYPES_HEAD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "platform/types/log_record.h"
+
+namespace carobmast::config {
+
+struct Head {
+  // Of the record that published the set; 0 for the empty set that stands
+  // before every record.
+  platform::Offset offset = 0;
+  std::string digest;
+  // Every record up to this offset has been folded.
+  platform::Offset through = 0;
+  // Rule version of the record that published the set.
+  std::uint32_t rules = 1;
+
+  friend bool operator==(const Head&, const Head&) = default;
+};
+
+}  // namespace carobmast::config
+
+#endif  // CAROBMAST_CONFIG_TYPES_HEAD_H_
--- a/src/config/types/objects.h
+++ b/src/config/types/objects.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "framework/base/time.h"
@@ -88,7 +89,20 @@
   platform::Resources task;
 };
 
-// All objects of a set, each kind by name.
+// The kinds of objects, in the order of Object's alternatives.
+enum class Kind {
+  kTeam,
+  kSizeClass,
+  kVmPool,
+  kService,
+  kBatchJob,
+  kStandingWorker
+};
+
+using Object =
+    std::variant<Team, SizeClass, VmPool, Service, BatchJob, StandingWorker>;
+
+// All objects of a set, each kind by name. A name is unique over all kinds.
 struct Objects {
   std::map<std::string, Team> teams;
   std::map<std::string, SizeClass> size_classes;
--- a/src/framework/daemon/internal/daemon.cc
+++ b/src/framework/daemon/internal/daemon.cc
@@ -102,8 +102,8 @@
         context.get_executor(),
         link::LinkServerOptions{.listen = settings.link_address,
                                 .handlers = calls});
-    std::cout << settings.name << " listens operator="
-              << operator_server->address().ToString()
+    std::cout << settings.name
+              << " listens operator=" << operator_server->address().ToString()
               << " link=" << link_server->address().ToString() << std::endl;
   }
 
--- a/src/framework/daemon/tests/daemon_settings_test.cc
+++ b/src/framework/daemon/tests/daemon_settings_test.cc
@@ -46,16 +46,15 @@
   void NamesEachMissingKey() {
     for (const char* key : {"name", "zone", "operator_address", "link_address",
                             "log_service", "vm_list"}) {
-      settings::SettingsReader reader = settings::SettingsReader::Parse(
-          WithoutKey(key), "s.yaml");
+      settings::SettingsReader reader =
+          settings::SettingsReader::Parse(WithoutKey(key), "s.yaml");
       try {
         ReadDaemonSettings(reader);
         CPPUNIT_FAIL(std::string("accepted without ") + key);
       } catch (const Error& error) {
-        CPPUNIT_ASSERT_MESSAGE(
-            error.what(), error.reason().starts_with("key '" +
-                                                     std::string(key) +
-                                                     "': missing"));
+        CPPUNIT_ASSERT_MESSAGE(error.what(),
+                               error.reason().starts_with(
+                                   "key '" + std::string(key) + "': missing"));
       }
     }
   }
--- a/src/work/internal/work_record.cc
+++ b/src/work/internal/work_record.cc
@@ -132,14 +132,13 @@
   std::vector<ResultEntry> results;
   for (const json::value& value : reader.Array("results")) {
     const JsonReader item = reader.Element(value);
-    results.push_back(
-        {.id = {.task = item.String("task"),
-                .attempt =
-                    static_cast<std::uint32_t>(item.Unsigned("attempt"))},
-         .result = ParseName<TaskResult>(kResultNames, item.String("result"),
-                                         source),
-         .checkpoint = item.StringOr("checkpoint", ""),
-         .reason = item.StringOr("reason", "")});
+    results.push_back({.id = {.task = item.String("task"),
+                              .attempt = static_cast<std::uint32_t>(
+                                  item.Unsigned("attempt"))},
+                       .result = ParseName<TaskResult>(
+                           kResultNames, item.String("result"), source),
+                       .checkpoint = item.StringOr("checkpoint", ""),
+                       .reason = item.StringOr("reason", "")});
   }
   return results;
 }
