--- a/src/config/check.h
+++ b/src/config/check.h
@@ -2,6 +2,7 @@
 #ifndef CAROBMAST_CONFIG_CHECK_H_
 #define CAROBMAST_CONFIG_CHECK_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
   ObjectSet set;
   // All errors, in the order of lines; the set is valid when there is none.
   std::vector<CheckError> errors;
+  // The offset that the file says it was made from.
+  std::optional<platform::Offset> base;
 };
 
 // Throws Error (step "check", peer "FILE:LINE") when `text` can't be read as a
--- a/src/config/internal/check.cc
+++ b/src/config/internal/check.cc
@@ -59,6 +59,7 @@
   const Change change{.put = std::move(parsed.objects)};
   checked.set.Apply(change, Stamp{});
   checked.errors = parsed.errors;
+  checked.base = parsed.base;
   AddRuleErrors(parsed, CheckChangeV1(checked.set, change, {}), checked.errors);
   std::stable_sort(
       checked.errors.begin(), checked.errors.end(),
--- a/src/config/internal/codec.cc
+++ b/src/config/internal/codec.cc
@@ -219,6 +219,7 @@
   if constexpr (std::is_same_v<O, StandingWorker>) {
     return objects.standing_workers;
   }
+  if constexpr (std::is_same_v<O, DrainedVm>) return objects.drained_vms;
 }
 
 template <typename O>
@@ -235,6 +236,7 @@
   CollectSorted(objects.services, all);
   CollectSorted(objects.batch_jobs, all);
   CollectSorted(objects.standing_workers, all);
+  CollectSorted(objects.drained_vms, all);
   std::sort(all.begin(), all.end(), [](const Object& a, const Object& b) {
     return NameOf(a) < NameOf(b);
   });
@@ -341,6 +343,8 @@
       return ReadObject<BatchJob>(std::move(fields), name, kind);
     case Kind::kStandingWorker:
       return ReadObject<StandingWorker>(std::move(fields), name, kind);
+    case Kind::kDrainedVm:
+      return ReadObject<DrainedVm>(std::move(fields), name, kind);
   }
   throw Error(kStep, "object", "unknown kind");
 }
@@ -399,6 +403,9 @@
     case Kind::kStandingWorker:
       objects.standing_workers.erase(name);
       break;
+    case Kind::kDrainedVm:
+      objects.drained_vms.erase(name);
+      break;
   }
 }
 
@@ -416,6 +423,8 @@
       return Copy(objects.batch_jobs, kind, name);
     case Kind::kStandingWorker:
       return Copy(objects.standing_workers, kind, name);
+    case Kind::kDrainedVm:
+      return Copy(objects.drained_vms, kind, name);
   }
   throw Error(kStep, name, "unknown kind");
 }
@@ -428,6 +437,7 @@
   WriteYamlList(objects.services, Kind::kService, text);
   WriteYamlList(objects.batch_jobs, Kind::kBatchJob, text);
   WriteYamlList(objects.standing_workers, Kind::kStandingWorker, text);
+  WriteYamlList(objects.drained_vms, Kind::kDrainedVm, text);
   return text;
 }
 
--- a/src/config/internal/fields.h
+++ b/src/config/internal/fields.h
@@ -138,6 +138,11 @@
                 Need::kRequired);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visitor, const DrainedVm&) {
+  visitor.Field("reason", &DrainedVm::reason, TextSpec{}, Need::kRequired);
+}
+
 }  // namespace carobmast::config::internal
 
 #endif  // CAROBMAST_CONFIG_INTERNAL_FIELDS_H_
--- a/src/config/internal/kinds.cc
+++ b/src/config/internal/kinds.cc
@@ -11,13 +11,14 @@
   const char* list_key;
 };
 
-constexpr std::array<KindWords, 6> kWords = {{
+constexpr std::array<KindWords, 7> kWords = {{
     {"team", "team", "teams"},
     {"size class", "size_class", "size_classes"},
     {"vm pool", "vm_pool", "vm_pools"},
     {"service", "service", "services"},
     {"batch job", "batch_job", "batch_jobs"},
     {"standing worker", "standing_worker", "standing_workers"},
+    {"drained vm", "drained_vm", "drained_vms"},
 }};
 
 const KindWords& Words(Kind kind) {
--- a/src/config/internal/object_set.cc
+++ b/src/config/internal/object_set.cc
@@ -57,7 +57,8 @@
   return objects.teams.contains(name) || objects.size_classes.contains(name) ||
          objects.vm_pools.contains(name) || objects.services.contains(name) ||
          objects.batch_jobs.contains(name) ||
-         objects.standing_workers.contains(name);
+         objects.standing_workers.contains(name) ||
+         objects.drained_vms.contains(name);
 }
 
 }  // namespace
@@ -215,6 +216,7 @@
   CollectChange(*this, objects.services, Kind::kService, put);
   CollectChange(*this, objects.batch_jobs, Kind::kBatchJob, put);
   CollectChange(*this, objects.standing_workers, Kind::kStandingWorker, put);
+  CollectChange(*this, objects.drained_vms, Kind::kDrainedVm, put);
   Change change;
   for (auto& entry : put) change.put.push_back(std::move(entry.second));
   for (const auto& entry : index_) {
--- a/src/config/internal/parse.cc
+++ b/src/config/internal/parse.cc
@@ -308,9 +308,23 @@
       return ReadEntry<BatchJob>(entry, kind, set);
     case Kind::kStandingWorker:
       return ReadEntry<StandingWorker>(entry, kind, set);
+    case Kind::kDrainedVm:
+      return ReadEntry<DrainedVm>(entry, kind, set);
   }
 }
 
+void ReadBase(const YamlNode* node, EntryErrors& errors, ParsedSet& set) {
+  if (node == nullptr) return;
+  const std::optional<std::uint32_t> base =
+      node->type == YamlNode::Type::kScalar ? internal::ParseCount(node->scalar)
+                                            : std::nullopt;
+  if (!base.has_value()) {
+    errors.Expected(*node, "base", "the offset of a set");
+    return;
+  }
+  set.base = *base;
+}
+
 }  // namespace
 
 int ParsedSet::LineOf(const std::string& name, const std::string& field) const {
@@ -329,6 +343,7 @@
   ParsedSet set;
   EntryErrors errors("set", set);
   KeyTable keys(root, "", errors);
+  ReadBase(keys.Take("base"), errors, set);
   for (const Kind kind : kAllKinds) {
     const YamlNode* list = keys.Take(KindListKey(kind));
     if (list == nullptr) continue;
--- a/src/config/kinds.h
+++ b/src/config/kinds.h
@@ -11,9 +11,9 @@
 
 namespace carobmast::config {
 
-inline constexpr std::array<Kind, 6> kAllKinds = {
-    Kind::kTeam,    Kind::kSizeClass, Kind::kVmPool,
-    Kind::kService, Kind::kBatchJob,  Kind::kStandingWorker};
+inline constexpr std::array<Kind, 7> kAllKinds = {
+    Kind::kTeam,     Kind::kSizeClass,      Kind::kVmPool,   Kind::kService,
+    Kind::kBatchJob, Kind::kStandingWorker, Kind::kDrainedVm};
 
 // Longest name of an object, in bytes.
 inline constexpr std::size_t kMaxNameBytes = 63;
--- a/src/config/parse.h
+++ b/src/config/parse.h
@@ -1,17 +1,21 @@
 // Reads a configuration set from the YAML file that operators write.
 //
 // The top level has one list for each kind (teams, size_classes, vm_pools,
-// services, batch_jobs, standing_workers); each entry is a map with `name`.
+// services, batch_jobs, standing_workers, drained_vms); each entry is a map
+// with `name`. The optional key `base` is the offset of the set that the file
+// was made from.
 #ifndef CAROBMAST_CONFIG_PARSE_H_
 #define CAROBMAST_CONFIG_PARSE_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "config/types/check_error.h"
 #include "config/types/objects.h"
+#include "platform/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -20,6 +24,7 @@
   std::vector<Object> objects;
   // Unknown keys, wrong types and units, missing fields, unusable names.
   std::vector<CheckError> errors;
+  std::optional<platform::Offset> base;
   // Line of each object ("") and of each field that the file gives.
   std::map<std::pair<std::string, std::string>, int> lines;
 
--- a/src/config/types/objects.h
+++ b/src/config/types/objects.h
@@ -89,6 +89,13 @@
   platform::Resources task;
 };
 
+// A VM that gets no new work, by the operators' will. Its name is the VM's.
+struct DrainedVm {
+  std::string name;
+  // For operators.
+  std::string reason;
+};
+
 // The kinds of objects, in the order of Object's alternatives.
 enum class Kind {
   kTeam,
@@ -96,11 +103,12 @@
   kVmPool,
   kService,
   kBatchJob,
-  kStandingWorker
+  kStandingWorker,
+  kDrainedVm
 };
 
-using Object =
-    std::variant<Team, SizeClass, VmPool, Service, BatchJob, StandingWorker>;
+using Object = std::variant<Team, SizeClass, VmPool, Service, BatchJob,
+                            StandingWorker, DrainedVm>;
 
 // All objects of a set, each kind by name. A name is unique over all kinds.
 struct Objects {
@@ -110,6 +118,7 @@
   std::map<std::string, Service> services;
   std::map<std::string, BatchJob> batch_jobs;
   std::map<std::string, StandingWorker> standing_workers;
+  std::map<std::string, DrainedVm> drained_vms;
 };
 
 }  // namespace carobmast::config
--- /dev/null
+++ b/src/operators/internal/publish_flow.cc
@@ -0,0 +1,289 @@
+#include "operators/publish_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/kinds.h"
+#include "config/record.h"
+
+namespace carobmast::operators {
+namespace {
+
+constexpr Duration kRetryInterval = std::chrono::milliseconds(300);
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
+constexpr Duration kReadWait = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxRecordsPerRead = 500;
+constexpr std::size_t kMaxNamesInReason = 20;
+// How often one publish is made again for a newer set.
+constexpr int kMaxRebases = 10;
+
+}  // namespace
+
+PublishFlow::PublishFlow(PublishFlowOptions options, MonotonicTime now)
+    : options_(std::move(options)),
+      deadline_(now + options_.timeout),
+      next_try_(now) {
+  if (options_.base == 0) base_objects_.emplace();
+}
+
+platform::ReadRequest PublishFlow::ReadStep() const {
+  // While the own record is awaited, the log may hold the answer back.
+  return {.stream = platform::kConfigStream,
+          .from = replay_.NextRead(),
+          .max_records = kMaxRecordsPerRead,
+          .wait = maybe_appended_ ? kReadWait : Duration::zero(),
+          .timeout = kCallTimeout};
+}
+
+PublishStep PublishFlow::Next(MonotonicTime now) {
+  if (!result_.has_value() && now >= deadline_) {
+    const std::string why =
+        last_error_.empty() ? "the log gave no answer in time" : last_error_;
+    Finish(maybe_appended_ ? PublishOutcome::kUnknown
+                           : PublishOutcome::kNotPublished,
+           why);
+  }
+  PublishStep step{.at = now};
+  if (result_.has_value()) {
+    step.result = result_;
+  } else if (now < next_try_) {
+    step.at = std::min(next_try_, deadline_);
+  } else if (must_read_) {
+    step.read = ReadStep();
+  } else {
+    step.append = platform::AppendRequest{.stream = platform::kConfigStream,
+                                          .records = {*record_},
+                                          .timeout = kCallTimeout};
+  }
+  return step;
+}
+
+void PublishFlow::Retry(MonotonicTime now) { next_try_ = now + kRetryInterval; }
+
+void PublishFlow::OnReadError(MonotonicTime now, const std::string& reason) {
+  last_error_ = reason;
+  Retry(now);
+}
+
+void PublishFlow::OnRead(MonotonicTime now, platform::Offset from,
+                         const platform::ReadAnswer& answer) {
+  const platform::Offset next = replay_.NextRead();
+  const config::Head before = replay_.fold().head();
+  const std::vector<config::Verdict> verdicts = replay_.OnRead(from, answer);
+  const bool adopted =
+      verdicts.empty() && replay_.fold().head().offset != before.offset;
+  if (adopted && options_.base == replay_.fold().head().offset) {
+    base_objects_ = replay_.fold().set().objects();
+  }
+  for (const config::Verdict& verdict : verdicts) {
+    NoteVerdict(verdict);
+    if (result_.has_value()) return;
+  }
+  if (replay_.fold().stopped().has_value()) {
+    Finish(
+        maybe_appended_ ? PublishOutcome::kUnknown : PublishOutcome::kRefused,
+        "this program is too old for the log: offset " +
+            std::to_string(replay_.fold().stopped()->offset) + ": " +
+            replay_.fold().stopped()->reason);
+    return;
+  }
+  if (!replay_.caught_up()) {
+    if (replay_.NextRead() == next) {
+      last_error_ = "the set in force has expired from the log";
+      Retry(now);
+    }
+    return;
+  }
+  if (!record_.has_value()) {
+    Propose();
+  } else {
+    // All that the log holds was read and the record is not in it: append it
+    // again, with its id and base unchanged.
+    must_read_ = false;
+    Retry(now);
+  }
+}
+
+void PublishFlow::NoteVerdict(const config::Verdict& verdict) {
+  if (record_.has_value() && verdict.id == record_->id) {
+    OnOwnVerdict(verdict);
+    return;
+  }
+  if (verdict.kind != config::VerdictKind::kAccepted) return;
+  const Touched touched{.offset = verdict.offset,
+                        .publisher = verdict.publisher};
+  last_accepted_ = touched;
+  if (options_.base == verdict.offset) {
+    base_objects_ = replay_.fold().set().objects();
+    touched_.clear();
+    return;
+  }
+  for (const config::Object& object : verdict.change.put) {
+    touched_[config::NameOf(object)] = touched;
+  }
+  for (const std::string& name : verdict.change.remove) {
+    touched_[name] = touched;
+  }
+}
+
+std::string PublishFlow::ConflictsWith(const config::Change& mine) const {
+  std::vector<std::string> names = mine.remove;
+  for (const config::Object& object : mine.put) {
+    names.push_back(config::NameOf(object));
+  }
+  std::sort(names.begin(), names.end());
+  std::string text;
+  std::size_t found = 0;
+  for (const std::string& name : names) {
+    const auto touched = touched_.find(name);
+    if (touched == touched_.end() || ++found > kMaxNamesInReason) continue;
+    if (!text.empty()) text += ", ";
+    text += name + " (changed at offset " +
+            std::to_string(touched->second.offset) + " by " +
+            touched->second.publisher + ")";
+  }
+  if (found > kMaxNamesInReason) {
+    text += " and " + std::to_string(found - kMaxNamesInReason) + " more";
+  }
+  return text;
+}
+
+void PublishFlow::RefuseBase(const std::string& reason) {
+  const config::Head& head = replay_.fold().head();
+  std::string text =
+      "the set in force is that of offset " + std::to_string(head.offset);
+  if (last_accepted_.has_value() && last_accepted_->offset == head.offset) {
+    text += " by " + last_accepted_->publisher;
+  }
+  Finish(PublishOutcome::kRefused, text + "; " + reason);
+}
+
+void PublishFlow::Propose() {
+  options_.wanted.has_value() ? ProposeWanted()
+                              : ProposeChange(options_.change);
+}
+
+void PublishFlow::ProposeWanted() {
+  const config::Head& head = replay_.fold().head();
+  const config::Change all = replay_.fold().set().ChangeTo(*options_.wanted);
+  if (all.Empty()) {
+    Finish(PublishOutcome::kUnchanged, "the set in force is this one already");
+    return;
+  }
+  const platform::Offset base = options_.base.value_or(0);
+  if (base == head.offset) {
+    ProposeChange(all);
+    return;
+  }
+  if (!options_.base.has_value()) {
+    RefuseBase(
+        "say which set the file was made from, by --base or the key 'base'");
+    return;
+  }
+  if (!base_objects_.has_value()) {
+    RefuseBase("the log no longer tells what was at offset " +
+               std::to_string(base));
+    return;
+  }
+  config::ObjectSet base_set;
+  base_set.Apply(config::ObjectSet().ChangeTo(*base_objects_), config::Stamp{});
+  const config::Change mine = base_set.ChangeTo(*options_.wanted);
+  const std::string conflicts = ConflictsWith(mine);
+  if (!conflicts.empty()) {
+    RefuseBase("changed by both: " + conflicts);
+    return;
+  }
+  if (!options_.rebase) {
+    RefuseBase("made for offset " + std::to_string(base) +
+               "; no object was changed by both, so --rebase would publish it");
+    return;
+  }
+  ProposeChange(mine);
+}
+
+void PublishFlow::ProposeChange(const config::Change& change) {
+  // Tried on a copy of the set in force.
+  const config::Head& head = replay_.fold().head();
+  config::ObjectSet set;
+  replay_.fold().set().ForEachAfter("", [&](const config::StampedObject& o) {
+    set.Put(o);
+    return true;
+  });
+  const config::ObjectSet::Undo undo = set.Apply(change, config::Stamp{});
+  const std::vector<config::CheckError> errors =
+      config::AllRules().at(head.rules)(set, change, undo.put);
+  if (!errors.empty()) {
+    std::string reason;
+    for (const config::CheckError& error : errors) {
+      reason += (reason.empty() ? "" : "\n") + error.ToString();
+    }
+    Finish(PublishOutcome::kRefused, reason);
+    return;
+  }
+  proposed_ = change;
+  const config::PublishRecord record{.rules = head.rules,
+                                     .base = head.offset,
+                                     .publisher = options_.publisher,
+                                     .digest = set.Digest(),
+                                     .change = change};
+  record_ = platform::NewRecord{.id = options_.new_id(),
+                                .data = config::EncodePublish(record)};
+  if (record_->data.size() > config::kMaxRecordBytes) {
+    Finish(PublishOutcome::kRefused,
+           "the change is larger than 8MiB; publish it in steps");
+    return;
+  }
+  must_read_ = false;
+}
+
+void PublishFlow::OnOwnVerdict(const config::Verdict& verdict) {
+  if (verdict.kind == config::VerdictKind::kAccepted) {
+    Finish(PublishOutcome::kPublished, "");
+    result_->offset = verdict.offset;
+    return;
+  }
+  if (verdict.kind != config::VerdictKind::kRefused) return;
+  // Another publish came first. This record can never take effect any more, so
+  // the change may be proposed again under a new id.
+  const bool may_rebase = options_.rebase || !options_.wanted.has_value();
+  if (may_rebase && ++rebases_ <= kMaxRebases) {
+    record_.reset();
+    maybe_appended_ = false;
+    must_read_ = true;
+    return;
+  }
+  const std::string conflicts = ConflictsWith(proposed_);
+  RefuseBase(verdict.reason +
+             (conflicts.empty() ? "" : "; changed by both: " + conflicts));
+}
+
+void PublishFlow::OnAppend(MonotonicTime now,
+                           const platform::AppendAnswer& answer) {
+  switch (answer.outcome) {
+    case platform::AppendOutcome::kAppended:
+    case platform::AppendOutcome::kUnknown:
+      maybe_appended_ = true;
+      must_read_ = true;
+      last_error_ = answer.error;
+      break;
+    case platform::AppendOutcome::kNotSent:
+      last_error_ = answer.error;
+      // Someone may have published meanwhile.
+      must_read_ = true;
+      Retry(now);
+      break;
+  }
+}
+
+void PublishFlow::Finish(PublishOutcome outcome, const std::string& reason) {
+  const config::Head& head = replay_.fold().head();
+  result_ = PublishResult{.outcome = outcome,
+                          .id = record_.has_value() ? record_->id : "",
+                          .offset = head.offset,
+                          .digest = head.digest,
+                          .reason = reason,
+                          .objects_put = proposed_.put.size(),
+                          .objects_removed = proposed_.remove.size()};
+}
+
+}  // namespace carobmast::operators
--- /dev/null
+++ b/src/operators/publish_flow.h
@@ -0,0 +1,116 @@
+// One publish from the first read of the log to a verdict that is certain, or
+// to "unknown". Sans-I/O.
+//
+// The record keeps its id and its base over all appends of one proposal, so a
+// second append of it can't take effect twice: the fold takes the first, after
+// which the base is no longer in force.
+#ifndef CAROBMAST_OPERATORS_PUBLISH_FLOW_H_
+#define CAROBMAST_OPERATORS_PUBLISH_FLOW_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/log_replay.h"
+#include "framework/base/time.h"
+#include "platform/types/log_record.h"
+
+namespace carobmast::operators {
+
+enum class PublishOutcome {
+  kPublished,     // in force from the offset on
+  kUnchanged,     // the set in force is the set asked for
+  kRefused,       // another publish won, or the set is not valid
+  kNotPublished,  // the log was out; certainly nothing took effect
+  kUnknown,       // the log was out after an append; ask by the id
+};
+
+struct PublishResult {
+  PublishOutcome outcome = PublishOutcome::kUnknown;
+  std::string id;
+  // Of the set in force, as far as it is known.
+  platform::Offset offset = 0;
+  std::string digest;
+  std::string reason;
+  std::size_t objects_put = 0;
+  std::size_t objects_removed = 0;
+};
+
+struct PublishFlowOptions {
+  std::string publisher;
+  // The whole set to publish; else `change` is applied to the set in force.
+  std::optional<config::Objects> wanted;
+  config::Change change;
+  // The offset of the set that `wanted` was made from.
+  std::optional<platform::Offset> base;
+  // Whether to replay the change on a newer set when no object was changed by
+  // both.
+  bool rebase = false;
+  // Unique ids for records.
+  std::function<std::string()> new_id;
+  // Until then the log is tried again.
+  Duration timeout = std::chrono::seconds(15);
+};
+
+struct PublishStep {
+  std::optional<platform::ReadRequest> read;
+  std::optional<platform::AppendRequest> append;
+  // Wait until then when there is nothing else to do.
+  MonotonicTime at;
+  std::optional<PublishResult> result;
+};
+
+class PublishFlow {
+ public:
+  PublishFlow(PublishFlowOptions options, MonotonicTime now);
+
+  // One step at a time; each read and append ends with one event below.
+  PublishStep Next(MonotonicTime now);
+  void OnRead(MonotonicTime now, platform::Offset from,
+              const platform::ReadAnswer& answer);
+  void OnReadError(MonotonicTime now, const std::string& reason);
+  void OnAppend(MonotonicTime now, const platform::AppendAnswer& answer);
+
+ private:
+  // What the log did to objects since the base.
+  struct Touched {
+    platform::Offset offset = 0;
+    std::string publisher;
+  };
+
+  void NoteVerdict(const config::Verdict& verdict);
+  void Propose();
+  void ProposeWanted();
+  void ProposeChange(const config::Change& change);
+  void RefuseBase(const std::string& reason);
+  std::string ConflictsWith(const config::Change& mine) const;
+  void OnOwnVerdict(const config::Verdict& verdict);
+  void Finish(PublishOutcome outcome, const std::string& reason);
+  void Retry(MonotonicTime now);
+  platform::ReadRequest ReadStep() const;
+
+  PublishFlowOptions options_;
+  MonotonicTime deadline_;
+  MonotonicTime next_try_;
+  config::LogReplay replay_;
+  // The set of `base`, once the replay has passed it.
+  std::optional<config::Objects> base_objects_;
+  std::map<std::string, Touched> touched_;
+  std::optional<Touched> last_accepted_;
+  // The proposal that is under way.
+  std::optional<platform::NewRecord> record_;
+  config::Change proposed_;
+  // Whether an append may have reached the log.
+  bool maybe_appended_ = false;
+  // Whether the log must be read before the next append.
+  bool must_read_ = true;
+  std::string last_error_;
+  int rebases_ = 0;
+  std::optional<PublishResult> result_;
+};
+
+}  // namespace carobmast::operators
+
+#endif  // CAROBMAST_OPERATORS_PUBLISH_FLOW_H_
