--- /dev/null
+++ b/src/work/internal/local_task.h
@@ -0,0 +1,85 @@
+// A task that an own cell holds, and the worker it is on.
+#ifndef CAROBMAST_WORK_INTERNAL_LOCAL_TASK_H_
+#define CAROBMAST_WORK_INTERNAL_LOCAL_TASK_H_
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "framework/base/time.h"
+#include "platform/types/worker.h"
+#include "work/types/task_spec.h"
+
+namespace carobmast::work {
+
+enum class LocalState {
+  kHeld,
+  kReady,
+  kStarting,
+  kRunning,
+  kStopping,
+  kEnded,
+  kGone,
+};
+
+enum class LocalEvent {
+  kResolved,
+  kStartSent,
+  kStartRefused,
+  kFoundRunning,
+  kFoundEnded,
+  kWorkerGone,
+  kStopWanted,
+  kGiveUp,
+  kRecorded,
+};
+
+// How the newest attempt ended.
+struct Ending {
+  std::uint32_t attempt = 0;
+  // kRunning means that its worker is gone.
+  platform::TaskState state = platform::TaskState::kStopped;
+  std::string checkpoint;
+  std::string reason;
+};
+
+struct LocalTask
+    : boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+  std::string id;
+  std::string cell;
+  TaskSpec spec;
+  // Whether `spec` is known: it needs the configuration or the job.
+  bool has_spec = false;
+  bool taken_after_claim = false;
+  LocalState state = LocalState::kHeld;
+  // Newest attempt, and its worker while it may run; 0 and empty otherwise.
+  std::uint32_t attempt = 0;
+  std::string worker;
+  std::uint32_t first_attempt = 1;
+  std::uint32_t next_attempt = 1;
+  // Chosen when the task was taken; its room is reserved.
+  std::string planned_worker;
+  std::optional<Ending> ending;
+  std::string checkpoint;
+  std::string endpoint;
+  platform::Resources used;
+  // Starts without a whole answer: the attempt may start at any time.
+  bool start_in_doubt = false;
+  bool start_in_flight = false;
+  bool stop_in_flight = false;
+  // A report to a command sent later must name the attempt.
+  std::uint64_t confirmed_by = 0;
+  MonotonicTime running_since;
+  MonotonicTime not_before;
+  std::uint32_t restarts = 0;
+};
+
+using LocalTaskList =
+    boost::intrusive::list<LocalTask,
+                           boost::intrusive::constant_time_size<false>>;
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_INTERNAL_LOCAL_TASK_H_
--- /dev/null
+++ b/src/work/internal/pending_queue.h
@@ -0,0 +1,58 @@
+// Tasks that no cell holds, grouped by what they need, so that one refusal
+// answers for all tasks that need the same.
+#ifndef CAROBMAST_WORK_INTERNAL_PENDING_QUEUE_H_
+#define CAROBMAST_WORK_INTERNAL_PENDING_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "framework/base/time.h"
+#include "platform/types/log_record.h"
+#include "work/types/task_spec.h"
+
+namespace carobmast::work {
+
+class PendingQueue {
+ public:
+  // Adds a task, or changes when it is due. Tasks of one priority are offered
+  // in the order of `offset`.
+  void Add(const std::string& task, const TaskSpec& spec,
+           platform::Offset offset, MonotonicTime due);
+  void Remove(const std::string& task);
+  bool Contains(const std::string& task) const {
+    return places_.contains(task);
+  }
+  std::size_t size() const { return places_.size(); }
+
+  // Offers due tasks, most important first. `offer` returns whether the task
+  // was placed, which removes it; after a refusal the other tasks that need the
+  // same are not offered. At most `max` tasks are placed.
+  void Offer(MonotonicTime now, std::size_t max,
+             const std::function<bool(const std::string&)>& offer);
+
+ private:
+  // Priority, pool, kind, processors, memory, accelerators.
+  using Shape = std::tuple<int, std::string, int, std::uint64_t, std::uint64_t,
+                           std::uint32_t>;
+  struct Place {
+    Shape shape;
+    platform::Offset offset = 0;
+    MonotonicTime due;
+    bool is_due = false;
+  };
+
+  void MakeDue(MonotonicTime now);
+
+  std::map<std::string, Place> places_;
+  std::set<std::pair<MonotonicTime, std::string>> later_;
+  std::map<Shape, std::set<std::pair<platform::Offset, std::string>>> due_;
+};
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_INTERNAL_PENDING_QUEUE_H_
--- /dev/null
+++ b/src/work/internal/scheduler_impl.h
@@ -0,0 +1,242 @@
+// The body of SchedulerCore. Its methods are defined by topic in
+// scheduler_core.cc, scheduler_ownership.cc, scheduler_reports.cc,
+// scheduler_tasks.cc, scheduler_placing.cc and scheduler_status.cc.
+#ifndef CAROBMAST_WORK_INTERNAL_SCHEDULER_IMPL_H_
+#define CAROBMAST_WORK_INTERNAL_SCHEDULER_IMPL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "framework/statechart/state_chart.h"
+#include "work/internal/append_queue.h"
+#include "work/internal/local_task.h"
+#include "work/internal/pending_queue.h"
+#include "work/internal/scheduler_monitor.h"
+#include "work/internal/task_catalog.h"
+#include "work/internal/worker_session.h"
+#include "work/scheduler_core.h"
+
+namespace carobmast::work {
+
+enum class CellState { kForeign, kClaiming, kFencing, kServing, kSuspended };
+
+enum class CellEvent { kClaimSent, kClaimWon, kResolved, kStale, kLost };
+
+// A cell of this zone.
+struct OwnCell {
+  std::string cell;
+  CellState state = CellState::kForeign;
+  // The own claim in force, while owned.
+  platform::FencingToken token = 0;
+  // When the own claim was read.
+  MonotonicTime claimed_at;
+  // Since when it has had no living owner; empty while it has one.
+  std::optional<MonotonicTime> free_since;
+  // The previous token of the claim in flight.
+  std::optional<platform::FencingToken> claim_in_flight;
+  // Members whose addition or removal is on its way to the log.
+  std::set<std::string> membership_in_flight;
+  // An attempt may start late although nothing waits for it: claim anew.
+  bool wants_new_token = false;
+  std::set<std::string> tasks;
+};
+
+class SchedulerCore::Impl {
+ public:
+  Impl(SchedulerOptions options, SchedulerHooks hooks);
+
+  void OnTick(MonotonicTime now);
+  void OnLog(MonotonicTime now, MonotonicTime started,
+             const platform::ReadAnswer& answer);
+  void OnAppendAnswer(MonotonicTime now, std::uint64_t id,
+                      platform::AppendOutcome outcome);
+  void OnVmList(MonotonicTime now, const platform::VmListAnswer& list);
+  void OnConfig(MonotonicTime now, const config::Objects& objects);
+  void OnCommandAnswer(MonotonicTime now, std::uint64_t id,
+                       const platform::CommandAnswer& answer);
+  void OnStop(MonotonicTime now);
+  bool stopped() const { return stopped_; }
+  const WorkFold& fold() const { return fold_; }
+  const SchedulerCounters& counters() const { return counters_; }
+  const WorkerTable& workers() const { return table_; }
+  std::size_t ServingCells() const;
+  SchedulerStatus Status(MonotonicTime now) const;
+  std::vector<InstanceEndpoint> Endpoints() const;
+
+ private:
+  struct CellContext {
+    Impl* core = nullptr;
+    OwnCell* cell = nullptr;
+    MonotonicTime now;
+  };
+  struct TaskContext {
+    Impl* core = nullptr;
+    LocalTask* task = nullptr;
+    MonotonicTime now;
+  };
+  using CellChart = statechart::StateChart<CellState, CellEvent, CellContext>;
+  using TaskChart = statechart::StateChart<LocalState, LocalEvent, TaskContext>;
+
+  struct CommandInFlight {
+    platform::WorkerVerb verb = platform::WorkerVerb::kFence;
+    std::string worker;
+    platform::FencingToken token = 0;
+    platform::AttemptId id;
+    MonotonicTime sent_at;
+  };
+  struct Plan {
+    std::string cell;
+    platform::FencingToken token = 0;
+    std::string worker;
+  };
+
+  // scheduler_core.cc
+  static CellChart MakeCellChart(const std::string& text);
+  static TaskChart MakeTaskChart(const std::string& text);
+  void Fire(MonotonicTime now, OwnCell& cell, CellEvent event);
+  void Fire(MonotonicTime now, LocalTask& task, LocalEvent event);
+  void Flush(MonotonicTime now);
+  void MaybeSnapshot(MonotonicTime now);
+  void FinishStop(MonotonicTime now);
+  // Whether the log was read a short while ago.
+  bool LogHealthy(MonotonicTime now) const;
+  // A lease that was set at `now` has ended on every clock after this long.
+  Duration LeaseBound() const;
+
+  // scheduler_ownership.cc
+  bool Owned(const OwnCell& cell) const;
+  OwnCell* FindOwned(const std::string& cell);
+  void SyncCells(MonotonicTime now, const FoldChanges& changes);
+  void SyncCell(MonotonicTime now, const std::string& name);
+  void ConsiderClaims(MonotonicTime now);
+  void ConsiderClaim(MonotonicTime now, OwnCell& cell);
+  void SendClaim(MonotonicTime now, OwnCell& cell);
+  void Rebalance(MonotonicTime now);
+  void Relinquish(MonotonicTime now, OwnCell& cell);
+  void AdoptMembers(MonotonicTime now, OwnCell& cell);
+  void DropMembers(OwnCell& cell);
+  void AddSession(MonotonicTime now, OwnCell& cell, const CellMember& member);
+  void RemoveSession(MonotonicTime now, const std::string& worker);
+  void SyncMembers(MonotonicTime now, OwnCell& cell);
+  void ProposeMembers(OwnCell& cell);
+  void ApplyVm(MonotonicTime now, WorkerSession& session);
+  void ContactWorkers(MonotonicTime now);
+  void ContactWorker(MonotonicTime now, WorkerSession& session);
+  bool MayFence(MonotonicTime now, const OwnCell& cell) const;
+  void CheckGone(MonotonicTime now, WorkerSession& session);
+  void CheckLeases(MonotonicTime now, MonotonicTime read_started);
+  void CheckResolved(MonotonicTime now, OwnCell& cell);
+  bool Resolved(const OwnCell& cell) const;
+  void UpdateUsable(MonotonicTime now, WorkerSession& session);
+  void LoseContact(MonotonicTime now, WorkerSession& session);
+  bool OwnerLeaseValid(MonotonicTime now) const;
+
+  // scheduler_reports.cc
+  std::uint64_t Send(MonotonicTime now, const WorkerSession& session,
+                     platform::WorkerCommand command);
+  void OnControlAnswer(MonotonicTime now, std::uint64_t id,
+                       const CommandInFlight& sent, WorkerSession& session,
+                       const platform::CommandAnswer& answer);
+  void OnStartAnswer(MonotonicTime now, std::uint64_t id,
+                     const CommandInFlight& sent, WorkerSession& session,
+                     const platform::CommandAnswer& answer);
+  void OnStale(MonotonicTime now, WorkerSession& session);
+  void ProcessReport(MonotonicTime now, std::uint64_t sent_id,
+                     WorkerSession& session,
+                     const platform::WorkerReport& report);
+  void ProcessRunning(MonotonicTime now, WorkerSession& session,
+                      const platform::TaskReport& report,
+                      std::set<platform::AttemptId>& strays);
+  void ProcessEnded(MonotonicTime now, WorkerSession& session,
+                    const platform::TaskReport& report);
+  void FindVanished(MonotonicTime now, std::uint64_t sent_id,
+                    WorkerSession& session,
+                    const std::set<platform::AttemptId>& named);
+  void UpdateStrays(MonotonicTime now, WorkerSession& session,
+                    std::set<platform::AttemptId> strays);
+  void AdoptRunning(MonotonicTime now, WorkerSession& session, LocalTask& task,
+                    const platform::TaskReport& report);
+  void Forget(MonotonicTime now, WorkerSession& session,
+              const platform::AttemptId& id);
+
+  // scheduler_tasks.cc
+  LocalTask* FindLocal(const std::string& task);
+  WorkerSession* FindSession(const std::string& worker);
+  void SyncTask(MonotonicTime now, const std::string& id);
+  void AddLocal(MonotonicTime now, OwnCell& cell, const std::string& id,
+                const FoldedTask& folded);
+  void EraseLocal(const std::string& id);
+  void UpdateSpec(LocalTask& task);
+  void Advance(MonotonicTime now, LocalTask& task);
+  void AdvanceAll(MonotonicTime now);
+  void TryStart(MonotonicTime now, LocalTask& task);
+  void SendStart(MonotonicTime now, LocalTask& task);
+  void SendStop(MonotonicTime now, LocalTask& task);
+  void RecordResult(LocalTask& task);
+  void FreeRoom(MonotonicTime now, LocalTask& task);
+  void LoseTasks(MonotonicTime now, WorkerSession& session,
+                 const std::string& reason);
+  bool MustHold(const LocalTask& task) const;
+  bool HasFinalEnd(const LocalTask& task) const;
+
+  // scheduler_placing.cc
+  void SyncPending(MonotonicTime now, const std::string& id);
+  void PlacePending(MonotonicTime now);
+  bool Place(MonotonicTime now, const std::string& id);
+  void DropPlan(const std::string& id);
+  Duration TakeDelay(MonotonicTime now, const std::string& id,
+                     const TaskSpec& spec) const;
+
+  // scheduler_status.cc
+  std::string WaitReason(MonotonicTime now, const LocalTask& task) const;
+  std::string PendingReason(MonotonicTime now, const std::string& id,
+                            const FoldedTask& task) const;
+  JobStatus StatusOf(const FoldedJob& job) const;
+
+  SchedulerOptions options_;
+  SchedulerHooks hooks_;
+  CellChart cell_chart_;
+  TaskChart task_chart_;
+  WorkFold fold_;
+  SchedulerMonitor monitor_;
+  AppendQueue queue_;
+  TaskCatalog catalog_;
+  PendingQueue pending_;
+  WorkerTable table_;
+  SchedulerCounters counters_;
+  std::map<std::string, OwnCell> cells_;
+  std::map<std::string, WorkerSession> sessions_;
+  std::map<std::string, LocalTask> locals_;
+  // Locals that wait for room or for a stop to be sent again.
+  std::set<std::string> to_advance_;
+  // Takes on their way to the log.
+  std::map<std::string, Plan> plans_;
+  std::map<std::uint64_t, CommandInFlight> commands_;
+  std::uint64_t next_command_ = 1;
+  // The newest VM list, workers of this zone by name.
+  std::map<std::string, platform::Vm> vms_;
+  WallTime vms_as_of_{};
+  bool vms_known_ = false;
+  MonotonicTime last_log_read_;
+  bool log_read_ = false;
+  MonotonicTime next_heartbeat_;
+  MonotonicTime next_rebalance_;
+  // Leases only: own heartbeats on their way, and until when starts may go out.
+  std::map<std::string, MonotonicTime> heartbeats_sent_;
+  MonotonicTime authority_until_;
+  std::optional<MonotonicTime> snapshot_due_since_;
+  bool snapshot_in_flight_ = false;
+  MonotonicTime snapshot_sent_at_;
+  bool stopping_ = false;
+  bool relinquished_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_INTERNAL_SCHEDULER_IMPL_H_
--- /dev/null
+++ b/src/work/internal/scheduler_ownership.cc
@@ -0,0 +1,389 @@
+// Claims of cells, their members, and the contact with each worker.
+#include <algorithm>
+#include <utility>
+
+#include "work/internal/rendezvous.h"
+#include "work/internal/scheduler_impl.h"
+
+namespace carobmast::work {
+namespace {
+
+// Workers of one cell.
+constexpr std::size_t kMaxMembers = 64;
+
+std::string CellOf(const platform::Vm& vm) { return vm.zone + "/" + vm.rack; }
+
+}  // namespace
+
+bool SchedulerCore::Impl::Owned(const OwnCell& cell) const {
+  return cell.state == CellState::kFencing ||
+         cell.state == CellState::kServing ||
+         cell.state == CellState::kSuspended;
+}
+
+OwnCell* SchedulerCore::Impl::FindOwned(const std::string& cell) {
+  const auto found = cells_.find(cell);
+  if (found == cells_.end() || !Owned(found->second)) return nullptr;
+  return &found->second;
+}
+
+std::size_t SchedulerCore::Impl::ServingCells() const {
+  return static_cast<std::size_t>(
+      std::count_if(cells_.begin(), cells_.end(), [](const auto& entry) {
+        return entry.second.state == CellState::kServing;
+      }));
+}
+
+void SchedulerCore::Impl::SyncCells(MonotonicTime now,
+                                    const FoldChanges& changes) {
+  if (!changes.reset) {
+    for (const std::string& cell : changes.cells) SyncCell(now, cell);
+    return;
+  }
+  std::set<std::string> names;
+  for (const auto& [name, cell] : cells_) names.insert(name);
+  for (const auto& [name, cell] : fold_.cells()) names.insert(name);
+  for (const std::string& name : names) SyncCell(now, name);
+}
+
+void SchedulerCore::Impl::SyncCell(MonotonicTime now, const std::string& name) {
+  const FoldedCell* folded = fold_.FindCell(name);
+  if (folded != nullptr && folded->zone != options_.zone) return;
+  OwnCell& cell = cells_[name];
+  cell.cell = name;
+  const platform::FencingToken token = folded == nullptr ? 0 : folded->token;
+  if (cell.claim_in_flight.has_value() && *cell.claim_in_flight != token) {
+    cell.claim_in_flight.reset();
+  }
+  const bool mine = folded != nullptr && folded->owner == options_.name;
+  if (mine && (!Owned(cell) || cell.token != token)) {
+    cell.token = token;
+    cell.claimed_at = now;
+    cell.wants_new_token = false;
+    cell.membership_in_flight.clear();
+    Fire(now, cell, CellEvent::kClaimWon);
+    ++counters_.claims;
+  } else if (!mine && (Owned(cell) || !cell.claim_in_flight.has_value())) {
+    if (Owned(cell)) ++counters_.cells_lost;
+    Fire(now, cell, CellEvent::kLost);
+  }
+  if (!Owned(cell)) return;
+  SyncMembers(now, cell);
+  CheckResolved(now, cell);
+}
+
+void SchedulerCore::Impl::ConsiderClaims(MonotonicTime now) {
+  if (!LogHealthy(now)) return;
+  for (auto& [name, cell] : cells_) ConsiderClaim(now, cell);
+}
+
+void SchedulerCore::Impl::ConsiderClaim(MonotonicTime now, OwnCell& cell) {
+  if (cell.claim_in_flight.has_value()) return;
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  if (Owned(cell)) {
+    if (cell.wants_new_token) SendClaim(now, cell);
+    return;
+  }
+  const bool has_owner = folded != nullptr && !folded->owner.empty() &&
+                         monitor_.Alive(folded->owner, now);
+  if (has_owner) {
+    cell.free_since.reset();
+    return;
+  }
+  if (!cell.free_since.has_value()) cell.free_since = now;
+  const std::size_t rank = RendezvousRank(
+      cell.cell, options_.name, monitor_.AliveIn({options_.zone}, now));
+  if (now < *cell.free_since + rank * options_.claim_rank_delay) return;
+  SendClaim(now, cell);
+}
+
+void SchedulerCore::Impl::SendClaim(MonotonicTime now, OwnCell& cell) {
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  const platform::FencingToken previous = folded == nullptr ? 0 : folded->token;
+  queue_.Add(ClaimRecord{.cell = cell.cell,
+                         .zone = options_.zone,
+                         .scheduler = options_.name,
+                         .previous = previous});
+  cell.claim_in_flight = previous;
+  cell.free_since.reset();
+  Fire(now, cell, CellEvent::kClaimSent);
+}
+
+void SchedulerCore::Impl::Rebalance(MonotonicTime now) {
+  if (now < next_rebalance_ || !LogHealthy(now)) return;
+  next_rebalance_ = now + options_.rebalance_every;
+  const std::vector<std::string> alive = monitor_.AliveIn({options_.zone}, now);
+  for (auto& [name, cell] : cells_) {
+    if (cell.state != CellState::kServing) continue;
+    if (RendezvousRank(name, options_.name, alive) == 0) continue;
+    // Nothing may be on its way to the workers when the cell is given up.
+    const bool busy = std::any_of(
+        commands_.begin(), commands_.end(), [&](const auto& command) {
+          const auto session = sessions_.find(command.second.worker);
+          return session != sessions_.end() && session->second.cell == name;
+        });
+    if (busy) {
+      next_rebalance_ = now;
+      continue;
+    }
+    Relinquish(now, cell);
+    return;
+  }
+}
+
+void SchedulerCore::Impl::Relinquish(MonotonicTime now, OwnCell& cell) {
+  queue_.Add(RelinquishRecord{.cell = cell.cell, .token = cell.token});
+  // Sends nothing more; the log will show the cell as lost.
+  Fire(now, cell, CellEvent::kStale);
+}
+
+void SchedulerCore::Impl::AdoptMembers(MonotonicTime now, OwnCell& cell) {
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  for (const auto& [name, member] : folded->members) {
+    AddSession(now, cell, member);
+    sessions_[name].at_claim = member.added_at < cell.token;
+  }
+  for (const std::string& id : folded->tasks) {
+    AddLocal(now, cell, id, *fold_.FindTask(id));
+  }
+}
+
+void SchedulerCore::Impl::DropMembers(OwnCell& cell) {
+  for (const std::string& id : std::set(cell.tasks)) EraseLocal(id);
+  std::vector<std::string> plans;
+  for (const auto& [id, plan] : plans_) {
+    if (plan.cell == cell.cell) plans.push_back(id);
+  }
+  for (const std::string& id : plans) DropPlan(id);
+  std::erase_if(sessions_, [&](const auto& entry) {
+    if (entry.second.cell != cell.cell) return false;
+    table_.Remove(entry.first);
+    return true;
+  });
+}
+
+void SchedulerCore::Impl::AddSession(MonotonicTime now, OwnCell& cell,
+                                     const CellMember& member) {
+  WorkerSession& session = sessions_[member.worker];
+  session.worker = member.worker;
+  session.cell = cell.cell;
+  session.address = member.address;
+  session.pool = member.pool;
+  session.token = std::max(cell.token, member.added_at);
+  session.next_control = now;
+  table_.Add(member.worker, cell.cell, member.pool);
+  ApplyVm(now, session);
+}
+
+void SchedulerCore::Impl::RemoveSession(MonotonicTime now,
+                                        const std::string& worker) {
+  const auto found = sessions_.find(worker);
+  if (found == sessions_.end()) return;
+  LoseTasks(now, found->second, "worker left the cell");
+  sessions_.erase(found);
+  table_.Remove(worker);
+}
+
+void SchedulerCore::Impl::SyncMembers(MonotonicTime now, OwnCell& cell) {
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  std::vector<std::string> removed;
+  for (const auto& [name, session] : sessions_) {
+    if (session.cell == cell.cell && !folded->members.contains(name)) {
+      removed.push_back(name);
+    }
+  }
+  for (const std::string& name : removed) {
+    RemoveSession(now, name);
+    cell.membership_in_flight.erase(name);
+  }
+  for (const auto& [name, member] : folded->members) {
+    const auto found = sessions_.find(name);
+    const bool again =
+        found != sessions_.end() && found->second.token < member.added_at;
+    if (again) RemoveSession(now, name);
+    if (!sessions_.contains(name)) {
+      AddSession(now, cell, member);
+      cell.membership_in_flight.erase(name);
+    }
+  }
+  ProposeMembers(cell);
+}
+
+void SchedulerCore::Impl::ProposeMembers(OwnCell& cell) {
+  if (cell.state == CellState::kSuspended) return;
+  MembersRecord record{.cell = cell.cell, .token = cell.token};
+  std::size_t members = 0;
+  for (const auto& [name, session] : sessions_) {
+    if (session.cell != cell.cell) continue;
+    ++members;
+    if (session.contact == Contact::kGone &&
+        cell.membership_in_flight.insert(name).second) {
+      record.remove.push_back(name);
+    }
+  }
+  for (const auto& [name, vm] : vms_) {
+    if (CellOf(vm) != cell.cell || vm.state == platform::VmState::kLeaving) {
+      continue;
+    }
+    if (sessions_.contains(name) || members >= kMaxMembers) continue;
+    if (!cell.membership_in_flight.insert(name).second) continue;
+    record.add.push_back(
+        {.worker = name, .address = vm.address, .pool = vm.pool});
+    ++members;
+  }
+  if (!record.add.empty() || !record.remove.empty()) queue_.Add(record);
+}
+
+void SchedulerCore::Impl::OnVmList(MonotonicTime now,
+                                   const platform::VmListAnswer& list) {
+  // An older list than the last one says nothing new.
+  if (vms_known_ && list.as_of <= vms_as_of_) return;
+  vms_known_ = true;
+  vms_as_of_ = list.as_of;
+  vms_.clear();
+  for (const platform::Vm& vm : list.vms) {
+    if (vm.role != platform::VmRole::kWorker || vm.zone != options_.zone) {
+      continue;
+    }
+    vms_[vm.name] = vm;
+    OwnCell& cell = cells_[CellOf(vm)];
+    cell.cell = CellOf(vm);
+  }
+  for (auto& [name, session] : sessions_) ApplyVm(now, session);
+  for (auto& [name, cell] : cells_) {
+    if (Owned(cell)) ProposeMembers(cell);
+  }
+}
+
+void SchedulerCore::Impl::ApplyVm(MonotonicTime now, WorkerSession& session) {
+  if (!vms_known_) return;
+  const auto vm = vms_.find(session.worker);
+  if (vm == vms_.end()) {
+    if (!session.absent_since.has_value()) session.absent_since = now;
+  } else {
+    session.absent_since.reset();
+    session.leaving = vm->second.state == platform::VmState::kLeaving;
+    session.address = vm->second.address;
+  }
+  UpdateUsable(now, session);
+  if (!session.leaving) return;
+  for (const LocalTask& task : session.tasks) to_advance_.insert(task.id);
+}
+
+void SchedulerCore::Impl::UpdateUsable(MonotonicTime now,
+                                       WorkerSession& session) {
+  const bool usable = session.contact == Contact::kFenced && !session.leaving &&
+                      !session.absent_since.has_value() &&
+                      now >= session.refused_until;
+  table_.SetUsable(session.worker, usable);
+}
+
+void SchedulerCore::Impl::LoseContact(MonotonicTime now,
+                                      WorkerSession& session) {
+  if (session.contact == Contact::kFenced) {
+    session.contact = Contact::kUnreachable;
+  }
+  session.next_control = now + options_.probe_every;
+  UpdateUsable(now, session);
+}
+
+void SchedulerCore::Impl::ContactWorkers(MonotonicTime now) {
+  std::vector<std::string> names;
+  names.reserve(sessions_.size());
+  for (const auto& [name, session] : sessions_) names.push_back(name);
+  for (const std::string& name : names) {
+    const auto found = sessions_.find(name);
+    if (found != sessions_.end()) ContactWorker(now, found->second);
+  }
+}
+
+bool SchedulerCore::Impl::MayFence(MonotonicTime now,
+                                   const OwnCell& cell) const {
+  if (options_.fencing == FencingMode::kTokens) return true;
+  // Until then a start by the previous owner may still arrive.
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  if (folded != nullptr && folded->claims == 1) return true;
+  const double stretch =
+      (1.0 + options_.clock_drift) / (1.0 - options_.clock_drift);
+  const Duration owner =
+      std::chrono::duration_cast<Duration>(options_.owner_lease * stretch);
+  return now > cell.claimed_at + owner + options_.max_command_delay;
+}
+
+void SchedulerCore::Impl::ContactWorker(MonotonicTime now,
+                                        WorkerSession& session) {
+  OwnCell* cell = FindOwned(session.cell);
+  if (cell == nullptr || session.contact == Contact::kGone) return;
+  UpdateUsable(now, session);
+  // A renewal starts nothing, so it harms no other owner.
+  const bool suspended = cell->state == CellState::kSuspended;
+  if (suspended && session.contact != Contact::kFenced) return;
+  CheckGone(now, session);
+  if (session.contact == Contact::kGone) return;
+  if (session.control_in_flight || now < session.next_control) return;
+  platform::WorkerCommand command;
+  if (session.contact == Contact::kFenced) {
+    command.verb = platform::WorkerVerb::kRenew;
+    command.lease = options_.lease;
+  } else {
+    if (session.contact == Contact::kUnfenced && !MayFence(now, *cell)) return;
+    command.verb = platform::WorkerVerb::kFence;
+  }
+  session.control_in_flight = true;
+  Send(now, session, command);
+}
+
+void SchedulerCore::Impl::CheckGone(MonotonicTime now, WorkerSession& session) {
+  if (session.contact == Contact::kFenced) return;
+  if (!session.absent_since.has_value()) return;
+  if (now - *session.absent_since < options_.gone_after) return;
+  session.contact = Contact::kGone;
+  ++counters_.workers_gone;
+  UpdateUsable(now, session);
+  LoseTasks(now, session, "worker is gone");
+  OwnCell* cell = FindOwned(session.cell);
+  if (cell == nullptr) return;
+  ProposeMembers(*cell);
+  CheckResolved(now, *cell);
+}
+
+void SchedulerCore::Impl::CheckLeases(MonotonicTime now,
+                                      MonotonicTime read_started) {
+  if (options_.fencing == FencingMode::kLeases) return;
+  for (auto& [name, session] : sessions_) {
+    if (session.contact != Contact::kUnreachable || session.tasks.empty()) {
+      continue;
+    }
+    const Duration doubt = session.renewals_in_doubt * LeaseBound();
+    // The read shows that nobody else could renew up to its start.
+    if (read_started <= session.lease_bound + doubt) continue;
+    if (FindOwned(session.cell) == nullptr) continue;
+    const bool may_start_late = std::any_of(
+        session.tasks.begin(), session.tasks.end(), [](const LocalTask& task) {
+          return task.start_in_doubt || task.start_in_flight;
+        });
+    if (may_start_late) continue;
+    ++counters_.leases_expired;
+    LoseTasks(now, session, "lease expired on a worker that does not answer");
+  }
+}
+
+bool SchedulerCore::Impl::Resolved(const OwnCell& cell) const {
+  return std::none_of(sessions_.begin(), sessions_.end(),
+                      [&cell](const auto& entry) {
+                        const WorkerSession& session = entry.second;
+                        return session.cell == cell.cell && session.at_claim &&
+                               session.contact == Contact::kUnfenced;
+                      });
+}
+
+void SchedulerCore::Impl::CheckResolved(MonotonicTime now, OwnCell& cell) {
+  if (cell.state != CellState::kFencing || !Resolved(cell)) return;
+  Fire(now, cell, CellEvent::kResolved);
+}
+
+bool SchedulerCore::Impl::OwnerLeaseValid(MonotonicTime now) const {
+  return options_.fencing == FencingMode::kTokens || now < authority_until_;
+}
+
+}  // namespace carobmast::work
--- /dev/null
+++ b/src/work/internal/scheduler_placing.cc
@@ -0,0 +1,70 @@
+// Tasks that no cell holds, and the takes that bind them to an own cell.
+#include <bit>
+
+#include "work/internal/rendezvous.h"
+#include "work/internal/scheduler_impl.h"
+
+namespace carobmast::work {
+
+Duration SchedulerCore::Impl::TakeDelay(MonotonicTime now,
+                                        const std::string& id,
+                                        const TaskSpec& spec) const {
+  const std::size_t rank = RendezvousRank(
+      id, options_.name, monitor_.AliveIn(catalog_.ZonesOf(spec.pool), now));
+  return std::bit_width(rank) * options_.take_rank_delay;
+}
+
+void SchedulerCore::Impl::SyncPending(MonotonicTime now,
+                                      const std::string& id) {
+  const FoldedTask* folded = fold_.FindTask(id);
+  const FoldedJob* job = fold_.JobOf(id);
+  const TaskSpec* spec = catalog_.Find(id, fold_);
+  const bool free = folded == nullptr || folded->stage == TaskStage::kPending;
+  const bool wanted = spec != nullptr && catalog_.Wanted(id, fold_);
+  const bool may_run = job == nullptr || fold_.DependenciesMet(*job);
+  if (!free || !wanted || !may_run) {
+    pending_.Remove(id);
+    return;
+  }
+  if (plans_.contains(id)) return;
+  const platform::Offset order = job == nullptr ? 0 : job->offset;
+  pending_.Add(id, *spec, order, now + TakeDelay(now, id, *spec));
+}
+
+void SchedulerCore::Impl::PlacePending(MonotonicTime now) {
+  // Plans of lost claims, or takes that another cell won.
+  pending_.Offer(now, options_.max_starts_per_tick,
+                 [&](const std::string& id) { return Place(now, id); });
+}
+
+bool SchedulerCore::Impl::Place(MonotonicTime now, const std::string& id) {
+  if (!LogHealthy(now)) return false;
+  const TaskSpec* spec = catalog_.Find(id, fold_);
+  if (spec == nullptr) return false;
+  const std::optional<std::string> worker =
+      hooks_.pick_worker({.task = id, .spec = *spec}, table_, now);
+  if (!worker.has_value()) return false;
+  const WorkerSession* session = FindSession(*worker);
+  OwnCell* cell = session == nullptr ? nullptr : FindOwned(session->cell);
+  if (cell == nullptr || cell->state == CellState::kSuspended) return false;
+  const platform::AttemptId planned{.task = id, .attempt = 0};
+  if (!table_.Reserve(*worker, planned, spec->resources)) return false;
+  plans_[id] = {.cell = cell->cell, .token = cell->token, .worker = *worker};
+  queue_.AddTake(cell->cell, cell->token, id);
+  return true;
+}
+
+void SchedulerCore::Impl::DropPlan(const std::string& id) {
+  const auto plan = plans_.find(id);
+  if (plan == plans_.end()) return;
+  const LocalTask* local = FindLocal(id);
+  const bool used =
+      local != nullptr && local->planned_worker == plan->second.worker;
+  if (!used) {
+    table_.Release(plan->second.worker, {.task = id, .attempt = 0});
+    ++counters_.takes_lost;
+  }
+  plans_.erase(plan);
+}
+
+}  // namespace carobmast::work
--- /dev/null
+++ b/src/work/internal/scheduler_reports.cc
@@ -0,0 +1,325 @@
+// Commands to workers, their answers, and what the reports tell.
+#include <algorithm>
+#include <utility>
+
+#include "work/internal/scheduler_impl.h"
+
+namespace carobmast::work {
+namespace {
+
+// A worker that refused a start gets none for this long.
+constexpr std::chrono::seconds kAfterRefusal{2};
+
+}  // namespace
+
+std::uint64_t SchedulerCore::Impl::Send(MonotonicTime now,
+                                        const WorkerSession& session,
+                                        platform::WorkerCommand command) {
+  const std::uint64_t id = next_command_++;
+  command.worker = session.worker;
+  command.address = session.address;
+  command.token = session.token;
+  command.timeout = options_.command_timeout;
+  commands_[id] = {.verb = command.verb,
+                   .worker = session.worker,
+                   .token = session.token,
+                   .id = command.id,
+                   .sent_at = now};
+  ++counters_.commands;
+  hooks_.command(id, std::move(command));
+  return id;
+}
+
+void SchedulerCore::Impl::OnCommandAnswer(
+    MonotonicTime now, std::uint64_t id,
+    const platform::CommandAnswer& answer) {
+  const auto found = commands_.find(id);
+  if (found == commands_.end()) return;
+  const CommandInFlight sent = found->second;
+  commands_.erase(found);
+  WorkerSession* session = FindSession(sent.worker);
+  // An answer to a command of an earlier claim says nothing about this one.
+  if (session == nullptr || session->token != sent.token) return;
+  if (answer.outcome == platform::CommandOutcome::kStale) {
+    OnStale(now, *session);
+    return;
+  }
+  switch (sent.verb) {
+    case platform::WorkerVerb::kFence:
+    case platform::WorkerVerb::kRenew:
+      OnControlAnswer(now, id, sent, *session, answer);
+      break;
+    case platform::WorkerVerb::kStart:
+      OnStartAnswer(now, id, sent, *session, answer);
+      break;
+    case platform::WorkerVerb::kStop:
+      if (LocalTask* task = FindLocal(sent.id.task); task != nullptr) {
+        task->stop_in_flight = false;
+      }
+      if (answer.outcome == platform::CommandOutcome::kDone) {
+        ProcessReport(now, id, *session, answer.report);
+      }
+      break;
+    case platform::WorkerVerb::kThrottle:
+    case platform::WorkerVerb::kForget:
+      break;
+  }
+}
+
+void SchedulerCore::Impl::OnStale(MonotonicTime now, WorkerSession& session) {
+  ++counters_.stale_answers;
+  OwnCell* cell = FindOwned(session.cell);
+  session.control_in_flight = false;
+  session.contact = Contact::kUnreachable;
+  session.next_control = now + options_.probe_every;
+  UpdateUsable(now, session);
+  if (cell != nullptr) Fire(now, *cell, CellEvent::kStale);
+}
+
+void SchedulerCore::Impl::OnControlAnswer(
+    MonotonicTime now, std::uint64_t id, const CommandInFlight& sent,
+    WorkerSession& session, const platform::CommandAnswer& answer) {
+  session.control_in_flight = false;
+  const bool renewal = sent.verb == platform::WorkerVerb::kRenew;
+  if (answer.outcome != platform::CommandOutcome::kDone) {
+    const bool no_effect =
+        answer.outcome == platform::CommandOutcome::kNotSent ||
+        answer.outcome == platform::CommandOutcome::kRefused;
+    if (renewal && !no_effect) ++session.renewals_in_doubt;
+    LoseContact(now, session);
+    return;
+  }
+  if (session.contact == Contact::kGone) return;
+  const bool first = session.contact == Contact::kUnfenced;
+  const bool back = session.contact != Contact::kFenced;
+  session.contact = Contact::kFenced;
+  // The worker acted before now, so its leases end before this.
+  if (renewal || first) session.lease_bound = now + LeaseBound();
+  session.next_control = back ? now : now + options_.renew_every;
+  if (first) {
+    // No command of this claim came before, so nothing is in doubt.
+    session.renewals_in_doubt = 0;
+  }
+  UpdateUsable(now, session);
+  ProcessReport(now, id, session, answer.report);
+  OwnCell* cell = FindOwned(session.cell);
+  if (first && cell != nullptr) CheckResolved(now, *cell);
+}
+
+void SchedulerCore::Impl::OnStartAnswer(MonotonicTime now, std::uint64_t id,
+                                        const CommandInFlight& sent,
+                                        WorkerSession& session,
+                                        const platform::CommandAnswer& answer) {
+  LocalTask* task = FindLocal(sent.id.task);
+  if (task == nullptr || task->attempt != sent.id.attempt ||
+      task->worker != session.worker) {
+    return;
+  }
+  task->start_in_flight = false;
+  to_advance_.insert(task->id);
+  switch (answer.outcome) {
+    case platform::CommandOutcome::kDone:
+      task->start_in_doubt = false;
+      task->confirmed_by = next_command_;
+      session.lease_bound = std::max(session.lease_bound, now + LeaseBound());
+      ProcessReport(now, id, session, answer.report);
+      return;
+    case platform::CommandOutcome::kUnknown:
+    case platform::CommandOutcome::kStale:
+      task->start_in_doubt = true;
+      LoseContact(now, session);
+      return;
+    case platform::CommandOutcome::kNotSent:
+      LoseContact(now, session);
+      break;
+    case platform::CommandOutcome::kNoRoom:
+    case platform::CommandOutcome::kRefused:
+      session.refused_until = now + kAfterRefusal;
+      UpdateUsable(now, session);
+      break;
+  }
+  if (task->state != LocalState::kStarting) return;
+  if (task->start_in_doubt) {
+    // The earlier start may still arrive: only a higher token rules it out.
+    if (OwnCell* cell = FindOwned(task->cell); cell != nullptr) {
+      cell->wants_new_token = true;
+    }
+    return;
+  }
+  Fire(now, *task, LocalEvent::kStartRefused);
+}
+
+void SchedulerCore::Impl::ProcessReport(MonotonicTime now,
+                                        std::uint64_t sent_id,
+                                        WorkerSession& session,
+                                        const platform::WorkerReport& report) {
+  table_.SetCapacity(session.worker, report.capacity);
+  std::set<platform::AttemptId> named;
+  std::set<platform::AttemptId> strays;
+  for (const platform::TaskReport& task : report.tasks) {
+    named.insert(task.id);
+    if (task.state == platform::TaskState::kRunning) {
+      ProcessRunning(now, session, task, strays);
+    } else {
+      ProcessEnded(now, session, task);
+    }
+  }
+  FindVanished(now, sent_id, session, named);
+  UpdateStrays(now, session, std::move(strays));
+}
+
+void SchedulerCore::Impl::ProcessRunning(
+    MonotonicTime now, WorkerSession& session,
+    const platform::TaskReport& report, std::set<platform::AttemptId>& strays) {
+  LocalTask* task = FindLocal(report.id.task);
+  if (task == nullptr || task->cell != session.cell) {
+    strays.insert(report.id);
+    table_.Adopt(session.worker, report.id, report.reserved);
+    return;
+  }
+  const bool here =
+      task->worker == session.worker && task->attempt == report.id.attempt;
+  if (here) {
+    // An older report than the one that told of the end.
+    const bool ended =
+        task->ending.has_value() && task->ending->attempt == report.id.attempt;
+    if (ended || task->state == LocalState::kEnded) return;
+    task->used = report.used;
+    task->endpoint = report.endpoint;
+    if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
+    if (task->state == LocalState::kStarting) {
+      task->start_in_doubt = false;
+      if (!task->start_in_flight) task->confirmed_by = next_command_;
+      task->running_since = now;
+      Fire(now, *task, LocalEvent::kFoundRunning);
+      to_advance_.insert(task->id);
+    }
+    return;
+  }
+  const bool free =
+      task->worker.empty() &&
+      (task->state == LocalState::kHeld || task->state == LocalState::kReady) &&
+      report.id.attempt >= task->first_attempt;
+  if (free) {
+    AdoptRunning(now, session, *task, report);
+    return;
+  }
+  strays.insert(report.id);
+  table_.Adopt(session.worker, report.id, report.reserved);
+}
+
+void SchedulerCore::Impl::AdoptRunning(MonotonicTime now,
+                                       WorkerSession& session, LocalTask& task,
+                                       const platform::TaskReport& report) {
+  task.worker = session.worker;
+  task.attempt = report.id.attempt;
+  task.next_attempt = std::max(task.next_attempt, report.id.attempt + 1);
+  task.ending.reset();
+  task.used = report.used;
+  task.endpoint = report.endpoint;
+  if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
+  task.running_since = now;
+  task.confirmed_by = next_command_;
+  session.tasks.push_back(task);
+  table_.Adopt(session.worker, report.id, report.reserved);
+  ++counters_.adopted;
+  Fire(now, task, LocalEvent::kFoundRunning);
+  to_advance_.insert(task.id);
+}
+
+void SchedulerCore::Impl::ProcessEnded(MonotonicTime now,
+                                       WorkerSession& session,
+                                       const platform::TaskReport& report) {
+  LocalTask* task = FindLocal(report.id.task);
+  table_.Release(session.worker, report.id);
+  if (task == nullptr || task->cell != session.cell ||
+      report.id.attempt < task->first_attempt) {
+    Forget(now, session, report.id);
+    return;
+  }
+  const Ending ending{.attempt = report.id.attempt,
+                      .state = report.state,
+                      .checkpoint = report.checkpoint,
+                      .reason = report.reason};
+  const bool here =
+      task->worker == session.worker && task->attempt == report.id.attempt;
+  if (here) {
+    if (task->state == LocalState::kEnded) return;
+    if (task->ending.has_value() &&
+        task->ending->attempt == report.id.attempt) {
+      return;
+    }
+    task->ending = ending;
+    if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
+    Fire(now, *task, LocalEvent::kFoundEnded);
+    to_advance_.insert(task->id);
+    return;
+  }
+  const bool newest =
+      !task->ending.has_value() || task->ending->attempt < ending.attempt;
+  if (task->state == LocalState::kHeld && newest) {
+    task->ending = ending;
+    task->attempt = std::max(task->attempt, ending.attempt);
+    if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
+    return;
+  }
+  if (task->state == LocalState::kRunning &&
+      report.id.attempt < task->attempt) {
+    Forget(now, session, report.id);
+  }
+}
+
+void SchedulerCore::Impl::FindVanished(
+    MonotonicTime now, std::uint64_t sent_id, WorkerSession& session,
+    const std::set<platform::AttemptId>& named) {
+  std::vector<std::string> vanished;
+  for (const LocalTask& task : session.tasks) {
+    const bool believed = task.state == LocalState::kRunning ||
+                          task.state == LocalState::kStopping;
+    if (!believed || sent_id < task.confirmed_by) continue;
+    if (!named.contains({.task = task.id, .attempt = task.attempt})) {
+      vanished.push_back(task.id);
+    }
+  }
+  for (const std::string& id : vanished) {
+    LocalTask& task = *FindLocal(id);
+    task.ending = {.attempt = task.attempt,
+                   .state = platform::TaskState::kRunning,
+                   .checkpoint = task.checkpoint,
+                   .reason = "the worker does not know it any more"};
+    Fire(now, task, LocalEvent::kFoundEnded);
+    to_advance_.insert(id);
+  }
+}
+
+void SchedulerCore::Impl::UpdateStrays(MonotonicTime now,
+                                       WorkerSession& session,
+                                       std::set<platform::AttemptId> strays) {
+  for (const platform::AttemptId& id : session.strays) {
+    if (!strays.contains(id)) table_.Release(session.worker, id);
+  }
+  session.strays = std::move(strays);
+  const OwnCell* cell = FindOwned(session.cell);
+  if (stopping_ || cell == nullptr || cell->state == CellState::kSuspended) {
+    return;
+  }
+  for (const platform::AttemptId& id : session.strays) {
+    ++counters_.strays;
+    platform::WorkerCommand command;
+    command.verb = platform::WorkerVerb::kStop;
+    command.id = id;
+    command.take_checkpoint = false;
+    Send(now, session, command);
+  }
+}
+
+void SchedulerCore::Impl::Forget(MonotonicTime now, WorkerSession& session,
+                                 const platform::AttemptId& id) {
+  if (stopping_ || session.contact != Contact::kFenced) return;
+  platform::WorkerCommand command;
+  command.verb = platform::WorkerVerb::kForget;
+  command.id = id;
+  Send(now, session, command);
+}
+
+}  // namespace carobmast::work
--- /dev/null
+++ b/src/work/internal/scheduler_tasks.cc
@@ -0,0 +1,287 @@
+// The tasks that own cells hold: starts, stops and results.
+#include <algorithm>
+#include <utility>
+
+#include "work/internal/scheduler_impl.h"
+
+namespace carobmast::work {
+namespace {
+
+constexpr std::chrono::seconds kFirstRestartDelay{1};
+constexpr std::uint32_t kMaxRestartShift = 5;
+
+// A task that ran this long starts again at once.
+constexpr std::chrono::seconds kStableRun{60};
+
+// Wait before a task that found no room in its cell is looked at again.
+constexpr std::chrono::milliseconds kRetryStart{500};
+
+TaskResult ResultOf(const std::optional<Ending>& ending, bool cancelled) {
+  if (!ending.has_value()) return TaskResult::kReleased;
+  switch (ending->state) {
+    case platform::TaskState::kFinished:
+      return TaskResult::kFinished;
+    case platform::TaskState::kFailed:
+      return TaskResult::kFailed;
+    case platform::TaskState::kStopped:
+    case platform::TaskState::kLeaseExpired:
+    case platform::TaskState::kRunning:
+      break;
+  }
+  return cancelled ? TaskResult::kCancelled : TaskResult::kReleased;
+}
+
+}  // namespace
+
+LocalTask* SchedulerCore::Impl::FindLocal(const std::string& task) {
+  const auto found = locals_.find(task);
+  return found == locals_.end() ? nullptr : &found->second;
+}
+
+WorkerSession* SchedulerCore::Impl::FindSession(const std::string& worker) {
+  const auto found = sessions_.find(worker);
+  return found == sessions_.end() ? nullptr : &found->second;
+}
+
+void SchedulerCore::Impl::SyncTask(MonotonicTime now, const std::string& id) {
+  const FoldedTask* folded = fold_.FindTask(id);
+  LocalTask* local = FindLocal(id);
+  const bool assigned =
+      folded != nullptr && folded->stage == TaskStage::kAssigned;
+  if (local != nullptr && (!assigned || folded->cell != local->cell)) {
+    Fire(now, *local, LocalEvent::kRecorded);
+    EraseLocal(id);
+    local = nullptr;
+  }
+  if (assigned && local == nullptr) {
+    OwnCell* cell = FindOwned(folded->cell);
+    if (cell != nullptr) AddLocal(now, *cell, id, *folded);
+  }
+  if (assigned) DropPlan(id);
+  if (FindLocal(id) != nullptr) to_advance_.insert(id);
+  SyncPending(now, id);
+}
+
+void SchedulerCore::Impl::AddLocal(MonotonicTime now, OwnCell& cell,
+                                   const std::string& id,
+                                   const FoldedTask& folded) {
+  static_cast<void>(now);
+  if (locals_.contains(id)) return;
+  LocalTask& task = locals_[id];
+  task.id = id;
+  task.cell = cell.cell;
+  task.taken_after_claim = folded.taken_at > cell.token;
+  task.first_attempt = folded.first_attempt;
+  task.next_attempt = folded.next_attempt;
+  task.checkpoint = folded.checkpoint;
+  const auto plan = plans_.find(id);
+  if (plan != plans_.end() && plan->second.cell == cell.cell) {
+    task.planned_worker = plan->second.worker;
+  }
+  UpdateSpec(task);
+  cell.tasks.insert(id);
+  to_advance_.insert(id);
+}
+
+void SchedulerCore::Impl::EraseLocal(const std::string& id) {
+  const auto found = locals_.find(id);
+  if (found == locals_.end()) return;
+  const auto cell = cells_.find(found->second.cell);
+  if (cell != cells_.end()) cell->second.tasks.erase(id);
+  to_advance_.erase(id);
+  locals_.erase(found);
+}
+
+void SchedulerCore::Impl::UpdateSpec(LocalTask& task) {
+  const TaskSpec* spec = catalog_.Find(task.id, fold_);
+  if (spec == nullptr) return;
+  task.spec = *spec;
+  task.has_spec = true;
+}
+
+bool SchedulerCore::Impl::MustHold(const LocalTask& task) const {
+  if (task.taken_after_claim) return false;
+  const auto cell = cells_.find(task.cell);
+  return cell == cells_.end() || cell->second.state != CellState::kServing;
+}
+
+bool SchedulerCore::Impl::HasFinalEnd(const LocalTask& task) const {
+  if (!task.ending.has_value()) return false;
+  const bool batch = fold_.JobOf(task.id) != nullptr;
+  return batch || !catalog_.Wanted(task.id, fold_);
+}
+
+void SchedulerCore::Impl::AdvanceAll(MonotonicTime now) {
+  const std::set<std::string> ids = std::exchange(to_advance_, {});
+  for (const std::string& id : ids) {
+    LocalTask* task = FindLocal(id);
+    if (task != nullptr) Advance(now, *task);
+  }
+}
+
+void SchedulerCore::Impl::Advance(MonotonicTime now, LocalTask& task) {
+  const OwnCell* cell = FindOwned(task.cell);
+  if (cell == nullptr || cell->state == CellState::kSuspended) return;
+  if (task.state == LocalState::kHeld && !MustHold(task)) {
+    Fire(now, task, LocalEvent::kResolved);
+  }
+  const bool wanted = catalog_.Wanted(task.id, fold_);
+  switch (task.state) {
+    case LocalState::kReady:
+      if (!wanted) {
+        Fire(now, task, LocalEvent::kGiveUp);
+      } else {
+        TryStart(now, task);
+      }
+      break;
+    case LocalState::kStarting:
+      // The same start again: it is idempotent, and its answer ends the doubt.
+      if (task.start_in_doubt && !task.start_in_flight) SendStart(now, task);
+      break;
+    case LocalState::kRunning: {
+      const WorkerSession* session = FindSession(task.worker);
+      const bool leaving = session != nullptr && session->leaving;
+      if (!wanted || leaving) Fire(now, task, LocalEvent::kStopWanted);
+      break;
+    }
+    case LocalState::kStopping:
+      if (!task.stop_in_flight && now >= task.not_before) {
+        Fire(now, task, LocalEvent::kStopWanted);
+      }
+      to_advance_.insert(task.id);
+      break;
+    case LocalState::kHeld:
+    case LocalState::kEnded:
+    case LocalState::kGone:
+      break;
+  }
+}
+
+void SchedulerCore::Impl::TryStart(MonotonicTime now, LocalTask& task) {
+  to_advance_.insert(task.id);
+  if (now < task.not_before || !task.has_spec || !OwnerLeaseValid(now)) return;
+  if (task.next_attempt >= task.first_attempt + kAttemptsPerClaim * 1000) {
+    return;
+  }
+  const platform::AttemptId planned{.task = task.id, .attempt = 0};
+  std::string worker;
+  if (!task.planned_worker.empty()) {
+    worker = std::exchange(task.planned_worker, "");
+    const OwnedWorker* owned = table_.Find(worker);
+    table_.Release(worker, planned);
+    if (owned == nullptr || !owned->usable) worker.clear();
+  }
+  if (worker.empty()) {
+    const std::optional<std::string> picked = hooks_.pick_worker(
+        {.task = task.id, .spec = task.spec, .cell = task.cell}, table_, now);
+    worker = picked.value_or("");
+  }
+  const platform::AttemptId id{.task = task.id, .attempt = task.next_attempt};
+  if (worker.empty() || !table_.Reserve(worker, id, task.spec.resources)) {
+    if (LogHealthy(now)) {
+      Fire(now, task, LocalEvent::kGiveUp);
+    } else {
+      task.not_before = now + kRetryStart;
+    }
+    return;
+  }
+  task.worker = worker;
+  task.attempt = task.next_attempt++;
+  task.ending.reset();
+  task.start_in_doubt = false;
+  FindSession(worker)->tasks.push_back(task);
+  Fire(now, task, LocalEvent::kStartSent);
+  ++counters_.starts;
+  SendStart(now, task);
+}
+
+void SchedulerCore::Impl::SendStart(MonotonicTime now, LocalTask& task) {
+  to_advance_.insert(task.id);
+  WorkerSession* session = FindSession(task.worker);
+  if (session == nullptr || session->contact != Contact::kFenced) return;
+  platform::WorkerCommand command;
+  command.verb = platform::WorkerVerb::kStart;
+  command.id = {.task = task.id, .attempt = task.attempt};
+  command.lease = options_.lease;
+  command.kind = task.spec.kind;
+  command.resources = task.spec.resources;
+  command.program = task.spec.program;
+  command.checkpoint = task.checkpoint;
+  command.slots = task.spec.slots;
+  command.connections = task.spec.connections;
+  task.start_in_flight = true;
+  Send(now, *session, command);
+}
+
+void SchedulerCore::Impl::SendStop(MonotonicTime now, LocalTask& task) {
+  to_advance_.insert(task.id);
+  task.not_before = now + options_.probe_every;
+  WorkerSession* session = FindSession(task.worker);
+  if (session == nullptr || session->contact != Contact::kFenced) return;
+  platform::WorkerCommand command;
+  command.verb = platform::WorkerVerb::kStop;
+  command.id = {.task = task.id, .attempt = task.attempt};
+  command.take_checkpoint =
+      task.spec.checkpoints && catalog_.Wanted(task.id, fold_);
+  task.stop_in_flight = true;
+  ++counters_.stops;
+  Send(now, *session, command);
+}
+
+void SchedulerCore::Impl::RecordResult(LocalTask& task) {
+  const OwnCell& cell = cells_.at(task.cell);
+  if (!task.planned_worker.empty()) {
+    table_.Release(task.planned_worker, {.task = task.id, .attempt = 0});
+    task.planned_worker.clear();
+  }
+  const FoldedJob* job = fold_.JobOf(task.id);
+  const bool cancelled = job != nullptr && job->cancelled;
+  queue_.AddResult(
+      cell.cell, cell.token,
+      {.id = {.task = task.id,
+              .attempt = std::max(task.first_attempt, task.attempt)},
+       .result = ResultOf(task.ending, cancelled),
+       .checkpoint = task.checkpoint,
+       .reason = task.ending.has_value() ? task.ending->reason : ""});
+}
+
+void SchedulerCore::Impl::FreeRoom(MonotonicTime now, LocalTask& task) {
+  table_.Release(task.worker, {.task = task.id, .attempt = task.attempt});
+  task.unlink();
+  task.endpoint.clear();
+  task.start_in_doubt = false;
+  task.start_in_flight = false;
+  task.stop_in_flight = false;
+  if (!task.ending.has_value()) {
+    // A refused start: nothing ran.
+    task.worker.clear();
+    return;
+  }
+  const bool stable = now - task.running_since >= kStableRun;
+  const bool failed = task.ending->state == platform::TaskState::kFailed;
+  task.restarts = failed && !stable ? task.restarts + 1 : 0;
+  task.not_before = now;
+  if (task.restarts > 0) {
+    const std::uint32_t shift = std::min(task.restarts - 1, kMaxRestartShift);
+    task.not_before += kFirstRestartDelay * (1U << shift);
+  }
+}
+
+void SchedulerCore::Impl::LoseTasks(MonotonicTime now, WorkerSession& session,
+                                    const std::string& reason) {
+  std::vector<std::string> ids;
+  for (const LocalTask& task : session.tasks) ids.push_back(task.id);
+  for (const std::string& id : ids) {
+    LocalTask& task = *FindLocal(id);
+    if (!task.ending.has_value() || task.ending->attempt != task.attempt) {
+      task.ending = {.attempt = task.attempt,
+                     .state = platform::TaskState::kRunning,
+                     .checkpoint = task.checkpoint,
+                     .reason = reason};
+    }
+    Fire(now, task, LocalEvent::kWorkerGone);
+    to_advance_.insert(id);
+  }
+}
+
+}  // namespace carobmast::work
--- a/src/work/internal/work_fold.cc
+++ b/src/work/internal/work_fold.cc
@@ -291,17 +291,21 @@
                     const MembersRecord& record) {
   FoldedCell* cell = CurrentCell(record.cell, record.token);
   if (cell == nullptr) return;
-  for (const std::string& worker : record.remove) {
-    if (cell->members.erase(worker) > 0) cell_of_worker_.erase(worker);
+  for (const CellMember& member : record.remove) {
+    const auto found = cell->members.find(member.worker);
+    if (found == cell->members.end() ||
+        found->second.added_at != member.added_at) {
+      continue;
+    }
+    cell->members.erase(found);
+    cell_of_worker_.erase(member.worker);
   }
   for (const CellMember& member : record.add) {
-    const auto [home, is_new] =
-        cell_of_worker_.emplace(member.worker, record.cell);
-    if (is_new || home->second == record.cell) {
-      CellMember& added = cell->members[member.worker];
-      added = member;
-      added.added_at = at.offset;
-    }
+    // A worker that is a member already stays as it is.
+    if (!cell_of_worker_.emplace(member.worker, record.cell).second) continue;
+    CellMember& added = cell->members[member.worker];
+    added = member;
+    added.added_at = at.offset;
   }
   changes_.cells.insert(record.cell);
 }
--- a/src/work/internal/work_record.cc
+++ b/src/work/internal/work_record.cc
@@ -315,7 +315,7 @@
             {"cell", record.cell},
             {"token", record.token},
             {"add", EncodeMembers(record.add)},
-            {"remove", EncodeStrings(record.remove)}};
+            {"remove", EncodeMembers(record.remove)}};
   }
   json::object operator()(const TakeRecord& record) const {
     return {{"kind", "take"},
@@ -367,11 +367,10 @@
                             .token = reader.Unsigned("token")};
   }
   if (kind == "members") {
-    return MembersRecord{
-        .cell = reader.String("cell"),
-        .token = reader.Unsigned("token"),
-        .add = DecodeMembers(reader, "add"),
-        .remove = DecodeStrings(reader.Array("remove"), source)};
+    return MembersRecord{.cell = reader.String("cell"),
+                         .token = reader.Unsigned("token"),
+                         .add = DecodeMembers(reader, "add"),
+                         .remove = DecodeMembers(reader, "remove")};
   }
   if (kind == "take") {
     return TakeRecord{.cell = reader.String("cell"),
--- /dev/null
+++ b/src/work/internal/worker_session.h
@@ -0,0 +1,54 @@
+// What the owner of a cell knows about one member.
+#ifndef CAROBMAST_WORK_INTERNAL_WORKER_SESSION_H_
+#define CAROBMAST_WORK_INTERNAL_WORKER_SESSION_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "framework/base/time.h"
+#include "platform/types/worker.h"
+#include "work/internal/local_task.h"
+
+namespace carobmast::work {
+
+enum class Contact {
+  kUnfenced,     // not reached since the claim
+  kFenced,       // answered the last command
+  kUnreachable,  // fenced, but the last command had no whole answer
+  kGone,         // the VM does not exist any more
+};
+
+struct WorkerSession {
+  std::string worker;
+  std::string cell;
+  std::string address;
+  std::string pool;
+  // Carried by every command: the offset of the claim or of the record that
+  // added the worker to the cell, whichever is later.
+  platform::FencingToken token = 0;
+  // Member at the claim: may run tasks that were taken before it.
+  bool at_claim = false;
+  Contact contact = Contact::kUnfenced;
+  bool leaving = false;
+  // Fence or renewal in flight.
+  bool control_in_flight = false;
+  MonotonicTime next_control;
+  // No attempt that was confirmed here runs later than this without another
+  // renewal.
+  MonotonicTime lease_bound;
+  // Renewals without a whole answer; each may still prolong the leases once.
+  std::uint32_t renewals_in_doubt = 0;
+  // Since when the VM list lacks the worker.
+  std::optional<MonotonicTime> absent_since;
+  // No starts before this, after a refusal.
+  MonotonicTime refused_until;
+  // Running attempts that must not run.
+  std::set<platform::AttemptId> strays;
+  LocalTaskList tasks;
+};
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_INTERNAL_WORKER_SESSION_H_
--- a/src/work/types/records.h
+++ b/src/work/types/records.h
@@ -63,12 +63,14 @@
   platform::Offset added_at = 0;
 };
 
-// The owner adds workers to its cell, or removes workers that are gone.
+// The owner adds workers to its cell, or removes workers that are gone. A
+// member is removed only if it was added at the offset given, so a repeated
+// record can't remove a later membership.
 struct MembersRecord {
   std::string cell;
   platform::FencingToken token = 0;
   std::vector<CellMember> add;
-  std::vector<std::string> remove;
+  std::vector<CellMember> remove;
 };
 
 // The owner takes tasks for its cell. A task that another cell holds stays
