--- a/src/work/internal/append_queue.h
+++ b/src/work/internal/append_queue.h
@@ -48,6 +48,9 @@
   void AddResult(const std::string& cell, platform::FencingToken token,
                  ResultEntry result);
 
+  // Puts the tasks and results so far before whatever is added next.
+  void CollectGroups();
+
   // The batch to append now, if any.
   std::optional<AppendBatch> Poll(MonotonicTime now);
   // The answer to batch `id`.
@@ -65,8 +68,6 @@
   using CellKey = std::pair<std::string, platform::FencingToken>;
   enum class Phase { kIdle, kSent, kUnknown, kRetry };
 
-  void CollectGroups();
-
   AppendQueueOptions options_;
   std::deque<platform::NewRecord> queue_;
   std::map<CellKey, std::vector<std::string>> takes_;
--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -136,7 +136,7 @@
     Flush(now);
     return;
   }
-  if (log_read_ && now >= next_heartbeat_) {
+  if (log_read_ && now >= next_heartbeat_ && heartbeats_sent_.empty()) {
     const std::string id = queue_.Add(
         HeartbeatRecord{.scheduler = options_.name, .zone = options_.zone});
     heartbeats_sent_[id] = now;
@@ -174,6 +174,7 @@
   if (!fold_.ready()) return;
   SyncCells(now, changes);
   if (changes.reset) {
+    heartbeats_sent_.clear();
     for (const auto& [id, task] : fold_.tasks()) SyncTask(now, id);
     for (const auto& [id, spec] : catalog_.configured()) SyncTask(now, id);
   } else {
@@ -205,6 +206,7 @@
 }
 
 void SchedulerCore::Impl::MaybeSnapshot(MonotonicTime now) {
+  if (!LogHealthy(now)) return;
   if (snapshot_in_flight_ && now - snapshot_sent_at_ < kSnapshotRetry) return;
   snapshot_in_flight_ = false;
   if (fold_.newest_at() - fold_.snapshot_at() < options_.snapshot_every) {
@@ -231,6 +233,7 @@
 void SchedulerCore::Impl::FinishStop(MonotonicTime now) {
   if (!commands_.empty()) return;
   if (!relinquished_) {
+    queue_.CollectGroups();
     for (auto& [name, cell] : cells_) {
       if (Owned(cell)) Relinquish(now, cell);
     }
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -216,6 +216,7 @@
   std::set<std::string> to_advance_;
   // Takes on their way to the log.
   std::map<std::string, Plan> plans_;
+  std::set<std::string> dropped_plans_;
   std::map<std::uint64_t, CommandInFlight> commands_;
   std::uint64_t next_command_ = 1;
   // The newest VM list, workers of this zone by name.
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -169,6 +169,7 @@
   session.cell = cell.cell;
   session.address = member.address;
   session.pool = member.pool;
+  session.added_at = member.added_at;
   session.token = std::max(cell.token, member.added_at);
   session.next_control = now;
   table_.Add(member.worker, cell.cell, member.pool);
@@ -199,7 +200,7 @@
   for (const auto& [name, member] : folded->members) {
     const auto found = sessions_.find(name);
     const bool again =
-        found != sessions_.end() && found->second.token < member.added_at;
+        found != sessions_.end() && found->second.added_at < member.added_at;
     if (again) RemoveSession(now, name);
     if (!sessions_.contains(name)) {
       AddSession(now, cell, member);
@@ -218,7 +219,7 @@
     ++members;
     if (session.contact == Contact::kGone &&
         cell.membership_in_flight.insert(name).second) {
-      record.remove.push_back(name);
+      record.remove.push_back({.worker = name, .added_at = session.added_at});
     }
   }
   for (const auto& [name, vm] : vms_) {
--- a/src/work/internal/scheduler_placing.cc
+++ b/src/work/internal/scheduler_placing.cc
@@ -1,10 +1,23 @@
 // Tasks that no cell holds, and the takes that bind them to an own cell.
+#include <algorithm>
 #include <bit>
+#include <utility>
 
 #include "work/internal/rendezvous.h"
 #include "work/internal/scheduler_impl.h"
 
 namespace carobmast::work {
+namespace {
+
+constexpr std::chrono::seconds kFirstFailureDelay{1};
+constexpr std::uint32_t kMaxFailureShift = 6;
+
+Duration FailureDelay(std::uint32_t failures) {
+  if (failures == 0) return Duration::zero();
+  return kFirstFailureDelay * (1U << std::min(failures - 1, kMaxFailureShift));
+}
+
+}  // namespace
 
 Duration SchedulerCore::Impl::TakeDelay(MonotonicTime now,
                                         const std::string& id,
@@ -28,11 +41,16 @@
   }
   if (plans_.contains(id)) return;
   const platform::Offset order = job == nullptr ? 0 : job->offset;
-  pending_.Add(id, *spec, order, now + TakeDelay(now, id, *spec));
+  const std::uint32_t failures = folded == nullptr ? 0 : folded->failures;
+  pending_.Add(id, *spec, order,
+               now + TakeDelay(now, id, *spec) + FailureDelay(failures));
 }
 
 void SchedulerCore::Impl::PlacePending(MonotonicTime now) {
-  // Plans of lost claims, or takes that another cell won.
+  // Takes that went with a lost cell.
+  for (const std::string& id : std::exchange(dropped_plans_, {})) {
+    SyncPending(now, id);
+  }
   pending_.Offer(now, options_.max_starts_per_tick,
                  [&](const std::string& id) { return Place(now, id); });
 }
@@ -65,6 +83,7 @@
     ++counters_.takes_lost;
   }
   plans_.erase(plan);
+  dropped_plans_.insert(id);
 }
 
 }  // namespace carobmast::work
--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -10,6 +10,10 @@
 // A worker that refused a start gets none for this long.
 constexpr std::chrono::seconds kAfterRefusal{2};
 
+// Attempts that a worker must remember; beyond these the cell is claimed anew,
+// which rules out the late starts.
+constexpr std::size_t kMaxRemembered = 16;
+
 }  // namespace
 
 std::uint64_t SchedulerCore::Impl::Send(MonotonicTime now,
@@ -110,6 +114,13 @@
                                         const CommandInFlight& sent,
                                         WorkerSession& session,
                                         const platform::CommandAnswer& answer) {
+  if (answer.outcome == platform::CommandOutcome::kUnknown) {
+    session.remember.insert(sent.id);
+    OwnCell* cell = FindOwned(session.cell);
+    if (session.remember.size() > kMaxRemembered && cell != nullptr) {
+      cell->wants_new_token = true;
+    }
+  }
   LocalTask* task = FindLocal(sent.id.task);
   if (task == nullptr || task->attempt != sent.id.attempt ||
       task->worker != session.worker) {
@@ -126,7 +137,7 @@
       return;
     case platform::CommandOutcome::kUnknown:
     case platform::CommandOutcome::kStale:
-      task->start_in_doubt = true;
+      task->start_in_doubt = task->state == LocalState::kStarting;
       LoseContact(now, session);
       return;
     case platform::CommandOutcome::kNotSent:
@@ -316,6 +327,7 @@
 void SchedulerCore::Impl::Forget(MonotonicTime now, WorkerSession& session,
                                  const platform::AttemptId& id) {
   if (stopping_ || session.contact != Contact::kFenced) return;
+  if (session.remember.contains(id)) return;
   platform::WorkerCommand command;
   command.verb = platform::WorkerVerb::kForget;
   command.id = id;
--- a/src/work/internal/scheduler_tasks.cc
+++ b/src/work/internal/scheduler_tasks.cc
@@ -57,7 +57,7 @@
     OwnCell* cell = FindOwned(folded->cell);
     if (cell != nullptr) AddLocal(now, *cell, id, *folded);
   }
-  if (assigned) DropPlan(id);
+  if (folded != nullptr && folded->stage != TaskStage::kPending) DropPlan(id);
   if (FindLocal(id) != nullptr) to_advance_.insert(id);
   SyncPending(now, id);
 }
--- a/src/work/internal/worker_session.h
+++ b/src/work/internal/worker_session.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "framework/base/time.h"
+#include "platform/types/log_record.h"
 #include "platform/types/worker.h"
 #include "work/internal/local_task.h"
 
@@ -28,6 +29,8 @@
   // Carried by every command: the offset of the claim or of the record that
   // added the worker to the cell, whichever is later.
   platform::FencingToken token = 0;
+  // Offset of the record that added it.
+  platform::Offset added_at = 0;
   // Member at the claim: may run tasks that were taken before it.
   bool at_claim = false;
   Contact contact = Contact::kUnfenced;
@@ -46,6 +49,9 @@
   MonotonicTime refused_until;
   // Running attempts that must not run.
   std::set<platform::AttemptId> strays;
+  // Attempts of which a start had no whole answer: the worker must remember
+  // them, so that the start does nothing if it arrives later.
+  std::set<platform::AttemptId> remember;
   LocalTaskList tasks;
 };
 
