--- a/measure/requests_measure.cc
+++ b/measure/requests_measure.cc
@@ -339,7 +339,7 @@
                               .faults = !calm.getValue()};
   if (arguments.loads.empty()) arguments.loads = {40, 70, 90, 110, 150};
   std::vector<std::string> wanted = policy.getValue();
-  if (wanted.empty()) wanted = {"homed"};
+  if (wanted.empty()) wanted = {"least_outstanding"};
   if (wanted.front() == "all") wanted = requests::PolicyNames();
   for (const std::string& name : wanted) {
     if (name != kBaseline) arguments.policies.push_back(name);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,7 +18,7 @@
 struct GatewaySettings {
   // Where callers reach it.
   net::Address callers_address;
-  std::string policy = "homed";
+  std::string policy = "least_outstanding";
   std::size_t max_connections = 4096;
   ByteCount max_head{16 * 1024};
   // Longer bodies are passed on while they arrive, and never sent twice.
--- a/src/requests/fakes/fake_cluster.h
+++ b/src/requests/fakes/fake_cluster.h
@@ -60,7 +60,7 @@
   std::uint32_t connections = 64;
   Duration deadline = std::chrono::seconds(1);
   std::vector<config::SizeClass> classes;
-  std::string policy = "homed";
+  std::string policy = "least_outstanding";
   std::uint64_t seed = 1;
   Duration to_caller = std::chrono::milliseconds(1);
   Duration within_zone = std::chrono::microseconds(50);
--- a/src/requests/internal/service_pool.cc
+++ b/src/requests/internal/service_pool.cc
@@ -130,15 +130,21 @@
 }
 
 std::uint32_t ServicePool::SharedRoom(const InstanceState& instance) const {
-  const std::uint32_t share = std::max<std::uint32_t>(
+  if (instance.health.on_trial()) return 1;
+  const std::uint32_t connections = std::max<std::uint32_t>(
       1, static_cast<std::uint32_t>(instance.instance.connections / gateways_));
-  return instance.health.on_trial() ? 1 : share;
+  if (!options_.policy.spills_early) return connections;
+  return std::min(connections, Share(instance) + options_.over_share);
 }
 
-bool ServicePool::IsUnderShare(const InstanceState& instance) const {
-  if (!instance.local) return instance.outstanding < 1;
+std::uint32_t ServicePool::Share(const InstanceState& instance) const {
+  if (!instance.local) return 1;
   const std::uint32_t limit = instance.health.Limit(instance.instance.slots);
-  return instance.outstanding < CeilDivide(limit, gateways_in_zone_);
+  return CeilDivide(limit, gateways_in_zone_);
+}
+
+bool ServicePool::IsUnderShare(const InstanceState& instance) const {
+  return instance.outstanding < Share(instance);
 }
 
 bool ServicePool::TooManyEjected(MonotonicTime now) const {
--- a/src/requests/request_core.h
+++ b/src/requests/request_core.h
@@ -56,12 +56,12 @@
   // This gateway's name and zone.
   std::string gateway;
   std::string zone;
-  std::string policy = "homed";
+  std::string policy = "least_outstanding";
   std::uint64_t seed = 1;
   // Requests of one service that may wait.
   std::size_t max_waiting = 2048;
   // Part of its time to answer that a request may spend waiting.
-  double max_wait_share = 0.5;
+  double max_wait_share = 0.2;
   std::uint32_t max_attempts = 3;
   // The first retry waits up to this long, each further one up to twice as
   // long.
--- a/src/requests/service_pool.h
+++ b/src/requests/service_pool.h
@@ -22,6 +22,9 @@
   std::string gateway;
   std::string zone;
   Policy policy;
+  // Requests beyond its share of the slots that this gateway sends to an
+  // instance before it lets requests wait, under the policies without homes.
+  std::uint32_t over_share = 1;
   // Slots lent to a peer are taken back after this time.
   Duration lend_for = std::chrono::seconds(30);
   // An ask that got no grant is given up after this time.
@@ -88,6 +91,8 @@
   std::uint32_t Room(const InstanceState& instance) const;
   std::uint32_t HomedRoom(const InstanceState& instance) const;
   std::uint32_t SharedRoom(const InstanceState& instance) const;
+  // This gateway's part of the instance's slots.
+  std::uint32_t Share(const InstanceState& instance) const;
   // Whether the instance has fewer requests of this gateway than its share.
   bool IsUnderShare(const InstanceState& instance) const;
   bool TooManyEjected(MonotonicTime now) const;
