--- /dev/null
+++ b/src/framework/link/tests/link_fixture.h
@@ -0,0 +1,109 @@
+// What the tests of links share: an event loop, a server and a client.
+#ifndef CAROBMAST_FRAMEWORK_LINK_TESTS_LINK_FIXTURE_H_
+#define CAROBMAST_FRAMEWORK_LINK_TESTS_LINK_FIXTURE_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "framework/link/link.h"
+
+namespace carobmast::link {
+
+class LinkFixture : public CppUnit::TestFixture {
+ protected:
+  using Task = boost::asio::awaitable<void>;
+
+  static Task Pause(Duration duration) {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                    duration);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  // Methods "echo", "slow" (100 ms), "hang" and "fail".
+  Ref<LinkServer> Serve(LinkServerOptions options = {}) {
+    options.listen.ip = "127.0.0.1";
+    options.handlers = {
+        {"echo", [this](std::string text) { return Echo(std::move(text)); }},
+        {"slow", [this](std::string text) { return Slow(std::move(text)); }},
+        {"hang", [](std::string) { return Hang(); }},
+        {"fail", [](std::string) { return Fail(); }}};
+    options.on_link_error = [this](const Error& error) {
+      link_errors_.emplace_back(error.what());
+    };
+    return MakeRef<LinkServer>(context_.get_executor(), std::move(options));
+  }
+
+  Ref<LinkClient> Connect(const Ref<LinkServer>& server,
+                          LinkClientOptions options = {}) {
+    options.peer = server->address();
+    return MakeRef<LinkClient>(context_.get_executor(), std::move(options));
+  }
+
+  // Runs `body` to its end; rethrows what it throws.
+  void Run(const std::function<Task()>& body) {
+    std::exception_ptr failure;
+    bool done = false;
+    boost::asio::co_spawn(context_, body(), [&](std::exception_ptr error) {
+      failure = std::move(error);
+      done = true;
+    });
+    while (!done) context_.run_one();
+    context_.poll();
+    if (failure) std::rethrow_exception(failure);
+  }
+
+  // Calls and returns the failure's text, or "" when it was answered.
+  static boost::asio::awaitable<std::string> FailureOf(
+      Ref<LinkClient> client, std::string method, std::string request = "",
+      Duration timeout = kTimeout) {
+    try {
+      co_await client->Call(std::move(method), std::move(request), timeout);
+    } catch (const CallError& error) {
+      co_return error.what();
+    }
+    co_return "";
+  }
+
+  static constexpr Duration kTimeout = std::chrono::seconds(20);
+
+  boost::asio::io_context context_;
+  std::vector<std::string> link_errors_;
+  int calls_run_ = 0;
+  int calls_running_ = 0;
+  int most_running_ = 0;
+
+ private:
+  boost::asio::awaitable<std::string> Echo(std::string text) {
+    ++calls_run_;
+    co_return text;
+  }
+  boost::asio::awaitable<std::string> Slow(std::string text) {
+    ++calls_run_;
+    most_running_ = std::max(most_running_, ++calls_running_);
+    co_await Pause(std::chrono::milliseconds(100));
+    --calls_running_;
+    co_return text;
+  }
+  static boost::asio::awaitable<std::string> Hang() {
+    co_await Pause(std::chrono::hours(1));
+    co_return "";
+  }
+  static boost::asio::awaitable<std::string> Fail() {
+    throw Error("check", "local", "no such set");
+    co_return "";
+  }
+};
+
+}  // namespace carobmast::link
+
+#endif  // CAROBMAST_FRAMEWORK_LINK_TESTS_LINK_FIXTURE_H_
