--- a/src/gateway/caller_port.h
+++ b/src/gateway/caller_port.h
@@ -14,6 +14,7 @@
 
 #include "framework/net/http_client.h"
 #include "gateway/exchange.h"
+#include "gateway/trace_hooks.h"
 #include "requests/request_core.h"
 
 namespace carobmast::gateway {
@@ -30,12 +31,7 @@
   Duration idle_timeout = std::chrono::seconds(30);
   // After a stop begins, idle connections still take requests for this time.
   Duration lame_duck = std::chrono::milliseconds(300);
-  // Makes the traceparent of a request from the caller's; may be empty.
-  std::function<std::string(const std::string& traceparent,
-                            requests::RequestId id)>
-      trace;
-  // Called when a request has its answer; may be empty.
-  std::function<void(requests::RequestId id, MonotonicTime started)> on_done;
+  TraceHooks trace;
 };
 
 struct CallerPortCounters {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,7 +49,6 @@
   // The first bytes of the body, kept for a retry; all of them when
   // `parser.is_done()` before the request is handed to the core.
   std::string prefix;
-  std::string traceparent;
   // The caller's connection ends after this answer.
   bool close = false;
   // The answer, or the gateway's refusal, was decided and sent.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,12 +4,14 @@
 #define CAROBMAST_GATEWAY_GATEWAY_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "config/types/objects.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
 #include "gateway/http_front.h"
+#include "gateway/request_spans.h"
 #include "requests/endpoint_table.h"
 
 namespace carobmast::gateway {
@@ -56,6 +58,7 @@
   };
 
   HttpFrontOptions MakeFront(const GatewaySettings& settings);
+  boost::asio::awaitable<void> FlushSpans();
   boost::asio::awaitable<void> Watch(Peer& peer);
   boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
   boost::asio::awaitable<bool> AskHello(Peer& peer);
@@ -66,6 +69,8 @@
   std::string AnswerSlots(const std::string& request);
 
   daemon::Daemon& daemon_;
+  // Empty when the settings name no file for traces.
+  std::optional<RequestSpans> spans_;
   HttpFront front_;
   requests::EndpointTable endpoints_;
   // By name.
--- a/src/gateway/http_front.h
+++ b/src/gateway/http_front.h
@@ -17,6 +17,8 @@
   CallerPortOptions callers;
   TargetPortOptions targets;
   requests::CoreOptions core;
+  // Given to the ports.
+  TraceHooks trace;
   // Hooks that no connection of callers or instances serves: claim, key_ended
   // and tell. The others are set here.
   requests::CoreHooks hooks;
@@ -36,7 +38,8 @@
 
  private:
   requests::CoreHooks MakeHooks(requests::CoreHooks hooks);
-  TargetPortOptions MakeTargets(TargetPortOptions options);
+  static CallerPortOptions MakeCallers(const HttpFrontOptions& options);
+  TargetPortOptions MakeTargets(const HttpFrontOptions& options);
   boost::asio::awaitable<void> Tick();
 
   boost::asio::any_io_executor executor_;
--- a/src/gateway/internal/caller_port.cc
+++ b/src/gateway/internal/caller_port.cc
@@ -131,10 +131,9 @@
     co_return false;
   }
   if (!co_await ReadPrefix(exchange)) co_return false;
-  const MonotonicTime started = MonotonicClock::now();
   HandOver(exchange);
   co_await WaitDone(exchange);
-  if (options_.on_done) options_.on_done(exchange->id, started);
+  if (options_.trace.end_request) options_.trace.end_request(exchange->id);
   exchanges_.erase(exchange->id);
   co_return !exchange->close;
 }
@@ -170,9 +169,9 @@
   exchange->id = next_request_++;
   exchanges_[exchange->id] = exchange;
   const boost::core::string_view parent = head["traceparent"];
-  exchange->traceparent = std::string(parent.data(), parent.size());
-  if (options_.trace) {
-    exchange->traceparent = options_.trace(exchange->traceparent, exchange->id);
+  if (options_.trace.begin_request) {
+    options_.trace.begin_request(exchange->id,
+                                 std::string(parent.data(), parent.size()));
   }
   const boost::core::string_view key = head[kKeyField];
   core_->OnRequest({.id = exchange->id,
--- a/src/gateway/internal/http_front.cc
+++ b/src/gateway/internal/http_front.cc
@@ -11,8 +11,8 @@
 
 HttpFront::HttpFront(asio::any_io_executor executor, HttpFrontOptions options)
     : executor_(executor),
-      callers_(executor, std::move(options.callers)),
-      targets_(executor, MakeTargets(std::move(options.targets))),
+      callers_(executor, MakeCallers(options)),
+      targets_(executor, MakeTargets(options)),
       wake_(executor),
       core_(std::move(options.core), MakeHooks(std::move(options.hooks))) {
   wake_.expires_at(MonotonicTime::max());
@@ -20,9 +20,17 @@
   targets_.SetCore(&core_);
 }
 
-TargetPortOptions HttpFront::MakeTargets(TargetPortOptions options) {
-  options.stopping = [this] { return callers_.stopping(); };
-  return options;
+CallerPortOptions HttpFront::MakeCallers(const HttpFrontOptions& options) {
+  CallerPortOptions callers = options.callers;
+  callers.trace = options.trace;
+  return callers;
+}
+
+TargetPortOptions HttpFront::MakeTargets(const HttpFrontOptions& options) {
+  TargetPortOptions targets = options.targets;
+  targets.trace = options.trace;
+  targets.stopping = [this] { return callers_.stopping(); };
+  return targets;
 }
 
 requests::CoreHooks HttpFront::MakeHooks(requests::CoreHooks hooks) {
--- a/src/gateway/internal/target_port.cc
+++ b/src/gateway/internal/target_port.cc
@@ -91,7 +91,6 @@
 }
 
 asio::awaitable<void> TargetPort::Run(Ref<Job> job) {
-  const MonotonicTime started = MonotonicClock::now();
   const requests::AttemptId attempt = job->order.attempt;
   bool answered = co_await Connect(job);
   answered = answered && co_await SendRequest(job);
@@ -114,8 +113,9 @@
       }
     }
   }
-  if (options_.on_attempt)
-    options_.on_attempt(job->order, started, job->status);
+  if (options_.trace.end_attempt) {
+    options_.trace.end_attempt(job->order, job->status);
+  }
 }
 
 asio::awaitable<bool> TargetPort::Connect(Ref<Job> job) {
@@ -142,7 +142,9 @@
   const RequestHead& head = exchange.parser.get();
   const bool chunked = exchange.parser.chunked();
   std::string text = FormatRequestHead(
-      head, job->order.deadline - MonotonicClock::now(), exchange.traceparent);
+      head, job->order.deadline - MonotonicClock::now(),
+      options_.trace.begin_attempt ? options_.trace.begin_attempt(job->order)
+                                   : "");
   if (!exchange.prefix.empty()) text += Frame(exchange.prefix, chunked);
   const bool whole = exchange.parser.is_done();
   if (whole && chunked) text += kLastChunk;
--- a/src/gateway/target_port.h
+++ b/src/gateway/target_port.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "gateway/exchange.h"
+#include "gateway/trace_hooks.h"
 #include "requests/request_core.h"
 
 namespace carobmast::gateway {
@@ -22,10 +23,7 @@
   std::size_t max_drain_bytes = 64 * 1024;
   // Whether the process is stopping, so that callers' connections are closed.
   std::function<bool()> stopping;
-  // Called with an attempt's end for its span; may be empty.
-  std::function<void(const requests::SendOrder&, MonotonicTime started,
-                     int status)>
-      on_attempt;
+  TraceHooks trace;
 };
 
 class TargetPort {
