--- a/src/config/internal/parse.cc
+++ b/src/config/internal/parse.cc
@@ -111,7 +111,7 @@
       if (need == Need::kRequired) errors_.Add(map_, name, "missing");
       return;
     }
-    set_.lines[{object_.name, name}] = node->line;
+    set_.lines.emplace(std::pair(object_.name, name), node->line);
     Read(*node, name, object_.*member, spec);
   }
 
@@ -268,30 +268,32 @@
   return {};
 }
 
-// Reports a second object of the same name, whatever its kind.
-void CheckUnique(const YamlNode& entry, Kind kind, const std::string& name,
+// Whether it is the first object of its name, whatever the kinds; reports it
+// otherwise.
+bool CheckUnique(const YamlNode& entry, Kind kind, const std::string& name,
                  ParsedSet& set) {
   const auto added = set.lines.emplace(std::pair(name, ""), entry.line);
-  if (added.second) return;
+  if (added.second) return true;
   EntryErrors errors(Title(kind, name), set);
   errors.Add(entry, "name",
              "duplicate: line " + std::to_string(added.first->second) +
                  " has an object of this name, so references to it would be "
                  "ambiguous");
+  return false;
 }
 
 template <typename O>
 void ReadEntry(const YamlNode& entry, Kind kind, ParsedSet& set) {
   const std::optional<std::string> name = ReadName(entry, kind, set);
   if (!name.has_value()) return;
-  CheckUnique(entry, kind, *name, set);
+  const bool is_first = CheckUnique(entry, kind, *name, set);
   O object;
   object.name = *name;
   EntryErrors errors(Title(kind, *name), set);
   FieldReader<O> reader(object, entry, set, errors);
   internal::VisitFields(reader, object);
   reader.Finish();
-  set.objects.emplace_back(std::move(object));
+  if (is_first) set.objects.emplace_back(std::move(object));
 }
 
 void ReadEntryOfKind(const YamlNode& entry, Kind kind, ParsedSet& set) {
--- a/src/config/internal/rules.cc
+++ b/src/config/internal/rules.cc
@@ -403,6 +403,20 @@
   names.insert(referrers.begin(), referrers.end());
 }
 
+// A name keeps its kind until it is removed.
+void CheckKinds(const ObjectSet& set,
+                const std::vector<StampedObject>& replaced, Errors& errors) {
+  for (const StampedObject& old : replaced) {
+    const ObjectSet::Entry* entry = set.Find(NameOf(old.object));
+    if (entry == nullptr || entry->kind == KindOf(old.object)) continue;
+    errors.push_back(
+        {.object = Title(entry->kind, NameOf(old.object)),
+         .field = "name",
+         .reason = "is the name of a " + KindName(KindOf(old.object)) +
+                   " until that is removed by an earlier publish"});
+  }
+}
+
 }  // namespace
 
 std::vector<CheckError> CheckChangeV1(
@@ -426,6 +440,7 @@
     CheckObject(set, set.Get(name), errors);
     cycles.SearchFrom(name);
   }
+  CheckKinds(set, replaced, errors);
   CheckDemands(set, demands, errors);
   CheckWholeSet(set, errors);
   return errors;
--- /dev/null
+++ b/src/operators/append_flow.h
@@ -0,0 +1,73 @@
+// Appends one record with an id of its own until it is certain that the log has
+// it, or until the time is up. Sans-I/O. For streams whose readers take a
+// repeated id once only.
+#ifndef CAROBMAST_OPERATORS_APPEND_FLOW_H_
+#define CAROBMAST_OPERATORS_APPEND_FLOW_H_
+
+#include <optional>
+#include <string>
+
+#include "framework/base/time.h"
+#include "platform/types/log_record.h"
+
+namespace carobmast::operators {
+
+enum class AppendResultKind {
+  kAppended,
+  kNotAppended,  // certainly not in the log
+  kUnknown,      // the log was out after an append whose answer was lost
+};
+
+struct AppendResult {
+  AppendResultKind kind = AppendResultKind::kUnknown;
+  platform::Offset offset = 0;
+  // The data of the first record with the id, when it was found by a search.
+  std::string found;
+  std::string reason;
+};
+
+struct AppendStep {
+  std::optional<platform::ReadRequest> read;
+  std::optional<platform::AppendRequest> append;
+  MonotonicTime at;
+  std::optional<AppendResult> result;
+};
+
+struct AppendFlowOptions {
+  std::string stream;
+  platform::NewRecord record;
+  // Whether an earlier run may have appended the id, so that the whole stream
+  // is searched first.
+  bool search_first = false;
+  Duration timeout = std::chrono::seconds(10);
+};
+
+class AppendFlow {
+ public:
+  AppendFlow(AppendFlowOptions options, MonotonicTime now);
+
+  // One step at a time; each read and append ends with one event below.
+  AppendStep Next(MonotonicTime now);
+  void OnRead(MonotonicTime now, platform::Offset from,
+              const platform::ReadAnswer& answer);
+  void OnReadError(MonotonicTime now, const std::string& reason);
+  void OnAppend(MonotonicTime now, const platform::AppendAnswer& answer);
+
+ private:
+  void Finish(AppendResultKind kind, const std::string& reason);
+
+  AppendFlowOptions options_;
+  MonotonicTime deadline_;
+  MonotonicTime next_try_;
+  // Records before it are known not to be the own one; empty before the first
+  // read, which comes before the first append.
+  std::optional<platform::Offset> search_from_;
+  bool must_search_ = false;
+  bool maybe_appended_ = false;
+  std::string last_error_;
+  std::optional<AppendResult> result_;
+};
+
+}  // namespace carobmast::operators
+
+#endif  // CAROBMAST_OPERATORS_APPEND_FLOW_H_
--- /dev/null
+++ b/src/operators/drive.h
@@ -0,0 +1,31 @@
+// Runs flows against the log service.
+#ifndef CAROBMAST_OPERATORS_DRIVE_H_
+#define CAROBMAST_OPERATORS_DRIVE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+
+#include "config/log_replay.h"
+#include "operators/append_flow.h"
+#include "operators/publish_flow.h"
+#include "platform/log_service.h"
+
+namespace carobmast::operators {
+
+boost::asio::awaitable<PublishResult> DrivePublish(platform::LogService log,
+                                                   PublishFlowOptions options);
+
+boost::asio::awaitable<AppendResult> DriveAppend(platform::LogService log,
+                                                 AppendFlowOptions options);
+
+// Reads the configuration stream to its end and calls `on_verdict`, which may
+// be empty, for each record. Throws Error (step "read configuration") when the
+// log gives no whole answer within `timeout`.
+boost::asio::awaitable<void> ReadConfig(
+    platform::LogService log, Duration timeout, config::LogReplay& replay,
+    std::function<void(const config::Verdict&, const platform::LogRecord&)>
+        on_verdict);
+
+}  // namespace carobmast::operators
+
+#endif  // CAROBMAST_OPERATORS_DRIVE_H_
--- /dev/null
+++ b/src/operators/internal/append_flow.cc
@@ -0,0 +1,100 @@
+#include "operators/append_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobmast::operators {
+namespace {
+
+constexpr Duration kRetryInterval = std::chrono::milliseconds(300);
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
+constexpr std::size_t kMaxRecordsPerRead = 500;
+
+}  // namespace
+
+AppendFlow::AppendFlow(AppendFlowOptions options, MonotonicTime now)
+    : options_(std::move(options)),
+      deadline_(now + options_.timeout),
+      next_try_(now) {
+  if (!options_.search_first) return;
+  search_from_ = 1;
+  must_search_ = true;
+}
+
+AppendStep AppendFlow::Next(MonotonicTime now) {
+  if (!result_.has_value() && now >= deadline_) {
+    const std::string why =
+        last_error_.empty() ? "the log gave no answer in time" : last_error_;
+    Finish(maybe_appended_ ? AppendResultKind::kUnknown
+                           : AppendResultKind::kNotAppended,
+           why);
+  }
+  AppendStep step{.at = now};
+  if (result_.has_value()) {
+    step.result = result_;
+  } else if (now < next_try_) {
+    step.at = std::min(next_try_, deadline_);
+  } else if (!search_from_.has_value() || must_search_) {
+    step.read = platform::ReadRequest{.stream = options_.stream,
+                                      .from = search_from_.value_or(1),
+                                      .max_records = kMaxRecordsPerRead,
+                                      .timeout = kCallTimeout};
+    // The first read only tells where the stream ends.
+    if (!search_from_.has_value()) step.read->max_records = 1;
+  } else {
+    step.append = platform::AppendRequest{.stream = options_.stream,
+                                          .records = {options_.record},
+                                          .timeout = kCallTimeout};
+  }
+  return step;
+}
+
+void AppendFlow::OnReadError(MonotonicTime now, const std::string& reason) {
+  last_error_ = reason;
+  next_try_ = now + kRetryInterval;
+}
+
+void AppendFlow::OnRead(MonotonicTime now, platform::Offset,
+                        const platform::ReadAnswer& answer) {
+  if (!search_from_.has_value()) {
+    search_from_ = answer.next;
+    return;
+  }
+  search_from_ = std::max(*search_from_, answer.first_kept);
+  for (const platform::LogRecord& record : answer.records) {
+    search_from_ = std::max(*search_from_, record.offset + 1);
+    if (record.id != options_.record.id) continue;
+    Finish(AppendResultKind::kAppended, "");
+    result_->offset = record.offset;
+    result_->found = record.data;
+    return;
+  }
+  if (*search_from_ < answer.next) return;
+  // The whole stream was searched: append again under the same id.
+  must_search_ = false;
+  next_try_ = now + kRetryInterval;
+}
+
+void AppendFlow::OnAppend(MonotonicTime now,
+                          const platform::AppendAnswer& answer) {
+  last_error_ = answer.error;
+  switch (answer.outcome) {
+    case platform::AppendOutcome::kAppended:
+      Finish(AppendResultKind::kAppended, "");
+      if (!answer.offsets.empty()) result_->offset = answer.offsets.front();
+      break;
+    case platform::AppendOutcome::kUnknown:
+      maybe_appended_ = true;
+      must_search_ = true;
+      break;
+    case platform::AppendOutcome::kNotSent:
+      next_try_ = now + kRetryInterval;
+      break;
+  }
+}
+
+void AppendFlow::Finish(AppendResultKind kind, const std::string& reason) {
+  result_ = AppendResult{.kind = kind, .reason = reason};
+}
+
+}  // namespace carobmast::operators
--- /dev/null
+++ b/src/operators/internal/commands.cc
@@ -0,0 +1,14 @@
+#include "operators/commands.h"
+
+#include "operators/internal/command_list.h"
+
+namespace carobmast::operators {
+
+std::vector<cli::Command> OperatorCommands() {
+  return {internal::CheckCommand(),  internal::PublishCommand(),
+          internal::ShowCommand(),   internal::SubmitCommand(),
+          internal::CancelCommand(), internal::StatusCommand(),
+          internal::DrainCommand()};
+}
+
+}  // namespace carobmast::operators
--- /dev/null
+++ b/src/operators/internal/config_commands.cc
@@ -0,0 +1,140 @@
+#include <iostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/codec.h"
+#include "config/log_replay.h"
+#include "framework/base/digest.h"
+#include "framework/base/error.h"
+#include "operators/drive.h"
+#include "operators/internal/arguments.h"
+#include "operators/internal/command_list.h"
+#include "operators/internal/output.h"
+#include "operators/internal/publish_report.h"
+
+namespace carobmast::operators::internal {
+namespace {
+
+namespace json = boost::json;
+
+cli::ExitCode RunShow(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Prints the set in force as a file to edit and publish");
+  LogArguments log(line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "show", args);
+  if (end.has_value()) return *end;
+  return Guarded("show", [&] {
+    LogSession session(log.address());
+    config::LogReplay replay;
+    session.Run(ReadConfig(session.log(), log.timeout(), replay, nullptr));
+    std::cout << "base: " << replay.fold().head().offset << "\n"
+              << config::SetToYaml(replay.fold().set().objects()) << std::flush;
+    return cli::ExitCode::kDone;
+  });
+}
+
+struct DrainArguments {
+  explicit DrainArguments(TCLAP::CmdLine& line)
+      : output(line),
+        log(line),
+        undo("", "undo", "Let the VM get work again", line),
+        reason("", "reason", "Why, for other operators", false,
+               "drained by an operator", "TEXT", line),
+        publisher("", "publisher", "Who publishes", false, DefaultPublisher(),
+                  "NAME", line),
+        vm("vm", "Name of the VM", true, "", "VM", line) {}
+
+  OutputArgument output;
+  LogArguments log;
+  TCLAP::SwitchArg undo;
+  TCLAP::ValueArg<std::string> reason;
+  TCLAP::ValueArg<std::string> publisher;
+  TCLAP::UnlabeledValueArg<std::string> vm;
+};
+
+cli::ExitCode Drain(DrainArguments& arguments) {
+  PublishFlowOptions options{.publisher = arguments.publisher.getValue(),
+                             .new_id = [] { return "publish-" + RandomId(); },
+                             .timeout = arguments.log.timeout()};
+  options.remove_kind = config::Kind::kDrainedVm;
+  const std::string& vm = arguments.vm.getValue();
+  if (arguments.undo.getValue()) {
+    options.change.remove.push_back(vm);
+  } else {
+    options.change.put.emplace_back(
+        config::DrainedVm{.name = vm, .reason = arguments.reason.getValue()});
+  }
+  LogSession session(arguments.log.address());
+  const PublishResult result =
+      session.Run(DrivePublish(session.log(), std::move(options)));
+  PrintPublishMessage("drain", result);
+  PrintResult(PublishReport(result), arguments.output.format());
+  return PublishExitCode(result);
+}
+
+cli::ExitCode RunDrain(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line(
+      "Gives a VM no new work, as a change of the set in force");
+  DrainArguments arguments(line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "drain", args);
+  if (end.has_value()) return *end;
+  return Guarded("drain", [&] { return Drain(arguments); });
+}
+
+// Asks the operator port of a scheduler.
+json::value AskStatus(const net::Address& scheduler) {
+  LogSession session(scheduler);
+  net::HttpCall call;
+  call.target = "/status";
+  const net::HttpAnswer answer =
+      session.Run(session.client().Call(scheduler, std::move(call)));
+  if (answer.outcome != net::CallOutcome::kAnswered) {
+    throw Error("status", scheduler.ToString(), answer.error);
+  }
+  json::error_code error;
+  json::value status = json::parse(answer.body, error);
+  if (answer.status != 200 || error) {
+    throw Error(
+        "status", scheduler.ToString(),
+        "unusable answer with HTTP status " + std::to_string(answer.status));
+  }
+  return status;
+}
+
+cli::ExitCode RunStatus(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Prints what a process knows");
+  OutputArgument output(line);
+  TCLAP::ValueArg<std::string> scheduler(
+      "", "scheduler", "Operator address of a scheduler or gateway", true, "",
+      "IP:PORT", line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "status", args);
+  if (end.has_value()) return *end;
+  return Guarded("status", [&] {
+    PrintResult(AskStatus(net::ParseAddress(scheduler.getValue())),
+                output.format());
+    return cli::ExitCode::kDone;
+  });
+}
+
+}  // namespace
+
+cli::Command ShowCommand() {
+  return {.name = "show",
+          .summary = "print the set in force as a file",
+          .run = RunShow};
+}
+
+cli::Command DrainCommand() {
+  return {.name = "drain", .summary = "give a VM no new work", .run = RunDrain};
+}
+
+cli::Command StatusCommand() {
+  return {.name = "status",
+          .summary = "print what a process knows",
+          .run = RunStatus};
+}
+
+}  // namespace carobmast::operators::internal
--- a/src/operators/internal/publish_flow.cc
+++ b/src/operators/internal/publish_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/codec.h"
 #include "config/kinds.h"
 #include "config/record.h"
 
@@ -158,9 +159,37 @@
   Finish(PublishOutcome::kRefused, text + "; " + reason);
 }
 
+// The part of `change` that the set in force does not have yet.
+config::Change PublishFlow::EffectiveChange() const {
+  const config::ObjectSet& set = replay_.fold().set();
+  config::Change change;
+  for (const config::Object& object : options_.change.put) {
+    const std::string& name = config::NameOf(object);
+    const bool same =
+        set.Find(name) != nullptr &&
+        config::CanonicalText(set.Get(name)) == config::CanonicalText(object);
+    if (!same) change.put.push_back(object);
+  }
+  for (const std::string& name : options_.change.remove) {
+    const config::ObjectSet::Entry* entry = set.Find(name);
+    if (entry == nullptr) continue;
+    if (options_.remove_kind.value_or(entry->kind) != entry->kind) continue;
+    change.remove.push_back(name);
+  }
+  return change;
+}
+
 void PublishFlow::Propose() {
-  options_.wanted.has_value() ? ProposeWanted()
-                              : ProposeChange(options_.change);
+  if (options_.wanted.has_value()) {
+    ProposeWanted();
+    return;
+  }
+  const config::Change change = EffectiveChange();
+  if (change.Empty()) {
+    Finish(PublishOutcome::kUnchanged, "the set in force is so already");
+    return;
+  }
+  ProposeChange(change);
 }
 
 void PublishFlow::ProposeWanted() {
--- /dev/null
+++ b/src/operators/internal/rollout.cc
@@ -0,0 +1,109 @@
+#include "operators/internal/rollout.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "framework/base/error.h"
+#include "framework/base/json.h"
+
+namespace carobmast::operators::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr char kStep[] = "status";
+constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+
+json::array ToArray(const std::vector<std::string>& names) {
+  json::array array;
+  for (const std::string& name : names) array.emplace_back(name);
+  return array;
+}
+
+void ReadPeer(const JsonReader& peer, platform::Offset offset,
+              RolloutState& state) {
+  const std::string name = peer.String("name");
+  if (!peer.Has("head") || !peer.Bool("reachable")) {
+    state.behind.push_back(name + " (not reached)");
+    return;
+  }
+  const platform::Offset held = peer.Object("head").Unsigned("offset");
+  if (held >= offset) {
+    state.in_force.push_back(name);
+  } else {
+    state.behind.push_back(name + " (offset " + std::to_string(held) + ")");
+  }
+}
+
+RolloutState ParseStatus(const net::HttpAnswer& answer,
+                         const net::Address& scheduler,
+                         platform::Offset offset) {
+  const std::string peer = scheduler.ToString();
+  if (answer.outcome != net::CallOutcome::kAnswered) {
+    throw Error(kStep, peer, answer.error);
+  }
+  if (answer.status != 200) {
+    throw Error(kStep, peer, "HTTP status " + std::to_string(answer.status));
+  }
+  const JsonReader status = JsonReader::Parse(answer.body, kStep, peer);
+  return ReadRollout(status.Object("config").object(), offset);
+}
+
+}  // namespace
+
+RolloutState ReadRollout(const json::object& config_status,
+                         platform::Offset offset) {
+  const JsonReader config(config_status, kStep, "scheduler");
+  RolloutState state;
+  const platform::Offset own = config.Object("in_force").Unsigned("offset");
+  if (own >= offset) {
+    state.in_force.push_back("the scheduler asked");
+  } else {
+    state.behind.push_back("the scheduler asked (offset " +
+                           std::to_string(own) + ")");
+  }
+  for (const json::value& peer : config.Array("peers")) {
+    ReadPeer(config.Element(peer), offset, state);
+  }
+  state.complete = state.behind.empty();
+  return state;
+}
+
+asio::awaitable<RolloutState> WaitForRollout(net::HttpClient* client,
+                                             net::Address scheduler,
+                                             platform::Offset offset,
+                                             Duration timeout) {
+  const MonotonicTime deadline = MonotonicClock::now() + timeout;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  RolloutState state;
+  for (;;) {
+    net::HttpCall call;
+    call.target = "/status";
+    const net::HttpAnswer answer =
+        co_await client->Call(scheduler, std::move(call));
+    try {
+      state = ParseStatus(answer, scheduler, offset);
+    } catch (const Error& error) {
+      state = RolloutState{.error = error.what()};
+    }
+    if (state.complete || MonotonicClock::now() >= deadline) co_return state;
+    timer.expires_after(kAskInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+void AddRollout(const RolloutState& state, json::object& report) {
+  json::object rollout{{"complete", state.complete},
+                       {"in_force", ToArray(state.in_force)},
+                       {"behind", ToArray(state.behind)}};
+  if (!state.error.empty()) rollout["error"] = state.error;
+  report["rollout"] = std::move(rollout);
+}
+
+}  // namespace carobmast::operators::internal
--- /dev/null
+++ b/src/operators/internal/work_commands.cc
@@ -0,0 +1,149 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/log_replay.h"
+#include "framework/base/digest.h"
+#include "framework/base/error.h"
+#include "operators/drive.h"
+#include "operators/internal/arguments.h"
+#include "operators/internal/command_list.h"
+#include "operators/internal/output.h"
+#include "work/work_record.h"
+
+namespace carobmast::operators::internal {
+namespace {
+
+constexpr std::size_t kGeneratedIdLength = 16;
+
+// The specification of a batch job in the set in force.
+config::BatchJob FindJob(const config::LogReplay& replay,
+                         const std::string& name) {
+  const std::map<std::string, config::BatchJob>& jobs =
+      replay.fold().set().objects().batch_jobs;
+  const auto found = jobs.find(name);
+  if (found == jobs.end()) {
+    throw Error(
+        "check",
+        "set in force at offset " + std::to_string(replay.fold().head().offset),
+        "no batch job is named '" + name + "'");
+  }
+  return found->second;
+}
+
+// Whether the record found under the id is a submission of the same job.
+bool IsSameJob(const std::string& found, const std::string& job) {
+  const work::WorkRecord record = work::DecodeRecord(found, "log");
+  const work::SubmitRecord* submit = std::get_if<work::SubmitRecord>(&record);
+  return submit != nullptr && submit->spec.name == job;
+}
+
+// Prints the end of a submit or cancel; `done` is the word for success.
+cli::ExitCode Report(const std::string& command, const std::string& done,
+                     const std::string& id, const AppendResult& result,
+                     const std::string& format) {
+  boost::json::object report{{"id", id}};
+  cli::ExitCode code = cli::ExitCode::kPlatformOut;
+  switch (result.kind) {
+    case AppendResultKind::kAppended:
+      report["outcome"] = done;
+      report["offset"] = result.offset;
+      code = cli::ExitCode::kDone;
+      break;
+    case AppendResultKind::kNotAppended:
+      report["outcome"] = "not " + done;
+      report["reason"] = result.reason;
+      PrintMessage(command, "not " + done + ": " + result.reason);
+      break;
+    case AppendResultKind::kUnknown:
+      report["outcome"] = "unknown";
+      report["reason"] = result.reason;
+      PrintMessage(command, "unknown whether it was " + done + ": " +
+                                result.reason + "; run '" + command +
+                                "' again with the id " + id);
+      break;
+  }
+  PrintResult(report, format);
+  return code;
+}
+
+struct SubmitArguments {
+  explicit SubmitArguments(TCLAP::CmdLine& line)
+      : output(line),
+        log(line),
+        id("", "id", "Name of this submission; repeated, it is accepted once",
+           false, "", "ID", line),
+        job("job", "Name of a batch job of the set in force", true, "", "JOB",
+            line) {}
+
+  OutputArgument output;
+  LogArguments log;
+  TCLAP::ValueArg<std::string> id;
+  TCLAP::UnlabeledValueArg<std::string> job;
+};
+
+cli::ExitCode Submit(SubmitArguments& arguments) {
+  const std::string& job = arguments.job.getValue();
+  const std::string id = arguments.id.isSet()
+                             ? arguments.id.getValue()
+                             : RandomId().substr(0, kGeneratedIdLength);
+  LogSession session(arguments.log.address());
+  config::LogReplay replay;
+  session.Run(
+      ReadConfig(session.log(), arguments.log.timeout(), replay, nullptr));
+  AppendFlowOptions options{
+      .stream = platform::kWorkStream,
+      .record = work::MakeSubmit(id, FindJob(replay, job)),
+      .search_first = arguments.id.isSet(),
+      .timeout = arguments.log.timeout()};
+  const AppendResult result =
+      session.Run(DriveAppend(session.log(), std::move(options)));
+  if (!result.found.empty() && !IsSameJob(result.found, job)) {
+    PrintMessage("submit", "refused: the id '" + id +
+                               "' belongs to a submission of another job");
+    return cli::ExitCode::kRefused;
+  }
+  return Report("submit", "accepted", id, result, arguments.output.format());
+}
+
+cli::ExitCode RunSubmit(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Submits a batch job of the set in force");
+  SubmitArguments arguments(line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "submit", args);
+  if (end.has_value()) return *end;
+  return Guarded("submit", [&] { return Submit(arguments); });
+}
+
+cli::ExitCode RunCancel(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Cancels a submission");
+  OutputArgument output(line);
+  LogArguments log(line);
+  TCLAP::UnlabeledValueArg<std::string> id("id", "The submission", true, "",
+                                           "ID", line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "cancel", args);
+  if (end.has_value()) return *end;
+  return Guarded("cancel", [&] {
+    LogSession session(log.address());
+    AppendFlowOptions options{.stream = platform::kWorkStream,
+                              .record = work::MakeCancel(id.getValue()),
+                              .timeout = log.timeout()};
+    const AppendResult result =
+        session.Run(DriveAppend(session.log(), std::move(options)));
+    return Report("cancel", "cancelled", id.getValue(), result,
+                  output.format());
+  });
+}
+
+}  // namespace
+
+cli::Command SubmitCommand() {
+  return {.name = "submit", .summary = "submit a batch job", .run = RunSubmit};
+}
+
+cli::Command CancelCommand() {
+  return {.name = "cancel", .summary = "cancel a submission", .run = RunCancel};
+}
+
+}  // namespace carobmast::operators::internal
--- a/src/operators/publish_flow.h
+++ b/src/operators/publish_flow.h
@@ -43,6 +43,8 @@
   // The whole set to publish; else `change` is applied to the set in force.
   std::optional<config::Objects> wanted;
   config::Change change;
+  // The kind that the objects removed by `change` must have.
+  std::optional<config::Kind> remove_kind;
   // The offset of the set that `wanted` was made from.
   std::optional<platform::Offset> base;
   // Whether to replay the change on a newer set when no object was changed by
@@ -84,6 +86,7 @@
   void Propose();
   void ProposeWanted();
   void ProposeChange(const config::Change& change);
+  config::Change EffectiveChange() const;
   void RefuseBase(const std::string& reason);
   std::string ConflictsWith(const config::Change& mine) const;
   void OnOwnVerdict(const config::Verdict& verdict);
--- a/src/requests/internal/request_core.cc
+++ b/src/requests/internal/request_core.cc
@@ -356,9 +356,9 @@
     attempt->instance->health.OnFailure(now);
   }
   attempt->refused = head.refused;
-  attempt->drained = head.refused || (IsWorthRetry(head.status) &&
-                                      request->caller.idempotent &&
-                                      MayRetry(*request, now));
+  attempt->drained =
+      head.refused || (IsWorthRetry(head.status) &&
+                       request->caller.idempotent && MayRetry(*request, now));
   if (attempt->drained) return HeadVerdict::kDrain;
   attempt->passed = true;
   if (head.status < kFirstServerError) Learn(*attempt, *request, now);
@@ -469,8 +469,8 @@
   const Duration longest = options_.back_off * (1U << (request.attempts - 1));
   const Duration wait(static_cast<Duration::rep>(
       random_() % static_cast<std::uint64_t>(longest.count())));
-  timers_.insert({now + wait,
-                  {.kind = TimerKind::kRetry, .request = request.caller.id}});
+  timers_.insert(
+      {now + wait, {.kind = TimerKind::kRetry, .request = request.caller.id}});
 }
 
 void RequestCore::Refuse(Request& request, Reason reason, Ran ran) {
--- a/src/work/worker_table.h
+++ b/src/work/worker_table.h
@@ -53,9 +53,7 @@
 
   // Null when there is none.
   const OwnedWorker* Find(const std::string& worker) const;
-  const std::map<std::string, OwnedWorker>& workers() const {
-    return workers_;
-  }
+  const std::map<std::string, OwnedWorker>& workers() const { return workers_; }
   // Usable workers of a pool by free thousandths of processors; null when there
   // are none.
   const std::set<std::pair<std::uint64_t, std::string>>* FreeIndex(
