--- a/src/config/follower_core.h
+++ b/src/config/follower_core.h
@@ -67,6 +67,8 @@
   std::uint64_t seed = 1;
   // Called when another set comes into force; offsets only grow.
   std::function<void(const InForceSet&)> on_in_force;
+  // Called for each record that is folded or that stops the folding.
+  std::function<void(const Verdict&)> on_verdict;
 };
 
 // What a caller of NextLogRead, NextPeerCall or NextCompaction does: the
--- a/src/config/internal/follower_core.cc
+++ b/src/config/internal/follower_core.cc
@@ -115,6 +115,7 @@
 
 void FollowerCore::NoteVerdicts(const std::vector<Verdict>& verdicts) {
   for (const Verdict& verdict : verdicts) {
+    if (options_.on_verdict) options_.on_verdict(verdict);
     if (verdict.kind == VerdictKind::kRefused) ++counters_.records_refused;
     if (verdict.kind != VerdictKind::kAccepted) continue;
     ++counters_.records_accepted;
--- /dev/null
+++ b/src/config/tests/fake_log.h
@@ -0,0 +1,53 @@
+// A log service in memory, with the faults of the real one.
+#ifndef CAROBMAST_CONFIG_TESTS_FAKE_LOG_H_
+#define CAROBMAST_CONFIG_TESTS_FAKE_LOG_H_
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "platform/types/log_record.h"
+
+namespace carobmast::config {
+
+class FakeLog {
+ public:
+  // Whether it neither takes nor gives records.
+  bool out = false;
+
+  platform::Offset Append(const platform::NewRecord& record, WallTime at) {
+    records_.push_back({.offset = next(),
+                        .appended_at = at,
+                        .id = record.id,
+                        .data = record.data});
+    return records_.back().offset;
+  }
+
+  platform::ReadAnswer Read(const platform::ReadRequest& request) const {
+    platform::ReadAnswer answer{.first_kept = first_kept_, .next = next()};
+    for (const platform::LogRecord& record : records_) {
+      if (record.offset < std::max(request.from, first_kept_)) continue;
+      if (answer.records.size() == request.max_records) break;
+      answer.records.push_back(record);
+    }
+    return answer;
+  }
+
+  // Forgets the records before `first`.
+  void Expire(platform::Offset first) {
+    first_kept_ = std::max(first_kept_, std::min(first, next()));
+  }
+
+  // All records that were ever appended.
+  const std::vector<platform::LogRecord>& all() const { return records_; }
+  platform::Offset first_kept() const { return first_kept_; }
+  platform::Offset next() const { return records_.size() + 1; }
+
+ private:
+  std::vector<platform::LogRecord> records_;
+  platform::Offset first_kept_ = 1;
+};
+
+}  // namespace carobmast::config
+
+#endif  // CAROBMAST_CONFIG_TESTS_FAKE_LOG_H_
--- /dev/null
+++ b/src/config/tests/fold_test.cc
@@ -0,0 +1,245 @@
+#include "config/fold.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "config/log_replay.h"
+#include "config/tests/fake_log.h"
+#include "config/tests/test_sets.h"
+#include "framework/base/error.h"
+
+namespace carobmast::config {
+namespace {
+
+// Digest of the set of FirstChange() by rule version 1. It must never change:
+// every version of the program has to reach the same verdicts.
+constexpr char kFirstDigest[] =
+    "144a7ab295ae2dabdaf9707493ff2e01d3f5a5b2617cab2e7e9894ab99dac068";
+
+Verdict Fold(ConfigFold& fold, const PublishRecord& record,
+             const std::string& id = "id") {
+  return fold.OnRecord(At(fold.head().through + 1, id, EncodePublish(record)));
+}
+
+void AssertRefused(const Verdict& verdict, const std::string& reason) {
+  CPPUNIT_ASSERT(verdict.kind == VerdictKind::kRefused);
+  CPPUNIT_ASSERT_EQUAL(reason, verdict.reason);
+}
+
+// Reads the whole log into `replay`.
+void ReadAll(const FakeLog& log, LogReplay& replay) {
+  for (int i = 0; i < 100; ++i) {
+    const platform::Offset from = replay.NextRead();
+    replay.OnRead(from, log.Read({.from = from, .max_records = 3}));
+  }
+}
+
+void AppendCompaction(FakeLog& log, const ConfigFold& fold) {
+  for (const platform::NewRecord& record :
+       EncodeCompaction(fold.head(), fold.set(), "group")) {
+    log.Append(record, WallTime());
+  }
+}
+
+void AppendPublish(FakeLog& log, ConfigFold& fold, const Change& change) {
+  const std::string data = EncodePublish(PublishOn(fold, change));
+  const platform::Offset offset =
+      log.Append({.id = "p" + std::to_string(log.next()), .data = data}, {});
+  fold.OnRecord(log.all().at(offset - 1));
+}
+
+}  // namespace
+
+class FoldTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FoldTest);
+  CPPUNIT_TEST(AcceptsAChangeOfTheSetInForce);
+  CPPUNIT_TEST(OneOfTwoPublishersWins);
+  CPPUNIT_TEST(DuplicateRecordChangesNothing);
+  CPPUNIT_TEST(RefusalLeavesTheSetAsItWas);
+  CPPUNIT_TEST(MalformedRecordsAreRefusedByAll);
+  CPPUNIT_TEST(StopsAtUnknownRules);
+  CPPUNIT_TEST(OlderRulesDoNotComeBack);
+  CPPUNIT_TEST(ResumesFromACompaction);
+  CPPUNIT_TEST(PublishBehindACompactionIsNotMissed);
+  CPPUNIT_TEST(NeverGuessesWhatHasExpired);
+  CPPUNIT_TEST(NeverAdoptsWhatIsOlderOrUnproved);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AcceptsAChangeOfTheSetInForce() {
+    ConfigFold fold;
+    const Verdict first = Fold(fold, PublishOn(fold, FirstChange()));
+    CPPUNIT_ASSERT_EQUAL(std::string(), first.reason);
+    CPPUNIT_ASSERT(first.kind == VerdictKind::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(std::string(kFirstDigest), fold.head().digest);
+    const Verdict second = Fold(fold, PublishOn(fold, JobChange("sum", 9)));
+    CPPUNIT_ASSERT(second.kind == VerdictKind::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{9},
+                         fold.set().objects().batch_jobs.at("sum").tasks);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{2},
+                         fold.set().Find("sum")->stamp.offset);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1},
+                         fold.set().Find("pool")->stamp.offset);
+  }
+
+  void OneOfTwoPublishersWins() {
+    ConfigFold fold;
+    Fold(fold, PublishOn(fold, FirstChange()));
+    const PublishRecord ana = PublishOn(fold, JobChange("sum", 2), "ana");
+    const PublishRecord ivo = PublishOn(fold, JobChange("sum", 3), "ivo");
+    CPPUNIT_ASSERT(Fold(fold, ivo).kind == VerdictKind::kAccepted);
+    AssertRefused(Fold(fold, ana),
+                  "made for offset 1, but the set in force is that of offset "
+                  "2");
+    CPPUNIT_ASSERT_EQUAL(ivo.digest, fold.head().digest);
+  }
+
+  void DuplicateRecordChangesNothing() {
+    ConfigFold fold;
+    const PublishRecord record = PublishOn(fold, FirstChange());
+    Fold(fold, record, "same");
+    const Head head = fold.head();
+    CPPUNIT_ASSERT(Fold(fold, record, "same").kind == VerdictKind::kRefused);
+    CPPUNIT_ASSERT_EQUAL(head.offset, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(head.digest, fold.set().Digest());
+    const platform::LogRecord again = At(1, "same", EncodePublish(record));
+    CPPUNIT_ASSERT(fold.OnRecord(again).kind == VerdictKind::kNoEffect);
+  }
+
+  void RefusalLeavesTheSetAsItWas() {
+    ConfigFold fold;
+    Fold(fold, PublishOn(fold, FirstChange()));
+    const std::string digest = fold.head().digest;
+    Change change;
+    change.remove = {"pool"};
+    AssertRefused(Fold(fold, PublishOn(fold, change)),
+                  "batch job sum: field 'pool': no vm pool is named 'pool' "
+                  "(and 1 more)");
+    change.remove = {"nothing"};
+    AssertRefused(Fold(fold, PublishOn(fold, change)),
+                  "removes 'nothing', which is not in the set");
+    PublishRecord record = PublishOn(fold, JobChange("sum", 2));
+    record.digest = digest;
+    AssertRefused(Fold(fold, record),
+                  "the set after the change has another digest");
+    CPPUNIT_ASSERT_EQUAL(digest, fold.set().Digest());
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT(Fold(fold, PublishOn(fold, JobChange("sum", 2))).kind ==
+                   VerdictKind::kAccepted);
+  }
+
+  void MalformedRecordsAreRefusedByAll() {
+    ConfigFold fold;
+    for (const char* data :
+         {"", "nonsense", "[]", "{}", R"({"format":1,"rules":0})",
+          R"({"format":1,"rules":1,"type":"other"})",
+          R"({"format":1,"rules":1,"type":"publish","base":0})"}) {
+      const Verdict verdict =
+          fold.OnRecord(At(fold.head().through + 1, "id", data));
+      CPPUNIT_ASSERT_MESSAGE(data, verdict.kind == VerdictKind::kRefused);
+    }
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, fold.head().offset);
+    PublishRecord twice = PublishOn(fold, FirstChange());
+    twice.change.put.push_back(twice.change.put.front());
+    CPPUNIT_ASSERT(Fold(fold, twice).kind == VerdictKind::kRefused);
+  }
+
+  void StopsAtUnknownRules() {
+    ConfigFold fold;
+    Fold(fold, PublishOn(fold, FirstChange()));
+    PublishRecord newer = PublishOn(fold, JobChange("sum", 2));
+    newer.rules = 2;
+    CPPUNIT_ASSERT(Fold(fold, newer).kind == VerdictKind::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, fold.stopped()->offset);
+    const PublishRecord next = PublishOn(fold, JobChange("sum", 3));
+    CPPUNIT_ASSERT(fold.OnRecord(At(3, "id", EncodePublish(next))).kind ==
+                   VerdictKind::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().through);
+  }
+
+  void OlderRulesDoNotComeBack() {
+    ConfigFold fold({{1, CheckChangeV1}, {2, CheckChangeV1}});
+    PublishRecord newer = PublishOn(fold, FirstChange());
+    newer.rules = 2;
+    CPPUNIT_ASSERT(Fold(fold, newer).kind == VerdictKind::kAccepted);
+    PublishRecord older = PublishOn(fold, JobChange("sum", 2));
+    older.rules = 1;
+    AssertRefused(Fold(fold, older),
+                  "checked by rules 1, but the set in force follows rules 2");
+  }
+
+  void ResumesFromACompaction() {
+    FakeLog log;
+    ConfigFold fold;
+    AppendPublish(log, fold, FirstChange());
+    AppendPublish(log, fold, JobChange("sum", 2));
+    AppendCompaction(log, fold);
+    AppendPublish(log, fold, JobChange("sum", 3));
+    log.Expire(3);
+    LogReplay replay;
+    ReadAll(log, replay);
+    CPPUNIT_ASSERT(replay.caught_up());
+    CPPUNIT_ASSERT(replay.fold().head() == fold.head());
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1},
+                         replay.fold().set().Find("pool")->stamp.offset);
+  }
+
+  // A publish between the moment for which a compaction stands and its place in
+  // the log is folded too, or the compaction is not used.
+  void PublishBehindACompactionIsNotMissed() {
+    FakeLog log;
+    ConfigFold fold;
+    AppendPublish(log, fold, FirstChange());
+    const std::vector<platform::NewRecord> late =
+        EncodeCompaction(fold.head(), fold.set(), "late");
+    AppendPublish(log, fold, JobChange("sum", 2));
+    for (const platform::NewRecord& record : late) log.Append(record, {});
+    log.Expire(2);
+    LogReplay with_publish;
+    ReadAll(log, with_publish);
+    CPPUNIT_ASSERT_EQUAL(fold.head().digest, with_publish.fold().head().digest);
+    log.Expire(3);
+    LogReplay without;
+    ReadAll(log, without);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, without.fold().head().offset);
+    CPPUNIT_ASSERT(!without.caught_up());
+  }
+
+  void NeverGuessesWhatHasExpired() {
+    FakeLog log;
+    ConfigFold fold;
+    AppendPublish(log, fold, FirstChange());
+    AppendPublish(log, fold, JobChange("sum", 2));
+    log.Expire(2);
+    LogReplay replay;
+    ReadAll(log, replay);
+    CPPUNIT_ASSERT(replay.seeking());
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, replay.fold().head().offset);
+  }
+
+  void NeverAdoptsWhatIsOlderOrUnproved() {
+    ConfigFold fold;
+    Fold(fold, PublishOn(fold, FirstChange()));
+    WholeSet whole{.head = fold.head()};
+    fold.set().ForEachAfter("", [&](const StampedObject& object) {
+      whole.objects.push_back(object);
+      return true;
+    });
+    ConfigFold fresh;
+    WholeSet damaged = whole;
+    damaged.objects.pop_back();
+    CPPUNIT_ASSERT_THROW(fresh.Adopt(damaged), Error);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, fresh.head().offset);
+    fresh.Adopt(whole);
+    CPPUNIT_ASSERT(fresh.head() == fold.head());
+    Fold(fold, PublishOn(fold, JobChange("sum", 2)));
+    const Head newer = fold.head();
+    CPPUNIT_ASSERT_THROW(fold.Adopt(whole), Error);
+    CPPUNIT_ASSERT(fold.head() == newer);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(FoldTest, "fold_test");
+
+}  // namespace carobmast::config
