--- /dev/null
+++ b/src/work/fakes/fake_world.h
@@ -0,0 +1,169 @@
+// Schedulers, workers, the log and the VM list on virtual time, with faults.
+// One run is decided by its seed and the calls made.
+#ifndef CAROBMAST_WORK_FAKES_FAKE_WORLD_H_
+#define CAROBMAST_WORK_FAKES_FAKE_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/types/objects.h"
+#include "framework/base/time.h"
+#include "work/fakes/fake_worker.h"
+#include "work/scheduler_core.h"
+
+namespace carobmast::work {
+
+struct FakeWorldOptions {
+  std::uint64_t seed = 1;
+  // One way.
+  Duration network_delay = std::chrono::microseconds(500);
+  Duration log_delay = std::chrono::milliseconds(5);
+  Duration vm_list_lag = std::chrono::seconds(2);
+  Duration tick = std::chrono::milliseconds(100);
+  Duration log_poll = std::chrono::milliseconds(100);
+  // Chances of one message or append, from 0 to 1.
+  double lost_answers = 0;
+  double late_commands = 0;
+  double lost_append_answers = 0;
+  double late_appends = 0;
+  // Whether exclusivity and capacity are checked after every start.
+  bool check = true;
+};
+
+// What went against a promise, with the time.
+struct Violation {
+  Duration at = Duration::zero();
+  std::string what;
+};
+
+class FakeWorld {
+ public:
+  explicit FakeWorld(FakeWorldOptions options);
+
+  void AddWorker(FakeWorkerOptions options);
+  // Starts a scheduler process; `options.name` is the name without incarnation.
+  void AddScheduler(SchedulerOptions options, double clock_rate = 1.0);
+  void SetConfig(config::Objects objects);
+  void Submit(const std::string& submission, const config::BatchJob& spec);
+  void Cancel(const std::string& submission);
+
+  void RunFor(Duration duration);
+  // Runs until the test holds; false when it didn't within `limit`.
+  bool RunUntil(const std::function<bool()>& test, Duration limit);
+
+  // Faults. A killed process ends without a word; a stopped one hands over.
+  void KillScheduler(const std::string& name);
+  void StopScheduler(const std::string& name);
+  void PauseScheduler(const std::string& name, Duration duration);
+  // Ends the VM; it leaves the list after the lag.
+  void KillWorker(const std::string& name);
+  // A VM that was killed comes back empty.
+  void ReviveWorker(const std::string& name);
+  void PauseWorker(const std::string& name, Duration duration);
+  void SetLeaving(const std::string& name);
+  void CutWorker(const std::string& scheduler, const std::string& worker,
+                 bool cut);
+  void CutLog(const std::string& scheduler, bool cut);
+  void SetLogOutage(bool out) { log_out_ = out; }
+  void SetVmListOutage(bool out) { vm_list_out_ = out; }
+  void SetLostAnswers(double chance) { options_.lost_answers = chance; }
+  void SetLateCommands(double chance) { options_.late_commands = chance; }
+  void SetLostAppendAnswers(double chance) {
+    options_.lost_append_answers = chance;
+  }
+  // Drops all but the newest `keep` records.
+  void ExpireLog(std::size_t keep);
+
+  Duration now() const { return now_ - start_; }
+  // Null when it does not run.
+  SchedulerCore* scheduler(const std::string& name);
+  FakeWorker& worker(const std::string& name);
+  std::vector<std::string> scheduler_names() const;
+  std::vector<std::string> worker_names() const;
+  bool alive(const std::string& worker) const;
+  // Workers on which the task runs.
+  std::vector<std::string> RunningOn(const std::string& task) const;
+  // Number of running executions, all workers that are not paused or dead.
+  std::size_t Running() const;
+  const std::vector<Violation>& violations() const { return violations_; }
+  const std::vector<platform::LogRecord>& log() const { return log_; }
+  std::uint64_t appends() const { return appends_; }
+  // Tasks that ran to their end more than once, or after their result.
+  int Completed(const std::string& task) const;
+
+ private:
+  struct Process {
+    std::unique_ptr<SchedulerCore> core;
+    SchedulerOptions options;
+    double clock_rate = 1.0;
+    MonotonicTime born;
+    MonotonicTime paused_until;
+    std::uint64_t life = 0;
+    bool log_cut = false;
+    std::set<std::string> cut_workers;
+  };
+  struct Machine {
+    std::unique_ptr<FakeWorker> worker;
+    bool alive = true;
+    bool leaving = false;
+    MonotonicTime paused_from;
+    MonotonicTime paused_until;
+  };
+
+  void At(MonotonicTime time, std::function<void()> event);
+  // Runs `event` in the process `name` unless that life of it has ended; waits
+  // while it is paused.
+  void InProcess(MonotonicTime time, const std::string& name,
+                 std::uint64_t life, std::function<void(Process&)> event);
+  MonotonicTime Local(const Process& process, MonotonicTime time) const;
+  void Tick(const std::string& name, std::uint64_t life);
+  void PollLog(const std::string& name, std::uint64_t life);
+  void PollVmList(const std::string& name, std::uint64_t life);
+  void Append(const std::string& name, std::uint64_t life, std::uint64_t id,
+              std::vector<platform::NewRecord> records);
+  void Land(const std::vector<platform::NewRecord>& records);
+  void Command(const std::string& name, std::uint64_t life, std::uint64_t id,
+               platform::WorkerCommand command);
+  void Deliver(const std::string& name, std::uint64_t life, std::uint64_t id,
+               const platform::WorkerCommand& command, bool answer_lost,
+               bool timed_out);
+  void Answer(MonotonicTime time, const std::string& name, std::uint64_t life,
+              std::uint64_t id, platform::CommandAnswer answer);
+  bool Paused(const Machine& machine) const;
+  void Check(const std::string& worker);
+  void Report(const std::string& what);
+  platform::VmListAnswer VmList(MonotonicTime as_of) const;
+  void NoteVms();
+  bool Chance(double chance);
+
+  FakeWorldOptions options_;
+  std::mt19937_64 random_;
+  MonotonicTime start_;
+  MonotonicTime now_;
+  std::multimap<MonotonicTime, std::function<void()>> events_;
+  std::map<std::string, Process> processes_;
+  std::map<std::string, Machine> machines_;
+  std::uint64_t next_life_ = 1;
+  std::vector<platform::LogRecord> log_;
+  platform::Offset next_offset_ = 1;
+  bool log_out_ = false;
+  bool vm_list_out_ = false;
+  std::uint64_t appends_ = 0;
+  config::Objects objects_;
+  bool has_config_ = false;
+  // What the VM list showed, by the time it became true.
+  std::map<MonotonicTime, std::vector<platform::Vm>> vm_history_;
+  std::vector<Violation> violations_;
+  std::map<std::string, int> completed_by_dead_;
+};
+
+}  // namespace carobmast::work
+
+#endif  // CAROBMAST_WORK_FAKES_FAKE_WORLD_H_
--- /dev/null
+++ b/src/work/tests/recovery_test.cc
@@ -0,0 +1,365 @@
+// Owners, workers, the log and the network fail; promises hold and work goes
+// on.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "work/tests/scenario.h"
+
+namespace carobmast::work {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// By the reader that has read most.
+std::string OwnerOf(FakeWorld& world, const std::string& cell) {
+  platform::FencingToken newest = 0;
+  std::string owner;
+  for (const std::string& name : world.scheduler_names()) {
+    const FoldedCell* folded = world.scheduler(name)->fold().FindCell(cell);
+    if (folded == nullptr || folded->token <= newest) continue;
+    newest = folded->token;
+    owner = folded->owner.substr(0, folded->owner.find('/'));
+  }
+  return owner;
+}
+
+bool Runs(const FakeWorld& world, const std::string& task) {
+  return world.RunningOn(task).size() == 1;
+}
+
+TaskStage StageOf(FakeWorld& world, const std::string& task) {
+  SchedulerCore* any = world.scheduler(world.scheduler_names().front());
+  const FoldedTask* folded = any->fold().FindTask(task);
+  return folded == nullptr ? TaskStage::kPending : folded->stage;
+}
+
+}  // namespace
+
+class RecoveryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RecoveryTest);
+  CPPUNIT_TEST(BatchRunsOnceAndStandingWorkersRun);
+  CPPUNIT_TEST(DeadOwnerIsReplaced);
+  CPPUNIT_TEST(AllSchedulersReplaced);
+  CPPUNIT_TEST(StoppingSchedulerHandsOver);
+  CPPUNIT_TEST(DeadWorkerIsReplaced);
+  CPPUNIT_TEST(ZombieOwnerKeepsTheWorkerItReaches);
+  CPPUNIT_TEST(LapsedLeaseMovesTheTaskOnce);
+  CPPUNIT_TEST(RestartsDuringLogOutage);
+  CPPUNIT_TEST(LostAnswersNeverOvercommit);
+  CPPUNIT_TEST(LateStartDoesNothing);
+  CPPUNIT_TEST(LeavingWorkerIsEmptiedByCheckpoint);
+  CPPUNIT_TEST(CancelledStaysCancelled);
+  CPPUNIT_TEST(SurvivesRetention);
+  CPPUNIT_TEST(FailingTaskIsHeld);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BatchRunsOnceAndStandingWorkersRun() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    AddZone(world, "zg-b");
+    world.SetConfig(Watchers(3));
+    world.Submit("sub1", Job(10, "run 5s"));
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          return StageOf(world, "sub1/9") == TaskStage::kFinished &&
+                 Runs(world, "watcher/0") && Runs(world, "watcher/2");
+        },
+        minutes(1)));
+    world.RunFor(minutes(1));
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = BatchTaskId("sub1", i);
+      CPPUNIT_ASSERT(StageOf(world, id) == TaskStage::kFinished);
+      CPPUNIT_ASSERT_EQUAL(1, world.Completed(id));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  void DeadOwnerIsReplaced() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(2));
+    CPPUNIT_ASSERT(Settles(world, 2));
+    const std::string first = OwnerOf(world, "zg-a/r0");
+    const std::vector<std::string> before = world.RunningOn("watcher/0");
+    world.KillScheduler(first);
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          const std::string owner = OwnerOf(world, "zg-a/r0");
+          return owner != first && world.scheduler(owner)->serving_cells() == 1;
+        },
+        seconds(10)));
+    // Adopted, not restarted; and renewed well beyond the lease.
+    world.RunFor(minutes(2));
+    CPPUNIT_ASSERT(before == world.RunningOn("watcher/0"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Starts(world));
+    AssertNoViolation(world);
+  }
+
+  void AllSchedulersReplaced() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(2));
+    CPPUNIT_ASSERT(Settles(world, 2));
+    for (const std::string& name : world.scheduler_names()) {
+      world.KillScheduler(name);
+    }
+    world.Submit("sub1", Job(1, "run 1s"));
+    world.AddScheduler({.name = "zg-a-n0", .zone = "zg-a"});
+    world.AddScheduler({.name = "zg-a-n1", .zone = "zg-a"});
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] { return !world.RunningOn("sub1/0").empty(); }, seconds(10)));
+    world.RunFor(minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Starts(world));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  void StoppingSchedulerHandsOver() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(2));
+    CPPUNIT_ASSERT(Settles(world, 2));
+    const std::string first = OwnerOf(world, "zg-a/r0");
+    world.StopScheduler(first);
+    // Faster than the suspicion of a dead owner.
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          const std::string owner = OwnerOf(world, "zg-a/r0");
+          return world.scheduler(first) == nullptr && !owner.empty() &&
+                 owner != first && world.scheduler(owner)->serving_cells() == 1;
+        },
+        seconds(5)));
+    world.RunFor(minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Starts(world));
+    AssertNoViolation(world);
+  }
+
+  void DeadWorkerIsReplaced() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(2));
+    world.Submit("sub1", Job(2, "run 20s"));
+    CPPUNIT_ASSERT(Settles(world, 4));
+    world.KillWorker(world.RunningOn("sub1/0").front());
+    CPPUNIT_ASSERT(
+        world.RunUntil([&] { return world.Running() == 4; }, minutes(1)));
+    world.RunFor(minutes(1));
+    CPPUNIT_ASSERT(StageOf(world, "sub1/0") == TaskStage::kFinished);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  // The old owner is cut from the log and from all workers but one; the new
+  // owner reaches all but that one.
+  void ZombieOwnerKeepsTheWorkerItReaches() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(6));
+    CPPUNIT_ASSERT(Settles(world, 6));
+    const std::string zombie = OwnerOf(world, "zg-a/r0");
+    const std::string kept = world.RunningOn("watcher/0").front();
+    world.CutLog(zombie, true);
+    for (const std::string& worker : world.worker_names()) {
+      if (worker != kept) world.CutWorker(zombie, worker, true);
+    }
+    for (const std::string& other : world.scheduler_names()) {
+      if (other != zombie) world.CutWorker(other, kept, true);
+    }
+    world.RunFor(minutes(5));
+    CPPUNIT_ASSERT(OwnerOf(world, "zg-a/r0") != zombie);
+    CPPUNIT_ASSERT(Runs(world, "watcher/0"));
+    AssertNoViolation(world);
+    // A worker that both know dies: neither may start its tasks elsewhere but
+    // the zombie, which can't know about the new owner.
+    world.KillWorker(OtherThan(world, kept));
+    world.RunFor(minutes(5));
+    AssertNoViolation(world);
+    for (const std::string& other : world.scheduler_names()) {
+      world.CutWorker(other, kept, false);
+    }
+    CPPUNIT_ASSERT(
+        world.RunUntil([&] { return world.Running() == 6; }, seconds(30)));
+    world.CutLog(zombie, false);
+    world.RunFor(minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  void LapsedLeaseMovesTheTaskOnce() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(1));
+    CPPUNIT_ASSERT(Settles(world, 1));
+    const std::string first = world.RunningOn("watcher/0").front();
+    world.PauseWorker(first, minutes(3));
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          const std::vector<std::string> now = world.RunningOn("watcher/0");
+          return now.size() == 1 && now.front() != first;
+        },
+        minutes(2)));
+    world.RunFor(minutes(3));
+    CPPUNIT_ASSERT(Runs(world, "watcher/0"));
+    AssertNoViolation(world);
+  }
+
+  void RestartsDuringLogOutage() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(2));
+    CPPUNIT_ASSERT(Settles(world, 2));
+    world.SetLogOutage(true);
+    world.RunFor(seconds(20));
+    world.KillWorker(world.RunningOn("watcher/0").front());
+    CPPUNIT_ASSERT(
+        world.RunUntil([&] { return world.Running() == 2; }, seconds(30)));
+    world.RunFor(minutes(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.Running());
+    world.SetLogOutage(false);
+    world.RunFor(minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  void LostAnswersNeverOvercommit() {
+    FakeWorld world({.seed = 7});
+    AddZone(world, "zg-a", 2, 1, 2);
+    world.SetLostAnswers(0.2);
+    world.SetLateCommands(0.02);
+    world.SetLostAppendAnswers(0.2);
+    world.Submit("sub1", Job(40, "run 7s"));
+    world.SetConfig(Watchers(4));
+    for (int i = 0; i < 10; ++i) {
+      world.RunFor(seconds(20));
+      world.KillScheduler(OwnerOf(world, "zg-a/r0"));
+      world.AddScheduler(
+          {.name = "zg-a-n" + std::to_string(i), .zone = "zg-a"});
+    }
+    world.SetLostAnswers(0);
+    world.SetLateCommands(0);
+    CPPUNIT_ASSERT(
+        world.RunUntil([&] { return world.Running() == 4; }, minutes(5)));
+    AssertNoViolation(world);
+  }
+
+  // The start's answer is lost, the attempt runs, ends and is recorded; the
+  // first start arrives after all that.
+  void LateStartDoesNothing() {
+    FakeWorld world({.seed = 3});
+    AddZone(world, "zg-a", 1, 1, 2);
+    world.SetLateCommands(0.5);
+    world.Submit("sub1", Job(6, "run 2s"));
+    world.RunFor(minutes(3));
+    world.SetLateCommands(0);
+    world.RunFor(minutes(3));
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = BatchTaskId("sub1", i);
+      CPPUNIT_ASSERT(StageOf(world, id) == TaskStage::kFinished);
+      CPPUNIT_ASSERT_EQUAL(1, world.Completed(id));
+    }
+    AssertNoViolation(world);
+  }
+
+  void LeavingWorkerIsEmptiedByCheckpoint() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.SetConfig(Watchers(1));
+    world.Submit("sub1", Job(1, "run 60s"));
+    CPPUNIT_ASSERT(Settles(world, 2));
+    world.RunFor(seconds(30));
+    const std::string leaving = world.RunningOn("sub1/0").front();
+    world.SetLeaving(leaving);
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          const std::vector<std::string> now = world.RunningOn("sub1/0");
+          return now.size() == 1 && now.front() != leaving;
+        },
+        seconds(10)));
+    // It resumes where it was: 60 s of work end soon after 60 s, not 90 s.
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] { return StageOf(world, "sub1/0") == TaskStage::kFinished; },
+        seconds(35)));
+    CPPUNIT_ASSERT_EQUAL(1, world.Completed("sub1/0"));
+    AssertNoViolation(world);
+  }
+
+  void CancelledStaysCancelled() {
+    // Around the moment of the start, in steps of 50 ms.
+    for (int step = 0; step < 40; ++step) {
+      FakeWorld world({});
+      AddZone(world, "zg-a");
+      world.RunFor(seconds(10));
+      world.Submit("sub1", Job(3, "run 30s"));
+      world.RunFor(std::chrono::milliseconds(50) * step);
+      world.Cancel("sub1");
+      world.RunFor(seconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Running());
+      const std::uint64_t starts = Starts(world);
+      world.RunFor(minutes(1));
+      CPPUNIT_ASSERT_EQUAL(starts, Starts(world));
+      CPPUNIT_ASSERT(StageOf(world, "sub1/2") == TaskStage::kCancelled);
+    }
+  }
+
+  void SurvivesRetention() {
+    FakeWorld world({});
+    world.AddWorker({.name = "w0",
+                     .zone = "zg-a",
+                     .rack = "r0",
+                     .pool = "pool",
+                     .capacity = Need(8, 32)});
+    world.AddScheduler(
+        {.name = "s0", .zone = "zg-a", .snapshot_every = seconds(30)});
+    world.SetConfig(Watchers(2));
+    world.Submit("sub1", Job(12, "run 100s"));
+    world.RunFor(minutes(2));
+    world.KillScheduler("s0");
+    world.ExpireLog(40);
+    world.AddScheduler({.name = "s1", .zone = "zg-a"});
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] { return StageOf(world, "sub1/11") == TaskStage::kFinished; },
+        minutes(10)));
+    world.RunFor(minutes(5));
+    for (int i = 0; i < 12; ++i) {
+      CPPUNIT_ASSERT_EQUAL(1, world.Completed(BatchTaskId("sub1", i)));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.Running());
+    AssertNoViolation(world);
+  }
+
+  void FailingTaskIsHeld() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    world.Submit("sub1", Job(1, "fail"));
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] { return StageOf(world, "sub1/0") == TaskStage::kHeld; },
+        minutes(2)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Starts(world));
+  }
+
+ private:
+  static bool Settles(FakeWorld& world, std::size_t running) {
+    return world.RunUntil([&] { return world.Running() == running; },
+                          minutes(1));
+  }
+
+  static std::uint64_t Starts(FakeWorld& world) {
+    std::uint64_t starts = 0;
+    for (const std::string& name : world.worker_names()) {
+      starts += world.worker(name).starts();
+    }
+    return starts;
+  }
+
+  static std::string OtherThan(FakeWorld& world, const std::string& kept) {
+    for (const std::string& name : world.worker_names()) {
+      if (name != kept && world.alive(name)) return name;
+    }
+    return "";
+  }
+};
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RecoveryTest, "recovery_test");
+
+}  // namespace carobmast::work
--- /dev/null
+++ b/src/work/tests/work_fold_test.cc
@@ -0,0 +1,214 @@
+// The fold of the work stream: duplicates, races, snapshots.
+#include "work/work_fold.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "work/work_record.h"
+
+namespace carobmast::work {
+namespace {
+
+// A log that the test writes record by record.
+class TestLog {
+ public:
+  platform::Offset Add(const WorkRecord& record) {
+    return AddText(EncodeRecord(record));
+  }
+  platform::Offset AddText(const std::string& text) {
+    const platform::Offset offset = records_.size() + 1;
+    records_.push_back(
+        {.offset = offset,
+         .appended_at = WallTime(std::chrono::milliseconds(offset)),
+         .id = std::to_string(offset),
+         .data = text});
+    return offset;
+  }
+  platform::ReadAnswer Read(platform::Offset first_kept = 1) const {
+    platform::ReadAnswer answer{.first_kept = first_kept,
+                                .next = records_.size() + 1};
+    for (const platform::LogRecord& record : records_) {
+      if (record.offset >= first_kept) answer.records.push_back(record);
+    }
+    return answer;
+  }
+
+ private:
+  std::vector<platform::LogRecord> records_;
+};
+
+ClaimRecord Claim(const std::string& scheduler,
+                  platform::FencingToken previous) {
+  return {.cell = "zg-a/r0",
+          .zone = "zg-a",
+          .scheduler = scheduler,
+          .previous = previous};
+}
+
+// Everything that a snapshot holds, as text.
+std::string Text(const WorkFold& fold) {
+  std::string text;
+  for (const SnapshotRecord& part : fold.MakeSnapshot("x")) {
+    text += EncodeRecord(part);
+  }
+  return text;
+}
+
+}  // namespace
+
+class WorkFoldTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkFoldTest);
+  CPPUNIT_TEST(OneClaimWins);
+  CPPUNIT_TEST(FirstTakeWins);
+  CPPUNIT_TEST(RepeatedRecordsChangeNothing);
+  CPPUNIT_TEST(OldOwnerIsRefused);
+  CPPUNIT_TEST(SnapshotGivesTheSameState);
+  CPPUNIT_TEST(WaitsForSnapshotBehindRetention);
+  CPPUNIT_TEST(UnreadableRecordsAreCounted);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneClaimWins() {
+    TestLog log;
+    const platform::Offset first = log.Add(Claim("s0/1", 0));
+    log.Add(Claim("s1/2", 0));
+    WorkFold fold;
+    fold.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(std::string("s0/1"), fold.FindCell("zg-a/r0")->owner);
+    CPPUNIT_ASSERT_EQUAL(first, fold.FindCell("zg-a/r0")->token);
+  }
+
+  void FirstTakeWins() {
+    TestLog log;
+    const platform::Offset a = log.Add(Claim("s0/1", 0));
+    ClaimRecord other = Claim("s1/2", 0);
+    other.cell = "zg-b/r0";
+    const platform::Offset b = log.Add(other);
+    log.Add(TakeRecord{.cell = "zg-b/r0", .token = b, .tasks = {"watch/0"}});
+    log.Add(TakeRecord{.cell = "zg-a/r0", .token = a, .tasks = {"watch/0"}});
+    WorkFold fold;
+    fold.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(std::string("zg-b/r0"),
+                         fold.FindTask("watch/0")->cell);
+  }
+
+  void RepeatedRecordsChangeNothing() {
+    TestLog log;
+    log.AddText(MakeSubmit("sub1", {.name = "job", .tasks = 2}).data);
+    const platform::Offset token = log.Add(Claim("s0/1", 0));
+    const MembersRecord add{
+        .cell = "zg-a/r0", .token = token, .add = {{.worker = "w0"}}};
+    const platform::Offset added = log.Add(add);
+    const TakeRecord take{
+        .cell = "zg-a/r0", .token = token, .tasks = {"sub1/0", "sub1/1"}};
+    log.Add(take);
+    const ResultsRecord results{
+        .cell = "zg-a/r0",
+        .token = token,
+        .results = {{.id = {.task = "sub1/0", .attempt = 1},
+                     .result = TaskResult::kFinished},
+                    {.id = {.task = "sub1/1", .attempt = 1},
+                     .result = TaskResult::kReleased,
+                     .checkpoint = "half"}}};
+    log.Add(results);
+    WorkFold fold;
+    fold.Apply(log.Read());
+    // Taken again, then the old result comes once more.
+    log.Add(TakeRecord{.cell = "zg-a/r0", .token = token, .tasks = {"sub1/1"}});
+    log.Add(results);
+    log.Add(add);
+    log.AddText(MakeSubmit("sub1", {.name = "job", .tasks = 2}).data);
+    fold.Apply(log.Read());
+    CPPUNIT_ASSERT(fold.FindTask("sub1/1")->stage == TaskStage::kAssigned);
+    CPPUNIT_ASSERT_EQUAL(std::string("half"),
+                         fold.FindTask("sub1/1")->checkpoint);
+    CPPUNIT_ASSERT_EQUAL(1U, fold.jobs().at("sub1").finished);
+    CPPUNIT_ASSERT_EQUAL(added,
+                         fold.FindCell("zg-a/r0")->members.at("w0").added_at);
+  }
+
+  void OldOwnerIsRefused() {
+    TestLog log;
+    const platform::Offset old = log.Add(Claim("s0/1", 0));
+    log.Add(Claim("s1/2", old));
+    log.Add(TakeRecord{.cell = "zg-a/r0", .token = old, .tasks = {"watch/0"}});
+    log.Add(RelinquishRecord{.cell = "zg-a/r0", .token = old});
+    log.Add(MembersRecord{
+        .cell = "zg-a/r0", .token = old, .add = {{.worker = "w0"}}});
+    WorkFold fold;
+    fold.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(std::string("s1/2"), fold.FindCell("zg-a/r0")->owner);
+    CPPUNIT_ASSERT(fold.FindCell("zg-a/r0")->members.empty());
+    CPPUNIT_ASSERT(fold.FindTask("watch/0") == nullptr);
+  }
+
+  void SnapshotGivesTheSameState() {
+    TestLog log;
+    WorkFold whole;
+    const platform::Offset snapshot = Fill(log, whole);
+    WorkFold late;
+    late.Apply(log.Read(snapshot));
+    CPPUNIT_ASSERT(late.ready());
+    whole.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(Text(whole), Text(late));
+    log.Add(HeartbeatRecord{.scheduler = "s2/3", .zone = "zg-a"});
+    whole.Apply(log.Read());
+    late.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(Text(whole), Text(late));
+  }
+
+  void WaitsForSnapshotBehindRetention() {
+    TestLog log;
+    WorkFold whole;
+    Fill(log, whole);
+    const platform::Offset after = log.Read().next;
+    log.Add(HeartbeatRecord{.scheduler = "s2/3", .zone = "zg-a"});
+    WorkFold late;
+    late.Apply(log.Read(after));
+    CPPUNIT_ASSERT(!late.ready());
+    whole.Apply(log.Read());
+    for (const SnapshotRecord& part : whole.MakeSnapshot("later")) {
+      log.Add(part);
+    }
+    late.Apply(log.Read(after));
+    CPPUNIT_ASSERT(late.ready());
+    whole.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(Text(whole), Text(late));
+  }
+
+  void UnreadableRecordsAreCounted() {
+    TestLog log;
+    log.AddText("{");
+    log.AddText(R"({"format":99,"kind":"claim"})");
+    log.AddText(R"({"format":1,"kind":"of a later version"})");
+    log.Add(SubmitRecord{.submission = "sub1",
+                         .spec = {.tasks = kMaxTasksPerJob + 1}});
+    WorkFold fold;
+    fold.Apply(log.Read());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fold.malformed());
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{5}, fold.next());
+  }
+
+ private:
+  // Returns the offset of the first part of a snapshot.
+  static platform::Offset Fill(TestLog& log, WorkFold& fold) {
+    log.AddText(MakeSubmit("sub1", {.name = "job", .tasks = 1500}).data);
+    const platform::Offset token = log.Add(Claim("s0/1", 0));
+    log.Add(MembersRecord{
+        .cell = "zg-a/r0", .token = token, .add = {{.worker = "w0"}}});
+    log.Add(TakeRecord{
+        .cell = "zg-a/r0", .token = token, .tasks = {"sub1/0", "watch/0"}});
+    log.Add(ResultsRecord{.cell = "zg-a/r0",
+                          .token = token,
+                          .results = {{.id = {.task = "sub1/0", .attempt = 1},
+                                       .result = TaskResult::kFinished}}});
+    fold.Apply(log.Read());
+    const platform::Offset snapshot = fold.next();
+    for (const SnapshotRecord& part : fold.MakeSnapshot("first")) {
+      log.Add(part);
+    }
+    return snapshot;
+  }
+};
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(WorkFoldTest, "work_fold_test");
+
+}  // namespace carobmast::work
