--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,14 +4,12 @@
 #define CAROBMAST_GATEWAY_GATEWAY_H_
 
 #include <map>
-#include <optional>
 #include <string>
 
 #include "config/types/objects.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
 #include "gateway/http_front.h"
-#include "gateway/request_spans.h"
 #include "requests/endpoint_table.h"
 
 namespace carobmast::gateway {
@@ -36,7 +34,8 @@
  public:
   // Adds its calls, readiness tests and stop to the daemon. Throws Error when
   // the callers' address is taken.
-  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings);
+  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
+          const TraceHooks& trace);
 
   // The configuration in force.
   void SetObjects(const config::Objects& objects);
@@ -57,8 +56,8 @@
     bool reachable = false;
   };
 
-  HttpFrontOptions MakeFront(const GatewaySettings& settings);
-  boost::asio::awaitable<void> FlushSpans();
+  HttpFrontOptions MakeFront(const GatewaySettings& settings,
+                             const TraceHooks& trace);
   boost::asio::awaitable<void> Watch(Peer& peer);
   boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
   boost::asio::awaitable<bool> AskHello(Peer& peer);
@@ -69,8 +68,6 @@
   std::string AnswerSlots(const std::string& request);
 
   daemon::Daemon& daemon_;
-  // Empty when the settings name no file for traces.
-  std::optional<RequestSpans> spans_;
   HttpFront front_;
   requests::EndpointTable endpoints_;
   // By name.
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -23,7 +23,6 @@
 constexpr char kSlotsCall[] = "gateway.slots";
 // Between two questions to one peer.
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
-constexpr Duration kFlushInterval = std::chrono::milliseconds(500);
 constexpr Duration kAskTimeout = std::chrono::seconds(1);
 constexpr Duration kSlotsTimeout = std::chrono::milliseconds(50);
 // Calls in a row that fail before a gateway counts as unreachable.
@@ -119,8 +118,9 @@
   return settings;
 }
 
-Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings)
-    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings)) {
+Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
+                 const TraceHooks& trace)
+    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings, trace)) {
   for (const daemon::PeerSettings& peer : daemon.settings().peers) {
     peers_[peer.name] = {.settings = peer};
   }
@@ -141,11 +141,11 @@
   daemon.AddStop([this](Duration grace) -> asio::awaitable<void> {
     co_await front_.Stop(grace);
     running_ = false;
-    if (spans_.has_value()) spans_->Flush();
   });
 }
 
-HttpFrontOptions Gateway::MakeFront(const GatewaySettings& settings) {
+HttpFrontOptions Gateway::MakeFront(const GatewaySettings& settings,
+                                    const TraceHooks& trace) {
   HttpFrontOptions options;
   options.callers.listen = settings.callers_address;
   options.callers.max_connections = settings.max_connections;
@@ -159,12 +159,7 @@
   options.core.zone = daemon_.settings().zone;
   options.core.policy = settings.policy;
   options.core.seed = std::random_device()();
-  if (!daemon_.settings().trace_file.empty()) {
-    spans_.emplace(RequestSpansOptions{.file = daemon_.settings().trace_file,
-                                       .gateway = daemon_.settings().name,
-                                       .zone = daemon_.settings().zone});
-    options.trace = spans_->Hooks();
-  }
+  options.trace = trace;
   options.hooks.tell = [this](const std::string& peer,
                               const requests::PeerMessage& message) {
     Tell(peer, message);
@@ -180,24 +175,11 @@
 void Gateway::Start() {
   running_ = true;
   front_.Start();
-  if (spans_.has_value()) {
-    asio::co_spawn(daemon_.executor(), FlushSpans(), asio::detached);
-  }
   for (auto& [name, peer] : peers_) {
     asio::co_spawn(daemon_.executor(), Watch(peer), asio::detached);
   }
 }
 
-asio::awaitable<void> Gateway::FlushSpans() {
-  asio::steady_timer timer(daemon_.executor());
-  while (running_) {
-    timer.expires_after(kFlushInterval);
-    boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    spans_->Flush();
-  }
-}
-
 // Finds out what a peer is, and then asks it for what it knows. What it said
 // last is kept while it can't be reached.
 asio::awaitable<void> Gateway::Watch(Peer& peer) {
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -27,7 +27,7 @@
       : daemon_(std::move(settings)),
         client_(MakeRef<net::HttpClient>(daemon_.executor(),
                                          net::HttpClientOptions{})),
-        gateway_(daemon_, own),
+        gateway_(daemon_, own, TraceHooks{}),
         follower_(MakeFollower()) {
     daemon_.AddCall(config::kHeadCall, [this](std::string request) {
       return follower_->AnswerHead(std::move(request));
