--- a/src/requests/fakes/fake_cluster.cc
+++ b/src/requests/fakes/fake_cluster.cc
@@ -83,6 +83,8 @@
   started.callers.clear();
   started.backlog.clear();
   started.paused = false;
+  started.core_wake = MonotonicTime::max();
+  started.claims_wake = MonotonicTime::max();
   CoreOptions core{
       .gateway = GatewayName(gateway),
       .zone = ZoneOfGateway(gateway),
@@ -90,6 +92,11 @@
       .seed = options_.seed * 1000 + gateway * 100 + started.incarnation};
   if (options_.adjust) options_.adjust(core);
   started.core = std::make_unique<RequestCore>(core, MakeHooks(gateway));
+  started.claims = std::make_unique<KeyClaims>(
+      KeyClaimsOptions{.incarnation = GatewayName(gateway) + "-" +
+                                      std::to_string(started.incarnation)},
+      MakeClaimHooks(gateway));
+  if (options_.keys) started.claims->Start(time_.now());
   std::vector<GatewayPeer> peers;
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
     if (i == gateway) continue;
@@ -151,23 +158,91 @@
       });
     });
   };
-  hooks.wake = [this, gateway](MonotonicTime at) { WakeAt(gateway, at); };
+  hooks.claim = [this, gateway](RequestId id, const std::string& key) {
+    gateways_[gateway].claims->Claim(id, key, time_.now());
+    RunClaims(gateway);
+  };
+  hooks.key_ended = [this, gateway](const std::string& key, Ran ran) {
+    gateways_[gateway].claims->OnKeyEnded(key, ran, time_.now());
+    RunClaims(gateway);
+  };
+  hooks.wake = [this, gateway](MonotonicTime at) { RunCore(gateway, at); };
   return hooks;
 }
 
-void FakeCluster::WakeAt(std::size_t gateway, MonotonicTime at) {
-  if (at == MonotonicTime::max()) return;
-  const Duration delay = std::max(Duration::zero(), Duration(at - time_.now()));
-  Deliver(gateway, delay, [this, gateway] {
-    RequestCore& core = *gateways_[gateway].core;
-    const std::optional<MonotonicTime> due = core.NextWake();
-    if (!due.has_value() || *due > time_.now()) return;
-    core.Tick(time_.now());
-    const std::optional<MonotonicTime> next = core.NextWake();
-    if (next.has_value()) WakeAt(gateway, *next);
+KeyClaimsHooks FakeCluster::MakeClaimHooks(std::size_t gateway) {
+  KeyClaimsHooks hooks;
+  hooks.append = [this, gateway](const platform::AppendRequest& request) {
+    if (cut_zones_.contains(ZoneOfGateway(gateway))) {
+      return Deliver(gateway, request.timeout, [this, gateway] {
+        gateways_[gateway].claims->OnAppend(
+            {.outcome = platform::AppendOutcome::kNotSent}, time_.now());
+        RunClaims(gateway);
+      });
+    }
+    const std::uint64_t incarnation = gateways_[gateway].incarnation;
+    log_.Append(request, [=, this](const platform::AppendAnswer& answer) {
+      if (gateways_[gateway].incarnation != incarnation) return;
+      Deliver(gateway, Duration::zero(), [this, gateway, answer] {
+        gateways_[gateway].claims->OnAppend(answer, time_.now());
+        RunClaims(gateway);
+      });
+    });
+  };
+  hooks.read = [this, gateway](const platform::ReadRequest& request) {
+    const std::uint64_t incarnation = gateways_[gateway].incarnation;
+    log_.Read(request, [=, this](const platform::ReadAnswer* answer) {
+      if (gateways_[gateway].incarnation != incarnation) return;
+      const bool cut = cut_zones_.contains(ZoneOfGateway(gateway));
+      const std::optional<platform::ReadAnswer> read =
+          answer == nullptr || cut ? std::nullopt : std::optional(*answer);
+      Deliver(gateway, Duration::zero(), [this, gateway, read] {
+        KeyClaims& claims = *gateways_[gateway].claims;
+        if (read.has_value()) {
+          claims.OnRead(*read, time_.now());
+        } else {
+          claims.OnReadFailed(time_.now());
+        }
+        RunClaims(gateway);
+      });
+    });
+  };
+  hooks.decided = [this, gateway](RequestId id, ClaimOutcome outcome) {
+    return gateways_[gateway].core->OnClaim(id, outcome, time_.now());
+  };
+  return hooks;
+}
+
+void FakeCluster::RunClaims(std::size_t gateway) {
+  Gateway& running = gateways_[gateway];
+  const std::optional<MonotonicTime> next = running.claims->NextWake();
+  if (!next.has_value() || running.claims_wake <= *next) return;
+  running.claims_wake = *next;
+  WakeAt(gateway, *next, [this, gateway] {
+    gateways_[gateway].claims_wake = MonotonicTime::max();
+    gateways_[gateway].claims->Tick(time_.now());
+    RunClaims(gateway);
+  });
+}
+
+void FakeCluster::RunCore(std::size_t gateway, MonotonicTime at) {
+  Gateway& running = gateways_[gateway];
+  if (running.core_wake <= at) return;
+  running.core_wake = at;
+  WakeAt(gateway, at, [this, gateway] {
+    Gateway& woken = gateways_[gateway];
+    woken.core_wake = MonotonicTime::max();
+    woken.core->Tick(time_.now());
+    RunCore(gateway, woken.core->NextWake().value_or(MonotonicTime::max()));
   });
 }
 
+void FakeCluster::WakeAt(std::size_t gateway, MonotonicTime at,
+                         std::function<void()> run) {
+  Deliver(gateway, std::max(Duration::zero(), Duration(at - time_.now())),
+          std::move(run));
+}
+
 Duration FakeCluster::Distance(const std::string& from,
                                const std::string& to) const {
   return from == to ? options_.within_zone : options_.between_zones;
@@ -195,9 +270,11 @@
   const std::uint64_t caller = next_caller_++;
   callers_[caller].outcome = {.work = work, .sent_at = time_.now()};
   ++callers_waiting_;
+  gateways_[gateway].on_the_way.insert(caller);
   Deliver(gateway, options_.to_caller, [this, gateway, caller, work] {
     Gateway& to = gateways_[gateway];
     const RequestId id = to.next_request++;
+    to.on_the_way.erase(caller);
     to.callers[id] = caller;
     to.core->OnRequest({.id = id,
                         .service = kService,
@@ -242,7 +319,7 @@
 
 void FakeCluster::Write(std::size_t gateway, const SendOrder& order) {
   Gateway& from = gateways_[gateway];
-  if (!from.core->OnSent(order.attempt)) return;
+  if (!from.core->OnSent(order.attempt, time_.now())) return;
   const std::size_t instance = InstanceIndex(order.instance);
   const std::string& here = ZoneOfGateway(gateway);
   const std::string& there = ZoneOfInstance(instance);
@@ -451,6 +528,10 @@
   for (const auto& [id, caller] : old.callers) {
     EndCaller(caller, [](Outcome&) {});
   }
+  for (const std::uint64_t caller : old.on_the_way) {
+    EndCaller(caller, [](Outcome&) {});
+  }
+  old.on_the_way.clear();
   StartCore(gateway);
 }
 
--- a/src/requests/fakes/fake_cluster.h
+++ b/src/requests/fakes/fake_cluster.h
@@ -13,7 +13,9 @@
 #include <string>
 #include <vector>
 
+#include "requests/fakes/fake_log.h"
 #include "requests/fakes/virtual_time.h"
+#include "requests/key_claims.h"
 #include "requests/request_core.h"
 
 namespace carobmast::requests::fakes {
@@ -65,6 +67,8 @@
   Duration to_caller = std::chrono::milliseconds(1);
   Duration within_zone = std::chrono::microseconds(50);
   Duration between_zones = std::chrono::microseconds(500);
+  // Whether requests with keys can be claimed, through a log.
+  bool keys = false;
   // Lets a test change the options of each core.
   std::function<void(CoreOptions&)> adjust;
   // Called with each request's outcome, when its caller knows it.
@@ -76,6 +80,7 @@
   explicit FakeCluster(FakeClusterOptions options);
 
   VirtualTime& time() { return time_; }
+  FakeLog& log() { return log_; }
   const FakeClusterOptions& options() const { return options_; }
 
   // A caller sends `work` now, to that gateway.
@@ -134,8 +139,12 @@
   };
   struct Gateway {
     std::unique_ptr<RequestCore> core;
+    std::unique_ptr<KeyClaims> claims;
     std::uint64_t incarnation = 0;
     bool paused = false;
+    // When the core and the claims are run next.
+    MonotonicTime core_wake = MonotonicTime::max();
+    MonotonicTime claims_wake = MonotonicTime::max();
     std::vector<std::function<void()>> backlog;
     // The attempt that uses a connection, with its caller.
     struct Use {
@@ -145,6 +154,8 @@
     std::map<ConnectionId, Use> uses;
     // By RequestId: the caller.
     std::map<RequestId, std::uint64_t> callers;
+    // Callers whose requests have not arrived yet.
+    std::set<std::uint64_t> on_the_way;
     RequestId next_request = 1;
     CoreCounters past;
   };
@@ -157,13 +168,18 @@
 
   void StartCore(std::size_t gateway);
   CoreHooks MakeHooks(std::size_t gateway);
+  KeyClaimsHooks MakeClaimHooks(std::size_t gateway);
+  // Lets the claims do what is due, and again when more is.
+  void RunClaims(std::size_t gateway);
   std::vector<requests::Instance> List() const;
   Duration Distance(const std::string& from, const std::string& to) const;
   bool IsCut(const std::string& a, const std::string& b) const;
   // Runs `handle` at the gateway after `delay`, unless it was replaced.
   void Deliver(std::size_t gateway, Duration delay,
                std::function<void()> handle);
-  void WakeAt(std::size_t gateway, MonotonicTime at);
+  // Lets the core do what is due at that time, and again when more is.
+  void RunCore(std::size_t gateway, MonotonicTime at);
+  void WakeAt(std::size_t gateway, MonotonicTime at, std::function<void()> run);
 
   std::uint64_t TakeCaller(std::size_t gateway, RequestId id);
   void Transmit(std::size_t gateway, const SendOrder& order);
@@ -183,6 +199,7 @@
 
   FakeClusterOptions options_;
   VirtualTime time_;
+  FakeLog log_{time_};
   std::vector<Instance> instances_;
   std::vector<Gateway> gateways_;
   std::set<std::string> cut_zones_;
--- a/src/requests/internal/request_core.cc
+++ b/src/requests/internal/request_core.cc
@@ -20,6 +20,15 @@
   return status >= kBadGateway && status <= kGatewayTimeout;
 }
 
+bool NeedsClaim(const CallerRequest& caller) {
+  return !caller.key.empty() && !caller.idempotent;
+}
+
+// Keys of different services are different keys.
+std::string ScopedKey(const CallerRequest& caller) {
+  return caller.service + '\n' + caller.key;
+}
+
 }  // namespace
 
 struct RequestCore::Service : RefCounted<RequestCore::Service> {
@@ -131,19 +140,21 @@
   now_ = now;
   ++counters_.requests;
   const auto found = services_.find(caller.service);
+  // Another request under the same key may have run.
+  const Ran ran = NeedsClaim(caller) ? Ran::kUnknown : Ran::kNo;
   const Reason missing =
       stopping_ ? Reason::kStopping : Reason::kUnknownService;
   if (stopping_ || found == services_.end()) {
     ++counters_.refused[static_cast<std::size_t>(missing)];
-    return hooks_.refuse(caller.id, {.reason = missing});
+    return hooks_.refuse(caller.id, {.reason = missing, .ran = ran});
   }
   Service& service = *found->second;
   const Duration time = std::min(
       service.rules.deadline, caller.timeout.value_or(service.rules.deadline));
-  const std::optional<Refusal> refusal = Admit(caller, service, time, now);
+  const std::optional<Reason> refusal = Admit(caller, service, time, now);
   if (refusal.has_value()) {
-    ++counters_.refused[static_cast<std::size_t>(refusal->reason)];
-    return hooks_.refuse(caller.id, *refusal);
+    ++counters_.refused[static_cast<std::size_t>(*refusal)];
+    return hooks_.refuse(caller.id, {.reason = *refusal, .ran = ran});
   }
   service.budget.OnRequest();
   ++team_requests_[service.rules.team];
@@ -158,31 +169,31 @@
   request->deadline_timer = AddTimer(
       request->deadline, {.kind = TimerKind::kDeadline, .request = caller.id});
   requests_[caller.id] = request;
-  if (!caller.key.empty() && !caller.idempotent) {
+  if (NeedsClaim(caller)) {
     request->state = RequestState::kClaiming;
-    return hooks_.claim(caller.id, caller.key);
+    return hooks_.claim(caller.id, ScopedKey(caller));
   }
   Enqueue(*request, now);
   Dispatch(service, now);
 }
 
-std::optional<Refusal> RequestCore::Admit(const CallerRequest& caller,
-                                          Service& service, Duration time,
-                                          MonotonicTime now) {
-  if (!service.pool.IsServed()) return Refusal{.reason = Reason::kNoInstance};
+std::optional<Reason> RequestCore::Admit(const CallerRequest& caller,
+                                         Service& service, Duration time,
+                                         MonotonicTime now) {
+  if (!service.pool.IsServed()) return Reason::kNoInstance;
   const std::uint32_t team_limit = service.rules.team_max_requests;
   if (team_limit > 0 && team_requests_[service.rules.team] >= team_limit) {
-    return Refusal{.reason = Reason::kTeamLimit};
+    return Reason::kTeamLimit;
   }
   if (service.queue.size() >= options_.max_waiting) {
-    return Refusal{.reason = Reason::kQueueFull};
+    return Reason::kQueueFull;
   }
   const Duration wait = ExpectedWait(service, now);
   const Duration longest(static_cast<Duration::rep>(
       static_cast<double>(time.count()) * options_.max_wait_share));
   const Duration length = service.sizes.Expected(caller.operation);
   if (wait > longest || (wait > Duration::zero() && wait + length > time)) {
-    return Refusal{.reason = Reason::kDeadlineTooNear};
+    return Reason::kDeadlineTooNear;
   }
   return std::nullopt;
 }
@@ -292,25 +303,32 @@
   }
 }
 
-void RequestCore::OnClaim(RequestId id, ClaimOutcome outcome,
+bool RequestCore::OnClaim(RequestId id, ClaimOutcome outcome,
                           MonotonicTime now) {
   now_ = now;
   Request* request = FindRequest(id);
-  if (request == nullptr || request->state != RequestState::kClaiming) return;
+  if (request == nullptr || request->state != RequestState::kClaiming) {
+    return false;
+  }
   switch (outcome) {
     case ClaimOutcome::kTaken: {
       request->key_claimed = true;
       const Ref<Service> service = request->service;
       Enqueue(*request, now);
-      return Dispatch(*service, now);
+      Dispatch(*service, now);
+      break;
     }
     case ClaimOutcome::kTakenBefore:
-      return Refuse(*request, Reason::kKeyClaimed, Ran::kUnknown);
+      Refuse(*request, Reason::kKeyClaimed, Ran::kUnknown);
+      break;
     case ClaimOutcome::kRanBefore:
-      return Refuse(*request, Reason::kKeyClaimed, Ran::kYes);
+      Refuse(*request, Reason::kKeyClaimed, Ran::kYes);
+      break;
     case ClaimOutcome::kUnavailable:
-      return Refuse(*request, Reason::kKeyUnavailable, Ran::kUnknown);
+      Refuse(*request, Reason::kKeyUnavailable, Ran::kUnknown);
+      break;
   }
+  return true;
 }
 
 void RequestCore::OnCallerGone(RequestId id, MonotonicTime now) {
@@ -338,10 +356,17 @@
   if (attempt != nullptr) connections_.OnOpened(attempt->connection);
 }
 
-bool RequestCore::OnSent(AttemptId id) {
+bool RequestCore::OnSent(AttemptId id, MonotonicTime now) {
+  now_ = now;
   const Ref<Attempt> attempt = FindAttempt(id);
   if (attempt == nullptr) return false;
-  FireAttempt(*attempt, AttemptEvent::kFirstByteSent, now_);
+  // After a pause of the process the timer may still be behind.
+  Request& request = *FindRequest(attempt->request);
+  if (now >= request.deadline) {
+    OnDeadline(request, now);
+    return false;
+  }
+  FireAttempt(*attempt, AttemptEvent::kFirstByteSent, now);
   return true;
 }
 
@@ -488,7 +513,7 @@
   --team_requests_[request.service->rules.team];
   requests_.erase(request.caller.id);
   if (request.key_claimed && hooks_.key_ended) {
-    hooks_.key_ended(request.caller.key, ran);
+    hooks_.key_ended(ScopedKey(request.caller), ran);
   }
 }
 
--- a/src/requests/request_core.h
+++ b/src/requests/request_core.h
@@ -39,7 +39,8 @@
   // The answer that is being passed to the caller ended early: close the
   // caller's connection so that it can't take the answer for whole.
   std::function<void(RequestId)> cut;
-  // Claim the key of a request that may run only once; report OnClaim.
+  // Claim the key of a request that may run only once; report OnClaim, at once
+  // or later.
   std::function<void(RequestId, const std::string& key)> claim;
   // A request with a claimed key ended with this knowledge.
   std::function<void(const std::string& key, Ran ran)> key_ended;
@@ -119,12 +120,14 @@
 
   void OnRequest(const CallerRequest& request, MonotonicTime now);
   void OnCallerGone(RequestId id, MonotonicTime now);
-  void OnClaim(RequestId id, ClaimOutcome outcome, MonotonicTime now);
+  // Returns whether the request still waited for it. The claim that was taken
+  // for one that did not is given up.
+  bool OnClaim(RequestId id, ClaimOutcome outcome, MonotonicTime now);
 
   void OnConnected(AttemptId id);
   // Call it before the first byte of the request leaves. When it returns false
-  // the attempt has ended, and nothing may be sent.
-  bool OnSent(AttemptId id);
+  // the attempt has ended, or its time is over, and nothing may be sent.
+  bool OnSent(AttemptId id, MonotonicTime now);
   HeadVerdict OnAnswerHead(AttemptId id, const AnswerHead& head,
                            MonotonicTime now);
   void OnAnswerEnd(AttemptId id, AnswerEnd end, MonotonicTime now);
@@ -185,8 +188,8 @@
   Ref<Service> MakeService(const ServiceRules& rules);
   void GiveInstances(Service& service);
 
-  std::optional<Refusal> Admit(const CallerRequest& caller, Service& service,
-                               Duration time, MonotonicTime now);
+  std::optional<Reason> Admit(const CallerRequest& caller, Service& service,
+                              Duration time, MonotonicTime now);
   Duration ExpectedWait(const Service& service, MonotonicTime now) const;
   void Enqueue(Request& request, MonotonicTime now);
   void Dispatch(Service& service, MonotonicTime now);
