--- a/src/gateway/internal/caller_port.cc
+++ b/src/gateway/internal/caller_port.cc
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 // How often a stop looks whether all requests have ended.
 constexpr Duration kStopPoll = std::chrono::milliseconds(10);
@@ -147,7 +148,7 @@
       !co_await Write(caller.stream, kContinue)) {
     co_return false;
   }
-  std::array<char, 16 * 1024> piece;
+  std::array<char, kPieceBytes> piece;
   error_code error;
   while (!parser.is_done() && exchange->prefix.size() < options_.prefix_bytes) {
     const std::size_t got =
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -93,6 +93,7 @@
                               .leaving = endpoint.leaving()});
   }
   std::vector<requests::CellList> lists;
+  lists.reserve(cells.size());
   for (auto& [name, cell] : cells) lists.push_back(std::move(cell));
   return lists;
 }
--- a/src/gateway/internal/http_rules.cc
+++ b/src/gateway/internal/http_rules.cc
@@ -122,11 +122,11 @@
 std::string ServiceOf(
     const RequestHead& head,
     const std::function<bool(const std::string&)>& is_service) {
-  const std::string named(View(head[kServiceField]));
+  std::string named(View(head[kServiceField]));
   if (!named.empty()) return is_service(named) ? named : "";
-  const std::string segment(FirstSegment(PathOf(View(head.target()))));
+  std::string segment(FirstSegment(PathOf(View(head.target()))));
   if (is_service(segment)) return segment;
-  const std::string label(FirstLabel(View(head[http::field::host])));
+  std::string label(FirstLabel(View(head[http::field::host])));
   return is_service(label) ? label : "";
 }
 
--- a/src/gateway/internal/target_port.cc
+++ b/src/gateway/internal/target_port.cc
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 constexpr int kFirstFinalStatus = 200;
 
@@ -197,7 +197,7 @@
   error_code error;
   int status = 0;
   while (status < kFirstFinalStatus) {
-    job->parser.emplace();
+    job->parser = std::make_unique<ResponseParser>();
     job->parser->header_limit(options_.max_head_bytes);
     job->parser->body_limit(boost::none);
     job->parser->skip(job->exchange->parser.get().method() == http::verb::head);
--- a/src/gateway/target_port.h
+++ b/src/gateway/target_port.h
@@ -6,6 +6,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <memory>
 #include <unordered_map>
 
 #include "gateway/exchange.h"
@@ -50,7 +51,7 @@
     Ref<Exchange> exchange;
     Ref<Connection> connection;
     // Made anew for each head that is read.
-    std::optional<ResponseParser> parser;
+    std::unique_ptr<ResponseParser> parser;
     int status = 0;
   };
 
--- a/src/gateway/tests/http_front_test.cc
+++ b/src/gateway/tests/http_front_test.cc
@@ -215,13 +215,12 @@
   void StopAnswersRequestInFlight() {
     Serve({.answers = {kOk}, .delay = std::chrono::milliseconds(50)});
     std::string answer;
-    bool stopped = false;
     asio::co_spawn(context_,
                    Call("GET /portal HTTP/1.1\r\nHost: a\r\n\r\n", answer),
                    asio::detached);
     while (instance_->requests.empty()) context_.run_one();
-    asio::co_spawn(context_, Stop(stopped), asio::detached);
-    while (!stopped) context_.run_one();
+    asio::co_spawn(context_, Stop(), asio::detached);
+    while (!stopped_) context_.run_one();
     CPPUNIT_ASSERT(Has(answer, "hello"));
     CPPUNIT_ASSERT(Has(answer, "Connection: close"));
   }
@@ -256,9 +255,9 @@
     front_->Start();
   }
 
-  asio::awaitable<void> Stop(bool& stopped) {
+  asio::awaitable<void> Stop() {
     co_await front_->Stop(std::chrono::seconds(5));
-    stopped = true;
+    stopped_ = true;
   }
 
   // Sends `bytes` and collects what comes until nothing has for a while.
@@ -295,6 +294,7 @@
   std::unique_ptr<FakeInstance> instance_;
   std::unique_ptr<HttpFront> front_;
   bool closed_ = false;
+  bool stopped_ = false;
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpFrontTest, "http_front_test");
--- a/src/requests/fakes/fake_cluster.cc
+++ b/src/requests/fakes/fake_cluster.cc
@@ -239,8 +239,8 @@
 
 void FakeCluster::WakeAt(std::size_t gateway, MonotonicTime at,
                          std::function<void()> run) {
-  Deliver(gateway, std::max(Duration::zero(), Duration(at - time_.now())),
-          std::move(run));
+  const Duration delay = at - time_.now();
+  Deliver(gateway, std::max(Duration::zero(), delay), std::move(run));
 }
 
 Duration FakeCluster::Distance(const std::string& from,
--- a/src/requests/internal/policy.cc
+++ b/src/requests/internal/policy.cc
@@ -61,8 +61,9 @@
   for (InstanceState* candidate : candidates) {
     const bool fresh = candidate->probed_at != MonotonicTime{} &&
                        newest - candidate->probed_at < kProbeAge;
-    if (fresh && candidate->probe_uses < kProbeUses)
+    if (fresh && candidate->probe_uses < kProbeUses) {
       probed.push_back(candidate);
+    }
   }
   InstanceState* best =
       probed.size() < 2
@@ -89,9 +90,9 @@
 }  // namespace
 
 const std::vector<std::string>& PolicyNames() {
-  static const std::vector<std::string> kNames = {
+  static const std::vector<std::string> names = {
       "round_robin", "power_of_two", "least_outstanding", "probing", "homed"};
-  return kNames;
+  return names;
 }
 
 Policy MakePolicy(const std::string& name) {
--- a/src/requests/internal/service_pool.cc
+++ b/src/requests/internal/service_pool.cc
@@ -215,6 +215,7 @@
     if (peer.asking) ++asks;
   }
   std::vector<std::string> order;
+  order.reserve(peers_.size());
   for (const auto& [name, peer] : peers_) order.push_back(name);
   std::rotate(
       order.begin(),
--- a/src/requests/internal/size_learner.cc
+++ b/src/requests/internal/size_learner.cc
@@ -29,8 +29,8 @@
 }
 
 void SizeLearner::OnAnswer(const std::string& operation, Duration latency) {
-  if (operations_.size() >= kMaxOperations && !operations_.contains(operation))
-    return;
+  const bool is_new = !operations_.contains(operation);
+  if (is_new && operations_.size() >= kMaxOperations) return;
   Learned& learned = operations_[operation];
   ++learned.answers;
   const double weight =
--- a/src/requests/tests/requests_fuzz_test.cc
+++ b/src/requests/tests/requests_fuzz_test.cc
@@ -95,8 +95,9 @@
       case StepKind::kSend:
         return Send(gateway, step.b);
       case StepKind::kSendMany:
-        for (unsigned i = 0; i < 8; ++i)
+        for (unsigned i = 0; i < 8; ++i) {
           Send((gateway + i) % kGateways, step.b + i);
+        }
         return;
       case StepKind::kRepeat:
         return Repeat(gateway, step.b);
@@ -157,8 +158,9 @@
 
   // New instances in place of those that left, and a request at each gateway.
   void CheckServes() {
-    for (std::size_t i = 0; i < kGateways; ++i) cluster_.Restart(i);
     for (std::size_t i = 0; i < kInstances; ++i) cluster_.SetLeaving(i, false);
+    // What a gateway holds for leaving stays so until it is replaced.
+    for (std::size_t i = 0; i < kGateways; ++i) cluster_.Restart(i);
     ended_.clear();
     for (std::size_t i = 0; i < kGateways; ++i) Send(i, 1);
     Wait(std::chrono::seconds(2));
