--- a/src/config/internal/log_replay.cc
+++ b/src/config/internal/log_replay.cc
@@ -36,8 +36,9 @@
   }
 }
 
-std::vector<Verdict> LogReplay::OnRead(platform::Offset from,
-                                       const platform::ReadAnswer& answer) {
+std::vector<Verdict> LogReplay::OnRead(
+    platform::Offset from, const platform::ReadAnswer& answer,
+    const std::function<void(const Verdict&)>& on_verdict) {
   // The answer to a read that was asked before a set was adopted.
   if (from > NextRead()) return {};
   const platform::Offset needed = fold_.head().through + 1;
@@ -54,6 +55,7 @@
   for (const platform::LogRecord& record : answer.records) {
     if (record.offset <= fold_.head().through) continue;
     verdicts.push_back(fold_.OnRecord(record));
+    if (on_verdict) on_verdict(verdicts.back());
     if (fold_.stopped().has_value()) break;
   }
   caught_up_ = fold_.head().through + 1 >= answer.next;
--- a/src/config/log_replay.h
+++ b/src/config/log_replay.h
@@ -4,6 +4,7 @@
 #ifndef CAROBMAST_CONFIG_LOG_REPLAY_H_
 #define CAROBMAST_CONFIG_LOG_REPLAY_H_
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -20,9 +21,11 @@
   platform::Offset NextRead() const;
 
   // Takes the answer of a read from `from`. Returns the verdicts on the records
-  // that were folded, in the order of offsets.
-  std::vector<Verdict> OnRead(platform::Offset from,
-                              const platform::ReadAnswer& answer);
+  // that were folded, in the order of offsets. `on_verdict` is called for each
+  // as soon as its record is folded, when the set is the one of that record.
+  std::vector<Verdict> OnRead(
+      platform::Offset from, const platform::ReadAnswer& answer,
+      const std::function<void(const Verdict&)>& on_verdict = {});
 
   // Whether the last read reached the end of the stream and left no gap.
   bool caught_up() const { return caught_up_; }
--- a/src/operators/internal/publish_flow.cc
+++ b/src/operators/internal/publish_flow.cc
@@ -70,16 +70,16 @@
                          const platform::ReadAnswer& answer) {
   const platform::Offset next = replay_.NextRead();
   const config::Head before = replay_.fold().head();
-  const std::vector<config::Verdict> verdicts = replay_.OnRead(from, answer);
+  const std::vector<config::Verdict> verdicts =
+      replay_.OnRead(from, answer, [this](const config::Verdict& verdict) {
+        if (!result_.has_value()) NoteVerdict(verdict);
+      });
   const bool adopted =
       verdicts.empty() && replay_.fold().head().offset != before.offset;
   if (adopted && options_.base == replay_.fold().head().offset) {
     base_objects_ = replay_.fold().set().objects();
   }
-  for (const config::Verdict& verdict : verdicts) {
-    NoteVerdict(verdict);
-    if (result_.has_value()) return;
-  }
+  if (result_.has_value()) return;
   if (replay_.fold().stopped().has_value()) {
     Finish(
         maybe_appended_ ? PublishOutcome::kUnknown : PublishOutcome::kRefused,
