--- a/src/framework/daemon/daemon.h
+++ b/src/framework/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,9 @@
 #include "framework/link/link.h"
 #include "framework/net/http_server.h"
 #include "framework/settings/settings.h"
+#include "framework/telemetry/log.h"
+#include "framework/telemetry/metrics.h"
+#include "framework/telemetry/trace.h"
 
 namespace carobmast::daemon {
 
@@ -38,13 +42,21 @@
   net::Address vm_list;
   // How long a graceful stop may take.
   Duration stop_grace = std::chrono::seconds(20);
-  // OTLP JSON spans are appended to this file; empty for none.
+  // Logs go to this file; empty for standard error.
+  std::string log_file;
+  telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
+  // OTLP JSON spans are appended to this file, or else sent to this address
+  // (POST /v1/traces); neither for no spans.
   std::string trace_file;
+  std::optional<net::Address> trace_address;
+  // Share of the traces begun here that are kept, in percent.
+  std::int64_t trace_percent = 1;
 };
 
 // Reads the keys name, zone, operator_address, link_address, peers (list of
-// name, zone, link), log_service, vm_list, stop_grace, trace_file. The caller
-// reads its own keys from the same reader and calls Finish().
+// name, zone, link), log_service, vm_list, stop_grace, log_file, log_level,
+// trace_file, trace_address, trace_percent. The caller reads its own keys from
+// the same reader and calls Finish().
 DaemonSettings ReadDaemonSettings(settings::SettingsReader& reader);
 
 // The frame of one daemon process; single-threaded.
@@ -69,11 +81,17 @@
   // the operator port and the link server stop after the last.
   void AddStop(std::function<boost::asio::awaitable<void>(Duration)> stop);
 
+  telemetry::MetricsRegistry& metrics();
+  // Runs before the metrics are shown, to bring gauges up to date.
+  void AddMetricsUpdate(std::function<void()> update);
+  const telemetry::Tracer& tracer() const;
+
   // The client of a peer's link; made at the first call.
   Ref<link::LinkClient> Peer(const net::Address& link);
 
-  // Listens, prints "NAME listens operator=IP:PORT link=IP:PORT" on standard
-  // output, runs `start`, then serves until a signal. Returns the exit code.
+  // Starts the logs, listens, prints "NAME listens operator=IP:PORT
+  // link=IP:PORT" on standard output, runs `start`, then serves until a signal.
+  // Returns the exit code.
   int Run(std::function<boost::asio::awaitable<void>()> start);
 
   // Valid once Run has begun.
--- a/src/framework/daemon/internal/daemon.cc
+++ b/src/framework/daemon/internal/daemon.cc
@@ -3,7 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <exception>
@@ -12,6 +14,7 @@
 #include <utility>
 
 #include "framework/base/error.h"
+#include "framework/telemetry/otlp_file.h"
 
 namespace carobmast::daemon {
 
@@ -19,6 +22,9 @@
 
 namespace {
 
+// How often buffered spans leave the process.
+constexpr Duration kTraceInterval = std::chrono::seconds(1);
+
 struct Readiness {
   std::string name;
   std::function<bool()> test;
@@ -39,6 +45,16 @@
   return peer;
 }
 
+telemetry::LogLevel ReadLogLevel(settings::SettingsReader& reader) {
+  const std::string text = reader.StringOr("log_level", "info");
+  if (text == "debug") return telemetry::LogLevel::kDebug;
+  if (text == "info") return telemetry::LogLevel::kInfo;
+  if (text == "warn") return telemetry::LogLevel::kWarn;
+  if (text == "error") return telemetry::LogLevel::kError;
+  reader.Fail("log_level",
+              "expected debug, info, warn or error, found '" + text + "'");
+}
+
 }  // namespace
 
 DaemonSettings ReadDaemonSettings(settings::SettingsReader& reader) {
@@ -55,14 +71,39 @@
   settings.log_service = reader.Address("log_service");
   settings.vm_list = reader.Address("vm_list");
   settings.stop_grace = reader.DurationOr("stop_grace", settings.stop_grace);
+  settings.log_file = reader.StringOr("log_file", "");
+  settings.log_level = ReadLogLevel(reader);
   settings.trace_file = reader.StringOr("trace_file", "");
+  if (reader.Has("trace_address")) {
+    settings.trace_address = reader.Address("trace_address");
+  }
+  settings.trace_percent =
+      reader.IntOr("trace_percent", 0, 100, settings.trace_percent);
   return settings;
 }
 
 struct Daemon::Impl {
   explicit Impl(DaemonSettings daemon_settings)
       : settings(std::move(daemon_settings)),
-        signals(context, SIGTERM, SIGINT) {}
+        signals(context, SIGTERM, SIGINT),
+        trace_timer(context),
+        spans({.path = settings.trace_file,
+               .instance = settings.name,
+               .zone = settings.zone}),
+        tracer(MakeTracerOptions()),
+        log("daemon") {}
+
+  bool KeepsTraces() const {
+    return !settings.trace_file.empty() || settings.trace_address.has_value();
+  }
+
+  telemetry::TracerOptions MakeTracerOptions() {
+    telemetry::TracerOptions options;
+    if (!KeepsTraces()) return options;
+    options.sample_ratio = static_cast<double>(settings.trace_percent) / 100;
+    options.sink = [this](telemetry::Span span) { spans.Add(std::move(span)); };
+    return options;
+  }
 
   asio::awaitable<net::ServerAnswer> Handle(net::ServerRequest request) {
     const auto route = routes.find(request.method + " " + request.path);
@@ -72,6 +113,12 @@
     co_return Text(404, "no such page: " + request.method + " " + request.path);
   }
 
+  net::ServerAnswer Metrics() {
+    for (const std::function<void()>& update : metrics_updates) update();
+    return {.body = metrics.Expose(),
+            .content_type = telemetry::MetricsRegistry::kContentType};
+  }
+
   net::ServerAnswer Ready() const {
     if (stopping) return Text(503, "stopping");
     for (const Readiness& readiness : readiness_tests) {
@@ -89,6 +136,37 @@
         [this](net::ServerRequest) -> asio::awaitable<net::ServerAnswer> {
       co_return Ready();
     };
+    routes["GET /metrics"] =
+        [this](net::ServerRequest) -> asio::awaitable<net::ServerAnswer> {
+      co_return Metrics();
+    };
+  }
+
+  // Sends the buffered spans on.
+  asio::awaitable<void> FlushSpans() {
+    if (!settings.trace_address.has_value()) {
+      if (!settings.trace_file.empty()) spans.Flush();
+      co_return;
+    }
+    const telemetry::OtlpFile::Batch batch = spans.Take();
+    if (batch.spans == 0) co_return;
+    net::HttpCall call{.method = "POST",
+                       .target = "/v1/traces",
+                       .body = batch.body,
+                       .headers = {{"content-type", "application/json"}}};
+    const net::HttpAnswer answer =
+        co_await trace_client->Call(*settings.trace_address, std::move(call));
+    spans.OnSent(batch, answer.status == 200);
+  }
+
+  asio::awaitable<void> FlushSpansRegularly() {
+    while (!stopping) {
+      co_await FlushSpans();
+      trace_timer.expires_after(kTraceInterval);
+      boost::system::error_code error;
+      co_await trace_timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+    }
   }
 
   void Listen() {
@@ -105,6 +183,10 @@
     std::cout << settings.name
               << " listens operator=" << operator_server->address().ToString()
               << " link=" << link_server->address().ToString() << std::endl;
+    log.Info("listening", {{"name", settings.name},
+                           {"zone", settings.zone},
+                           {"operator", operator_server->address().ToString()},
+                           {"link", link_server->address().ToString()}});
   }
 
   // Time left of the grace that began at `started`.
@@ -114,12 +196,15 @@
   }
 
   asio::awaitable<void> StopAll() {
+    log.Info("stopping", {{"grace", settings.stop_grace}});
     const MonotonicTime started = MonotonicClock::now();
     for (const std::function<asio::awaitable<void>(Duration)>& stop : stops) {
       co_await stop(GraceLeft(started));
     }
     co_await link_server->Stop(GraceLeft(started));
     co_await operator_server->Stop(GraceLeft(started));
+    co_await FlushSpans();
+    log.Info("stopped", {{"after", MonotonicClock::now() - started}});
     context.stop();
   }
 
@@ -150,6 +235,14 @@
   std::map<net::Address, Ref<link::LinkClient>> peers;
   Ref<net::HttpServer> operator_server;
   Ref<link::LinkServer> link_server;
+  telemetry::MetricsRegistry metrics;
+  std::vector<std::function<void()>> metrics_updates;
+  asio::steady_timer trace_timer;
+  telemetry::OtlpFile spans;
+  telemetry::Tracer tracer;
+  telemetry::Log log;
+  Ref<net::HttpClient> trace_client = MakeRef<net::HttpClient>(
+      context.get_executor(), net::HttpClientOptions{});
   std::exception_ptr failure;
   bool stopping = false;
 };
@@ -184,6 +277,14 @@
   impl_->stops.push_back(std::move(stop));
 }
 
+telemetry::MetricsRegistry& Daemon::metrics() { return impl_->metrics; }
+
+void Daemon::AddMetricsUpdate(std::function<void()> update) {
+  impl_->metrics_updates.push_back(std::move(update));
+}
+
+const telemetry::Tracer& Daemon::tracer() const { return impl_->tracer; }
+
 Ref<link::LinkClient> Daemon::Peer(const net::Address& link) {
   Ref<link::LinkClient>& client = impl_->peers[link];
   if (client == nullptr) {
@@ -194,8 +295,11 @@
 }
 
 int Daemon::Run(std::function<asio::awaitable<void>()> start) {
+  telemetry::StartLogs(
+      {.file = impl_->settings.log_file, .level = impl_->settings.log_level});
   impl_->Listen();
   impl_->WaitForSignal();
+  if (impl_->KeepsTraces()) impl_->Spawn(impl_->FlushSpansRegularly());
   impl_->Spawn(start());
   impl_->context.run();
   if (impl_->failure) std::rethrow_exception(impl_->failure);
--- a/src/framework/telemetry/internal/otlp_file.cc
+++ b/src/framework/telemetry/internal/otlp_file.cc
@@ -81,20 +81,26 @@
       json::object{{"resourceSpans", json::array{resource_spans}}});
 }
 
+OtlpFile::Batch OtlpFile::Take() {
+  Batch batch{.spans = spans_.size(), .body = Serialize()};
+  spans_.clear();
+  return batch;
+}
+
+void OtlpFile::OnSent(const Batch& batch, bool accepted) {
+  (accepted ? written_ : dropped_) += batch.spans;
+}
+
 void OtlpFile::Flush() {
   if (spans_.empty()) return;
-  const std::string line = Serialize() + "\n";
+  const Batch batch = Take();
+  const std::string line = batch.body + "\n";
   std::ofstream file(options_.path, std::ios::app | std::ios::binary);
   const std::streamoff size = file.is_open() ? std::streamoff{file.tellp()} : 0;
   const bool fits =
       static_cast<std::uint64_t>(size) + line.size() <= options_.max_file_bytes;
   if (fits) file << line << std::flush;
-  if (fits && file.good()) {
-    written_ += spans_.size();
-  } else {
-    dropped_ += spans_.size();
-  }
-  spans_.clear();
+  OnSent(batch, fits && file.good());
 }
 
 }  // namespace carobmast::telemetry
--- a/src/framework/telemetry/otlp_file.h
+++ b/src/framework/telemetry/otlp_file.h
@@ -32,6 +32,16 @@
   // Appends the buffered spans to the file. Drops them when it can't.
   void Flush();
 
+  // The buffered spans as the body of one request to a collector.
+  struct Batch {
+    std::size_t spans = 0;
+    std::string body;
+  };
+  // Takes the buffered spans out, for a collector in place of the file; report
+  // how it ended with OnSent.
+  Batch Take();
+  void OnSent(const Batch& batch, bool accepted);
+
   std::uint64_t written() const { return written_; }
   std::uint64_t dropped() const { return dropped_; }
 
