--- /dev/null
+++ b/src/scheduler/scheduler.h
@@ -0,0 +1,83 @@
+// The scheduler of one entry VM: SchedulerCore with its I/O to the log, the VM
+// list, the workers, peers and operators.
+#ifndef CAROBMAST_SCHEDULER_SCHEDULER_H_
+#define CAROBMAST_SCHEDULER_SCHEDULER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "config/types/objects.h"
+#include "framework/daemon/daemon.h"
+#include "framework/settings/settings.h"
+#include "platform/log_service.h"
+#include "platform/vm_list.h"
+#include "platform/worker_service.h"
+#include "work/scheduler_core.h"
+
+namespace carobmast::scheduler {
+
+// The settings that only a scheduler has, as a map `work` in its file.
+struct SchedulerSettings {
+  work::FencingMode fencing = work::FencingMode::kTokens;
+  Duration lease = std::chrono::seconds(30);
+  Duration renew_every = std::chrono::seconds(5);
+  Duration suspect_after = std::chrono::seconds(6);
+  Duration gone_after = std::chrono::seconds(5);
+  Duration snapshot_every = std::chrono::minutes(10);
+};
+
+// Reads the optional map `work` with the keys fencing (tokens or leases),
+// lease, renew_every, suspect_after, gone_after and snapshot_every. Refuses
+// values that can't work together.
+SchedulerSettings ReadSchedulerSettings(settings::SettingsReader& reader);
+
+struct SchedulerServices {
+  platform::LogService log;
+  platform::VmListService vm_list;
+  platform::WorkerService workers;
+};
+
+class Scheduler {
+ public:
+  // Adds its routes, calls, readiness tests and stop to the daemon, which must
+  // outlive it.
+  Scheduler(daemon::Daemon& daemon, const SchedulerSettings& settings,
+            SchedulerServices services);
+
+  // The configuration in force.
+  void SetObjects(const config::Objects& objects);
+  // What the follower of the configuration says, for /status.
+  void SetConfigStatus(std::function<boost::json::object()> status);
+
+  void Start();
+
+ private:
+  work::SchedulerOptions MakeOptions(const SchedulerSettings& settings) const;
+  work::SchedulerHooks MakeHooks();
+  boost::asio::awaitable<void> Sleep(Duration duration);
+  boost::asio::awaitable<void> TickLoop();
+  boost::asio::awaitable<void> LogLoop();
+  boost::asio::awaitable<void> VmListLoop();
+  boost::asio::awaitable<void> Append(std::uint64_t id,
+                                      std::vector<platform::NewRecord> records);
+  boost::asio::awaitable<void> Command(std::uint64_t id,
+                                       platform::WorkerCommand command);
+  boost::asio::awaitable<void> Stop(Duration grace);
+  net::ServerAnswer AnswerStatus(const net::ServerRequest& request) const;
+  std::string AnswerEndpoints(const std::string& request) const;
+
+  daemon::Daemon& daemon_;
+  SchedulerServices services_;
+  work::SchedulerCore core_;
+  std::function<boost::json::object()> config_status_;
+  bool configured_ = false;
+  bool log_known_ = false;
+  bool running_ = false;
+};
+
+}  // namespace carobmast::scheduler
+
+#endif  // CAROBMAST_SCHEDULER_SCHEDULER_H_
--- a/src/work/fakes/fake_world.cc
+++ b/src/work/fakes/fake_world.cc
@@ -476,12 +476,14 @@
 
 std::vector<std::string> FakeWorld::scheduler_names() const {
   std::vector<std::string> names;
+  names.reserve(processes_.size());
   for (const auto& [name, process] : processes_) names.push_back(name);
   return names;
 }
 
 std::vector<std::string> FakeWorld::worker_names() const {
   std::vector<std::string> names;
+  names.reserve(machines_.size());
   for (const auto& [name, machine] : machines_) names.push_back(name);
   return names;
 }
--- a/src/work/internal/append_queue.cc
+++ b/src/work/internal/append_queue.cc
@@ -29,7 +29,7 @@
     : options_(std::move(options)) {}
 
 std::string AppendQueue::Add(const WorkRecord& record) {
-  const std::string id = options_.self + "#" + std::to_string(next_record_++);
+  std::string id = options_.self + "#" + std::to_string(next_record_++);
   queue_.push_back({.id = id, .data = EncodeRecord(record)});
   return id;
 }
--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -298,8 +298,8 @@
   return impl_->Status(now);
 }
 
-std::vector<InstanceEndpoint> SchedulerCore::Endpoints() const {
-  return impl_->Endpoints();
+Endpoints SchedulerCore::ListEndpoints() const {
+  return impl_->ListEndpoints();
 }
 
 }  // namespace carobmast::work
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -66,7 +66,7 @@
   const WorkerTable& workers() const { return table_; }
   std::size_t ServingCells() const;
   SchedulerStatus Status(MonotonicTime now) const;
-  std::vector<InstanceEndpoint> Endpoints() const;
+  Endpoints ListEndpoints() const;
 
  private:
   struct CellContext {
--- a/src/work/internal/scheduler_status.cc
+++ b/src/work/internal/scheduler_status.cc
@@ -124,16 +124,24 @@
   return status;
 }
 
-std::vector<InstanceEndpoint> SchedulerCore::Impl::Endpoints() const {
-  std::vector<InstanceEndpoint> endpoints;
+Endpoints SchedulerCore::Impl::ListEndpoints() const {
+  Endpoints endpoints;
+  for (const auto& [name, cell] : cells_) {
+    if (cell.state != CellState::kServing) continue;
+    endpoints.cells.push_back({.cell = name, .token = cell.token});
+  }
   for (const auto& [id, task] : locals_) {
     if (task.endpoint.empty() || !task.has_spec) continue;
     if (task.spec.kind != platform::TaskKind::kService) continue;
     const auto session = sessions_.find(task.worker);
     const bool leaving = session != sessions_.end() && session->second.leaving;
-    endpoints.push_back(
+    const auto cell = cells_.find(task.cell);
+    endpoints.instances.push_back(
         {.service = task.spec.object,
          .task = id,
+         .attempt = task.attempt,
+         .cell = task.cell,
+         .token = cell->second.token,
          .endpoint = task.endpoint,
          .worker = task.worker,
          .zone = options_.zone,
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -123,7 +123,7 @@
   // Number of own cells whose members are all fenced or gone.
   std::size_t serving_cells() const;
   SchedulerStatus Status(MonotonicTime now) const;
-  std::vector<InstanceEndpoint> Endpoints() const;
+  Endpoints ListEndpoints() const;
 
  private:
   class Impl;
--- a/src/work/types/status.h
+++ b/src/work/types/status.h
@@ -58,10 +58,20 @@
   std::vector<JobStatus> jobs;
 };
 
+// An own cell of which every member was fenced or is gone: its instances are
+// all known.
+struct CellHead {
+  std::string cell;
+  platform::FencingToken token = 0;
+};
+
 // An instance of a service that runs on an own worker.
 struct InstanceEndpoint {
   std::string service;
   std::string task;
+  std::uint32_t attempt = 0;
+  std::string cell;
+  platform::FencingToken token = 0;
   std::string endpoint;
   std::string worker;
   std::string zone;
@@ -71,6 +81,12 @@
   bool leaving = false;
 };
 
+// What the own cells serve.
+struct Endpoints {
+  std::vector<CellHead> cells;
+  std::vector<InstanceEndpoint> instances;
+};
+
 }  // namespace carobmast::work
 
 #endif  // CAROBMAST_WORK_TYPES_STATUS_H_
