An owner that doesn't reach most of a cell leaves it to another scheduler

Cause: after a cut healed towards the log only, the old owner got its cell back by balance, reached one of two workers and kept the cell; the other worker's tasks ended with their leases (ZombieOwnerKeepsTheWorkerItReaches, first failing with 2 of 6 tasks running, then passing).

--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -145,6 +145,7 @@
   if (fold_.ready() && log_read_) {
     ConsiderClaims(now);
     Rebalance(now);
+    GiveUpUnreached(now);
     MaybeSnapshot(now);
   }
   ContactWorkers(now);
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -43,6 +43,16 @@
   std::set<std::string> membership_in_flight;
   // An attempt may start late although nothing waits for it: claim anew.
   bool wants_new_token = false;
+  // Since when most of its workers were not reached.
+  std::optional<MonotonicTime> unreached_since;
+  // Given up because its workers were not reached: until then others claim it
+  // first, and if it comes back all the same it is kept.
+  MonotonicTime avoid_until;
+  // Given up by this process, and claimed by nobody else so far.
+  bool gave_up = false;
+  // Not given up for balance before this, and how long that was put off.
+  MonotonicTime keep_until;
+  Duration keep_for = Duration::zero();
   std::set<std::string> tasks;
 };
 
@@ -118,6 +128,9 @@
   void SendClaim(MonotonicTime now, OwnCell& cell);
   void Rebalance(MonotonicTime now);
   void Relinquish(MonotonicTime now, OwnCell& cell);
+  void GiveUpUnreached(MonotonicTime now);
+  void GiveUpUnreached(MonotonicTime now, OwnCell& cell);
+  void NoteClaimWon(MonotonicTime now, OwnCell& cell);
   void AdoptMembers(MonotonicTime now, OwnCell& cell);
   void DropMembers(OwnCell& cell);
   void AddSession(MonotonicTime now, OwnCell& cell, const CellMember& member);
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -11,6 +11,13 @@
 // Workers of one cell.
 constexpr std::size_t kMaxMembers = 64;
 
+// How long a cell that came back after it was given up is kept, at least.
+constexpr std::chrono::minutes kFirstKeep{1};
+constexpr std::chrono::hours kLongestKeep{1};
+
+// How long an owner that didn't reach a cell leaves it to others.
+constexpr std::chrono::minutes kAvoid{2};
+
 std::string CellOf(const platform::Vm& vm) { return vm.zone + "/" + vm.rack; }
 
 }  // namespace
@@ -61,10 +68,12 @@
     cell.claimed_at = now;
     cell.wants_new_token = false;
     cell.membership_in_flight.clear();
+    NoteClaimWon(now, cell);
     Fire(now, cell, CellEvent::kClaimWon);
     ++counters_.claims;
   } else if (!mine && (Owned(cell) || !cell.claim_in_flight.has_value())) {
     if (Owned(cell)) ++counters_.cells_lost;
+    if (folded != nullptr && !folded->owner.empty()) cell.gave_up = false;
     Fire(now, cell, CellEvent::kLost);
   }
   if (!Owned(cell)) return;
@@ -91,8 +100,9 @@
     return;
   }
   if (!cell.free_since.has_value()) cell.free_since = now;
-  const std::size_t rank = RendezvousRank(
-      cell.cell, options_.name, monitor_.AliveIn({options_.zone}, now));
+  const std::vector<std::string> alive = monitor_.AliveIn({options_.zone}, now);
+  std::size_t rank = RendezvousRank(cell.cell, options_.name, alive);
+  if (now < cell.avoid_until) rank += alive.size();
   if (now < *cell.free_since + rank * options_.claim_rank_delay) return;
   SendClaim(now, cell);
 }
@@ -114,7 +124,7 @@
   next_rebalance_ = now + options_.rebalance_every;
   const std::vector<std::string> alive = monitor_.AliveIn({options_.zone}, now);
   for (auto& [name, cell] : cells_) {
-    if (cell.state != CellState::kServing) continue;
+    if (cell.state != CellState::kServing || now < cell.keep_until) continue;
     if (RendezvousRank(name, options_.name, alive) == 0) continue;
     // Nothing may be on its way to the workers when the cell is given up.
     const bool busy = std::any_of(
@@ -133,10 +143,53 @@
 
 void SchedulerCore::Impl::Relinquish(MonotonicTime now, OwnCell& cell) {
   queue_.Add(RelinquishRecord{.cell = cell.cell, .token = cell.token});
-  // Sends nothing more; the log will show the cell as lost.
+  cell.gave_up = true;
+  // Starts nothing more; the log will show the cell as lost.
   Fire(now, cell, CellEvent::kStale);
 }
 
+void SchedulerCore::Impl::NoteClaimWon(MonotonicTime now, OwnCell& cell) {
+  cell.unreached_since.reset();
+  if (cell.gave_up) {
+    cell.keep_for =
+        std::clamp<Duration>(cell.keep_for * 2, kFirstKeep, kLongestKeep);
+  } else {
+    cell.keep_for = Duration::zero();
+  }
+  cell.gave_up = false;
+  cell.keep_until = now + cell.keep_for;
+}
+
+void SchedulerCore::Impl::GiveUpUnreached(MonotonicTime now) {
+  if (!LogHealthy(now)) return;
+  for (auto& [name, cell] : cells_) {
+    const bool active =
+        cell.state == CellState::kFencing || cell.state == CellState::kServing;
+    if (active) GiveUpUnreached(now, cell);
+  }
+}
+
+void SchedulerCore::Impl::GiveUpUnreached(MonotonicTime now, OwnCell& cell) {
+  std::size_t present = 0;
+  std::size_t reached = 0;
+  const FoldedCell* folded = fold_.FindCell(cell.cell);
+  for (const auto& [name, member] : folded->members) {
+    const WorkerSession* session = FindSession(name);
+    if (session == nullptr || session->absent_since.has_value()) continue;
+    ++present;
+    if (session->contact == Contact::kFenced) ++reached;
+  }
+  if (reached * 2 > present || present == 0 || now < cell.avoid_until) {
+    cell.unreached_since.reset();
+    return;
+  }
+  if (!cell.unreached_since.has_value()) cell.unreached_since = now;
+  if (now - *cell.unreached_since < options_.unreached_limit) return;
+  if (monitor_.AliveIn({options_.zone}, now).size() < 2) return;
+  cell.avoid_until = now + kAvoid;
+  Relinquish(now, cell);
+}
+
 void SchedulerCore::Impl::AdoptMembers(MonotonicTime now, OwnCell& cell) {
   const FoldedCell* folded = fold_.FindCell(cell.cell);
   for (const auto& [name, member] : folded->members) {
