--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,16 @@
+// The counters of a gateway's core as metrics.
+#ifndef CAROBMAST_GATEWAY_GATEWAY_METRICS_H_
+#define CAROBMAST_GATEWAY_GATEWAY_METRICS_H_
+
+#include "framework/telemetry/metrics.h"
+#include "requests/request_core.h"
+
+namespace carobmast::gateway {
+
+// Writes the counters of `core` into `metrics`; call it before they are shown.
+void UpdateMetrics(telemetry::MetricsRegistry& metrics,
+                   const requests::RequestCore& core);
+
+}  // namespace carobmast::gateway
+
+#endif  // CAROBMAST_GATEWAY_GATEWAY_METRICS_H_
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -9,6 +9,8 @@
 #include "config/follower.h"
 #include "framework/base/error.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/request_tracer.h"
 #include "platform/http_platform.h"
 
 namespace carobmast::gateway {
@@ -27,7 +29,8 @@
       : daemon_(std::move(settings)),
         client_(MakeRef<net::HttpClient>(daemon_.executor(),
                                          net::HttpClientOptions{})),
-        gateway_(daemon_, own, TraceHooks{}),
+        tracer_(daemon_.tracer(), daemon_.metrics()),
+        gateway_(daemon_, own, tracer_.MakeHooks()),
         follower_(MakeFollower()) {
     daemon_.AddCall(config::kHeadCall, [this](std::string request) {
       return follower_->AnswerHead(std::move(request));
@@ -35,6 +38,9 @@
     daemon_.AddCall(config::kFetchCall, [this](std::string request) {
       return follower_->AnswerFetch(std::move(request));
     });
+    daemon_.AddMetricsUpdate([this]() {
+      UpdateMetrics(daemon_.metrics(), gateway_.front().core());
+    });
     daemon_.AddStop([this](Duration) -> asio::awaitable<void> {
       follower_->Stop();
       client_->Close();
@@ -77,6 +83,7 @@
 
   daemon::Daemon daemon_;
   Ref<net::HttpClient> client_;
+  RequestTracer tracer_;
   Gateway gateway_;
   Ref<config::ConfigFollower> follower_;
 };
