Stand-in platform: log, VM list, workers and targets with faults

One process plays the platform for demo and tests. Its state is in the sans-I/O classes FakeLog, FakeVmList and FakeWorker, which take the time as an argument and serve as in-process fakes; each worker has a listener of its own so that a lost VM refuses connections, and each service instance is a real listener.

Ruled out: one shared timer that wakes all reads that wait; re-arming it for one reader wakes all others, which would spin with two readers.

--- a/src/platform/tests/http_platform_test.cc
+++ b/src/platform/tests/http_platform_test.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <exception>
 #include <optional>
+#include <stdexcept>
+#include <utility>
 
 #include "framework/base/error.h"
 #include "framework/net/http_server.h"
@@ -148,7 +150,8 @@
     context_.restart();
     context_.run();
     if (failure) std::rethrow_exception(failure);
-    return *result;
+    if (!result.has_value()) throw std::logic_error("no result");
+    return std::move(*result);
   }
 
   asio::io_context context_;
--- /dev/null
+++ b/standin/internal/worker_host.cc
@@ -0,0 +1,183 @@
+#include "standin/worker_host.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "framework/base/error.h"
+#include "platform/platform_codec.h"
+
+namespace carobmast::standin {
+
+namespace asio = boost::asio;
+using net::ServerAnswer;
+using net::ServerRequest;
+using platform::CommandAnswer;
+using platform::CommandOutcome;
+using platform::WorkerCommand;
+
+namespace {
+
+constexpr Duration kPausePoll = std::chrono::milliseconds(10);
+// How long a target that is stopped lets its requests end.
+constexpr Duration kTargetGrace = std::chrono::seconds(10);
+constexpr std::size_t kMaxCommandBytes = std::size_t{1024} * 1024;
+
+asio::awaitable<void> StopTarget(Ref<Target> target, Duration grace) {
+  co_await target->Stop(grace);
+}
+
+// The command that "POST /workers/NAME/VERB" carries.
+WorkerCommand ToCommand(const ServerRequest& request) {
+  constexpr char kPrefix[] = "/workers/";
+  const std::size_t name = sizeof(kPrefix) - 1;
+  const std::size_t slash = request.path.find('/', name);
+  if (request.method != "POST" || request.path.rfind(kPrefix, 0) != 0 ||
+      slash == std::string::npos) {
+    throw Error("worker command", "caller", "expected POST /workers/NAME/VERB");
+  }
+  WorkerCommand command{
+      .verb = platform::ParseVerb(request.path.substr(slash + 1), "caller"),
+      .worker = request.path.substr(name, slash - name)};
+  return platform::DecodeCommand(request.body, std::move(command), "caller");
+}
+
+int StatusOf(CommandOutcome outcome) {
+  switch (outcome) {
+    case CommandOutcome::kDone:
+      return 200;
+    case CommandOutcome::kStale:
+      return 409;
+    case CommandOutcome::kNoRoom:
+      return 507;
+    case CommandOutcome::kRefused:
+      return 422;
+    case CommandOutcome::kNotSent:
+    case CommandOutcome::kUnknown:
+      break;
+  }
+  return 503;
+}
+
+ServerAnswer ToAnswer(const CommandAnswer& answer) {
+  if (answer.outcome == CommandOutcome::kUnknown) return {.cut_after_bytes = 0};
+  return {.status = StatusOf(answer.outcome),
+          .body = platform::EncodeReport(answer.report, answer.error)};
+}
+
+}  // namespace
+
+WorkerHost::WorkerHost(asio::any_io_executor executor,
+                       const StandInSettings& settings, platform::Vm vm,
+                       Ref<RequestBook> book, std::uint64_t seed)
+    : executor_(std::move(executor)),
+      vm_(std::move(vm)),
+      address_({.ip = settings.listen.ip}),
+      target_mean_run_(settings.target_mean_run),
+      book_(std::move(book)),
+      seed_(seed),
+      worker_(MakeOptions(settings)) {
+  Listen();
+  address_ = server_->address();
+  vm_.address = address_.ToString();
+}
+
+WorkerHost::~WorkerHost() = default;
+
+FakeWorkerOptions WorkerHost::MakeOptions(const StandInSettings& settings) {
+  return {
+      .name = vm_.name,
+      .capacity = settings.capacity,
+      .default_run = settings.default_run,
+      .checkpoint_interval = settings.checkpoint_interval,
+      .usage_lag = settings.usage_lag,
+      .open_endpoint =
+          [this](const WorkerCommand& command) {
+            return OpenEndpoint(command);
+          },
+      .close_endpoint = [this](const platform::AttemptId& id,
+                               bool graceful) { CloseEndpoint(id, graceful); },
+      .measure_latency =
+          [this](const platform::AttemptId& id) {
+            return targets_.at(id)->LatencyP99();
+          }};
+}
+
+void WorkerHost::Listen() {
+  server_ = MakeRef<net::HttpServer>(
+      executor_, net::HttpServerOptions{.listen = address_,
+                                        .handler =
+                                            [this](ServerRequest request) {
+                                              return Serve(
+                                                  Ref<WorkerHost>(this),
+                                                  std::move(request));
+                                            },
+                                        .max_body_bytes = kMaxCommandBytes});
+}
+
+asio::awaitable<ServerAnswer> WorkerHost::Serve(Ref<WorkerHost> self,
+                                                ServerRequest request) {
+  const WorkerCommand command = ToCommand(request);
+  if (command.worker != self->vm_.name) {
+    throw Error("worker command", "caller", "this is " + self->vm_.name);
+  }
+  co_await self->WaitWhilePaused();
+  co_return ToAnswer(self->worker_.Handle(command, MonotonicClock::now()));
+}
+
+asio::awaitable<void> WorkerHost::WaitWhilePaused() {
+  asio::steady_timer timer(executor_);
+  while (worker_.faults().paused) {
+    timer.expires_after(kPausePoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void WorkerHost::Tick(MonotonicTime now) { worker_.Advance(now); }
+
+void WorkerHost::PowerOff(MonotonicTime now) {
+  server_ = nullptr;
+  worker_.Reboot(now);
+}
+
+void WorkerHost::PowerOn() {
+  vm_.state = platform::VmState::kLive;
+  if (server_ == nullptr) Listen();
+}
+
+void WorkerHost::ChangeTargets(
+    const std::string& task, const std::function<void(TargetFaults&)>& change) {
+  for (const std::pair<const platform::AttemptId, Ref<Target>>& entry :
+       targets_) {
+    if (entry.first.task.rfind(task, 0) == 0) change(entry.second->faults());
+  }
+}
+
+std::string WorkerHost::OpenEndpoint(const WorkerCommand& command) {
+  const Ref<Target> target = MakeRef<Target>(
+      executor_, TargetOptions{.instance = command.id.task + "/" +
+                                           std::to_string(command.id.attempt),
+                               .listen = {.ip = address_.ip},
+                               .slots = command.slots,
+                               .connections = command.connections,
+                               .mean_run = target_mean_run_,
+                               .seed = seed_++,
+                               .book = book_});
+  targets_[command.id] = target;
+  return target->address().ToString();
+}
+
+void WorkerHost::CloseEndpoint(const platform::AttemptId& id, bool graceful) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) return;
+  asio::co_spawn(
+      executor_,
+      StopTarget(found->second, graceful ? kTargetGrace : Duration::zero()),
+      asio::detached);
+  targets_.erase(found);
+}
+
+}  // namespace carobmast::standin
--- /dev/null
+++ b/standin/tests/fake_platform_test.cc
@@ -0,0 +1,196 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "framework/base/error.h"
+#include "standin/fake_log.h"
+#include "standin/fake_vm_list.h"
+#include "standin/fake_worker.h"
+#include "standin/settings.h"
+
+namespace carobmast::standin {
+
+using platform::AppendOutcome;
+using platform::CommandAnswer;
+using platform::CommandOutcome;
+using platform::TaskKind;
+using platform::TaskState;
+using platform::WorkerCommand;
+using platform::WorkerVerb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FakePlatformTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FakePlatformTest);
+  CPPUNIT_TEST(LogKeepsOffsetsOverRetentionAndFaults);
+  CPPUNIT_TEST(VmListLags);
+  CPPUNIT_TEST(WorkerRefusesLowerTokens);
+  CPPUNIT_TEST(WorkerNeverExceedsItsCapacity);
+  CPPUNIT_TEST(StartsAreIdempotentAlsoAfterForget);
+  CPPUNIT_TEST(StopBeforeStartKeepsTheStartFromRunning);
+  CPPUNIT_TEST(LeaseEndsTasksAtItsExactTime);
+  CPPUNIT_TEST(BatchResumesFromItsCheckpoint);
+  CPPUNIT_TEST(LostAnswersTakeEffectLostRequestsDoNot);
+  CPPUNIT_TEST(WorkersOfTheTwoDeployments);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LogKeepsOffsetsOverRetentionAndFaults() {
+    FakeLog log({.retention = seconds(10)});
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, Append(log, 0).offsets.at(0));
+    log.faults().lost_answers = 1;
+    CPPUNIT_ASSERT(Append(log, 5).outcome == AppendOutcome::kUnknown);
+    log.faults().lost_requests = 1;
+    CPPUNIT_ASSERT(Append(log, 5).outcome == AppendOutcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{3}, Append(log, 5).offsets.at(0));
+    const platform::ReadAnswer read = log.Read({.stream = "s"}, At(11));
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, read.first_kept);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.records.size());
+    CPPUNIT_ASSERT(
+        log.Read({.stream = "s", .from = 9}, At(11)).records.empty());
+    CPPUNIT_ASSERT_EQUAL(platform::Offset{4},
+                         log.Read({.stream = "s"}, At(60)).first_kept);
+    log.faults().out = true;
+    CPPUNIT_ASSERT(Append(log, 60).outcome == AppendOutcome::kNotSent);
+    CPPUNIT_ASSERT_THROW(log.Read({.stream = "s"}, At(60)), Error);
+  }
+
+  void VmListLags() {
+    FakeVmList list({.lag = seconds(2), .vms = {{.name = "a"}}});
+    list.Put({.name = "a", .state = platform::VmState::kLeaving}, At(10));
+    list.Remove("a", At(11));
+    CPPUNIT_ASSERT(list.List(At(11)).vms.at(0).state ==
+                   platform::VmState::kLive);
+    CPPUNIT_ASSERT(list.List(At(12)).vms.at(0).state ==
+                   platform::VmState::kLeaving);
+    CPPUNIT_ASSERT(list.List(At(13)).vms.empty());
+  }
+
+  void WorkerRefusesLowerTokens() {
+    CPPUNIT_ASSERT(Do(0, {.token = 5}) == CommandOutcome::kDone);
+    CPPUNIT_ASSERT(Do(0, Start("t", 1, 4)) == CommandOutcome::kStale);
+    CPPUNIT_ASSERT_EQUAL(platform::FencingToken{5}, answer_.report.token);
+    CPPUNIT_ASSERT(answer_.report.tasks.empty());
+    CPPUNIT_ASSERT(Do(0, Start("t", 1, 5)) == CommandOutcome::kDone);
+  }
+
+  void WorkerNeverExceedsItsCapacity() {
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT(Do(0, Start("t" + std::to_string(i), 1, 1)) ==
+                     CommandOutcome::kDone);
+    }
+    CPPUNIT_ASSERT(Do(0, Start("t4", 1, 1)) == CommandOutcome::kNoRoom);
+    CPPUNIT_ASSERT(Do(1, {.verb = WorkerVerb::kStop,
+                          .token = 1,
+                          .id = {.task = "t0", .attempt = 1}}) ==
+                   CommandOutcome::kDone);
+    CPPUNIT_ASSERT(Do(1, Start("t4", 1, 1)) == CommandOutcome::kDone);
+  }
+
+  void StartsAreIdempotentAlsoAfterForget() {
+    Do(0, Start("t", 1, 1));
+    CPPUNIT_ASSERT(Do(1, Start("t", 1, 1)) == CommandOutcome::kDone);
+    CPPUNIT_ASSERT(Do(3, Start("t", 1, 1)) == CommandOutcome::kDone);
+    CPPUNIT_ASSERT(answer_.report.tasks.at(0).state == TaskState::kFinished);
+    Do(3, {.verb = WorkerVerb::kForget,
+           .token = 1,
+           .id = {.task = "t", .attempt = 1}});
+    CPPUNIT_ASSERT(answer_.report.tasks.empty());
+    CPPUNIT_ASSERT(Do(3, Start("t", 1, 1)) == CommandOutcome::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, worker_.executions().size());
+    CPPUNIT_ASSERT(worker_.executions().at(0).to == At(2));
+  }
+
+  void StopBeforeStartKeepsTheStartFromRunning() {
+    Do(0, {.verb = WorkerVerb::kStop,
+           .token = 1,
+           .id = {.task = "t", .attempt = 1}});
+    CPPUNIT_ASSERT(Do(0, Start("t", 1, 1)) == CommandOutcome::kRefused);
+    CPPUNIT_ASSERT(Do(0, Start("t", 2, 1)) == CommandOutcome::kDone);
+  }
+
+  void LeaseEndsTasksAtItsExactTime() {
+    WorkerCommand start = Start("t", 1, 1);
+    start.kind = TaskKind::kStanding;
+    Do(0, start);
+    Do(4, {.verb = WorkerVerb::kRenew, .token = 1, .lease = seconds(6)});
+    worker_.faults().paused = true;
+    CPPUNIT_ASSERT(Do(12, {.token = 1}) == CommandOutcome::kUnknown);
+    worker_.faults().paused = false;
+    CPPUNIT_ASSERT(Do(30, {.token = 1}) == CommandOutcome::kDone);
+    CPPUNIT_ASSERT(answer_.report.tasks.at(0).state ==
+                   TaskState::kLeaseExpired);
+    CPPUNIT_ASSERT(worker_.executions().at(0).to == At(10));
+  }
+
+  void BatchResumesFromItsCheckpoint() {
+    WorkerCommand start = Start("t", 1, 1);
+    start.program = "render:4s";
+    Do(0, start);
+    Do(1, {.verb = WorkerVerb::kThrottle,
+           .token = 1,
+           .id = start.id,
+           .throttle = 500});
+    Do(2, {.verb = WorkerVerb::kStop,
+           .token = 1,
+           .id = start.id,
+           .take_checkpoint = true});
+    CPPUNIT_ASSERT_EQUAL(std::string("done:1500ms"),
+                         answer_.report.tasks.at(0).checkpoint);
+    start.id.attempt = 2;
+    start.checkpoint = "done:1500ms";
+    Do(3, start);
+    worker_.Advance(At(9));
+    CPPUNIT_ASSERT(worker_.executions().at(1).to == At(5) + milliseconds(500));
+  }
+
+  void LostAnswersTakeEffectLostRequestsDoNot() {
+    worker_.faults().lost_requests = 1;
+    CPPUNIT_ASSERT(Do(0, Start("t", 1, 1)) == CommandOutcome::kUnknown);
+    CPPUNIT_ASSERT(worker_.executions().empty());
+    worker_.faults().lost_answers = 1;
+    CPPUNIT_ASSERT(Do(0, Start("t", 1, 1)) == CommandOutcome::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, worker_.executions().size());
+  }
+
+  void WorkersOfTheTwoDeployments() {
+    StandInSettings settings{.zones = {"zg-a", "zg-b", "zg-c"}, .workers = 48};
+    CPPUNIT_ASSERT_EQUAL(std::string("zg-c-w16"),
+                         MakeWorkerVms(settings).back().name);
+    CPPUNIT_ASSERT_EQUAL(std::string("zg-c-r2"),
+                         MakeWorkerVms(settings).back().rack);
+    settings.workers = 66;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{66}, MakeWorkerVms(settings).size());
+  }
+
+ private:
+  static MonotonicTime At(int second) {
+    return MonotonicTime() + seconds(second);
+  }
+
+  static platform::AppendAnswer Append(FakeLog& log, int second) {
+    return log.Append({.stream = "s", .records = {{.id = "i", .data = "d"}}},
+                      At(second));
+  }
+
+  // A start of a batch task that runs for 2 s on a quarter of the worker.
+  static WorkerCommand Start(const std::string& task, std::uint32_t attempt,
+                             platform::FencingToken token) {
+    return {.verb = WorkerVerb::kStart,
+            .token = token,
+            .id = {.task = task, .attempt = attempt},
+            .lease = seconds(6),
+            .resources = {.milli_cpus = 4000, .memory = {1}}};
+  }
+
+  CommandOutcome Do(int second, const WorkerCommand& command) {
+    answer_ = worker_.Handle(command, At(second));
+    return answer_.outcome;
+  }
+
+  FakeWorker worker_ = FakeWorker(
+      {.name = "w", .capacity = {.milli_cpus = 16'000, .memory = {60}}});
+  CommandAnswer answer_;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(FakePlatformTest, "fake_platform_test");
+
+}  // namespace carobmast::standin
--- /dev/null
+++ b/standin/worker_host.h
@@ -0,0 +1,68 @@
+// One worker VM of the stand-in platform: a fake worker behind a listener of
+// its own, and the targets of the services that run on it.
+#ifndef CAROBMAST_STANDIN_WORKER_HOST_H_
+#define CAROBMAST_STANDIN_WORKER_HOST_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "framework/base/intrusive.h"
+#include "framework/net/http_server.h"
+#include "platform/types/vm.h"
+#include "standin/fake_worker.h"
+#include "standin/settings.h"
+#include "standin/target.h"
+
+namespace carobmast::standin {
+
+class WorkerHost : public RefCounted<WorkerHost> {
+ public:
+  // Listens at once. `vm` gets the worker's address.
+  WorkerHost(boost::asio::any_io_executor executor,
+             const StandInSettings& settings, platform::Vm vm,
+             Ref<RequestBook> book, std::uint64_t seed);
+  ~WorkerHost();
+
+  const platform::Vm& vm() const { return vm_; }
+  FakeWorker& worker() { return worker_; }
+
+  // Ends what has ended by the clock, and closes endpoints with it.
+  void Tick(MonotonicTime now);
+  // The VM is lost: it stops listening and its tasks end.
+  void PowerOff(MonotonicTime now);
+  // It comes back at the same address, with nothing running.
+  void PowerOn();
+  void SetState(platform::VmState state) { vm_.state = state; }
+
+  // Calls `change` for each target whose task begins with `task` (empty for
+  // all); targets opened later are not changed.
+  void ChangeTargets(const std::string& task,
+                     const std::function<void(TargetFaults&)>& change);
+
+ private:
+  FakeWorkerOptions MakeOptions(const StandInSettings& settings);
+  std::string OpenEndpoint(const platform::WorkerCommand& command);
+  void CloseEndpoint(const platform::AttemptId& id, bool graceful);
+  void Listen();
+  static boost::asio::awaitable<net::ServerAnswer> Serve(
+      Ref<WorkerHost> self, net::ServerRequest request);
+  boost::asio::awaitable<void> WaitWhilePaused();
+
+  boost::asio::any_io_executor executor_;
+  platform::Vm vm_;
+  net::Address address_;
+  Duration target_mean_run_;
+  Ref<RequestBook> book_;
+  std::uint64_t seed_;
+  std::map<platform::AttemptId, Ref<Target>> targets_;
+  FakeWorker worker_;
+  Ref<net::HttpServer> server_;
+};
+
+}  // namespace carobmast::standin
+
+#endif  // CAROBMAST_STANDIN_WORKER_HOST_H_
