--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,7 +34,8 @@
  public:
   // Adds its calls, readiness tests and stop to the daemon. Throws Error when
   // the callers' address is taken.
-  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings);
+  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
+          const TraceHooks& trace);
 
   // The configuration in force.
   void SetObjects(const config::Objects& objects);
@@ -55,7 +56,8 @@
     bool reachable = false;
   };
 
-  HttpFrontOptions MakeFront(const GatewaySettings& settings);
+  HttpFrontOptions MakeFront(const GatewaySettings& settings,
+                             const TraceHooks& trace);
   boost::asio::awaitable<void> Watch(Peer& peer);
   boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
   boost::asio::awaitable<bool> AskHello(Peer& peer);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -118,8 +118,9 @@
   return settings;
 }
 
-Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings)
-    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings)) {
+Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
+                 const TraceHooks& trace)
+    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings, trace)) {
   for (const daemon::PeerSettings& peer : daemon.settings().peers) {
     peers_[peer.name] = {.settings = peer};
   }
@@ -143,7 +144,8 @@
   });
 }
 
-HttpFrontOptions Gateway::MakeFront(const GatewaySettings& settings) {
+HttpFrontOptions Gateway::MakeFront(const GatewaySettings& settings,
+                                    const TraceHooks& trace) {
   HttpFrontOptions options;
   options.callers.listen = settings.callers_address;
   options.callers.max_connections = settings.max_connections;
@@ -157,6 +159,7 @@
   options.core.zone = daemon_.settings().zone;
   options.core.policy = settings.policy;
   options.core.seed = std::random_device()();
+  options.trace = trace;
   options.hooks.tell = [this](const std::string& peer,
                               const requests::PeerMessage& message) {
     Tell(peer, message);
