--- a/src/work/fakes/fake_world.cc
+++ b/src/work/fakes/fake_world.cc
@@ -215,6 +215,7 @@
                             now_.time_since_epoch())),
                     .id = record.id,
                     .data = record.data});
+    log_fold_.Apply({.records = {log_.back()}, .next = next_offset_});
   }
 }
 
@@ -288,9 +289,11 @@
     }
     return;
   }
-  platform::CommandAnswer answer =
-      machine->second.worker->Execute(now_, command);
-  if (options_.check && command.verb == platform::WorkerVerb::kStart) {
+  FakeWorker& executor = *machine->second.worker;
+  const std::uint64_t starts = executor.starts();
+  platform::CommandAnswer answer = executor.Execute(now_, command);
+  if (options_.check && executor.starts() != starts) {
+    CheckStart(command.id);
     Check(command.worker);
   }
   if (answer_lost || timed_out) return;
@@ -312,6 +315,17 @@
   }
 }
 
+void FakeWorld::CheckStart(const platform::AttemptId& id) {
+  if (!started_.insert(id).second) {
+    Report("task " + id.task + " ran attempt " + std::to_string(id.attempt) +
+           " twice");
+  }
+  const FoldedTask* folded = log_fold_.FindTask(id.task);
+  if (folded != nullptr && folded->stage == TaskStage::kFinished) {
+    Report("task " + id.task + " was started after its result");
+  }
+}
+
 void FakeWorld::Check(const std::string& name) {
   const FakeWorker& started = *machines_[name].worker;
   const platform::Resources committed = started.Committed();
--- a/src/work/fakes/fake_world.h
+++ b/src/work/fakes/fake_world.h
@@ -33,7 +33,8 @@
   double late_commands = 0;
   double lost_append_answers = 0;
   double late_appends = 0;
-  // Whether exclusivity and capacity are checked after every start.
+  // Whether exclusivity, capacity and the names of attempts are checked after
+  // every start.
   bool check = true;
 };
 
@@ -138,6 +139,7 @@
               std::uint64_t id, platform::CommandAnswer answer);
   bool Paused(const Machine& machine) const;
   void Check(const std::string& worker);
+  void CheckStart(const platform::AttemptId& id);
   void Report(const std::string& what);
   platform::VmListAnswer VmList(MonotonicTime as_of) const;
   void NoteVms();
@@ -162,6 +164,10 @@
   std::map<MonotonicTime, std::vector<platform::Vm>> vm_history_;
   std::vector<Violation> violations_;
   std::map<std::string, int> completed_by_dead_;
+  // Every attempt that any worker ever started.
+  std::set<platform::AttemptId> started_;
+  // What the log says when an attempt starts.
+  WorkFold log_fold_;
 };
 
 }  // namespace carobmast::work
--- /dev/null
+++ b/src/work/tests/work_fuzz_test.cc
@@ -0,0 +1,327 @@
+// Random faults over two zones with four schedulers. The oracle looks at what
+// the workers executed: exclusive tasks in one place, no worker beyond its
+// capacity, no attempt twice, nothing after its result. When all faults are
+// over, everything wanted runs and everything accepted has ended.
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "work/tests/scenario.h"
+
+namespace carobmast::work {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr char kDefaultSeed[] = "20261204";
+constexpr char kDefaultRuns[] = "60";
+constexpr std::uint32_t kWatchers = 5;
+
+enum class Fault {
+  kNothing,
+  kSubmit,
+  kCancel,
+  kKillScheduler,
+  kStopScheduler,
+  kPauseScheduler,
+  kReplaceAll,
+  kCutWorker,
+  kCutLog,
+  kCutZone,
+  kLogOutage,
+  kVmListOutage,
+  kLostAnswers,
+  kLateCommands,
+  kLostAppends,
+  kKillWorker,
+  kPauseWorker,
+  kLeaveWorker,
+  kHealNetwork,
+  kCount,
+};
+
+constexpr const char* kFaultNames[] = {
+    "nothing",        "submit",          "cancel",       "kill scheduler",
+    "stop scheduler", "pause scheduler", "replace all",  "cut worker",
+    "cut log",        "cut zone",        "log outage",   "VM list outage",
+    "lost answers",   "late commands",   "lost appends", "kill worker",
+    "pause worker",   "leave worker",    "heal network"};
+
+// One fault, where it strikes, and how long until the next.
+struct Step {
+  Fault fault = Fault::kNothing;
+  int target = 0;
+  int other = 0;
+  int length = 0;
+  int wait = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << kFaultNames[static_cast<int>(step.fault)] << "(" << step.target
+             << "," << step.other << "," << step.length << "s), " << step.wait
+             << "s";
+}
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::build<Step>(
+      rc::gen::set(
+          &Step::fault,
+          rc::gen::map(rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
+                       [](int fault) { return static_cast<Fault>(fault); })),
+      rc::gen::set(&Step::target, rc::gen::inRange(0, 100)),
+      rc::gen::set(&Step::other, rc::gen::inRange(0, 100)),
+      rc::gen::set(&Step::length, rc::gen::inRange(1, 90)),
+      rc::gen::set(&Step::wait, rc::gen::inRange(0, 30)));
+}
+
+// The world and what the steps did to it.
+class Run {
+ public:
+  explicit Run(std::uint64_t seed) : world_({.seed = seed}) {
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> rate(0.995, 1.005);
+    for (const std::string zone : {"zg-a", "zg-b"}) {
+      zones_.push_back(zone);
+      for (int i = 0; i < 4; ++i) {
+        world_.AddWorker({.name = zone + "-w" + std::to_string(i),
+                          .zone = zone,
+                          .rack = "r" + std::to_string(i / 2),
+                          .pool = "pool",
+                          .capacity = Need(4, 16),
+                          .clock_rate = rate(random)});
+      }
+    }
+    for (int i = 0; i < 4; ++i) AddScheduler(rate(random));
+    world_.SetConfig(Watchers(kWatchers));
+    world_.RunFor(seconds(15));
+  }
+
+  void Apply(const Step& step) {
+    Strike(step);
+    world_.RunFor(seconds(step.wait));
+  }
+
+  // Ends all faults and waits until the cluster had time to recover.
+  void Heal() {
+    HealNetwork();
+    world_.SetLogOutage(false);
+    world_.SetVmListOutage(false);
+    world_.SetLostAnswers(0);
+    world_.SetLateCommands(0);
+    world_.SetLostAppendAnswers(0);
+    for (const std::string& name : world_.worker_names()) {
+      world_.ReviveWorker(name);
+    }
+    world_.RunFor(minutes(8));
+  }
+
+  void AssertHealthy() {
+    for (std::uint32_t i = 0; i < kWatchers; ++i) {
+      const std::string id = "watcher/" + std::to_string(i);
+      if (world_.RunningOn(id).size() != 1) RC_FAIL(id + " does not run");
+    }
+    SchedulerCore& any = *world_.scheduler(world_.scheduler_names().front());
+    RC_ASSERT(any.fold().jobs().size() == submitted_);
+    for (const auto& [submission, job] : any.fold().jobs()) {
+      if (!job.Ended()) RC_FAIL("job " + submission + " did not end");
+      for (std::uint32_t i = 0; i < job.submit.spec.tasks; ++i) {
+        AssertTask(job, BatchTaskId(submission, i));
+      }
+    }
+    AssertNoViolation();
+  }
+
+  void AssertNoViolation() {
+    for (const Violation& violation : world_.violations()) {
+      RC_FAIL(violation.what + " at " + FormatDuration(violation.at));
+    }
+  }
+
+ private:
+  void AssertTask(const FoldedJob& job, const std::string& id) {
+    SchedulerCore& any = *world_.scheduler(world_.scheduler_names().front());
+    const TaskStage stage = any.fold().FindTask(id)->stage;
+    RC_ASSERT(world_.RunningOn(id).empty());
+    if (job.cancelled) return;
+    if (stage != TaskStage::kFinished) RC_FAIL(id + " did not finish");
+    RC_ASSERT(world_.Completed(id) >= 1);
+    if (!execution_lost_ && world_.Completed(id) > 1) {
+      RC_FAIL(id + " ran to its end twice");
+    }
+  }
+
+  void AddScheduler(double clock_rate) {
+    const std::string& zone = zones_[schedulers_ % zones_.size()];
+    world_.AddScheduler(
+        {.name = "s" + std::to_string(schedulers_++), .zone = zone},
+        clock_rate);
+  }
+
+  std::string Scheduler(int index) {
+    const std::vector<std::string> names = world_.scheduler_names();
+    return names[static_cast<std::size_t>(index) % names.size()];
+  }
+
+  std::string Worker(int index) {
+    const std::vector<std::string> names = world_.worker_names();
+    return names[static_cast<std::size_t>(index) % names.size()];
+  }
+
+  void HealNetwork() {
+    for (const std::string& scheduler : world_.scheduler_names()) {
+      world_.CutLog(scheduler, false);
+      for (const std::string& worker : world_.worker_names()) {
+        world_.CutWorker(scheduler, worker, false);
+      }
+    }
+  }
+
+  // Ends `set(false)` after the step's length.
+  void During(const Step& step, const std::function<void(bool)>& set) {
+    set(true);
+    world_.RunFor(seconds(step.length));
+    set(false);
+  }
+
+  void CutZone(const std::string& zone, bool cut) {
+    for (const std::string& name : world_.scheduler_names()) {
+      const bool inside = world_.scheduler(name)->Status({}).zone == zone;
+      if (inside) world_.CutLog(name, cut);
+    }
+  }
+
+  void Strike(const Step& step) {
+    switch (step.fault) {
+      case Fault::kNothing:
+      case Fault::kCount:
+        break;
+      case Fault::kSubmit:
+        world_.Submit("sub" + std::to_string(submitted_++),
+                      Job(1 + static_cast<std::uint32_t>(step.target) % 6,
+                          "run " + std::to_string(step.length) + "s"));
+        break;
+      case Fault::kCancel:
+        if (submitted_ == 0) break;
+        world_.Cancel(
+            "sub" +
+            std::to_string(static_cast<std::size_t>(step.target) % submitted_));
+        break;
+      case Fault::kKillScheduler:
+        world_.KillScheduler(Scheduler(step.target));
+        AddScheduler(1.0);
+        break;
+      case Fault::kStopScheduler:
+        world_.StopScheduler(Scheduler(step.target));
+        AddScheduler(1.0);
+        break;
+      case Fault::kPauseScheduler:
+        world_.PauseScheduler(Scheduler(step.target), seconds(step.length));
+        break;
+      case Fault::kReplaceAll:
+        for (const std::string& name : world_.scheduler_names()) {
+          world_.KillScheduler(name);
+        }
+        for (int i = 0; i < 4; ++i) AddScheduler(1.0);
+        break;
+      case Fault::kCutWorker:
+        execution_lost_ = true;
+        world_.CutWorker(Scheduler(step.target), Worker(step.other), true);
+        break;
+      case Fault::kCutLog:
+        world_.CutLog(Scheduler(step.target), true);
+        break;
+      case Fault::kCutZone:
+        During(step, [&](bool cut) {
+          CutZone(zones_[static_cast<std::size_t>(step.target) % 2], cut);
+        });
+        break;
+      case Fault::kLogOutage:
+        During(step, [&](bool out) { world_.SetLogOutage(out); });
+        break;
+      case Fault::kVmListOutage:
+        During(step, [&](bool out) { world_.SetVmListOutage(out); });
+        break;
+      case Fault::kLostAnswers:
+        During(step, [&](bool on) { world_.SetLostAnswers(on ? 0.3 : 0); });
+        break;
+      case Fault::kLateCommands:
+        During(step, [&](bool on) { world_.SetLateCommands(on ? 0.1 : 0); });
+        break;
+      case Fault::kLostAppends:
+        During(step,
+               [&](bool on) { world_.SetLostAppendAnswers(on ? 0.5 : 0); });
+        break;
+      case Fault::kKillWorker: {
+        execution_lost_ = true;
+        const std::string name = Worker(step.target);
+        During(step, [&](bool dead) {
+          if (dead) {
+            world_.KillWorker(name);
+          } else {
+            world_.ReviveWorker(name);
+          }
+        });
+        break;
+      }
+      case Fault::kPauseWorker:
+        execution_lost_ = true;
+        world_.PauseWorker(Worker(step.target), seconds(step.length));
+        break;
+      case Fault::kLeaveWorker:
+        world_.SetLeaving(Worker(step.target));
+        break;
+      case Fault::kHealNetwork:
+        HealNetwork();
+        break;
+    }
+  }
+
+  FakeWorld world_;
+  std::vector<std::string> zones_;
+  std::size_t schedulers_ = 0;
+  std::size_t submitted_ = 0;
+  // A worker may have ended a task that nobody learned about.
+  bool execution_lost_ = false;
+};
+
+std::string FromEnvironment(const char* name, const char* fallback) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? fallback : value;
+}
+
+}  // namespace
+
+class WorkFuzzTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkFuzzTest);
+  CPPUNIT_TEST(PromisesHoldUnderAnyFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PromisesHoldUnderAnyFaults() {
+    const std::string seed = FromEnvironment("CAROBMAST_SEED", kDefaultSeed);
+    const std::string runs = FromEnvironment("CAROBMAST_RUNS", kDefaultRuns);
+    std::cout << "\nseed " << seed << ", runs " << runs << std::endl;
+    const std::string parameters =
+        "seed=" + seed + " max_success=" + runs + " max_size=30";
+    setenv("RC_PARAMS", parameters.c_str(), 1);
+    const bool holds = rc::check("promises hold under any faults", [] {
+      const std::uint64_t seed_of_run = *rc::gen::arbitrary<std::uint32_t>();
+      const std::vector<Step> steps =
+          *rc::gen::container<std::vector<Step>>(AnyStep());
+      Run run(seed_of_run);
+      for (const Step& step : steps) {
+        run.Apply(step);
+        run.AssertNoViolation();
+      }
+      run.Heal();
+      run.AssertHealthy();
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+};
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(WorkFuzzTest, "work_fuzz_test");
+
+}  // namespace carobmast::work
