--- a/src/gateway/internal/request_tracer.cc
+++ b/src/gateway/internal/request_tracer.cc
@@ -63,7 +63,7 @@
                      {"instance", order.instance},
                      {"peer", order.address},
                      {"number", static_cast<std::int64_t>(order.number)}};
-  const std::string traceparent = telemetry::FormatTraceparent(span.context);
+  std::string traceparent = telemetry::FormatTraceparent(span.context);
   attempts_[order.attempt] = std::move(span);
   return traceparent;
 }
