--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #ifndef CAROBMAST_GATEWAY_GATEWAY_H_
 #define CAROBMAST_GATEWAY_GATEWAY_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
 
@@ -10,7 +11,9 @@
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
 #include "gateway/http_front.h"
+#include "platform/log_service.h"
 #include "requests/endpoint_table.h"
+#include "requests/key_claims.h"
 
 namespace carobmast::gateway {
 
@@ -24,10 +27,13 @@
   // Longer bodies are passed on while they arrive, and never sent twice.
   ByteCount retry_body{64 * 1024};
   Duration idle_timeout = std::chrono::seconds(30);
+  // How long an Idempotency-Key is remembered; shorter than the log keeps its
+  // records.
+  Duration key_window = std::chrono::hours(1);
 };
 
-// Reads callers_address, policy, max_connections, max_head, retry_body and
-// idle_timeout.
+// Reads callers_address, policy, max_connections, max_head, retry_body,
+// idle_timeout and key_window.
 GatewaySettings ReadGatewaySettings(settings::SettingsReader& reader);
 
 class Gateway {
@@ -35,7 +41,7 @@
   // Adds its calls, readiness tests and stop to the daemon. Throws Error when
   // the callers' address is taken.
   Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
-          const TraceHooks& trace);
+          platform::LogService log, const TraceHooks& trace);
 
   // The configuration in force.
   void SetObjects(const config::Objects& objects);
@@ -58,6 +64,12 @@
 
   HttpFrontOptions MakeFront(const GatewaySettings& settings,
                              const TraceHooks& trace);
+  requests::KeyClaimsHooks MakeClaimHooks();
+  boost::asio::awaitable<void> AppendClaims(platform::AppendRequest request);
+  boost::asio::awaitable<void> ReadClaims(platform::ReadRequest request);
+  boost::asio::awaitable<void> RunClaims();
+  // Lets the timer of RunClaims look again.
+  void WakeClaims();
   boost::asio::awaitable<void> Watch(Peer& peer);
   boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
   boost::asio::awaitable<bool> AskHello(Peer& peer);
@@ -68,6 +80,9 @@
   std::string AnswerSlots(const std::string& request);
 
   daemon::Daemon& daemon_;
+  platform::LogService log_;
+  requests::KeyClaims claims_;
+  boost::asio::steady_timer claims_wake_;
   HttpFront front_;
   requests::EndpointTable endpoints_;
   // By name.
--- a/src/gateway/http_rules.h
+++ b/src/gateway/http_rules.h
@@ -23,6 +23,7 @@
 inline constexpr char kTimeoutField[] = "carobmast-timeout";
 inline constexpr char kIdempotentField[] = "carobmast-idempotent";
 inline constexpr char kRanField[] = "carobmast-ran";
+inline constexpr char kLeavingField[] = "carobmast-leaving";
 inline constexpr char kReasonField[] = "carobmast-reason";
 inline constexpr char kKeyField[] = "Idempotency-Key";
 
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -8,6 +8,7 @@
 #include <limits>
 #include <utility>
 
+#include "framework/base/digest.h"
 #include "framework/base/error.h"
 #include "gateway/generated/gateway.pb.h"
 #include "requests/generated/endpoints.pb.h"
@@ -116,12 +117,18 @@
   settings.retry_body = reader.ByteCountOr("retry_body", settings.retry_body);
   settings.idle_timeout =
       reader.DurationOr("idle_timeout", settings.idle_timeout);
+  settings.key_window = reader.DurationOr("key_window", settings.key_window);
   return settings;
 }
 
 Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
-                 const TraceHooks& trace)
-    : daemon_(daemon), front_(daemon.executor(), MakeFront(settings, trace)) {
+                 platform::LogService log, const TraceHooks& trace)
+    : daemon_(daemon),
+      log_(std::move(log)),
+      claims_({.incarnation = RandomId(), .window = settings.key_window},
+              MakeClaimHooks()),
+      claims_wake_(daemon.executor()),
+      front_(daemon.executor(), MakeFront(settings, trace)) {
   for (const daemon::PeerSettings& peer : daemon.settings().peers) {
     peers_[peer.name] = {.settings = peer};
   }
@@ -142,6 +149,7 @@
   daemon.AddStop([this](Duration grace) -> asio::awaitable<void> {
     co_await front_.Stop(grace);
     running_ = false;
+    claims_wake_.cancel();
   });
 }
 
@@ -161,6 +169,14 @@
   options.core.policy = settings.policy;
   options.core.seed = std::random_device()();
   options.trace = trace;
+  options.hooks.claim = [this](requests::RequestId id, const std::string& key) {
+    claims_.Claim(id, key, MonotonicClock::now());
+    WakeClaims();
+  };
+  options.hooks.key_ended = [this](const std::string& key, requests::Ran ran) {
+    claims_.OnKeyEnded(key, ran, MonotonicClock::now());
+    WakeClaims();
+  };
   options.hooks.tell = [this](const std::string& peer,
                               const requests::PeerMessage& message) {
     Tell(peer, message);
@@ -175,12 +191,63 @@
 
 void Gateway::Start() {
   running_ = true;
+  claims_.Start(MonotonicClock::now());
+  asio::co_spawn(daemon_.executor(), RunClaims(), asio::detached);
   front_.Start();
   for (auto& [name, peer] : peers_) {
     asio::co_spawn(daemon_.executor(), Watch(peer), asio::detached);
   }
 }
 
+requests::KeyClaimsHooks Gateway::MakeClaimHooks() {
+  requests::KeyClaimsHooks hooks;
+  hooks.append = [this](const platform::AppendRequest& request) {
+    asio::co_spawn(daemon_.executor(), AppendClaims(request), asio::detached);
+  };
+  hooks.read = [this](const platform::ReadRequest& request) {
+    asio::co_spawn(daemon_.executor(), ReadClaims(request), asio::detached);
+  };
+  hooks.decided = [this](requests::RequestId id,
+                         requests::ClaimOutcome outcome) {
+    return front_.core().OnClaim(id, outcome, MonotonicClock::now());
+  };
+  return hooks;
+}
+
+asio::awaitable<void> Gateway::AppendClaims(platform::AppendRequest request) {
+  const platform::AppendAnswer answer = co_await log_.append(request);
+  claims_.OnAppend(answer, MonotonicClock::now());
+  WakeClaims();
+}
+
+asio::awaitable<void> Gateway::ReadClaims(platform::ReadRequest request) {
+  bool failed = false;
+  try {
+    const platform::ReadAnswer answer = co_await log_.read(request);
+    claims_.OnRead(answer, MonotonicClock::now());
+  } catch (const Error&) {
+    failed = true;
+  }
+  if (failed) claims_.OnReadFailed(MonotonicClock::now());
+  WakeClaims();
+}
+
+void Gateway::WakeClaims() {
+  claims_wake_.expires_at(claims_.NextWake().value_or(MonotonicTime::max()));
+}
+
+asio::awaitable<void> Gateway::RunClaims() {
+  while (running_) {
+    boost::system::error_code error;
+    co_await claims_wake_.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    // Cancelled when another time was set.
+    if (error) continue;
+    claims_.Tick(MonotonicClock::now());
+    WakeClaims();
+  }
+}
+
 // Finds out what a peer is, and then asks it for what it knows. What it said
 // last is kept while it can't be reached.
 asio::awaitable<void> Gateway::Watch(Peer& peer) {
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -30,7 +30,10 @@
         client_(MakeRef<net::HttpClient>(daemon_.executor(),
                                          net::HttpClientOptions{})),
         tracer_(daemon_.tracer(), daemon_.metrics()),
-        gateway_(daemon_, own, tracer_.MakeHooks()),
+        gateway_(daemon_, own,
+                 platform::MakeHttpLogService(client_,
+                                              daemon_.settings().log_service),
+                 tracer_.MakeHooks()),
         follower_(MakeFollower()) {
     daemon_.AddCall(config::kHeadCall, [this](std::string request) {
       return follower_->AnswerHead(std::move(request));
@@ -52,6 +55,8 @@
     return daemon_.Run([this]() -> asio::awaitable<void> {
       follower_->Start();
       gateway_.Start();
+      std::cout << daemon_.settings().name << " serves callers="
+                << gateway_.front().callers().address().ToString() << std::endl;
       co_return;
     });
   }
--- a/src/gateway/internal/target_port.cc
+++ b/src/gateway/internal/target_port.cc
@@ -100,9 +100,12 @@
   } else {
     const ResponseHead& head = job->parser->get();
     job->status = static_cast<int>(head.result_int());
-    const HeadVerdict verdict = core_->OnAnswerHead(
-        attempt, {.status = job->status, .refused = head[kRanField] == "no"},
-        MonotonicClock::now());
+    const HeadVerdict verdict =
+        core_->OnAnswerHead(attempt,
+                            {.status = job->status,
+                             .refused = head[kRanField] == "no",
+                             .leaving = head[kLeavingField] == "yes"},
+                            MonotonicClock::now());
     if (verdict != HeadVerdict::kDrop) {
       const AnswerEnd end = verdict == HeadVerdict::kPass ? co_await Pass(job)
                                                           : co_await Drain(job);
--- a/src/requests/internal/request_core.cc
+++ b/src/requests/internal/request_core.cc
@@ -379,6 +379,7 @@
     return HeadVerdict::kDrop;
   }
   Request* request = FindRequest(attempt->request);
+  if (head.leaving) attempt->instance->instance.leaving = true;
   if (head.status >= kFirstServerError && !head.refused) {
     attempt->instance->health.OnFailure(now);
   }
--- a/src/requests/types/request.h
+++ b/src/requests/types/request.h
@@ -82,6 +82,8 @@
   int status = 200;
   // The target says that it did not run the request (carobmast-ran: no).
   bool refused = false;
+  // The target says that it is leaving (carobmast-leaving: yes).
+  bool leaving = false;
 };
 
 // How a target's answer ended.
