--- a/src/config/internal/fold.cc
+++ b/src/config/internal/fold.cc
@@ -20,6 +20,15 @@
           .reason = std::move(reason)};
 }
 
+Change AllObjects(const ObjectSet& set) {
+  Change all;
+  set.ForEachAfter("", [&](const StampedObject& object) {
+    all.put.push_back(object.object);
+    return true;
+  });
+  return all;
+}
+
 std::string DescribeErrors(const std::vector<CheckError>& errors) {
   std::string text = errors.front().ToString();
   if (errors.size() > 1) {
@@ -86,8 +95,11 @@
 
   const ObjectSet::Undo undo = set_.Apply(
       publish.change, {.offset = record.offset, .at = record.appended_at});
-  const std::vector<CheckError> errors =
-      rules_.at(publish.rules)(set_, publish.change, undo.put);
+  // Objects that the change does not touch are valid by the rules of the set in
+  // force, but perhaps not by newer ones.
+  const bool same_rules = publish.rules == head_.rules;
+  const std::vector<CheckError> errors = rules_.at(publish.rules)(
+      set_, same_rules ? publish.change : AllObjects(set_), undo.put);
   if (!errors.empty()) {
     verdict.reason = DescribeErrors(errors);
   } else if (set_.Digest() != publish.digest) {
--- a/src/config/tests/fold_test.cc
+++ b/src/config/tests/fold_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(MalformedRecordsAreRefusedByAll);
   CPPUNIT_TEST(StopsAtUnknownRules);
   CPPUNIT_TEST(OlderRulesDoNotComeBack);
+  CPPUNIT_TEST(NewerRulesCheckTheWholeSet);
   CPPUNIT_TEST(ResumesFromACompaction);
   CPPUNIT_TEST(PublishBehindACompactionIsNotMissed);
   CPPUNIT_TEST(NeverGuessesWhatHasExpired);
@@ -169,6 +170,26 @@
                   "checked by rules 1, but the set in force follows rules 2");
   }
 
+  // Rule version 2 of this test allows a job one task.
+  void NewerRulesCheckTheWholeSet() {
+    const CheckChange rules_2 = [](const ObjectSet&, const Change& change,
+                                   const std::vector<StampedObject>&) {
+      std::vector<CheckError> errors;
+      for (const Object& object : change.put) {
+        const BatchJob* job = std::get_if<BatchJob>(&object);
+        if (job != nullptr && job->tasks > 1) errors.push_back({});
+      }
+      return errors;
+    };
+    ConfigFold fold({{1, CheckChangeV1}, {2, rules_2}});
+    Fold(fold, PublishOn(fold, FirstChange()));
+    Fold(fold, PublishOn(fold, JobChange("old", 2)));
+    PublishRecord newer = PublishOn(fold, JobChange("new", 1));
+    newer.rules = 2;
+    CPPUNIT_ASSERT(Fold(fold, newer).kind == VerdictKind::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, fold.head().rules);
+  }
+
   void ResumesFromACompaction() {
     FakeLog log;
     ConfigFold fold;
