--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,7 +18,7 @@
 struct GatewaySettings {
   // Where callers reach it.
   net::Address callers_address;
-  std::string policy = "homed";
+  std::string policy = "least_outstanding";
   std::size_t max_connections = 4096;
   ByteCount max_head{16 * 1024};
   // Longer bodies are passed on while they arrive, and never sent twice.
@@ -34,7 +34,8 @@
  public:
   // Adds its calls, readiness tests and stop to the daemon. Throws Error when
   // the callers' address is taken.
-  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings);
+  Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
+          const TraceHooks& trace);
 
   // The configuration in force.
   void SetObjects(const config::Objects& objects);
@@ -55,7 +56,8 @@
     bool reachable = false;
   };
 
-  HttpFrontOptions MakeFront(const GatewaySettings& settings);
+  HttpFrontOptions MakeFront(const GatewaySettings& settings,
+                             const TraceHooks& trace);
   boost::asio::awaitable<void> Watch(Peer& peer);
   boost::asio::awaitable<bool> AskEndpoints(Peer& peer);
   boost::asio::awaitable<bool> AskHello(Peer& peer);
--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -145,6 +145,7 @@
   if (fold_.ready() && log_read_) {
     ConsiderClaims(now);
     Rebalance(now);
+    GiveUpUnreached(now);
     MaybeSnapshot(now);
   }
   ContactWorkers(now);
@@ -298,8 +299,8 @@
   return impl_->Status(now);
 }
 
-std::vector<InstanceEndpoint> SchedulerCore::Endpoints() const {
-  return impl_->Endpoints();
+Endpoints SchedulerCore::ListEndpoints() const {
+  return impl_->ListEndpoints();
 }
 
 }  // namespace carobmast::work
