Placement: choice of workers, learned interference, remedies, quarantine, quotas

Found by tests, first failing: a median for the common load takes the disturbed level for the normal one once half of the instances are disturbed (now a mean without outliers); the remembered peak fell with the number of instances (now with time).

--- /dev/null
+++ b/src/placement/internal/interference.cc
@@ -0,0 +1,178 @@
+#include "placement/internal/interference.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobmast::placement {
+
+namespace {
+
+constexpr double kLearningRate = 0.05;
+// Keeps steps small where shares are small.
+constexpr double kRegularization = 0.02;
+constexpr double kMaxCoefficient = 8;
+// Use that is assumed before it was reported.
+constexpr double kDefaultUse = 0.5;
+constexpr double kMinUse = 0.05;
+// The peak falls by a factor of e in this time, so that daily crests last.
+constexpr Duration kPeakMemory = std::chrono::hours(48);
+constexpr Duration kCommonEvery = std::chrono::seconds(1);
+constexpr int kWarmUpReports = 3;
+// Differences of log latencies beyond this count as this.
+constexpr double kOutlier = 0.5;
+
+}  // namespace
+
+double InterferenceModel::Weight(Duration elapsed) const {
+  const Duration lag = std::max<Duration>(lag_, Duration(1));
+  const double ratio =
+      static_cast<double>(elapsed.count()) / static_cast<double>(lag.count());
+  return 1 - std::exp(-ratio);
+}
+
+double InterferenceModel::Explained(const Service& service,
+                                    const Instance& instance) {
+  double sum = 0;
+  for (const std::pair<const NameId, double>& share : instance.shares) {
+    const std::unordered_map<NameId, double>::const_iterator coefficient =
+        service.coefficients.find(share.first);
+    if (coefficient == service.coefficients.end()) continue;
+    sum += coefficient->second * share.second * instance.use;
+  }
+  return sum;
+}
+
+// The mean over the instances of what their neighbours do not explain, without
+// far outliers. A median would take the level of disturbed instances for the
+// common one as soon as half of them are disturbed.
+void InterferenceModel::UpdateCommon(Service& service, MonotonicTime now) {
+  if (service.has_common && now - service.common_at < kCommonEvery) return;
+  std::vector<double> rests;
+  rests.reserve(service.instances.size());
+  for (const std::pair<const platform::AttemptId, Instance>& entry :
+       service.instances) {
+    if (entry.second.reports < kWarmUpReports) continue;
+    rests.push_back(entry.second.log_latency -
+                    Explained(service, entry.second));
+  }
+  if (rests.empty()) return;
+  const std::vector<double>::iterator middle =
+      rests.begin() + static_cast<std::ptrdiff_t>(rests.size() / 2);
+  std::nth_element(rests.begin(), middle, rests.end());
+  const double median = *middle;
+  double sum = 0;
+  for (const double rest : rests) {
+    sum += std::clamp(rest - median, -kOutlier, kOutlier);
+  }
+  service.common = median + sum / static_cast<double>(rests.size());
+  service.common_at = now;
+  service.has_common = true;
+}
+
+// One step of normalised least mean squares.
+void InterferenceModel::Learn(Service& service, const Instance& instance) {
+  const double error =
+      instance.log_latency - service.common - Explained(service, instance);
+  double power = kRegularization;
+  for (const std::pair<const NameId, double>& share : instance.shares) {
+    const double feature = share.second * instance.use;
+    power += feature * feature;
+  }
+  for (const std::pair<const NameId, double>& share : instance.shares) {
+    const double feature = share.second * instance.use;
+    double& coefficient = service.coefficients[share.first];
+    coefficient += kLearningRate * error * feature / power;
+    coefficient = std::clamp(coefficient, 0.0, kMaxCoefficient);
+  }
+}
+
+void InterferenceModel::Smooth(Instance& instance, double log_latency,
+                               double use, const Shares& shares,
+                               MonotonicTime now) const {
+  const double weight = instance.reports == 0 ? 1 : Weight(now - instance.seen);
+  instance.seen = now;
+  ++instance.reports;
+  instance.log_latency += weight * (log_latency - instance.log_latency);
+  instance.use += weight * (use - instance.use);
+  for (std::pair<const NameId, double>& share : instance.shares) {
+    share.second *= 1 - weight;
+  }
+  for (const std::pair<NameId, double>& share : shares) {
+    instance.shares[share.first] += weight * share.second;
+  }
+  std::erase_if(instance.shares, [](const std::pair<const NameId, double>& s) {
+    return s.second < 1e-4;
+  });
+}
+
+void InterferenceModel::OnLatency(NameId service_id,
+                                  const platform::AttemptId& id,
+                                  Duration latency, double use,
+                                  const Shares& shares, MonotonicTime now) {
+  if (latency <= Duration::zero()) return;
+  Service& service = services_[service_id];
+  Instance& instance = service.instances[id];
+  const double log_latency = std::log(static_cast<double>(latency.count()));
+  Smooth(instance, log_latency, std::clamp(use, kMinUse, 1.0), shares, now);
+  UpdatePeak(service, instance.use, now);
+  UpdateCommon(service, now);
+  if (!service.has_common || instance.reports < kWarmUpReports) return;
+  instance.observed = instance.log_latency - service.common;
+  Learn(service, instance);
+}
+
+void InterferenceModel::UpdatePeak(Service& service, double use,
+                                   MonotonicTime now) {
+  const double elapsed = static_cast<double>((now - service.peak_at).count()) /
+                         static_cast<double>(kPeakMemory.count());
+  service.peak_use = std::max(service.peak_use * std::exp(-elapsed), use);
+  service.peak_at = now;
+}
+
+void InterferenceModel::ForgetInstance(NameId service,
+                                       const platform::AttemptId& instance) {
+  const std::unordered_map<NameId, Service>::iterator found =
+      services_.find(service);
+  if (found != services_.end()) found->second.instances.erase(instance);
+}
+
+const InterferenceModel::Instance* InterferenceModel::Find(
+    NameId service, const platform::AttemptId& instance) const {
+  const std::unordered_map<NameId, Service>::const_iterator found =
+      services_.find(service);
+  if (found == services_.end()) return nullptr;
+  const std::map<platform::AttemptId, Instance>::const_iterator entry =
+      found->second.instances.find(instance);
+  return entry == found->second.instances.end() ? nullptr : &entry->second;
+}
+
+double InterferenceModel::Predict(NameId service, NameId type, double share,
+                                  double use) const {
+  const std::unordered_map<NameId, Service>::const_iterator found =
+      services_.find(service);
+  if (found == services_.end()) return 0;
+  const std::unordered_map<NameId, double>::const_iterator coefficient =
+      found->second.coefficients.find(type);
+  if (coefficient == found->second.coefficients.end()) return 0;
+  return coefficient->second * share * use;
+}
+
+double InterferenceModel::Observed(NameId service,
+                                   const platform::AttemptId& instance) const {
+  const Instance* found = Find(service, instance);
+  return found == nullptr ? 0 : found->observed;
+}
+
+double InterferenceModel::Use(NameId service,
+                              const platform::AttemptId& instance) const {
+  const Instance* found = Find(service, instance);
+  return found == nullptr ? kDefaultUse : found->use;
+}
+
+double InterferenceModel::PeakUse(NameId service) const {
+  const std::unordered_map<NameId, Service>::const_iterator found =
+      services_.find(service);
+  return found == services_.end() ? kDefaultUse : found->second.peak_use;
+}
+
+}  // namespace carobmast::placement
--- /dev/null
+++ b/src/placement/internal/interference.h
@@ -0,0 +1,76 @@
+// Learns how much each type of task slows down each service.
+//
+// Model: the logarithm of an instance's latency is a term common to all
+// instances of its service (its load now) plus, for each other type on its
+// worker, a coefficient times that type's share of the worker's processors
+// times the instance's own use. Reports lag, so the shares are smoothed over
+// the lag before they are compared with the latencies.
+#ifndef CAROBMAST_PLACEMENT_INTERNAL_INTERFERENCE_H_
+#define CAROBMAST_PLACEMENT_INTERNAL_INTERFERENCE_H_
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "placement/internal/ledger.h"
+
+namespace carobmast::placement {
+
+// Shares of a worker's processors by type, in order of the type.
+using Shares = std::vector<std::pair<NameId, double>>;
+
+class InterferenceModel {
+ public:
+  explicit InterferenceModel(Duration report_lag) : lag_(report_lag) {}
+
+  // A service's instance reported its latency and its use (0 to 1) while
+  // `shares` were on its worker.
+  void OnLatency(NameId service, const platform::AttemptId& instance,
+                 Duration latency, double use, const Shares& shares,
+                 MonotonicTime now);
+  void ForgetInstance(NameId service, const platform::AttemptId& instance);
+
+  // Logarithm of the slowdown that one share causes at the use `use`.
+  double Predict(NameId service, NameId type, double share, double use) const;
+  // Smoothed logarithm of the slowdown seen; 0 when unknown.
+  double Observed(NameId service, const platform::AttemptId& instance) const;
+  // The use of an instance: smoothed, and the highest of its service.
+  double Use(NameId service, const platform::AttemptId& instance) const;
+  double PeakUse(NameId service) const;
+
+ private:
+  struct Instance {
+    double log_latency = 0;
+    double use = 0;
+    double observed = 0;
+    std::map<NameId, double> shares;
+    MonotonicTime seen;
+    int reports = 0;
+  };
+  struct Service {
+    std::map<platform::AttemptId, Instance> instances;
+    std::unordered_map<NameId, double> coefficients;
+    double common = 0;
+    double peak_use = 0;
+    MonotonicTime peak_at;
+    MonotonicTime common_at;
+    bool has_common = false;
+  };
+
+  double Weight(Duration elapsed) const;
+  static double Explained(const Service& service, const Instance& instance);
+  static void UpdateCommon(Service& service, MonotonicTime now);
+  static void UpdatePeak(Service& service, double use, MonotonicTime now);
+  static void Learn(Service& service, const Instance& instance);
+  void Smooth(Instance& instance, double log_latency, double use,
+              const Shares& shares, MonotonicTime now) const;
+  const Instance* Find(NameId service,
+                       const platform::AttemptId& instance) const;
+
+  Duration lag_;
+  std::unordered_map<NameId, Service> services_;
+};
+
+}  // namespace carobmast::placement
+
+#endif  // CAROBMAST_PLACEMENT_INTERNAL_INTERFERENCE_H_
--- /dev/null
+++ b/src/placement/internal/ledger.h
@@ -0,0 +1,157 @@
+// Who runs where: workers, tasks, free room and the indexes over it.
+#ifndef CAROBMAST_PLACEMENT_INTERNAL_LEDGER_H_
+#define CAROBMAST_PLACEMENT_INTERNAL_LEDGER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "placement/types/placement_types.h"
+
+namespace carobmast::placement {
+
+using WorkerId = std::uint32_t;
+using NameId = std::uint32_t;
+inline constexpr std::uint32_t kNoId = ~std::uint32_t{0};
+
+// Gives small numbers to names.
+class NameTable {
+ public:
+  NameId Add(const std::string& name);
+  NameId Find(const std::string& name) const;
+  const std::string& Name(NameId id) const { return names_[id]; }
+  std::size_t size() const { return names_.size(); }
+
+ private:
+  std::unordered_map<std::string, NameId> ids_;
+  std::vector<std::string> names_;
+};
+
+bool Fits(const platform::Resources& need, const platform::Resources& room);
+platform::Resources Sum(const platform::Resources& a,
+                        const platform::Resources& b);
+// Never below zero.
+platform::Resources Difference(const platform::Resources& a,
+                               const platform::Resources& b);
+
+struct TaskEntry {
+  platform::AttemptId id;
+  platform::Resources need;
+  MonotonicTime started;
+  NameId type = kNoId;
+  NameId team = kNoId;
+  WorkerId worker = kNoId;
+  std::uint16_t throttle = 1000;
+  platform::TaskKind kind = platform::TaskKind::kBatch;
+  config::Priority priority = config::Priority::kNormal;
+  bool checkpoints = false;
+  bool is_long = false;
+  // A move or a stop was asked for.
+  bool ending = false;
+};
+
+struct WorkerEntry {
+  std::string name;
+  NameId pool = kNoId;
+  NameId rack = kNoId;
+  NameId zone = kNoId;
+  platform::Resources capacity;
+  platform::Resources committed;
+  // In the order of starting. Pointers into the task map.
+  std::vector<TaskEntry*> tasks;
+  bool known = false;
+  bool usable = false;
+  bool quarantined = false;
+  bool indexed = false;
+  // While on probation, one task at a time.
+  bool probation = false;
+
+  platform::Resources Free() const { return Difference(capacity, committed); }
+};
+
+struct PoolEntry {
+  using Index = std::set<std::pair<std::uint64_t, WorkerId>>;
+  Index by_cpus;
+  Index by_memory;
+  Index by_accelerators;
+  // Shapes of its workers with their number.
+  std::map<std::tuple<std::uint64_t, std::uint64_t, std::uint32_t>,
+           std::uint32_t>
+      shapes;
+  std::uint32_t workers = 0;
+  std::uint32_t quarantined = 0;
+  std::uint64_t capacity_cpus = 0;
+  std::uint64_t service_cpus = 0;
+  std::uint64_t long_cpus = 0;
+  MonotonicTime last_short;
+  bool saw_short = false;
+  bool guards = false;
+  std::vector<WorkerId> members;
+  std::size_t cursor = 0;
+};
+
+class Ledger {
+ public:
+  void AddWorker(const WorkerSpec& spec);
+  void RemoveWorker(WorkerId worker);
+  // Changes flags or capacity of a worker and keeps the indexes.
+  void Update(WorkerId worker, const std::function<void(WorkerEntry&)>& change);
+
+  // Null when the attempt is known already.
+  TaskEntry* Add(WorkerId worker, const TaskRequest& request,
+                 MonotonicTime now);
+  void Remove(const platform::AttemptId& id);
+
+  WorkerId FindWorker(const std::string& name) const;
+  TaskEntry* FindTask(const platform::AttemptId& id);
+  WorkerEntry& worker(WorkerId id) { return workers_[id]; }
+  const WorkerEntry& worker(WorkerId id) const { return workers_[id]; }
+  // Null when there is none.
+  PoolEntry* FindPool(const std::string& name);
+  PoolEntry& pool(NameId id) { return pools_[id]; }
+  PoolEntry& AddPool(const std::string& name);
+
+  // Number of tasks of a type in a rack or a zone.
+  std::uint32_t TypeInRack(NameId type, NameId rack) const;
+  std::uint32_t TypeInZone(NameId type, NameId zone) const;
+
+  std::uint32_t RunningOfType(NameId type) const;
+
+  NameTable& types() { return types_; }
+  const NameTable& types() const { return types_; }
+  NameTable& teams() { return teams_; }
+  const platform::Resources& team_committed(NameId team) const {
+    return team_committed_[team];
+  }
+  NameId AddTeam(const std::string& name);
+
+ private:
+  static std::uint64_t PairKey(NameId type, NameId place) {
+    return (std::uint64_t{type} << 32) | place;
+  }
+  void Index(WorkerId worker);
+  void Unindex(WorkerId worker);
+  void CountTask(const TaskEntry& task, const WorkerEntry& worker, bool added);
+
+  NameTable worker_names_;
+  NameTable pool_names_;
+  NameTable place_names_;
+  NameTable types_;
+  NameTable teams_;
+  std::vector<WorkerEntry> workers_;
+  std::vector<PoolEntry> pools_;
+  std::vector<platform::Resources> team_committed_;
+  std::vector<std::uint32_t> running_of_type_;
+  // Node-based: entries keep their addresses.
+  std::map<platform::AttemptId, TaskEntry> tasks_;
+  std::unordered_map<std::uint64_t, std::uint32_t> in_place_;
+};
+
+}  // namespace carobmast::placement
+
+#endif  // CAROBMAST_PLACEMENT_INTERNAL_LEDGER_H_
