--- a/src/config/types/objects.h
+++ b/src/config/types/objects.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "framework/base/time.h"
@@ -88,7 +89,28 @@
   platform::Resources task;
 };
 
-// All objects of a set, each kind by name.
+// A VM that gets no new work, by the operators' will. Its name is the VM's.
+struct DrainedVm {
+  std::string name;
+  // For operators.
+  std::string reason;
+};
+
+// The kinds of objects, in the order of Object's alternatives.
+enum class Kind {
+  kTeam,
+  kSizeClass,
+  kVmPool,
+  kService,
+  kBatchJob,
+  kStandingWorker,
+  kDrainedVm
+};
+
+using Object = std::variant<Team, SizeClass, VmPool, Service, BatchJob,
+                            StandingWorker, DrainedVm>;
+
+// All objects of a set, each kind by name. A name is unique over all kinds.
 struct Objects {
   std::map<std::string, Team> teams;
   std::map<std::string, SizeClass> size_classes;
@@ -96,6 +118,7 @@
   std::map<std::string, Service> services;
   std::map<std::string, BatchJob> batch_jobs;
   std::map<std::string, StandingWorker> standing_workers;
+  std::map<std::string, DrainedVm> drained_vms;
 };
 
 }  // namespace carobmast::config
