Cells of a zone without schedulers are claimed from other zones

An availability zone fails once or twice a year. Other zones' schedulers now claim such cells after orphan_after and give them back to the zone's own schedulers.

--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -27,9 +27,10 @@
 
 enum class CellEvent { kClaimSent, kClaimWon, kResolved, kStale, kLost };
 
-// A cell of this zone.
+// A cell, owned or not.
 struct OwnCell {
   std::string cell;
+  std::string zone;
   CellState state = CellState::kForeign;
   // The own claim in force, while owned.
   platform::FencingToken token = 0;
@@ -125,6 +126,8 @@
   void SyncCell(MonotonicTime now, const std::string& name);
   void ConsiderClaims(MonotonicTime now);
   void ConsiderClaim(MonotonicTime now, OwnCell& cell);
+  std::optional<MonotonicTime> ClaimDue(MonotonicTime now,
+                                        const OwnCell& cell) const;
   void SendClaim(MonotonicTime now, OwnCell& cell);
   void Rebalance(MonotonicTime now);
   void Relinquish(MonotonicTime now, OwnCell& cell);
@@ -232,7 +235,7 @@
   std::set<std::string> dropped_plans_;
   std::map<std::uint64_t, CommandInFlight> commands_;
   std::uint64_t next_command_ = 1;
-  // The newest VM list, workers of this zone by name.
+  // The newest VM list, workers by name.
   std::map<std::string, platform::Vm> vms_;
   WallTime vms_as_of_{};
   bool vms_known_ = false;
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -55,9 +55,9 @@
 
 void SchedulerCore::Impl::SyncCell(MonotonicTime now, const std::string& name) {
   const FoldedCell* folded = fold_.FindCell(name);
-  if (folded != nullptr && folded->zone != options_.zone) return;
   OwnCell& cell = cells_[name];
   cell.cell = name;
+  if (folded != nullptr) cell.zone = folded->zone;
   const platform::FencingToken token = folded == nullptr ? 0 : folded->token;
   if (cell.claim_in_flight.has_value() && *cell.claim_in_flight != token) {
     cell.claim_in_flight.reset();
@@ -100,18 +100,29 @@
     return;
   }
   if (!cell.free_since.has_value()) cell.free_since = now;
-  const std::vector<std::string> alive = monitor_.AliveIn({options_.zone}, now);
+  const std::optional<MonotonicTime> due = ClaimDue(now, cell);
+  if (due.has_value() && now >= *due) SendClaim(now, cell);
+}
+
+std::optional<MonotonicTime> SchedulerCore::Impl::ClaimDue(
+    MonotonicTime now, const OwnCell& cell) const {
+  std::vector<std::string> alive = monitor_.AliveIn({cell.zone}, now);
+  MonotonicTime due = *cell.free_since;
+  if (cell.zone != options_.zone) {
+    if (!alive.empty()) return std::nullopt;
+    alive = monitor_.AliveIn({}, now);
+    due += options_.orphan_after;
+  }
   std::size_t rank = RendezvousRank(cell.cell, options_.name, alive);
   if (now < cell.avoid_until) rank += alive.size();
-  if (now < *cell.free_since + rank * options_.claim_rank_delay) return;
-  SendClaim(now, cell);
+  return due + rank * options_.claim_rank_delay;
 }
 
 void SchedulerCore::Impl::SendClaim(MonotonicTime now, OwnCell& cell) {
   const FoldedCell* folded = fold_.FindCell(cell.cell);
   const platform::FencingToken previous = folded == nullptr ? 0 : folded->token;
   queue_.Add(ClaimRecord{.cell = cell.cell,
-                         .zone = options_.zone,
+                         .zone = cell.zone,
                          .scheduler = options_.name,
                          .previous = previous});
   cell.claim_in_flight = previous;
@@ -122,10 +133,12 @@
 void SchedulerCore::Impl::Rebalance(MonotonicTime now) {
   if (now < next_rebalance_ || !LogHealthy(now)) return;
   next_rebalance_ = now + options_.rebalance_every;
-  const std::vector<std::string> alive = monitor_.AliveIn({options_.zone}, now);
   for (auto& [name, cell] : cells_) {
     if (cell.state != CellState::kServing || now < cell.keep_until) continue;
-    if (RendezvousRank(name, options_.name, alive) == 0) continue;
+    const std::vector<std::string> alive = monitor_.AliveIn({cell.zone}, now);
+    const bool best = RendezvousRank(name, options_.name, alive) == 0;
+    const bool foreign = cell.zone != options_.zone && !alive.empty();
+    if (best && !foreign) continue;
     // Nothing may be on its way to the workers when the cell is given up.
     const bool busy = std::any_of(
         commands_.begin(), commands_.end(), [&](const auto& command) {
@@ -185,7 +198,7 @@
   }
   if (!cell.unreached_since.has_value()) cell.unreached_since = now;
   if (now - *cell.unreached_since < options_.unreached_limit) return;
-  if (monitor_.AliveIn({options_.zone}, now).size() < 2) return;
+  if (monitor_.AliveIn({cell.zone}, now).size() < 2) return;
   cell.avoid_until = now + kAvoid;
   Relinquish(now, cell);
 }
@@ -296,12 +309,11 @@
   vms_as_of_ = list.as_of;
   vms_.clear();
   for (const platform::Vm& vm : list.vms) {
-    if (vm.role != platform::VmRole::kWorker || vm.zone != options_.zone) {
-      continue;
-    }
+    if (vm.role != platform::VmRole::kWorker) continue;
     vms_[vm.name] = vm;
     OwnCell& cell = cells_[CellOf(vm)];
     cell.cell = CellOf(vm);
+    cell.zone = vm.zone;
   }
   for (auto& [name, session] : sessions_) ApplyVm(now, session);
   for (auto& [name, cell] : cells_) {
--- a/src/work/internal/scheduler_status.cc
+++ b/src/work/internal/scheduler_status.cc
@@ -19,6 +19,7 @@
                          .offset = fold_.next() - 1,
                          .ready = fold_.ready() && log_read_};
   for (const auto& [name, cell] : cells_) {
+    if (cell.zone != options_.zone && !Owned(cell)) continue;
     const FoldedCell* folded = fold_.FindCell(name);
     CellStatus entry{.cell = name, .state = cell_chart_.StateName(cell.state)};
     if (folded != nullptr) {
@@ -144,7 +145,7 @@
          .token = cell->second.token,
          .endpoint = task.endpoint,
          .worker = task.worker,
-         .zone = options_.zone,
+         .zone = cell->second.zone,
          .slots = task.spec.slots,
          .connections = task.spec.connections,
          .leaving = leaving || task.state != LocalState::kRunning});
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -46,6 +46,9 @@
   // Later ranks claim a cell, or take a task, this much later.
   Duration claim_rank_delay = std::chrono::seconds(1);
   Duration take_rank_delay = std::chrono::seconds(1);
+  // Cells of a zone without any scheduler are claimed from other zones after
+  // this.
+  Duration orphan_after = std::chrono::seconds(20);
   // A worker that does not answer and is missing from the VM list for this long
   // is gone.
   Duration gone_after = std::chrono::seconds(5);
