--- a/src/work/fakes/fake_world.cc
+++ b/src/work/fakes/fake_world.cc
@@ -141,7 +141,7 @@
 void FakeWorld::PollVmList(const std::string& name, std::uint64_t life) {
   InProcess(now_ + kVmListPoll, name, life,
             [this, name, life](Process& target) {
-              if (!vm_list_out_ && !target.log_cut) {
+              if (!vm_list_out_ && !target.vm_list_cut) {
                 target.core->OnVmList(Local(target, now_),
                                       VmList(now_ - options_.vm_list_lag));
               }
@@ -479,6 +479,11 @@
   if (found != processes_.end()) found->second.log_cut = cut;
 }
 
+void FakeWorld::CutVmList(const std::string& scheduler, bool cut) {
+  const auto found = processes_.find(scheduler);
+  if (found != processes_.end()) found->second.vm_list_cut = cut;
+}
+
 SchedulerCore* FakeWorld::scheduler(const std::string& name) {
   const auto found = processes_.find(name);
   return found == processes_.end() ? nullptr : found->second.core.get();
--- a/src/work/fakes/fake_world.h
+++ b/src/work/fakes/fake_world.h
@@ -72,6 +72,7 @@
   void CutWorker(const std::string& scheduler, const std::string& worker,
                  bool cut);
   void CutLog(const std::string& scheduler, bool cut);
+  void CutVmList(const std::string& scheduler, bool cut);
   void SetLogOutage(bool out) { log_out_ = out; }
   void SetVmListOutage(bool out) { vm_list_out_ = out; }
   void SetLostAnswers(double chance) { options_.lost_answers = chance; }
@@ -108,6 +109,7 @@
     MonotonicTime paused_until;
     std::uint64_t life = 0;
     bool log_cut = false;
+    bool vm_list_cut = false;
     std::set<std::string> cut_workers;
   };
   struct Machine {
--- a/src/work/tests/work_fuzz_test.cc
+++ b/src/work/tests/work_fuzz_test.cc
@@ -31,6 +31,7 @@
   kCutWorker,
   kCutLog,
   kCutZone,
+  kZombie,
   kLogOutage,
   kVmListOutage,
   kLostAnswers,
@@ -44,11 +45,11 @@
 };
 
 constexpr const char* kFaultNames[] = {
-    "nothing",        "submit",          "cancel",       "kill scheduler",
-    "stop scheduler", "pause scheduler", "replace all",  "cut worker",
-    "cut log",        "cut zone",        "log outage",   "VM list outage",
-    "lost answers",   "late commands",   "lost appends", "kill worker",
-    "pause worker",   "leave worker",    "heal network"};
+    "nothing",        "submit",          "cancel",        "kill scheduler",
+    "stop scheduler", "pause scheduler", "replace all",   "cut worker",
+    "cut log",        "cut zone",        "zombie",        "log outage",
+    "VM list outage", "lost answers",    "late commands", "lost appends",
+    "kill worker",    "pause worker",    "leave worker",  "heal network"};
 
 // One fault, where it strikes, and how long until the next.
 struct Step {
@@ -95,7 +96,13 @@
       }
     }
     for (int i = 0; i < 4; ++i) AddScheduler(rate(random));
-    world_.SetConfig(Watchers(kWatchers));
+    config::Objects objects = Watchers(kWatchers);
+    // A standing worker that ends from time to time is started again.
+    config::StandingWorker restless = objects.standing_workers["watcher"];
+    restless.name = "restless";
+    restless.program = "run 20s";
+    objects.standing_workers["restless"] = restless;
+    world_.SetConfig(std::move(objects));
     world_.RunFor(seconds(15));
   }
 
@@ -173,6 +180,7 @@
   void HealNetwork() {
     for (const std::string& scheduler : world_.scheduler_names()) {
       world_.CutLog(scheduler, false);
+      world_.CutVmList(scheduler, false);
       for (const std::string& worker : world_.worker_names()) {
         world_.CutWorker(scheduler, worker, false);
       }
@@ -189,7 +197,24 @@
   void CutZone(const std::string& zone, bool cut) {
     for (const std::string& name : world_.scheduler_names()) {
       const bool inside = world_.scheduler(name)->Status({}).zone == zone;
-      if (inside) world_.CutLog(name, cut);
+      if (!inside) continue;
+      world_.CutLog(name, cut);
+      world_.CutVmList(name, cut);
+    }
+  }
+
+  // Cuts a scheduler from the log and from some workers, and all others from
+  // the rest of the workers of its zone.
+  void MakeZombie(const std::string& zombie, int pattern) {
+    const std::string zone = world_.scheduler(zombie)->Status({}).zone;
+    world_.CutLog(zombie, true);
+    int index = 0;
+    for (const std::string& worker : world_.worker_names()) {
+      if (!worker.starts_with(zone)) continue;
+      const bool kept = ((pattern >> index++) & 1) != 0;
+      for (const std::string& name : world_.scheduler_names()) {
+        if ((name == zombie) != kept) world_.CutWorker(name, worker, true);
+      }
     }
   }
 
@@ -238,6 +263,10 @@
           CutZone(zones_[static_cast<std::size_t>(step.target) % 2], cut);
         });
         break;
+      case Fault::kZombie:
+        execution_lost_ = true;
+        MakeZombie(Scheduler(step.target), step.other);
+        break;
       case Fault::kLogOutage:
         During(step, [&](bool out) { world_.SetLogOutage(out); });
         break;
