--- a/measure/main.cc
+++ b/measure/main.cc
@@ -3,12 +3,14 @@
 #include "framework/cli/command.h"
 #include "measure/link_measure.h"
 #include "measure/requests_measure.h"
+#include "measure/work_measure.h"
 
 int main(int argc, char** argv) {
   const std::vector<carobmast::cli::Command> commands = {
       // One line for each measurement.
       carobmast::measure::LinkCommand(),
       carobmast::measure::RequestsCommand(),
+      carobmast::measure::WorkCommand(),
   };
   return carobmast::cli::Dispatch(commands, argc, argv);
 }
--- /dev/null
+++ b/measure/work_workload.h
@@ -0,0 +1,92 @@
+// Workloads of the work measurement: read from a file, drawn from a seed.
+#ifndef CAROBMAST_MEASURE_WORK_WORKLOAD_H_
+#define CAROBMAST_MEASURE_WORK_WORKLOAD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "framework/base/time.h"
+#include "platform/types/worker.h"
+
+namespace carobmast::measure {
+
+struct BatchType {
+  std::string name;
+  std::int64_t per_hour = 0;
+  platform::Resources need;
+  Duration declared = Duration::zero();
+  Duration mean = Duration::zero();
+  double sigma = 0;
+  // Logarithm of the slowdown at full load by a task on the whole worker.
+  double interference = 0;
+  // In thousandths of the type's tasks.
+  std::int64_t stragglers = 0;
+  std::int64_t straggler_factor = 1;
+  bool checkpoints = false;
+};
+
+struct LoadPoint {
+  Duration at = Duration::zero();
+  double use = 0;
+};
+
+struct Wave {
+  Duration at = Duration::zero();
+  Duration length = Duration::zero();
+  std::string type;
+  std::int64_t factor = 1;
+};
+
+struct BadWorker {
+  std::size_t worker = 0;
+  Duration from = Duration::zero();
+  Duration until = Duration::zero();
+};
+
+struct WorkWorkload {
+  Duration length = Duration::zero();
+  std::vector<std::string> zones;
+  std::size_t workers = 0;
+  std::size_t rack_size = 8;
+  platform::Resources worker;
+  bool guards = false;
+
+  std::string service;
+  std::size_t instances = 0;
+  platform::Resources instance;
+  Duration median = Duration::zero();
+  double sigma = 0;
+  Duration deadline = Duration::zero();
+
+  Duration report_every = Duration::zero();
+  Duration report_lag = Duration::zero();
+  double report_noise = 0;
+
+  std::vector<LoadPoint> load;
+  std::vector<BatchType> batch;
+  std::vector<Wave> waves;
+  std::vector<BadWorker> bad_workers;
+
+  double UseAt(Duration at) const;
+  double PeakUse() const;
+};
+
+// One batch task of a workload.
+struct BatchTask {
+  Duration at = Duration::zero();
+  // Index in WorkWorkload::batch.
+  std::size_t type = 0;
+  Duration run_time = Duration::zero();
+};
+
+// `zagreb`, `montevideo` or a file's name. Throws Error when it is malformed.
+WorkWorkload LoadWorkWorkload(const std::string& name);
+
+// All batch tasks in the order of their arrival.
+std::vector<BatchTask> DrawBatch(const WorkWorkload& workload,
+                                 std::uint64_t seed);
+
+}  // namespace carobmast::measure
+
+#endif  // CAROBMAST_MEASURE_WORK_WORKLOAD_H_
--- a/src/placement/internal/interference.cc
+++ b/src/placement/internal/interference.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double kLearningRate = 0.05;
+constexpr double kLearningRate = 0.02;
 // Keeps steps small where shares are small.
 constexpr double kRegularization = 0.02;
 constexpr double kMaxCoefficient = 8;
@@ -18,15 +18,18 @@
 constexpr Duration kPeakMemory = std::chrono::hours(48);
 constexpr Duration kCommonEvery = std::chrono::seconds(1);
 constexpr int kWarmUpReports = 3;
+// Residuals are averaged over this long, because single reports err far.
+constexpr double kResidualNoise = 0.03;
+constexpr Duration kResidualMemory = std::chrono::seconds(90);
 // Differences of log latencies beyond this count as this.
 constexpr double kOutlier = 0.5;
 
 }  // namespace
 
-double InterferenceModel::Weight(Duration elapsed) const {
-  const Duration lag = std::max<Duration>(lag_, Duration(1));
+double InterferenceModel::Weight(Duration elapsed, Duration memory) {
   const double ratio =
-      static_cast<double>(elapsed.count()) / static_cast<double>(lag.count());
+      static_cast<double>(elapsed.count()) /
+      static_cast<double>(std::max(memory, Duration(1)).count());
   return 1 - std::exp(-ratio);
 }
 
@@ -34,10 +37,10 @@
                                     const Instance& instance) {
   double sum = 0;
   for (const std::pair<const NameId, double>& share : instance.shares) {
-    const std::unordered_map<NameId, double>::const_iterator coefficient =
+    const std::unordered_map<NameId, Coefficients>::const_iterator found =
         service.coefficients.find(share.first);
-    if (coefficient == service.coefficients.end()) continue;
-    sum += coefficient->second * share.second * instance.use;
+    if (found == service.coefficients.end()) continue;
+    sum += found->second.At(instance.use) * share.second;
   }
   return sum;
 }
@@ -73,23 +76,28 @@
 void InterferenceModel::Learn(Service& service, const Instance& instance) {
   const double error =
       instance.log_latency - service.common - Explained(service, instance);
+  const double use = instance.use;
   double power = kRegularization;
   for (const std::pair<const NameId, double>& share : instance.shares) {
-    const double feature = share.second * instance.use;
-    power += feature * feature;
+    const double feature = share.second * use;
+    power += feature * feature * (1 + use * use);
   }
+  const double step = kLearningRate * error / power;
   for (const std::pair<const NameId, double>& share : instance.shares) {
-    const double feature = share.second * instance.use;
-    double& coefficient = service.coefficients[share.first];
-    coefficient += kLearningRate * error * feature / power;
-    coefficient = std::clamp(coefficient, 0.0, kMaxCoefficient);
+    const double feature = share.second * use;
+    Coefficients& learned = service.coefficients[share.first];
+    learned.linear =
+        std::clamp(learned.linear + step * feature, 0.0, kMaxCoefficient);
+    learned.square =
+        std::clamp(learned.square + step * feature * use, 0.0, kMaxCoefficient);
   }
 }
 
 void InterferenceModel::Smooth(Instance& instance, double log_latency,
                                double use, const Shares& shares,
                                MonotonicTime now) const {
-  const double weight = instance.reports == 0 ? 1 : Weight(now - instance.seen);
+  const double weight =
+      instance.reports == 0 ? 1 : Weight(now - instance.seen, lag_);
   instance.seen = now;
   ++instance.reports;
   instance.log_latency += weight * (log_latency - instance.log_latency);
@@ -113,11 +121,14 @@
   Service& service = services_[service_id];
   Instance& instance = service.instances[id];
   const double log_latency = std::log(static_cast<double>(latency.count()));
+  const double weight = Weight(now - instance.seen, kResidualMemory);
   Smooth(instance, log_latency, std::clamp(use, kMinUse, 1.0), shares, now);
   UpdatePeak(service, instance.use, now);
   UpdateCommon(service, now);
   if (!service.has_common || instance.reports < kWarmUpReports) return;
-  instance.observed = instance.log_latency - service.common;
+  const double residual =
+      log_latency - service.common - Explained(service, instance);
+  instance.residual += weight * (residual - instance.residual);
   Learn(service, instance);
 }
 
@@ -151,16 +162,17 @@
   const std::unordered_map<NameId, Service>::const_iterator found =
       services_.find(service);
   if (found == services_.end()) return 0;
-  const std::unordered_map<NameId, double>::const_iterator coefficient =
+  const std::unordered_map<NameId, Coefficients>::const_iterator learned =
       found->second.coefficients.find(type);
-  if (coefficient == found->second.coefficients.end()) return 0;
-  return coefficient->second * share * use;
+  if (learned == found->second.coefficients.end()) return 0;
+  return learned->second.At(use) * share;
 }
 
-double InterferenceModel::Observed(NameId service,
-                                   const platform::AttemptId& instance) const {
+double InterferenceModel::Unexplained(
+    NameId service, const platform::AttemptId& instance) const {
   const Instance* found = Find(service, instance);
-  return found == nullptr ? 0 : found->observed;
+  if (found == nullptr) return 0;
+  return std::max(0.0, found->residual - kResidualNoise);
 }
 
 double InterferenceModel::Use(NameId service,
--- a/src/placement/internal/interference.h
+++ b/src/placement/internal/interference.h
@@ -2,9 +2,9 @@
 //
 // Model: the logarithm of an instance's latency is a term common to all
 // instances of its service (its load now) plus, for each other type on its
-// worker, a coefficient times that type's share of the worker's processors
-// times the instance's own use. Reports lag, so the shares are smoothed over
-// the lag before they are compared with the latencies.
+// worker, that type's share of the worker's processors times a*u + b*u^2, where
+// u is the instance's own use and a and b are learned. Reports lag, so the
+// shares are smoothed over the lag before they are compared with the latencies.
 #ifndef CAROBMAST_PLACEMENT_INTERNAL_INTERFERENCE_H_
 #define CAROBMAST_PLACEMENT_INTERNAL_INTERFERENCE_H_
 
@@ -32,8 +32,9 @@
 
   // Logarithm of the slowdown that one share causes at the use `use`.
   double Predict(NameId service, NameId type, double share, double use) const;
-  // Smoothed logarithm of the slowdown seen; 0 when unknown.
-  double Observed(NameId service, const platform::AttemptId& instance) const;
+  // Smoothed logarithm of the slowdown beyond what the model explains; 0 when
+  // there is none.
+  double Unexplained(NameId service, const platform::AttemptId& instance) const;
   // The use of an instance: smoothed, and the highest of its service.
   double Use(NameId service, const platform::AttemptId& instance) const;
   double PeakUse(NameId service) const;
@@ -42,14 +43,20 @@
   struct Instance {
     double log_latency = 0;
     double use = 0;
-    double observed = 0;
+    double residual = 0;
     std::map<NameId, double> shares;
     MonotonicTime seen;
     int reports = 0;
   };
+  // How a type's effect grows with the service's use.
+  struct Coefficients {
+    double linear = 0;
+    double square = 0;
+    double At(double use) const { return (linear + square * use) * use; }
+  };
   struct Service {
     std::map<platform::AttemptId, Instance> instances;
-    std::unordered_map<NameId, double> coefficients;
+    std::unordered_map<NameId, Coefficients> coefficients;
     double common = 0;
     double peak_use = 0;
     MonotonicTime peak_at;
@@ -57,7 +64,7 @@
     bool has_common = false;
   };
 
-  double Weight(Duration elapsed) const;
+  static double Weight(Duration elapsed, Duration memory);
   static double Explained(const Service& service, const Instance& instance);
   static void UpdateCommon(Service& service, MonotonicTime now);
   static void UpdatePeak(Service& service, double use, MonotonicTime now);
--- a/src/placement/internal/ledger.h
+++ b/src/placement/internal/ledger.h
@@ -43,6 +43,9 @@
   platform::AttemptId id;
   platform::Resources need;
   MonotonicTime started;
+  // While throttled to less than PlacementOptions::idle_throttle.
+  MonotonicTime idle_since;
+  bool is_idle = false;
   NameId type = kNoId;
   NameId team = kNoId;
   WorkerId worker = kNoId;
@@ -90,6 +93,8 @@
   std::uint64_t long_cpus = 0;
   MonotonicTime last_short;
   bool saw_short = false;
+  // When a task was last held for want of room.
+  MonotonicTime last_no_room;
   bool guards = false;
   std::vector<WorkerId> members;
   std::size_t cursor = 0;
--- a/src/placement/internal/placement.cc
+++ b/src/placement/internal/placement.cc
@@ -20,7 +20,9 @@
 
 constexpr std::uint32_t kFullThrottle = 1000;
 // Throttles tried for a start, in order.
-constexpr std::uint32_t kStartThrottles[] = {1000, 500, 250, 125};
+constexpr std::uint32_t kStartThrottles[] = {1000, 750, 500};
+// Room is wanted this long after a task was held for want of it.
+constexpr Duration kRoomWantedFor = std::chrono::seconds(10);
 // Slowdowns closer than this count as equal.
 constexpr double kSlowdownStep = 0.01;
 
@@ -244,7 +246,9 @@
     const double after = predictor_.Worst(worker, type, share, guards);
     const double added = after - before;
     if (after <= limit || added < kSlowdownStep * kSlowdownStep) {
-      const double rounded = std::floor(added / kSlowdownStep);
+      // Disturbing tasks are spread, others fill the fullest worker.
+      const double rounded =
+          added < kSlowdownStep ? 0 : std::floor(after / kSlowdownStep);
       return Candidate{
           .worker = id,
           .throttle = throttle,
@@ -279,7 +283,7 @@
 Choice Placement::Impl::LeastDisturbed(const std::vector<WorkerId>& list,
                                        const TaskRequest& request, NameId type,
                                        bool guards) const {
-  constexpr std::uint32_t kLeast = kStartThrottles[3];
+  constexpr std::uint32_t kLeast = 250;
   WorkerId best = list.front();
   double least = 0;
   for (const WorkerId id : list) {
@@ -330,6 +334,7 @@
     return LeastDisturbed(list, request, type, pool->guards);
   }
   if (list.empty()) {
+    pool->last_no_room = now;
     return Held(Hold::kNoRoom,
                 "no worker of pool " + request.pool + " has room now");
   }
@@ -413,10 +418,9 @@
   for (const platform::TaskReport& task : report.tasks) {
     Learn(worker, task, now);
   }
-  const std::optional<Remedy> remedy =
-      remedies_.Next(id, worker, ledger_.pool(worker.pool).guards, now);
-  if (!remedy.has_value()) return {};
-  return {*remedy};
+  const PoolEntry& pool = ledger_.pool(worker.pool);
+  const bool room_is_wanted = now - pool.last_no_room <= kRoomWantedFor;
+  return remedies_.Next(id, worker, pool.guards, room_is_wanted, now);
 }
 
 // The tasks to stop on one worker, lowest priority first; empty when that does
--- a/src/placement/internal/remedies.cc
+++ b/src/placement/internal/remedies.cc
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::uint32_t kFullThrottle = 1000;
-constexpr std::uint32_t kLeastThrottle = 125;
+constexpr std::uint16_t kFullThrottle = 1000;
+constexpr std::uint16_t kLeastThrottle = 125;
 // Tasks that explain less than this are no culprits.
-constexpr double kLeastContribution = 0.005;
+constexpr double kLeastContribution = 0.002;
 
 }  // namespace
 
@@ -30,104 +30,150 @@
   ++evicted_[task];
 }
 
-double Remedies::WorstSlowdown(const WorkerEntry& worker, bool guards) const {
+double Remedies::Worst(const WorkerEntry& worker, bool guards) const {
   double worst = 0;
   for (const TaskEntry* task : worker.tasks) {
     if (task->kind != platform::TaskKind::kService) continue;
-    worst = std::max({worst, model_.Observed(task->type, task->id),
-                      predictor_.OfInstance(worker, *task, guards)});
+    worst = std::max(worst, predictor_.OfInstance(worker, *task, guards) +
+                                model_.Unexplained(task->type, task->id));
   }
   return worst;
 }
 
-std::optional<Remedy> Remedies::Next(WorkerId id, WorkerEntry& worker,
-                                     bool guards, MonotonicTime now) {
-  State& state = states_[id];
-  const double slowdown = WorstSlowdown(worker, guards);
-  const bool is_bad = slowdown > std::log(options_.bad_slowdown);
-  const bool is_well = slowdown < std::log(options_.good_slowdown);
+void Remedies::Note(State& state, bool is_bad, bool is_well,
+                    MonotonicTime now) {
   if (is_well && !state.is_well) state.well_since = now;
+  if (is_bad && !state.is_bad) state.bad_since = now;
   state.is_well = is_well;
+  state.is_bad = is_bad;
+}
+
+std::vector<Remedy> Remedies::Next(WorkerId id, WorkerEntry& worker,
+                                   bool guards, bool room_is_wanted,
+                                   MonotonicTime now) {
+  State& state = states_[id];
+  const double level = Worst(worker, guards);
+  const bool is_bad = level > std::log(options_.bad_slowdown);
+  Note(state, is_bad, level < std::log(options_.good_slowdown), now);
   if (state.had_remedy && now - state.last_remedy < options_.react_every) {
-    return std::nullopt;
+    return {};
   }
-  std::optional<Remedy> remedy;
+  std::vector<Remedy> remedies;
   if (is_bad) {
-    remedy = Tighten(worker, guards);
-  } else if (is_well && now - state.well_since >= options_.release_after) {
-    remedy = Loosen(worker, guards);
+    remedies = Tighten(worker, guards);
+    if (remedies.empty() && now - state.bad_since >= 2 * options_.react_every) {
+      remedies = Evict(worker, Culprit(worker, guards, 0),
+                       "slows a service down although it is throttled");
+    }
+  } else if (state.is_well &&
+             now - state.well_since >= options_.release_after) {
+    remedies = Loosen(worker, guards);
   }
-  if (remedy.has_value()) {
+  NoteIdle(worker, now);
+  if (remedies.empty() && room_is_wanted) remedies = MoveIdle(worker, now);
+  if (!remedies.empty()) {
     state.last_remedy = now;
     state.had_remedy = true;
   }
-  return remedy;
+  return remedies;
 }
 
-std::optional<Remedy> Remedies::Tighten(WorkerEntry& worker, bool guards) {
+TaskEntry* Remedies::Culprit(const WorkerEntry& worker, bool guards,
+                             std::uint32_t above_throttle) const {
   TaskEntry* culprit = nullptr;
-  double most = kLeastContribution;
+  double most = 0;
   for (TaskEntry* task : worker.tasks) {
     if (task->kind != platform::TaskKind::kBatch || task->ending) continue;
+    if (task->throttle <= above_throttle) continue;
     const double contribution = predictor_.Contribution(worker, *task, guards);
-    if (contribution <= most) continue;
-    most = contribution;
+    if (contribution < kLeastContribution) continue;
+    const double rate = contribution / SlowdownPredictor::ShareOf(
+                                           worker, task->need, task->throttle);
+    if (rate <= most) continue;
+    most = rate;
     culprit = task;
   }
-  if (culprit == nullptr) return std::nullopt;
-  if (culprit->throttle > kLeastThrottle) {
+  return culprit;
+}
+
+void Remedies::Plan(WorkerEntry& worker, double target, bool guards) const {
+  while (Worst(worker, guards) > target) {
+    TaskEntry* culprit = Culprit(worker, guards, kLeastThrottle);
+    if (culprit == nullptr) return;
+    culprit->throttle =
+        std::max<std::uint16_t>(culprit->throttle / 2, kLeastThrottle);
+  }
+}
+
+std::vector<Remedy> Remedies::Changes(WorkerEntry& worker,
+                                      const std::vector<std::uint16_t>& before,
+                                      const char* reason) {
+  std::vector<Remedy> remedies;
+  for (std::size_t i = 0; i < worker.tasks.size(); ++i) {
+    const TaskEntry& task = *worker.tasks[i];
+    if (task.throttle == before[i]) continue;
     ++counters_.throttles;
-    return Throttle(worker, *culprit, culprit->throttle / 2U,
-                    "slows a service down");
+    remedies.push_back({.kind = RemedyKind::kThrottle,
+                        .worker = worker.name,
+                        .id = task.id,
+                        .throttle = task.throttle,
+                        .reason = reason});
   }
-  return Evict(worker, *culprit);
+  return remedies;
 }
 
-std::optional<Remedy> Remedies::Evict(WorkerEntry& worker, TaskEntry& culprit) {
-  if (!budget_.Allows(culprit.id.task, false)) {
-    ++counters_.evictions_refused;
-    return std::nullopt;
+std::vector<Remedy> Remedies::Tighten(WorkerEntry& worker, bool guards) {
+  std::vector<std::uint16_t> before;
+  for (const TaskEntry* task : worker.tasks) before.push_back(task->throttle);
+  Plan(worker, std::log(options_.good_slowdown), guards);
+  return Changes(worker, before, "slows a service down");
+}
+
+std::vector<Remedy> Remedies::Loosen(WorkerEntry& worker, bool guards) {
+  std::vector<std::uint16_t> before;
+  for (TaskEntry* task : worker.tasks) {
+    before.push_back(task->throttle);
+    if (!task->ending) task->throttle = kFullThrottle;
   }
-  budget_.Take(culprit.id.task);
-  culprit.ending = true;
-  ++(culprit.checkpoints ? counters_.moves : counters_.stops);
-  return Remedy{
-      .kind = culprit.checkpoints ? RemedyKind::kMove : RemedyKind::kStop,
-      .worker = worker.name,
-      .id = culprit.id,
-      .reason = "slows a service down although it is throttled"};
+  Plan(worker, std::log(options_.max_slowdown), guards);
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    TaskEntry& task = *worker.tasks[i];
+    task.throttle = std::max(task.throttle, before[i]);
+  }
+  return Changes(worker, before, "services are well");
 }
 
-std::optional<Remedy> Remedies::Loosen(WorkerEntry& worker, bool guards) {
-  TaskEntry* least = nullptr;
-  double least_contribution = 0;
+void Remedies::NoteIdle(WorkerEntry& worker, MonotonicTime now) const {
   for (TaskEntry* task : worker.tasks) {
-    if (task->throttle >= kFullThrottle || task->ending) continue;
-    const double contribution = predictor_.Contribution(worker, *task, guards);
-    if (least != nullptr && contribution >= least_contribution) continue;
-    least = task;
-    least_contribution = contribution;
+    const bool is_idle = task->throttle < options_.idle_throttle;
+    if (is_idle && !task->is_idle) task->idle_since = now;
+    task->is_idle = is_idle;
   }
-  if (least == nullptr) return std::nullopt;
-  const std::uint32_t next = std::min(least->throttle * 2U, kFullThrottle);
-  const double added =
-      SlowdownPredictor::ShareOf(worker, least->need, next - least->throttle);
-  if (predictor_.Worst(worker, least->type, added, guards) >
-      std::log(options_.max_slowdown)) {
-    return std::nullopt;
+}
+
+std::vector<Remedy> Remedies::MoveIdle(WorkerEntry& worker, MonotonicTime now) {
+  for (TaskEntry* task : worker.tasks) {
+    if (task->ending || !task->checkpoints || !task->is_idle) continue;
+    if (now - task->idle_since < options_.idle_after) continue;
+    return Evict(worker, task, "gets nearly no processor time here");
   }
-  return Throttle(worker, *least, next, "services are well");
+  return {};
 }
 
-Remedy Remedies::Throttle(const WorkerEntry& worker, TaskEntry& task,
-                          std::uint32_t throttle, const char* reason) {
-  task.throttle = static_cast<std::uint16_t>(
-      std::clamp(throttle, kLeastThrottle, kFullThrottle));
-  return {.kind = RemedyKind::kThrottle,
-          .worker = worker.name,
-          .id = task.id,
-          .throttle = task.throttle,
-          .reason = reason};
+std::vector<Remedy> Remedies::Evict(const WorkerEntry& worker, TaskEntry* task,
+                                    const char* reason) {
+  if (task == nullptr) return {};
+  if (!budget_.Allows(task->id.task, false)) {
+    ++counters_.evictions_refused;
+    return {};
+  }
+  budget_.Take(task->id.task);
+  task->ending = true;
+  ++(task->checkpoints ? counters_.moves : counters_.stops);
+  return {{.kind = task->checkpoints ? RemedyKind::kMove : RemedyKind::kStop,
+           .worker = worker.name,
+           .id = task->id,
+           .reason = reason}};
 }
 
 }  // namespace carobmast::placement
--- a/src/placement/internal/remedies.h
+++ b/src/placement/internal/remedies.h
@@ -3,9 +3,9 @@
 #ifndef CAROBMAST_PLACEMENT_INTERNAL_REMEDIES_H_
 #define CAROBMAST_PLACEMENT_INTERNAL_REMEDIES_H_
 
-#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "placement/internal/slowdown.h"
 
@@ -45,24 +45,39 @@
         counters_(counters) {}
 
   // Looks at one worker after its report.
-  std::optional<Remedy> Next(WorkerId id, WorkerEntry& worker, bool guards,
-                             MonotonicTime now);
+  std::vector<Remedy> Next(WorkerId id, WorkerEntry& worker, bool guards,
+                           bool room_is_wanted, MonotonicTime now);
   void ForgetWorker(WorkerId id) { states_.erase(id); }
 
  private:
   struct State {
     MonotonicTime last_remedy;
     MonotonicTime well_since;
+    MonotonicTime bad_since;
     bool had_remedy = false;
     bool is_well = false;
+    bool is_bad = false;
   };
-
-  double WorstSlowdown(const WorkerEntry& worker, bool guards) const;
-  std::optional<Remedy> Tighten(WorkerEntry& worker, bool guards);
-  std::optional<Remedy> Loosen(WorkerEntry& worker, bool guards);
-  std::optional<Remedy> Evict(WorkerEntry& worker, TaskEntry& culprit);
-  static Remedy Throttle(const WorkerEntry& worker, TaskEntry& task,
-                         std::uint32_t throttle, const char* reason);
+  // The worst logarithm of a slowdown on the worker: predicted, plus what the
+  // model did not explain so far.
+  double Worst(const WorkerEntry& worker, bool guards) const;
+  static void Note(State& state, bool is_bad, bool is_well, MonotonicTime now);
+  // Sets the throttles with which the worst slowdown is at most `target`, at
+  // the least cost to batch. Does not act yet.
+  void Plan(WorkerEntry& worker, double target, bool guards) const;
+  std::vector<Remedy> Tighten(WorkerEntry& worker, bool guards);
+  std::vector<Remedy> Loosen(WorkerEntry& worker, bool guards);
+  void NoteIdle(WorkerEntry& worker, MonotonicTime now) const;
+  // Moves a task away that gets nearly no processor time.
+  std::vector<Remedy> MoveIdle(WorkerEntry& worker, MonotonicTime now);
+  std::vector<Remedy> Evict(const WorkerEntry& worker, TaskEntry* task,
+                            const char* reason);
+  // The batch task that disturbs most for each processor that it uses.
+  TaskEntry* Culprit(const WorkerEntry& worker, bool guards,
+                     std::uint32_t above_throttle) const;
+  std::vector<Remedy> Changes(WorkerEntry& worker,
+                              const std::vector<std::uint16_t>& before,
+                              const char* reason);
 
   const PlacementOptions& options_;
   const SlowdownPredictor& predictor_;
--- a/src/placement/types/placement_types.h
+++ b/src/placement/types/placement_types.h
@@ -78,17 +78,22 @@
 struct PlacementOptions {
   // Workers looked at for one decision, from each index.
   std::size_t max_candidates = 24;
-  // Batch is placed where each service's predicted slowdown stays below this.
-  double max_slowdown = 1.05;
-  // Remedies begin above the first and end below the second.
-  double bad_slowdown = 1.08;
-  double good_slowdown = 1.04;
+  // Batch starts, and throttles are loosened, where each service's predicted
+  // slowdown stays below this.
+  double max_slowdown = 1.12;
+  // Remedies begin above the first, and aim at the second.
+  double bad_slowdown = 1.16;
+  double good_slowdown = 1.12;
   // How late reports describe the worker.
   Duration report_lag = std::chrono::seconds(10);
   // Least time between two remedies on one worker.
   Duration react_every = std::chrono::seconds(20);
   // A remedy is loosened after the worker was well for this long.
-  Duration release_after = std::chrono::seconds(60);
+  Duration release_after = std::chrono::seconds(15);
+  // A task with checkpoints that is throttled below this for this long is moved
+  // away, if others wait for its room.
+  std::uint32_t idle_throttle = 300;
+  Duration idle_after = std::chrono::seconds(60);
   // Evictions allowed for each started batch task, and the most that can be
   // saved up.
   double evictions_per_start = 0.04;
@@ -97,7 +102,7 @@
   std::uint32_t max_evictions_per_task = 2;
   // With guards, services are assumed to be at least at this share of the
   // highest load seen.
-  double guard_share = 0.9;
+  double guard_share = 0.4;
   // Share of the room left by services that long batch tasks may hold while
   // short ones are about.
   double long_share = 0.92;
