--- a/src/config/follower_core.h
+++ b/src/config/follower_core.h
@@ -33,9 +33,11 @@
   Duration peer_timeout = std::chrono::seconds(1);
   // Between two questions to one peer while the log answers.
   Duration peer_interval = std::chrono::seconds(10);
-  // The same while it does not, or before a set is in force.
+  // To a peer that has failed, at most.
+  Duration peer_interval_max = std::chrono::seconds(30);
+  // The same while the log does not answer, or before a set is in force.
   Duration peer_interval_urgent = std::chrono::seconds(1);
-  Duration peer_interval_max = std::chrono::seconds(16);
+  Duration peer_interval_urgent_max = std::chrono::seconds(4);
   // The log gets this long to bring what a peer already has.
   Duration log_grace = std::chrono::seconds(2);
   // Age at which the whole set is written again; well under the retention.
--- a/src/config/internal/codec.cc
+++ b/src/config/internal/codec.cc
@@ -141,7 +141,7 @@
     constexpr std::uint64_t kMax =
         static_cast<std::uint64_t>(Duration::max().count());
     const std::uint64_t count = Unsigned(value, field, kMax);
-    out = std::chrono::nanoseconds(count);
+    out = Duration{static_cast<Duration::rep>(count)};
   }
 
   void Read(const json::value& value, const char* field, bool& out, FlagSpec) {
--- a/src/config/internal/follower_core.cc
+++ b/src/config/internal/follower_core.cc
@@ -160,10 +160,12 @@
 
 Duration FollowerCore::AskInterval(MonotonicTime now, const Peer& peer) {
   const FollowerTiming& timing = options_.timing;
+  const bool urgent = IsUrgent(now);
   const Duration base =
-      IsUrgent(now) ? timing.peer_interval_urgent : timing.peer_interval;
-  const Duration interval =
-      Backoff(base, std::max(base, timing.peer_interval_max), peer.failures);
+      urgent ? timing.peer_interval_urgent : timing.peer_interval;
+  const Duration longest =
+      urgent ? timing.peer_interval_urgent_max : timing.peer_interval_max;
+  const Duration interval = Backoff(base, longest, peer.failures);
   // Spread, so that processes that start together don't ask together.
   std::uniform_int_distribution<Duration::rep> spread(0, interval.count() / 4);
   return interval + Duration(spread(random_));
@@ -333,6 +335,9 @@
   for (Peer& peer : peers_) {
     if (peer.info.name != request.process) continue;
     NoteHead(now, peer, request.head);
+    // Who asks can be asked.
+    if (peer.failures > 0) peer.next_ask = now;
+    peer.failures = 0;
   }
   return {.process = options_.name, .head = fold().head()};
 }
--- a/src/config/tests/config_fuzz.cc
+++ b/src/config/tests/config_fuzz.cc
@@ -17,7 +17,7 @@
 constexpr Duration kBound = std::chrono::seconds(19);
 constexpr std::size_t kProcesses = 6;
 constexpr std::size_t kFirstWithRules2 = 4;
-constexpr int kDefaultRuns = 60;
+constexpr int kDefaultRuns = 300;
 constexpr int kDefaultSeed = 20261;
 
 // Decides about each record by a pass over the whole set.
--- a/src/config/tests/follower_test.cc
+++ b/src/config/tests/follower_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(CompactionIsWrittenBeforeRetentionEnds);
   CPPUNIT_TEST(ReaderThatFellBehindResumes);
   CPPUNIT_TEST(LargeSetComesInPages);
+  CPPUNIT_TEST(PeerThatAsksIsAskedAtOnce);
   CPPUNIT_TEST(OlderProgramStopsAndSaysSo);
   CPPUNIT_TEST(OlderProgramThatStartsTakesNoSetItCannotRead);
   CPPUNIT_TEST_SUITE_END();
@@ -235,6 +236,18 @@
                          world.process(0).core->fold().set().size());
   }
 
+  void PeerThatAsksIsAskedAtOnce() {
+    MonotonicTime now(std::chrono::hours(1));
+    FollowerCore core({.name = "a", .peers = {{.name = "b", .zone = "z"}}},
+                      now);
+    now += std::chrono::minutes(1);
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kHead);
+    core.OnPeerError(now, 0);
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kWait);
+    core.OnHeadRequest(now, {.process = "b", .head = {.offset = 5}});
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kFetch);
+  }
+
   void OlderProgramStopsAndSaysSo() {
     ConfigWorld world({.first_with_rules_2 = 3});
     Publisher publisher(world);
