--- a/measure/main.cc
+++ b/measure/main.cc
@@ -1,6 +1,7 @@
 // Entry point of the measurement program: one command for each measurement.
 // Every measurement runs on virtual time and takes a seed.
 #include "framework/cli/command.h"
+#include "measure/config_measure.h"
 #include "measure/gateway_measure.h"
 #include "measure/link_measure.h"
 #include "measure/requests_measure.h"
@@ -8,6 +9,7 @@
 int main(int argc, char** argv) {
   const std::vector<carobmast::cli::Command> commands = {
       // One line for each measurement.
+      carobmast::measure::ConfigMeasureCommand(),
       carobmast::measure::GatewayCommand(),
       carobmast::measure::LinkCommand(),
       carobmast::measure::RequestsCommand(),
--- a/src/config/tests/config_fuzz.cc
+++ b/src/config/tests/config_fuzz.cc
@@ -291,6 +291,7 @@
   const std::string data =
       EncodePublish(sut.Make(RandomChange(sut, a_, b_), sut.Rules()));
   sut.Append("same", data);
+  sut.Changed();
   if (a_ % 2 == 0) sut.RunFor(std::chrono::seconds(1));
   sut.Append("same", data);
   sut.Changed();
