--- /dev/null
+++ b/src/operators/internal/ask_status.h
@@ -0,0 +1,18 @@
+// Questions to the operator port of a daemon.
+#ifndef CAROBMAST_OPERATORS_INTERNAL_ASK_STATUS_H_
+#define CAROBMAST_OPERATORS_INTERNAL_ASK_STATUS_H_
+
+#include <boost/json.hpp>
+#include <string>
+
+#include "framework/net/http_client.h"
+
+namespace carobmast::operators::internal {
+
+// GET `target` at `daemon`. Throws Error (step "status") when it gives no JSON.
+boost::json::value AskStatus(const net::Address& daemon,
+                             const std::string& target);
+
+}  // namespace carobmast::operators::internal
+
+#endif  // CAROBMAST_OPERATORS_INTERNAL_ASK_STATUS_H_
--- a/src/operators/internal/command_list.h
+++ b/src/operators/internal/command_list.h
@@ -13,6 +13,9 @@
 cli::Command CancelCommand();
 cli::Command StatusCommand();
 cli::Command DrainCommand();
+cli::Command ExplainCommand();
+cli::Command DiffCommand();
+cli::Command HistoryCommand();
 
 }  // namespace carobmast::operators::internal
 
--- a/src/operators/internal/commands.cc
+++ b/src/operators/internal/commands.cc
@@ -8,7 +8,8 @@
   return {internal::CheckCommand(),  internal::PublishCommand(),
           internal::ShowCommand(),   internal::SubmitCommand(),
           internal::CancelCommand(), internal::StatusCommand(),
-          internal::DrainCommand()};
+          internal::DrainCommand(),  internal::ExplainCommand(),
+          internal::DiffCommand(),   internal::HistoryCommand()};
 }
 
 }  // namespace carobmast::operators
--- a/src/operators/internal/config_commands.cc
+++ b/src/operators/internal/config_commands.cc
@@ -9,6 +9,7 @@
 #include "framework/base/error.h"
 #include "operators/drive.h"
 #include "operators/internal/arguments.h"
+#include "operators/internal/ask_status.h"
 #include "operators/internal/command_list.h"
 #include "operators/internal/output.h"
 #include "operators/internal/publish_report.h"
@@ -83,26 +84,6 @@
   return Guarded("drain", [&] { return Drain(arguments); });
 }
 
-// Asks the operator port of a scheduler.
-json::value AskStatus(const net::Address& scheduler) {
-  LogSession session(scheduler);
-  net::HttpCall call;
-  call.target = "/status";
-  const net::HttpAnswer answer =
-      session.Run(session.client().Call(scheduler, std::move(call)));
-  if (answer.outcome != net::CallOutcome::kAnswered) {
-    throw Error("status", scheduler.ToString(), answer.error);
-  }
-  json::error_code error;
-  json::value status = json::parse(answer.body, error);
-  if (answer.status != 200 || error) {
-    throw Error(
-        "status", scheduler.ToString(),
-        "unusable answer with HTTP status " + std::to_string(answer.status));
-  }
-  return status;
-}
-
 cli::ExitCode RunStatus(const std::vector<std::string>& args) {
   TCLAP::CmdLine line("Prints what a process knows");
   OutputArgument output(line);
@@ -113,7 +94,7 @@
       cli::ParseArguments(line, "status", args);
   if (end.has_value()) return *end;
   return Guarded("status", [&] {
-    PrintResult(AskStatus(net::ParseAddress(scheduler.getValue())),
+    PrintResult(AskStatus(net::ParseAddress(scheduler.getValue()), "/status"),
                 output.format());
     return cli::ExitCode::kDone;
   });
