Count unreached workers only while another scheduler could take the cell

Cause: ZombieOwnerKeepsTheWorkerItReaches failed once the zombie saw the VM list: the owner gave its cell up in the second in which the old owner came back, which reached fewer workers. Fails before, passes after.

--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -47,7 +47,8 @@
   // Since when most of its workers were not reached.
   std::optional<MonotonicTime> unreached_since;
   // Given up because its workers were not reached: until then others claim it
-  // first, and if it comes back all the same it is kept.
+  // first, and if it comes back all the same it is kept. Cleared when all its
+  // workers were reached.
   MonotonicTime avoid_until;
   // Given up by this process, and claimed by nobody else so far.
   bool gave_up = false;
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -192,13 +192,16 @@
     ++present;
     if (session->contact == Contact::kFenced) ++reached;
   }
-  if (reached * 2 > present || present == 0 || now < cell.avoid_until) {
+  // Counts only while there is another scheduler to leave the cell to.
+  const bool alone = monitor_.AliveIn({cell.zone}, now).size() < 2;
+  if (reached * 2 > present || present == 0 || now < cell.avoid_until ||
+      alone) {
     cell.unreached_since.reset();
     return;
   }
   if (!cell.unreached_since.has_value()) cell.unreached_since = now;
   if (now - *cell.unreached_since < options_.unreached_limit) return;
-  if (monitor_.AliveIn({cell.zone}, now).size() < 2) return;
+
   cell.avoid_until = now + kAvoid;
   Relinquish(now, cell);
 }
@@ -445,6 +448,7 @@
 
 void SchedulerCore::Impl::CheckResolved(MonotonicTime now, OwnCell& cell) {
   if (cell.state != CellState::kFencing || !Resolved(cell)) return;
+  cell.avoid_until = {};
   Fire(now, cell, CellEvent::kResolved);
 }
 
--- a/src/work/tests/work_fuzz_test.cc
+++ b/src/work/tests/work_fuzz_test.cc
@@ -66,14 +66,20 @@
              << "s";
 }
 
+rc::Gen<Fault> AnyFault() {
+  return rc::gen::map(rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
+                      [](int fault) { return static_cast<Fault>(fault); });
+}
+
 rc::Gen<Step> AnyStep() {
   return rc::gen::build<Step>(
       rc::gen::set(
           &Step::fault,
-          rc::gen::map(rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
-                       [](int fault) { return static_cast<Fault>(fault); })),
+          rc::gen::weightedOneOf<Fault>(
+              {{3, AnyFault()},
+               {1, rc::gen::element(Fault::kZombie, Fault::kKillWorker)}})),
       rc::gen::set(&Step::target, rc::gen::inRange(0, 100)),
-      rc::gen::set(&Step::other, rc::gen::inRange(0, 100)),
+      rc::gen::set(&Step::other, rc::gen::inRange(0, 1 << 16)),
       rc::gen::set(&Step::length, rc::gen::inRange(1, 90)),
       rc::gen::set(&Step::wait, rc::gen::inRange(0, 30)));
 }
@@ -203,17 +209,19 @@
     }
   }
 
-  // Cuts a scheduler from the log and from some workers, and all others from
-  // the rest of the workers of its zone.
+  // Cuts a scheduler from the log and from some workers of its zone, and all
+  // others from some other workers.
   void MakeZombie(const std::string& zombie, int pattern) {
     const std::string zone = world_.scheduler(zombie)->Status({}).zone;
     world_.CutLog(zombie, true);
     int index = 0;
     for (const std::string& worker : world_.worker_names()) {
       if (!worker.starts_with(zone)) continue;
-      const bool kept = ((pattern >> index++) & 1) != 0;
+      // 0 and 3: all reach it; 1: all but the zombie; 2: only the zombie.
+      const int reach = (pattern >> (2 * index++)) & 3;
       for (const std::string& name : world_.scheduler_names()) {
-        if ((name == zombie) != kept) world_.CutWorker(name, worker, true);
+        const bool cut = name == zombie ? reach == 1 : reach == 2;
+        if (cut) world_.CutWorker(name, worker, true);
       }
     }
   }
