submit during an outage says 'not accepted'

With the log out, submit ended with the error of its first read alone, which left open whether the job was accepted. Now it reports 'not accepted'; under an id that was given it reports 'unknown', since an earlier run with this id may have been accepted.

e2e.log_outage_refuses_submissions_and_stops_nothing failed on the message before and passes now.

--- a/src/operators/internal/work_commands.cc
+++ b/src/operators/internal/work_commands.cc
@@ -89,8 +89,18 @@
                              : RandomId().substr(0, kGeneratedIdLength);
   LogSession session(arguments.log.address());
   config::LogReplay replay;
-  session.Run(
-      ReadConfig(session.log(), arguments.log.timeout(), replay, nullptr));
+  try {
+    session.Run(
+        ReadConfig(session.log(), arguments.log.timeout(), replay, nullptr));
+  } catch (const Error& error) {
+    // Under an id that was given, an earlier run may have been accepted.
+    const AppendResultKind kind = arguments.id.isSet()
+                                      ? AppendResultKind::kUnknown
+                                      : AppendResultKind::kNotAppended;
+    return Report("submit", "accepted", id,
+                  {.kind = kind, .reason = error.what()},
+                  arguments.output.format());
+  }
   AppendFlowOptions options{
       .stream = platform::kWorkStream,
       .record = work::MakeSubmit(id, FindJob(replay, job)),
