--- a/src/app/tests/cluster.py
+++ b/src/app/tests/cluster.py
@@ -64,15 +64,18 @@
         self.name = name
         self.out_path = folder / f"{name}.out"
         self.error_path = folder / f"{name}.err"
-        self.popen = subprocess.Popen(
-            [str(argument) for argument in arguments],
-            stdin=subprocess.DEVNULL,
-            stdout=self.out_path.open("ab"),
-            stderr=self.error_path.open("ab"),
-        )
+        # A process of the same name may have written before.
+        self.out_before = self.out_path.stat().st_size if self.out_path.exists() else 0
+        with self.out_path.open("ab") as out, self.error_path.open("ab") as error:
+            self.popen = subprocess.Popen(
+                [str(argument) for argument in arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=error,
+            )
 
     def listen_line(self):
-        """The last line of standard output that says where it listens."""
+        """The line of standard output that says where it listens."""
 
         def find():
             if self.popen.poll() is not None:
@@ -80,8 +83,8 @@
                     f"{self.name} ended with {self.popen.returncode}: "
                     + self.error_path.read_text()[-2000:]
                 )
-            lines = self.out_path.read_text().splitlines()
-            return next((line for line in reversed(lines) if " listens " in line), None)
+            lines = self.out_path.read_text()[self.out_before :].splitlines()
+            return next((line for line in lines if " listens " in line), None)
 
         return wait_for(f"{self.name} listens", find, START_SECONDS)
 
@@ -321,3 +324,21 @@
             finished[execution["task"]] = finished.get(execution["task"], 0) + 1
     if len(finished) != tasks or any(count != 1 for count in finished.values()):
         raise Failure(f"expected {tasks} tasks to finish once each, found {finished}")
+
+
+def check_capacity(executions, milli_cpus, memory_bytes):
+    """Fails when a worker ran more at one moment than it has."""
+    changes = {}
+    for period in executions:
+        start = (period["from_ms"], 1, period["milli_cpus"], period["memory_bytes"])
+        changes.setdefault(period["worker"], []).append(start)
+        if period["to_ms"] is not None:
+            end = (period["to_ms"], 0, -period["milli_cpus"], -period["memory_bytes"])
+            changes[period["worker"]].append(end)
+    for worker, steps in changes.items():
+        cpus = memory = 0
+        for at_ms, _, cpu_step, memory_step in sorted(steps):
+            cpus += cpu_step
+            memory += memory_step
+            if cpus > milli_cpus or memory > memory_bytes:
+                raise Failure(f"{worker} held {cpus} milli-CPUs and {memory} bytes at {at_ms} ms")
