--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -27,9 +27,10 @@
 
 enum class CellEvent { kClaimSent, kClaimWon, kResolved, kStale, kLost };
 
-// A cell of this zone.
+// A cell, owned or not.
 struct OwnCell {
   std::string cell;
+  std::string zone;
   CellState state = CellState::kForeign;
   // The own claim in force, while owned.
   platform::FencingToken token = 0;
@@ -46,7 +47,8 @@
   // Since when most of its workers were not reached.
   std::optional<MonotonicTime> unreached_since;
   // Given up because its workers were not reached: until then others claim it
-  // first, and if it comes back all the same it is kept.
+  // first, and if it comes back all the same it is kept. Cleared when all its
+  // workers were reached.
   MonotonicTime avoid_until;
   // Given up by this process, and claimed by nobody else so far.
   bool gave_up = false;
@@ -125,6 +127,8 @@
   void SyncCell(MonotonicTime now, const std::string& name);
   void ConsiderClaims(MonotonicTime now);
   void ConsiderClaim(MonotonicTime now, OwnCell& cell);
+  std::optional<MonotonicTime> ClaimDue(MonotonicTime now,
+                                        const OwnCell& cell) const;
   void SendClaim(MonotonicTime now, OwnCell& cell);
   void Rebalance(MonotonicTime now);
   void Relinquish(MonotonicTime now, OwnCell& cell);
@@ -232,7 +236,7 @@
   std::set<std::string> dropped_plans_;
   std::map<std::uint64_t, CommandInFlight> commands_;
   std::uint64_t next_command_ = 1;
-  // The newest VM list, workers of this zone by name.
+  // The newest VM list, workers by name.
   std::map<std::string, platform::Vm> vms_;
   WallTime vms_as_of_{};
   bool vms_known_ = false;
