--- a/measure/main.cc
+++ b/measure/main.cc
@@ -5,6 +5,7 @@
 #include "measure/gateway_measure.h"
 #include "measure/link_measure.h"
 #include "measure/requests_measure.h"
+#include "measure/starts_measure.h"
 #include "measure/work_measure.h"
 
 int main(int argc, char** argv) {
@@ -14,6 +15,7 @@
       carobmast::measure::GatewayCommand(),
       carobmast::measure::LinkCommand(),
       carobmast::measure::RequestsCommand(),
+      carobmast::measure::StartsCommand(),
       carobmast::measure::WorkCommand(),
   };
   return carobmast::cli::Dispatch(commands, argc, argv);
--- /dev/null
+++ b/measure/starts_measure.h
@@ -0,0 +1,17 @@
+// Measures what a placement decision costs as the number of workers grows.
+#ifndef CAROBMAST_MEASURE_STARTS_MEASURE_H_
+#define CAROBMAST_MEASURE_STARTS_MEASURE_H_
+
+#include "framework/cli/command.h"
+
+namespace carobmast::measure {
+
+// `carobmast_measure starts --workers 50,500,5800 --tasks 70000`: processor
+// time of a start, an end and a report, and memory of a worker and of a task.
+// The tasks belong to the largest number of workers; fewer workers hold as many
+// for each worker.
+cli::Command StartsCommand();
+
+}  // namespace carobmast::measure
+
+#endif  // CAROBMAST_MEASURE_STARTS_MEASURE_H_
--- a/src/placement/internal/remedies.cc
+++ b/src/placement/internal/remedies.cc
@@ -124,6 +124,7 @@
 
 std::vector<Remedy> Remedies::Tighten(WorkerEntry& worker, bool guards) {
   std::vector<std::uint16_t> before;
+  before.reserve(worker.tasks.size());
   for (const TaskEntry* task : worker.tasks) before.push_back(task->throttle);
   Plan(worker, std::log(options_.good_slowdown), guards);
   return Changes(worker, before, "slows a service down");
