One way to make a daemon's command and its configuration follower

Cause: gateway and scheduler each spelled out the command line, the reading of settings and the follower with its calls and stop, line for line. Settings also name a folder of state charts that override the built-in ones.

--- /dev/null
+++ b/src/config/internal/daemon_follower.cc
@@ -0,0 +1,57 @@
+#include "config/daemon_follower.h"
+
+#include <random>
+#include <utility>
+
+#include "platform/http_platform.h"
+
+namespace carobmast::config {
+
+namespace asio = boost::asio;
+
+namespace {
+
+FollowerCoreOptions MakeCore(
+    const daemon::DaemonSettings& settings,
+    std::function<void(const InForceSet&)> on_in_force) {
+  FollowerCoreOptions core{.name = settings.name,
+                           .zone = settings.zone,
+                           .seed = std::random_device()()};
+  for (const daemon::PeerSettings& peer : settings.peers) {
+    core.peers.push_back({.name = peer.name, .zone = peer.zone});
+  }
+  core.on_in_force = std::move(on_in_force);
+  return core;
+}
+
+}  // namespace
+
+Ref<ConfigFollower> MakeDaemonFollower(
+    daemon::Daemon& daemon, const Ref<net::HttpClient>& client,
+    std::function<void(const InForceSet&)> on_in_force) {
+  const daemon::DaemonSettings& settings = daemon.settings();
+  Ref<ConfigFollower> follower = MakeRef<ConfigFollower>(
+      daemon.executor(),
+      ConfigFollowerOptions{
+          .core = MakeCore(settings, std::move(on_in_force)),
+          .log = platform::MakeHttpLogService(client, settings.log_service),
+          .call_peer = [&daemon](std::size_t peer, std::string method,
+                                 std::string request, Duration timeout) {
+            const net::Address link = daemon.settings().peers[peer].link;
+            return daemon.Peer(link)->Call(std::move(method),
+                                           std::move(request), timeout);
+          }});
+  daemon.AddCall(kHeadCall, [follower](std::string request) {
+    return follower->AnswerHead(std::move(request));
+  });
+  daemon.AddCall(kFetchCall, [follower](std::string request) {
+    return follower->AnswerFetch(std::move(request));
+  });
+  daemon.AddStop([follower](Duration) -> asio::awaitable<void> {
+    follower->Stop();
+    co_return;
+  });
+  return follower;
+}
+
+}  // namespace carobmast::config
--- a/src/framework/daemon/daemon.h
+++ b/src/framework/daemon/daemon.h
@@ -42,6 +42,9 @@
   net::Address vm_list;
   // How long a graceful stop may take.
   Duration stop_grace = std::chrono::seconds(20);
+  // State charts in this folder take the place of the built-in ones; empty for
+  // none. Named NAME.yaml as in docs/CHARTS.md.
+  std::string charts_folder;
   // Logs go to this file; empty for standard error.
   std::string log_file;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
@@ -54,11 +57,15 @@
 };
 
 // Reads the keys name, zone, operator_address, link_address, peers (list of
-// name, zone, link), log_service, vm_list, stop_grace, log_file, log_level,
-// trace_file, trace_address, trace_percent. The caller reads its own keys from
-// the same reader and calls Finish().
+// name, zone, link), log_service, vm_list, stop_grace, charts_folder, log_file,
+// log_level, trace_file, trace_address, trace_percent. The caller reads its own
+// keys from the same reader and calls Finish().
 DaemonSettings ReadDaemonSettings(settings::SettingsReader& reader);
 
+// The text of the state chart `name` in the settings' folder, or empty when the
+// folder has none. Throws Error (step "state chart") when it can't be read.
+std::string ReadChart(const DaemonSettings& settings, const std::string& name);
+
 // The frame of one daemon process; single-threaded.
 class Daemon {
  public:
--- a/src/framework/daemon/internal/daemon.cc
+++ b/src/framework/daemon/internal/daemon.cc
@@ -9,8 +9,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <exception>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <utility>
 
 #include "framework/base/error.h"
@@ -71,6 +74,7 @@
   settings.log_service = reader.Address("log_service");
   settings.vm_list = reader.Address("vm_list");
   settings.stop_grace = reader.DurationOr("stop_grace", settings.stop_grace);
+  settings.charts_folder = reader.StringOr("charts_folder", "");
   settings.log_file = reader.StringOr("log_file", "");
   settings.log_level = ReadLogLevel(reader);
   settings.trace_file = reader.StringOr("trace_file", "");
@@ -82,6 +86,20 @@
   return settings;
 }
 
+std::string ReadChart(const DaemonSettings& settings, const std::string& name) {
+  if (settings.charts_folder.empty()) return "";
+  const std::filesystem::path path =
+      std::filesystem::path(settings.charts_folder) / (name + ".yaml");
+  if (!std::filesystem::exists(path)) return "";
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file.good() || text.str().empty()) {
+    throw Error("state chart", path.string(), "can't read the file");
+  }
+  return text.str();
+}
+
 struct Daemon::Impl {
   explicit Impl(DaemonSettings daemon_settings)
       : settings(std::move(daemon_settings)),
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -2,12 +2,10 @@
 
 #include <boost/asio/use_awaitable.hpp>
 #include <iostream>
-#include <optional>
-#include <random>
 #include <utility>
 
-#include "config/follower.h"
-#include "framework/base/error.h"
+#include "config/daemon_follower.h"
+#include "framework/daemon/daemon_command.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/request_tracer.h"
@@ -34,18 +32,14 @@
                  platform::MakeHttpLogService(client_,
                                               daemon_.settings().log_service),
                  tracer_.MakeHooks()),
-        follower_(MakeFollower()) {
-    daemon_.AddCall(config::kHeadCall, [this](std::string request) {
-      return follower_->AnswerHead(std::move(request));
-    });
-    daemon_.AddCall(config::kFetchCall, [this](std::string request) {
-      return follower_->AnswerFetch(std::move(request));
-    });
+        follower_(config::MakeDaemonFollower(
+            daemon_, client_, [this](const config::InForceSet& in_force) {
+              gateway_.SetObjects(in_force.set.objects());
+            })) {
     daemon_.AddMetricsUpdate([this]() {
       UpdateMetrics(daemon_.metrics(), gateway_.front().core());
     });
     daemon_.AddStop([this](Duration) -> asio::awaitable<void> {
-      follower_->Stop();
       client_->Close();
       co_return;
     });
@@ -62,30 +56,6 @@
   }
 
  private:
-  Ref<config::ConfigFollower> MakeFollower() {
-    const daemon::DaemonSettings& settings = daemon_.settings();
-    config::FollowerCoreOptions core{.name = settings.name,
-                                     .zone = settings.zone,
-                                     .seed = std::random_device()()};
-    for (const daemon::PeerSettings& peer : settings.peers) {
-      core.peers.push_back({.name = peer.name, .zone = peer.zone});
-    }
-    core.on_in_force = [this](const config::InForceSet& in_force) {
-      gateway_.SetObjects(in_force.set.objects());
-    };
-    return MakeRef<config::ConfigFollower>(
-        daemon_.executor(),
-        config::ConfigFollowerOptions{
-            .core = std::move(core),
-            .log = platform::MakeHttpLogService(client_, settings.log_service),
-            .call_peer = [this](std::size_t peer, std::string method,
-                                std::string request, Duration timeout) {
-              const net::Address link = daemon_.settings().peers[peer].link;
-              return daemon_.Peer(link)->Call(std::move(method),
-                                              std::move(request), timeout);
-            }});
-  }
-
   daemon::Daemon daemon_;
   Ref<net::HttpClient> client_;
   RequestTracer tracer_;
@@ -93,33 +63,16 @@
   Ref<config::ConfigFollower> follower_;
 };
 
-cli::ExitCode Run(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line(kSummary, ' ', cli::Version());
-  TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (YAML)",
-                                    true, "", "FILE", line);
-  const std::optional<cli::ExitCode> end =
-      cli::ParseArguments(line, "gateway", args);
-  if (end.has_value()) return *end;
-  daemon::DaemonSettings daemon_settings;
-  GatewaySettings own;
-  try {
-    settings::SettingsReader reader =
-        settings::SettingsReader::Load(file.getValue());
-    daemon_settings = daemon::ReadDaemonSettings(reader);
-    own = ReadGatewaySettings(reader);
-    reader.Finish();
-  } catch (const Error& error) {
-    std::cerr << error.what() << "\n";
-    return cli::ExitCode::kUsage;
-  }
-  Process process(std::move(daemon_settings), own);
-  return process.Run() == 0 ? cli::ExitCode::kDone : cli::ExitCode::kRefused;
+int Run(daemon::DaemonSettings settings, settings::SettingsReader& reader) {
+  const GatewaySettings own = ReadGatewaySettings(reader);
+  reader.Finish();
+  return Process(std::move(settings), own).Run();
 }
 
 }  // namespace
 
 cli::Command GatewayCommand() {
-  return {.name = "gateway", .summary = kSummary, .run = Run};
+  return daemon::MakeDaemonCommand("gateway", kSummary, Run);
 }
 
 }  // namespace carobmast::gateway
--- a/src/scheduler/internal/scheduler_command.cc
+++ b/src/scheduler/internal/scheduler_command.cc
@@ -1,13 +1,10 @@
 #include "scheduler/scheduler_command.h"
 
 #include <boost/asio/use_awaitable.hpp>
-#include <iostream>
-#include <optional>
-#include <random>
 #include <utility>
 
-#include "config/follower.h"
-#include "framework/base/error.h"
+#include "config/daemon_follower.h"
+#include "framework/daemon/daemon_command.h"
 #include "platform/http_platform.h"
 #include "scheduler/scheduler.h"
 
@@ -28,16 +25,12 @@
         client_(MakeRef<net::HttpClient>(daemon_.executor(),
                                          net::HttpClientOptions{})),
         scheduler_(daemon_, own, MakeServices()),
-        follower_(MakeFollower()) {
+        follower_(config::MakeDaemonFollower(
+            daemon_, client_, [this](const config::InForceSet& in_force) {
+              scheduler_.SetObjects(in_force.set.objects());
+            })) {
     scheduler_.SetConfigStatus([this] { return follower_->Status(); });
-    daemon_.AddCall(config::kHeadCall, [this](std::string request) {
-      return follower_->AnswerHead(std::move(request));
-    });
-    daemon_.AddCall(config::kFetchCall, [this](std::string request) {
-      return follower_->AnswerFetch(std::move(request));
-    });
     daemon_.AddStop([this](Duration) -> asio::awaitable<void> {
-      follower_->Stop();
       client_->Close();
       co_return;
     });
@@ -60,63 +53,22 @@
         .workers = platform::MakeHttpWorkerService(client_)};
   }
 
-  Ref<config::ConfigFollower> MakeFollower() {
-    const daemon::DaemonSettings& settings = daemon_.settings();
-    config::FollowerCoreOptions core{.name = settings.name,
-                                     .zone = settings.zone,
-                                     .seed = std::random_device()()};
-    for (const daemon::PeerSettings& peer : settings.peers) {
-      core.peers.push_back({.name = peer.name, .zone = peer.zone});
-    }
-    core.on_in_force = [this](const config::InForceSet& in_force) {
-      scheduler_.SetObjects(in_force.set.objects());
-    };
-    return MakeRef<config::ConfigFollower>(
-        daemon_.executor(),
-        config::ConfigFollowerOptions{
-            .core = std::move(core),
-            .log = platform::MakeHttpLogService(client_, settings.log_service),
-            .call_peer = [this](std::size_t peer, std::string method,
-                                std::string request, Duration timeout) {
-              const net::Address link = daemon_.settings().peers[peer].link;
-              return daemon_.Peer(link)->Call(std::move(method),
-                                              std::move(request), timeout);
-            }});
-  }
-
   daemon::Daemon daemon_;
   Ref<net::HttpClient> client_;
   Scheduler scheduler_;
   Ref<config::ConfigFollower> follower_;
 };
 
-cli::ExitCode Run(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line(kSummary, ' ', cli::Version());
-  TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (YAML)",
-                                    true, "", "FILE", line);
-  const std::optional<cli::ExitCode> end =
-      cli::ParseArguments(line, "scheduler", args);
-  if (end.has_value()) return *end;
-  daemon::DaemonSettings daemon_settings;
-  SchedulerSettings own;
-  try {
-    settings::SettingsReader reader =
-        settings::SettingsReader::Load(file.getValue());
-    daemon_settings = daemon::ReadDaemonSettings(reader);
-    own = ReadSchedulerSettings(reader);
-    reader.Finish();
-  } catch (const Error& error) {
-    std::cerr << error.what() << "\n";
-    return cli::ExitCode::kUsage;
-  }
-  Process process(std::move(daemon_settings), own);
-  return process.Run() == 0 ? cli::ExitCode::kDone : cli::ExitCode::kRefused;
+int Run(daemon::DaemonSettings settings, settings::SettingsReader& reader) {
+  const SchedulerSettings own = ReadSchedulerSettings(reader);
+  reader.Finish();
+  return Process(std::move(settings), own).Run();
 }
 
 }  // namespace
 
 cli::Command SchedulerCommand() {
-  return {.name = "scheduler", .summary = kSummary, .run = Run};
+  return daemon::MakeDaemonCommand("scheduler", kSummary, Run);
 }
 
 }  // namespace carobmast::scheduler
