--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,4 +1,5 @@
 // Entry point of the one binary: the commands of all modules, wired together.
+#include "app/charts_command.h"
 #include "framework/cli/command.h"
 #include "gateway/gateway_command.h"
 #include "operators/commands.h"
@@ -9,5 +10,6 @@
       carobmast::operators::OperatorCommands();
   commands.push_back(carobmast::gateway::GatewayCommand());
   commands.push_back(carobmast::scheduler::SchedulerCommand());
+  commands.push_back(carobmast::app::ChartsCommand());
   return carobmast::cli::Dispatch(commands, argc, argv);
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -168,6 +168,9 @@
   options.core.zone = daemon_.settings().zone;
   options.core.policy = settings.policy;
   options.core.seed = std::random_device()();
+  options.core.attempt_chart = daemon::ReadChart(daemon_.settings(), "attempt");
+  options.core.connections.chart =
+      daemon::ReadChart(daemon_.settings(), "connection");
   options.trace = trace;
   options.hooks.claim = [this](requests::RequestId id, const std::string& key) {
     claims_.Claim(id, key, MonotonicClock::now());
--- a/src/requests/connection_pool.h
+++ b/src/requests/connection_pool.h
@@ -28,13 +28,16 @@
   // Tells the I/O code to close a connection.
   std::function<void(ConnectionId)> close;
   // Overrides the embedded chart when not empty.
-  std::string_view chart;
+  std::string chart;
 };
 
 class ConnectionPool {
  public:
   explicit ConnectionPool(ConnectionPoolOptions options);
 
+  // The embedded chart as a Mermaid diagram.
+  static std::string DrawChart();
+
   struct Taken {
     ConnectionId id = 0;
     // It has to be opened first.
--- a/src/requests/internal/connection_pool.cc
+++ b/src/requests/internal/connection_pool.cc
@@ -24,6 +24,8 @@
                              }}}});
 }
 
+std::string ConnectionPool::DrawChart() { return MakeChart({}).Draw(); }
+
 ConnectionPool::ConnectionPool(ConnectionPoolOptions options)
     : options_(std::move(options)), chart_(MakeChart(options_.chart)) {}
 
--- a/src/requests/internal/request_core.cc
+++ b/src/requests/internal/request_core.cc
@@ -59,7 +59,7 @@
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       random_(options_.seed),
-      attempt_chart_(MakeAttemptChart()),
+      attempt_chart_(MakeAttemptChart(options_.attempt_chart)),
       connections_([this] {
         ConnectionPoolOptions pool = options_.connections;
         pool.close = hooks_.close_connection;
--- a/src/requests/request_core.h
+++ b/src/requests/request_core.h
@@ -73,6 +73,8 @@
   // Probes for one request, under the policy `probing`.
   std::uint32_t probes_per_request = 3;
   ConnectionPoolOptions connections;
+  // Overrides the embedded chart of attempts when not empty.
+  std::string attempt_chart;
 };
 
 struct CoreCounters {
--- a/src/scheduler/internal/scheduler.cc
+++ b/src/scheduler/internal/scheduler.cc
@@ -146,7 +146,9 @@
           [this](std::uint64_t id, platform::WorkerCommand command) {
             asio::co_spawn(daemon_.executor(), Command(id, std::move(command)),
                            Rethrow);
-          }};
+          },
+      .cell_chart = daemon::ReadChart(daemon_.settings(), "cell"),
+      .task_chart = daemon::ReadChart(daemon_.settings(), "task")};
 }
 
 void Scheduler::SetObjects(const config::Objects& objects) {
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -79,6 +79,8 @@
   std::size_t ServingCells() const;
   SchedulerStatus Status(MonotonicTime now) const;
   Endpoints ListEndpoints() const;
+  static std::string DrawCellChart() { return MakeCellChart("").Draw(); }
+  static std::string DrawTaskChart() { return MakeTaskChart("").Draw(); }
 
  private:
   struct CellContext {
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -99,6 +99,10 @@
 
 class SchedulerCore {
  public:
+  // The embedded charts of cells and tasks as Mermaid diagrams.
+  static std::string DrawCellChart();
+  static std::string DrawTaskChart();
+
   SchedulerCore(SchedulerOptions options, SchedulerHooks hooks);
   ~SchedulerCore();
   SchedulerCore(const SchedulerCore&) = delete;
