--- a/src/config/internal/codec.cc
+++ b/src/config/internal/codec.cc
@@ -223,6 +223,7 @@
     return objects.standing_workers;
   }
   if constexpr (std::is_same_v<O, DrainedVm>) return objects.drained_vms;
+  if constexpr (std::is_same_v<O, Publisher>) return objects.publishers;
 }
 
 template <typename O>
@@ -240,6 +241,7 @@
   CollectSorted(objects.batch_jobs, all);
   CollectSorted(objects.standing_workers, all);
   CollectSorted(objects.drained_vms, all);
+  CollectSorted(objects.publishers, all);
   std::sort(all.begin(), all.end(), [](const Object& a, const Object& b) {
     return NameOf(a) < NameOf(b);
   });
@@ -348,6 +350,8 @@
       return ReadObject<StandingWorker>(std::move(fields), name, kind);
     case Kind::kDrainedVm:
       return ReadObject<DrainedVm>(std::move(fields), name, kind);
+    case Kind::kPublisher:
+      return ReadObject<Publisher>(std::move(fields), name, kind);
   }
   throw Error(kStep, "object", "unknown kind");
 }
@@ -409,6 +413,9 @@
     case Kind::kDrainedVm:
       objects.drained_vms.erase(name);
       break;
+    case Kind::kPublisher:
+      objects.publishers.erase(name);
+      break;
   }
 }
 
@@ -428,6 +435,8 @@
       return Copy(objects.standing_workers, kind, name);
     case Kind::kDrainedVm:
       return Copy(objects.drained_vms, kind, name);
+    case Kind::kPublisher:
+      return Copy(objects.publishers, kind, name);
   }
   throw Error(kStep, name, "unknown kind");
 }
@@ -441,6 +450,7 @@
   WriteYamlList(objects.batch_jobs, Kind::kBatchJob, text);
   WriteYamlList(objects.standing_workers, Kind::kStandingWorker, text);
   WriteYamlList(objects.drained_vms, Kind::kDrainedVm, text);
+  WriteYamlList(objects.publishers, Kind::kPublisher, text);
   return text;
 }
 
--- a/src/config/internal/fields.h
+++ b/src/config/internal/fields.h
@@ -18,6 +18,8 @@
 
 // Free text that is not empty, such as the program to run.
 struct TextSpec {};
+// A public key as hexadecimal digits.
+struct KeySpec {};
 // The name of an object of `kind`.
 struct ReferenceSpec {
   Kind kind;
@@ -143,6 +145,11 @@
   visitor.Field("reason", &DrainedVm::reason, TextSpec{}, Need::kRequired);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visitor, const Publisher&) {
+  visitor.Field("key", &Publisher::key, KeySpec{}, Need::kRequired);
+}
+
 }  // namespace carobmast::config::internal
 
 #endif  // CAROBMAST_CONFIG_INTERNAL_FIELDS_H_
--- a/src/config/internal/kinds.cc
+++ b/src/config/internal/kinds.cc
@@ -11,7 +11,7 @@
   const char* list_key;
 };
 
-constexpr std::array<KindWords, 7> kWords = {{
+constexpr std::array<KindWords, 8> kWords = {{
     {"team", "team", "teams"},
     {"size class", "size_class", "size_classes"},
     {"vm pool", "vm_pool", "vm_pools"},
@@ -19,6 +19,7 @@
     {"batch job", "batch_job", "batch_jobs"},
     {"standing worker", "standing_worker", "standing_workers"},
     {"drained vm", "drained_vm", "drained_vms"},
+    {"publisher", "publisher", "publishers"},
 }};
 
 const KindWords& Words(Kind kind) {
--- a/src/config/internal/object_set.cc
+++ b/src/config/internal/object_set.cc
@@ -58,7 +58,8 @@
          objects.vm_pools.contains(name) || objects.services.contains(name) ||
          objects.batch_jobs.contains(name) ||
          objects.standing_workers.contains(name) ||
-         objects.drained_vms.contains(name);
+         objects.drained_vms.contains(name) ||
+         objects.publishers.contains(name);
 }
 
 }  // namespace
@@ -217,6 +218,7 @@
   CollectChange(*this, objects.batch_jobs, Kind::kBatchJob, put);
   CollectChange(*this, objects.standing_workers, Kind::kStandingWorker, put);
   CollectChange(*this, objects.drained_vms, Kind::kDrainedVm, put);
+  CollectChange(*this, objects.publishers, Kind::kPublisher, put);
   Change change;
   for (auto& entry : put) change.put.push_back(std::move(entry.second));
   for (const auto& entry : index_) {
--- a/src/config/internal/parse.cc
+++ b/src/config/internal/parse.cc
@@ -16,6 +16,7 @@
 using internal::CountSpec;
 using internal::DurationSpec;
 using internal::FlagSpec;
+using internal::KeySpec;
 using internal::NameListSpec;
 using internal::Need;
 using internal::PrioritySpec;
@@ -146,6 +147,11 @@
     value = Scalar(node, field, "text").value_or("");
   }
 
+  void Read(const YamlNode& node, const std::string& field, std::string& value,
+            KeySpec) {
+    value = Scalar(node, field, "a public key").value_or("");
+  }
+
   void Read(const YamlNode& node, const std::string& field, std::string& value,
             ReferenceSpec spec) {
     const std::string expected = "the name of a " + KindName(spec.kind);
@@ -312,6 +318,8 @@
       return ReadEntry<StandingWorker>(entry, kind, set);
     case Kind::kDrainedVm:
       return ReadEntry<DrainedVm>(entry, kind, set);
+    case Kind::kPublisher:
+      return ReadEntry<Publisher>(entry, kind, set);
   }
 }
 
--- a/src/config/internal/record.cc
+++ b/src/config/internal/record.cc
@@ -59,7 +59,8 @@
   PublishRecord record{.rules = rules,
                        .base = reader.Unsigned("base"),
                        .publisher = reader.String("publisher"),
-                       .digest = ReadDigest(reader)};
+                       .digest = ReadDigest(reader),
+                       .signature = reader.StringOr("signature", "")};
   if (record.publisher.size() > kMaxPublisherBytes) {
     Refuse("'publisher' is longer than 128 bytes");
   }
@@ -166,6 +167,7 @@
     remove.emplace_back(name);
   }
   out["remove"] = std::move(remove);
+  if (!record.signature.empty()) out["signature"] = record.signature;
   return json::serialize(out);
 }
 
--- a/src/config/internal/rules.cc
+++ b/src/config/internal/rules.cc
@@ -18,6 +18,7 @@
 using internal::DurationSpec;
 using internal::FlagSpec;
 using internal::FormatResources;
+using internal::KeySpec;
 using internal::NameListSpec;
 using internal::Need;
 using internal::PrioritySpec;
@@ -27,6 +28,7 @@
 using internal::TextSpec;
 
 constexpr std::size_t kMaxTextBytes = 1024;
+constexpr std::size_t kKeyDigits = 64;
 constexpr std::size_t kMaxListItems = 64;
 constexpr std::uint64_t kMaxMilliCpus = 4'096'000;
 constexpr std::uint64_t kMaxMemoryBytes = std::uint64_t{1} << 46;
@@ -57,6 +59,13 @@
     }
   }
 
+  void Check(const char* field, const std::string& value, KeySpec) {
+    const bool is_hex =
+        value.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (value.size() == kKeyDigits && is_hex) return;
+    Add(field, "expected 64 lower-case hexadecimal digits");
+  }
+
   // Checked with the references.
   void Check(const char*, const std::string&, ReferenceSpec) {}
 
--- a/src/config/kinds.h
+++ b/src/config/kinds.h
@@ -11,9 +11,9 @@
 
 namespace carobmast::config {
 
-inline constexpr std::array<Kind, 7> kAllKinds = {
-    Kind::kTeam,     Kind::kSizeClass,      Kind::kVmPool,   Kind::kService,
-    Kind::kBatchJob, Kind::kStandingWorker, Kind::kDrainedVm};
+inline constexpr std::array<Kind, 8> kAllKinds = {
+    Kind::kTeam,     Kind::kSizeClass,      Kind::kVmPool,    Kind::kService,
+    Kind::kBatchJob, Kind::kStandingWorker, Kind::kDrainedVm, Kind::kPublisher};
 
 // Longest name of an object, in bytes.
 inline constexpr std::size_t kMaxNameBytes = 63;
--- a/src/config/parse.h
+++ b/src/config/parse.h
@@ -1,9 +1,9 @@
 // Reads a configuration set from the YAML file that operators write.
 //
 // The top level has one list for each kind (teams, size_classes, vm_pools,
-// services, batch_jobs, standing_workers, drained_vms); each entry is a map
-// with `name`. The optional key `base` is the offset of the set that the file
-// was made from.
+// services, batch_jobs, standing_workers, drained_vms, publishers); each entry
+// is a map with `name`. The optional key `base` is the offset of the set that
+// the file was made from.
 #ifndef CAROBMAST_CONFIG_PARSE_H_
 #define CAROBMAST_CONFIG_PARSE_H_
 
--- a/src/config/record.h
+++ b/src/config/record.h
@@ -2,7 +2,8 @@
 //
 // Publish:
 //   {"format":1,"rules":1,"type":"publish","base":B,"publisher":"P",
-//    "digest":"...","put":[OBJECT...],"remove":["NAME"...]}
+//    "digest":"...","put":[OBJECT...],"remove":["NAME"...],
+//    "signature":"..."}, the last only when it is signed
 // Compaction, one of `parts` records that carry a whole set together:
 //   {"format":1,"rules":1,"type":"compaction","group":"G","part":0,"parts":1,
 //    "offset":O,"through":T,"digest":"...",
@@ -42,6 +43,8 @@
   // Digest of the whole set after the change.
   std::string digest;
   Change change;
+  // Of SignedText(), as 128 hexadecimal digits; may be empty.
+  std::string signature;
 };
 
 struct CompactionRecord {
--- a/src/config/tests/follower_test.cc
+++ b/src/config/tests/follower_test.cc
@@ -12,9 +12,9 @@
 constexpr Duration kBound = std::chrono::seconds(19);
 
 // Appends publishes that are accepted, as an operator's command does.
-class Publisher {
+class TestPublisher {
  public:
-  explicit Publisher(ConfigWorld& world) : world_(world) {}
+  explicit TestPublisher(ConfigWorld& world) : world_(world) {}
 
   platform::Offset Publish(const Change& change, std::uint32_t rules = 1) {
     while (fold_.head().through + 1 < world_.log.next()) {
@@ -62,7 +62,7 @@
  public:
   void PublishIsInForceEverywhere() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     CPPUNIT_ASSERT(
@@ -77,7 +77,7 @@
 
   void LongOutageKeepsTheSet() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.log.out = true;
@@ -91,7 +91,7 @@
 
   void RestartDuringOutageTakesTheNewestOfItsPeers() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     // Process 1 alone has read the newest set when the log goes out.
@@ -114,7 +114,7 @@
 
   void AllReplacedDuringOutageHaveNone() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.log.out = true;
@@ -129,7 +129,7 @@
 
   void ZoneCutFromTheLogGetsTheSetFromPeers() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     for (const std::size_t i : {0, 3}) world.CutFromLog(i, true);
@@ -141,7 +141,7 @@
 
   void ZoneCutOffKeepsItsSetAndCatchesUp() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.CutZone(0, true);
@@ -157,7 +157,7 @@
 
   void RestartInACutZoneTakesWhatTheZoneHas() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.CutZone(0, true);
@@ -171,7 +171,7 @@
     ConfigWorld world({.seed = 7});
     world.lose_answers = true;
     world.log_delay = std::chrono::milliseconds(1500);
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     for (std::uint32_t tasks = 2; tasks < 12; ++tasks) {
@@ -186,7 +186,7 @@
 
   void CompactionIsWrittenBeforeRetentionEnds() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.RunFor(std::chrono::minutes(90));
@@ -201,7 +201,7 @@
 
   void ReaderThatFellBehindResumes() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     world.CutFromLog(0, true);
@@ -221,7 +221,7 @@
 
   void LargeSetComesInPages() {
     ConfigWorld world({});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     Change change = FirstChange();
     for (int i = 0; i < 10'000; ++i) {
       Change job = JobChange("job-" + std::to_string(i), 2);
@@ -250,7 +250,7 @@
 
   void OlderProgramStopsAndSaysSo() {
     ConfigWorld world({.first_with_rules_2 = 3});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     const platform::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     const platform::Offset second = publisher.Publish(JobChange("sum", 2), 2);
@@ -264,7 +264,7 @@
 
   void OlderProgramThatStartsTakesNoSetItCannotRead() {
     ConfigWorld world({.first_with_rules_2 = 3});
-    Publisher publisher(world);
+    TestPublisher publisher(world);
     publisher.Publish(FirstChange());
     publisher.Publish(JobChange("sum", 2), 2);
     world.RunFor(kBound);
--- a/src/config/types/objects.h
+++ b/src/config/types/objects.h
@@ -96,6 +96,13 @@
   std::string reason;
 };
 
+// Who may publish. While a set has none, everybody may.
+struct Publisher {
+  std::string name;
+  // Public key (Ed25519) as 64 lower-case hexadecimal digits.
+  std::string key;
+};
+
 // The kinds of objects, in the order of Object's alternatives.
 enum class Kind {
   kTeam,
@@ -104,11 +111,12 @@
   kService,
   kBatchJob,
   kStandingWorker,
-  kDrainedVm
+  kDrainedVm,
+  kPublisher
 };
 
 using Object = std::variant<Team, SizeClass, VmPool, Service, BatchJob,
-                            StandingWorker, DrainedVm>;
+                            StandingWorker, DrainedVm, Publisher>;
 
 // All objects of a set, each kind by name. A name is unique over all kinds.
 struct Objects {
@@ -119,6 +127,7 @@
   std::map<std::string, BatchJob> batch_jobs;
   std::map<std::string, StandingWorker> standing_workers;
   std::map<std::string, DrainedVm> drained_vms;
+  std::map<std::string, Publisher> publishers;
 };
 
 }  // namespace carobmast::config
--- a/src/operators/internal/command_list.h
+++ b/src/operators/internal/command_list.h
@@ -16,6 +16,7 @@
 cli::Command ExplainCommand();
 cli::Command DiffCommand();
 cli::Command HistoryCommand();
+cli::Command KeygenCommand();
 
 }  // namespace carobmast::operators::internal
 
--- a/src/operators/internal/commands.cc
+++ b/src/operators/internal/commands.cc
@@ -9,7 +9,8 @@
           internal::ShowCommand(),   internal::SubmitCommand(),
           internal::CancelCommand(), internal::StatusCommand(),
           internal::DrainCommand(),  internal::ExplainCommand(),
-          internal::DiffCommand(),   internal::HistoryCommand()};
+          internal::DiffCommand(),   internal::HistoryCommand(),
+          internal::KeygenCommand()};
 }
 
 }  // namespace carobmast::operators
--- a/src/operators/internal/config_commands.cc
+++ b/src/operators/internal/config_commands.cc
@@ -11,6 +11,7 @@
 #include "operators/internal/arguments.h"
 #include "operators/internal/ask_status.h"
 #include "operators/internal/command_list.h"
+#include "operators/internal/key_file.h"
 #include "operators/internal/output.h"
 #include "operators/internal/publish_report.h"
 
@@ -44,6 +45,8 @@
                "drained by an operator", "TEXT", line),
         publisher("", "publisher", "Who publishes", false, DefaultPublisher(),
                   "NAME", line),
+        key("", "key", "File with the publisher's private key", false, "",
+            "FILE", line),
         vm("vm", "Name of the VM", true, "", "VM", line) {}
 
   OutputArgument output;
@@ -51,11 +54,13 @@
   TCLAP::SwitchArg undo;
   TCLAP::ValueArg<std::string> reason;
   TCLAP::ValueArg<std::string> publisher;
+  TCLAP::ValueArg<std::string> key;
   TCLAP::UnlabeledValueArg<std::string> vm;
 };
 
 cli::ExitCode Drain(DrainArguments& arguments) {
   PublishFlowOptions options{.publisher = arguments.publisher.getValue(),
+                             .sign = MakeSigner(arguments.key.getValue()),
                              .new_id = [] { return "publish-" + RandomId(); },
                              .timeout = arguments.log.timeout()};
   options.remove_kind = config::Kind::kDrainedVm;
--- /dev/null
+++ b/src/operators/internal/keygen_command.cc
@@ -0,0 +1,49 @@
+#include <string>
+#include <vector>
+
+#include "config/kinds.h"
+#include "config/signing.h"
+#include "framework/base/error.h"
+#include "operators/internal/arguments.h"
+#include "operators/internal/command_list.h"
+#include "operators/internal/key_file.h"
+#include "operators/internal/output.h"
+
+namespace carobmast::operators::internal {
+namespace {
+
+cli::ExitCode RunKeygen(const std::vector<std::string>& args) {
+  TCLAP::CmdLine line("Makes the key of a publisher");
+  OutputArgument output(line);
+  TCLAP::UnlabeledValueArg<std::string> name(
+      "name", "Name of the publisher in the set", true, "", "NAME", line);
+  TCLAP::UnlabeledValueArg<std::string> file(
+      "file", "New file for the private key", true, "", "FILE", line);
+  const std::optional<cli::ExitCode> end =
+      cli::ParseArguments(line, "keygen", args);
+  if (end.has_value()) return *end;
+  return Guarded("keygen", [&] {
+    if (!config::IsValidName(name.getValue())) {
+      throw Error("settings", "NAME",
+                  "expected 1 to 63 lower-case letters, digits and inner "
+                  "hyphens");
+    }
+    const config::KeyPair pair = config::GenerateKeyPair();
+    WriteKeyFile(file.getValue(), pair.private_key);
+    const boost::json::object publisher{{"name", name.getValue()},
+                                        {"key", pair.public_key}};
+    PrintResult(boost::json::object{{"publishers", {publisher}}},
+                output.format());
+    return cli::ExitCode::kDone;
+  });
+}
+
+}  // namespace
+
+cli::Command KeygenCommand() {
+  return {.name = "keygen",
+          .summary = "make the key of a publisher",
+          .run = RunKeygen};
+}
+
+}  // namespace carobmast::operators::internal
--- a/src/operators/internal/publish_command.cc
+++ b/src/operators/internal/publish_command.cc
@@ -9,6 +9,7 @@
 #include "operators/drive.h"
 #include "operators/internal/arguments.h"
 #include "operators/internal/command_list.h"
+#include "operators/internal/key_file.h"
 #include "operators/internal/output.h"
 #include "operators/internal/publish_report.h"
 #include "operators/internal/rollout.h"
@@ -42,6 +43,8 @@
                   "IP:PORT", line),
         publisher("", "publisher", "Who publishes", false, DefaultPublisher(),
                   "NAME", line),
+        key("", "key", "File with the publisher's private key", false, "",
+            "FILE", line),
         file("file", "The whole set", true, "", "FILE", line) {}
 
   OutputArgument output;
@@ -51,6 +54,7 @@
   TCLAP::SwitchArg wait;
   TCLAP::ValueArg<std::string> scheduler;
   TCLAP::ValueArg<std::string> publisher;
+  TCLAP::ValueArg<std::string> key;
   TCLAP::UnlabeledValueArg<std::string> file;
 };
 
@@ -60,6 +64,7 @@
                              .wanted = checked.set.objects(),
                              .base = checked.base,
                              .rebase = arguments.rebase.getValue(),
+                             .sign = MakeSigner(arguments.key.getValue()),
                              .new_id = [] { return "publish-" + RandomId(); },
                              .timeout = arguments.log.timeout()};
   if (arguments.base.getValue() != kNoBase) {
--- a/src/operators/internal/publish_flow.cc
+++ b/src/operators/internal/publish_flow.cc
@@ -6,6 +6,7 @@
 #include "config/codec.h"
 #include "config/kinds.h"
 #include "config/record.h"
+#include "config/signing.h"
 
 namespace carobmast::operators {
 namespace {
@@ -250,11 +251,20 @@
     return;
   }
   proposed_ = change;
-  const config::PublishRecord record{.rules = head.rules,
-                                     .base = head.offset,
-                                     .publisher = options_.publisher,
-                                     .digest = set.Digest(),
-                                     .change = change};
+  config::PublishRecord record{.rules = head.rules,
+                               .base = head.offset,
+                               .publisher = options_.publisher,
+                               .digest = set.Digest(),
+                               .change = change};
+  if (options_.sign) {
+    record.signature = options_.sign(config::SignedText(record));
+  }
+  const std::string not_allowed =
+      config::ReasonAgainstPublisher(replay_.fold().set(), record);
+  if (!not_allowed.empty()) {
+    Finish(PublishOutcome::kRefused, not_allowed);
+    return;
+  }
   record_ = platform::NewRecord{.id = options_.new_id(),
                                 .data = config::EncodePublish(record)};
   if (record_->data.size() > config::kMaxRecordBytes) {
--- a/src/operators/publish_flow.h
+++ b/src/operators/publish_flow.h
@@ -50,6 +50,8 @@
   // Whether to replay the change on a newer set when no object was changed by
   // both.
   bool rebase = false;
+  // Signs a text with the publisher's private key; empty for no signature.
+  std::function<std::string(const std::string& text)> sign;
   // Unique ids for records.
   std::function<std::string()> new_id;
   // Until then the log is tried again.
