--- /dev/null
+++ b/src/config/tests/follower_io_test.cc
@@ -0,0 +1,184 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "config/follower.h"
+#include "config/peer_codec.h"
+#include "config/tests/fake_log.h"
+#include "config/tests/test_sets.h"
+#include "framework/base/error.h"
+
+namespace carobmast::config {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kLimit = std::chrono::seconds(30);
+constexpr Duration kStep = std::chrono::milliseconds(5);
+
+asio::awaitable<void> Sleep(asio::io_context& context, Duration time) {
+  asio::steady_timer timer(context, time);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+// Followers with real coroutines and timers; the log and the links are hooks.
+class FollowerIoTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FollowerIoTest);
+  CPPUNIT_TEST(FollowsTheLogAndStops);
+  CPPUNIT_TEST(TakesTheSetFromAPeerWhileTheLogIsOut);
+  CPPUNIT_TEST(MalformedPeerMessagesAreErrors);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void tearDown() override {
+    for (Ref<ConfigFollower>& follower : followers_) {
+      if (follower) follower->Stop();
+    }
+    context_.restart();
+    context_.run();
+    followers_.clear();
+  }
+
+  void FollowsTheLogAndStops() {
+    StartAll(2);
+    Append(FirstChange());
+    CPPUNIT_ASSERT(RunUntil([&] { return AllHave(1); }));
+    Append(JobChange("sum", 2));
+    CPPUNIT_ASSERT(RunUntil([&] { return AllHave(2); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, followers_[0]
+                                               ->Status()
+                                               .at("in_force")
+                                               .at("offset")
+                                               .to_number<std::uint64_t>());
+  }
+
+  void TakesTheSetFromAPeerWhileTheLogIsOut() {
+    StartAll(3);
+    Append(FirstChange());
+    CPPUNIT_ASSERT(RunUntil([&] { return AllHave(1); }));
+    log_.out = true;
+    Start(0);
+    CPPUNIT_ASSERT(!followers_[0]->in_force());
+    CPPUNIT_ASSERT(RunUntil([&] { return AllHave(1); }));
+    CPPUNIT_ASSERT_EQUAL(followers_[1]->head().digest,
+                         followers_[0]->set().Digest());
+  }
+
+  void MalformedPeerMessagesAreErrors() {
+    CPPUNIT_ASSERT_THROW(DecodeHeadRequest("\xff\xff", "peer"), Error);
+    CPPUNIT_ASSERT_THROW(DecodeFetchRequest("\xff\xff", "peer"), Error);
+    CPPUNIT_ASSERT_THROW(DecodeFetchAnswer("\xff\xff", "peer"), Error);
+    const FetchAnswer answer{
+        .head = {.offset = 7, .digest = "d", .through = 9, .rules = 1},
+        .records = {At(7, "id", "data")},
+        .whole = true,
+        .objects = {"object"},
+        .page_after = "name"};
+    const FetchAnswer again =
+        DecodeFetchAnswer(EncodeFetchAnswer(answer), "peer");
+    CPPUNIT_ASSERT(again.head == answer.head);
+    CPPUNIT_ASSERT_EQUAL(answer.records[0].data, again.records[0].data);
+    CPPUNIT_ASSERT(again.whole && !again.last_page);
+    CPPUNIT_ASSERT_EQUAL(answer.objects[0], again.objects[0]);
+  }
+
+ private:
+  platform::LogService MakeLog() {
+    platform::LogService service;
+    service.read = [this](platform::ReadRequest request)
+        -> asio::awaitable<platform::ReadAnswer> {
+      const MonotonicTime end = MonotonicClock::now() + request.wait;
+      while (log_.next() <= request.from && MonotonicClock::now() < end) {
+        co_await Sleep(context_, kStep);
+      }
+      if (log_.out) throw Error("log read", "fake", "out");
+      co_return log_.Read(request);
+    };
+    service.append = [this](platform::AppendRequest request)
+        -> asio::awaitable<platform::AppendAnswer> {
+      platform::AppendAnswer answer{.outcome =
+                                        platform::AppendOutcome::kAppended};
+      for (const platform::NewRecord& record : request.records) {
+        answer.offsets.push_back(log_.Append(record, WallTime()));
+      }
+      co_return answer;
+    };
+    return service;
+  }
+
+  CallPeer MakeCall(std::size_t own) {
+    return
+        [this, own](std::size_t peer, std::string method, std::string request,
+                    Duration) -> asio::awaitable<std::string> {
+          const std::size_t to = peer < own ? peer : peer + 1;
+          if (method == kHeadCall) {
+            co_return co_await followers_[to]->AnswerHead(std::move(request));
+          }
+          co_return co_await followers_[to]->AnswerFetch(std::move(request));
+        };
+  }
+
+  void Start(std::size_t i) {
+    if (followers_[i]) followers_[i]->Stop();
+    FollowerCoreOptions core{
+        .name = std::to_string(i),
+        .timing = {.log_wait = std::chrono::milliseconds(50),
+                   .log_silence = std::chrono::milliseconds(200),
+                   .peer_interval_urgent = std::chrono::milliseconds(20)},
+        .seed = i};
+    for (std::size_t peer = 0; peer < followers_.size(); ++peer) {
+      if (peer != i) core.peers.push_back({.name = std::to_string(peer)});
+    }
+    followers_[i] = MakeRef<ConfigFollower>(
+        context_.get_executor(),
+        ConfigFollowerOptions{.core = std::move(core),
+                              .log = MakeLog(),
+                              .call_peer = MakeCall(i)});
+    followers_[i]->Start();
+  }
+
+  void StartAll(std::size_t count) {
+    followers_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) Start(i);
+  }
+
+  void Append(const Change& change) {
+    const std::string data = EncodePublish(PublishOn(fold_, change));
+    // A recent time, so that no compaction is due.
+    log_.Append({.id = "id", .data = data},
+                std::chrono::time_point_cast<std::chrono::milliseconds>(
+                    std::chrono::system_clock::now()));
+    fold_.OnRecord(log_.all().back());
+  }
+
+  bool AllHave(platform::Offset offset) const {
+    for (const Ref<ConfigFollower>& follower : followers_) {
+      if (follower->head().offset != offset) return false;
+    }
+    return true;
+  }
+
+  bool RunUntil(const std::function<bool()>& test) {
+    const MonotonicTime end = MonotonicClock::now() + kLimit;
+    while (!test()) {
+      if (MonotonicClock::now() > end) return false;
+      context_.run_for(kStep);
+    }
+    return true;
+  }
+
+  asio::io_context context_{1};
+  FakeLog log_;
+  ConfigFold fold_;
+  std::vector<Ref<ConfigFollower>> followers_;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(FollowerIoTest, "follower_io_test");
+
+}  // namespace carobmast::config
