A search for a compaction that ends by adoption skips no record

A reader that was looking for a compaction and meanwhile took the set from a peer went on behind the records that its search had passed, so a publish in between was lost to it for good while it claimed to be caught up.

--- a/src/config/internal/log_replay.cc
+++ b/src/config/internal/log_replay.cc
@@ -51,6 +51,8 @@
     if (from <= seek_->next) OnSeekRead(answer, *seek_);
     return {};
   }
+  // The search may have gone past records that are needed now.
+  if (from > needed) return {};
   std::vector<Verdict> verdicts;
   for (const platform::LogRecord& record : answer.records) {
     if (record.offset <= fold_.head().through) continue;
--- a/src/config/tests/fold_test.cc
+++ b/src/config/tests/fold_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(ResumesFromACompaction);
   CPPUNIT_TEST(PublishBehindACompactionIsNotMissed);
   CPPUNIT_TEST(NeverGuessesWhatHasExpired);
+  CPPUNIT_TEST(SearchThatEndsByAdoptionSkipsNothing);
   CPPUNIT_TEST(NeverAdoptsWhatIsOlderOrUnproved);
   CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +241,29 @@
     CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, replay.fold().head().offset);
   }
 
+  // A reader that looks for a compaction gets the set from a peer: the records
+  // that it passed in its search are folded after all.
+  void SearchThatEndsByAdoptionSkipsNothing() {
+    FakeLog log;
+    ConfigFold fold;
+    AppendPublish(log, fold, FirstChange());
+    WholeSet whole{.head = fold.head()};
+    fold.set().ForEachAfter("", [&](const StampedObject& object) {
+      whole.objects.push_back(object);
+      return true;
+    });
+    AppendPublish(log, fold, JobChange("sum", 2));
+    log.Expire(2);
+    LogReplay replay;
+    ReadAll(log, replay);
+    CPPUNIT_ASSERT(replay.seeking());
+    replay.fold().Adopt(whole);
+    log.Append({.id = "last", .data = "nonsense"}, {});
+    ReadAll(log, replay);
+    CPPUNIT_ASSERT(replay.caught_up());
+    CPPUNIT_ASSERT_EQUAL(fold.head().digest, replay.fold().head().digest);
+  }
+
   void NeverAdoptsWhatIsOlderOrUnproved() {
     ConfigFold fold;
     Fold(fold, PublishOn(fold, FirstChange()));
