--- a/measure/config_measure.cc
+++ b/measure/config_measure.cc
@@ -272,7 +272,8 @@
 }
 
 cli::ExitCode RunConfig(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Measures the cost of a configuration set by its size");
+  TCLAP::CmdLine line("Measures the cost of a configuration set by its size",
+                      ' ', cli::Version());
   TCLAP::ValueArg<std::string> objects("", "objects", "Numbers of objects",
                                        false, "1000,10000,100000", "N,N...",
                                        line);
--- a/src/operators/internal/check_command.cc
+++ b/src/operators/internal/check_command.cc
@@ -32,7 +32,8 @@
 }
 
 cli::ExitCode RunCheck(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Checks configuration sets without publishing them");
+  TCLAP::CmdLine line("Checks configuration sets without publishing them", ' ',
+                      cli::Version());
   OutputArgument output(line);
   TCLAP::UnlabeledMultiArg<std::string> files("file", "Files, one set each",
                                               true, "FILE...", line);
--- a/src/operators/internal/config_commands.cc
+++ b/src/operators/internal/config_commands.cc
@@ -21,7 +21,8 @@
 namespace json = boost::json;
 
 cli::ExitCode RunShow(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Prints the set in force as a file to edit and publish");
+  TCLAP::CmdLine line("Prints the set in force as a file to edit and publish",
+                      ' ', cli::Version());
   LogArguments log(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "show", args);
@@ -80,8 +81,8 @@
 }
 
 cli::ExitCode RunDrain(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line(
-      "Gives a VM no new work, as a change of the set in force");
+  TCLAP::CmdLine line("Gives a VM no new work, as a change of the set in force",
+                      ' ', cli::Version());
   DrainArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "drain", args);
@@ -90,7 +91,7 @@
 }
 
 cli::ExitCode RunStatus(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Prints what a process knows");
+  TCLAP::CmdLine line("Prints what a process knows", ' ', cli::Version());
   OutputArgument output(line);
   TCLAP::ValueArg<std::string> scheduler(
       "", "scheduler", "Operator address of a scheduler or gateway", true, "",
--- a/src/operators/internal/keygen_command.cc
+++ b/src/operators/internal/keygen_command.cc
@@ -13,7 +13,7 @@
 namespace {
 
 cli::ExitCode RunKeygen(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Makes the key of a publisher");
+  TCLAP::CmdLine line("Makes the key of a publisher", ' ', cli::Version());
   OutputArgument output(line);
   TCLAP::UnlabeledValueArg<std::string> name(
       "name", "Name of the publisher in the set", true, "", "NAME", line);
--- a/src/operators/internal/publish_command.cc
+++ b/src/operators/internal/publish_command.cc
@@ -100,7 +100,8 @@
 }
 
 cli::ExitCode RunPublish(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Checks a whole set and publishes it");
+  TCLAP::CmdLine line("Checks a whole set and publishes it", ' ',
+                      cli::Version());
   PublishArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "publish", args);
--- a/src/operators/internal/question_commands.cc
+++ b/src/operators/internal/question_commands.cc
@@ -96,7 +96,8 @@
 }
 
 cli::ExitCode RunExplain(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Tells what is known about an object");
+  TCLAP::CmdLine line("Tells what is known about an object", ' ',
+                      cli::Version());
   ExplainArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "explain", args);
@@ -105,7 +106,8 @@
 }
 
 cli::ExitCode RunDiff(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Tells what publishing a file would change");
+  TCLAP::CmdLine line("Tells what publishing a file would change", ' ',
+                      cli::Version());
   OutputArgument output(line);
   LogArguments log(line);
   TCLAP::UnlabeledValueArg<std::string> file("file", "The whole set", true, "",
@@ -181,7 +183,8 @@
 }
 
 cli::ExitCode RunHistory(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Prints the publishes that the log still has");
+  TCLAP::CmdLine line("Prints the publishes that the log still has", ' ',
+                      cli::Version());
   HistoryArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "history", args);
--- a/src/operators/internal/work_commands.cc
+++ b/src/operators/internal/work_commands.cc
@@ -117,7 +117,8 @@
 }
 
 cli::ExitCode RunSubmit(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Submits a batch job of the set in force");
+  TCLAP::CmdLine line("Submits a batch job of the set in force", ' ',
+                      cli::Version());
   SubmitArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "submit", args);
@@ -126,7 +127,7 @@
 }
 
 cli::ExitCode RunCancel(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Cancels a submission");
+  TCLAP::CmdLine line("Cancels a submission", ' ', cli::Version());
   OutputArgument output(line);
   LogArguments log(line);
   TCLAP::UnlabeledValueArg<std::string> id("id", "The submission", true, "",
