--- a/measure/requests_measure.cc
+++ b/measure/requests_measure.cc
@@ -28,6 +28,9 @@
 constexpr Duration kTail = std::chrono::seconds(5);
 constexpr Duration kToCaller = std::chrono::milliseconds(1);
 constexpr Duration kWithinZone = std::chrono::microseconds(50);
+// The crest begins this long after the warm-up.
+constexpr Duration kCrestFrom = std::chrono::seconds(2);
+constexpr Duration kCrestLength = std::chrono::seconds(2);
 constexpr char kIdeal[] = "ideal";
 constexpr char kBaseline[] = "round_robin";
 
@@ -38,6 +41,7 @@
   std::uint64_t seed = 1;
   std::size_t gateways = 6;
   bool faults = true;
+  Crest crest;
 };
 
 struct Result {
@@ -55,6 +59,10 @@
   std::uint64_t refused = 0;
   std::uint64_t violations = 0;
   requests::CoreCounters counters;
+  // Good answers to requests that came during the crest.
+  std::uint64_t good_in_crest = 0;
+  // From the crest's end to the last request that was shed.
+  Duration recovered_after = Duration::zero();
 };
 
 Duration Quantile(std::vector<Duration> sorted, double part) {
@@ -69,6 +77,20 @@
       .push_back(latency);
 }
 
+bool IsShed(const Outcome& outcome) {
+  if (!outcome.refusal.has_value()) return false;
+  const requests::Reason reason = outcome.refusal->reason;
+  return reason == requests::Reason::kDeadlineTooNear ||
+         reason == requests::Reason::kQueueFull;
+}
+
+void NoteCrest(Result& result, const Crest& crest, Duration at,
+               const Outcome& outcome) {
+  if (crest.Covers(at) && outcome.status == 200) ++result.good_in_crest;
+  if (at < crest.until || !IsShed(outcome)) return;
+  result.recovered_after = std::max(result.recovered_after, at - crest.until);
+}
+
 // What happens to one slot of the ideal queue.
 struct SlotState {
   InstanceMode mode = InstanceMode::kHealthy;
@@ -175,6 +197,7 @@
     if (request.at < kWarmUp) return;
     ++result.requests;
     if (request.is_short) ++result.shorts;
+    NoteCrest(result, arguments.crest, request.at, outcome);
     if (outcome.refusal.has_value()) {
       ++result.refused;
       return;
@@ -255,7 +278,8 @@
   out << YAML::EndMap;
 }
 
-void Emit(YAML::Emitter& out, const Result& result, const Result& ideal) {
+void Emit(YAML::Emitter& out, const Result& result, const Result& ideal,
+          const Crest& crest) {
   out << YAML::BeginMap;
   out << YAML::Key << "policy" << YAML::Value << result.policy;
   out << YAML::Key << "load_percent" << YAML::Value << result.load;
@@ -283,6 +307,13 @@
     out << YAML::Key << "messages_per_request" << YAML::Value
         << Ratio(static_cast<double>(result.counters.told) /
                  static_cast<double>(result.counters.requests));
+    if (crest.factor > 1) {
+      out << YAML::Key << "crest_goodput_per_second" << YAML::Value
+          << Ratio(static_cast<double>(result.good_in_crest) /
+                   Seconds(kCrestLength));
+      out << YAML::Key << "recovered_after_ms" << YAML::Value
+          << Milliseconds(result.recovered_after);
+    }
     out << YAML::Key << "violations" << YAML::Value << result.violations;
   }
   out << YAML::EndMap;
@@ -298,12 +329,16 @@
   out << YAML::Key << "results" << YAML::Value << YAML::BeginSeq;
   for (const std::int64_t load : arguments.loads) {
     const std::vector<Request> arrivals =
-        Draw(arguments.workload, load, arguments.gateways, kWarmUp + kMeasured,
-             arguments.seed);
+        Draw(arguments.workload, {.load = load,
+                                  .gateways = arguments.gateways,
+                                  .length = kWarmUp + kMeasured,
+                                  .crest = arguments.crest,
+                                  .seed = arguments.seed});
     const Result ideal = RunIdeal(arguments, arrivals, load);
-    Emit(out, ideal, ideal);
+    Emit(out, ideal, ideal, arguments.crest);
     for (const std::string& policy : arguments.policies) {
-      Emit(out, RunPolicy(arguments, arrivals, load, policy), ideal);
+      Emit(out, RunPolicy(arguments, arrivals, load, policy), ideal,
+           arguments.crest);
     }
   }
   out << YAML::EndSeq << YAML::EndMap;
@@ -324,6 +359,9 @@
   TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed", false, 1, "N", line);
   TCLAP::ValueArg<std::size_t> gateways("g", "gateways", "gateways", false, 6,
                                         "N", line);
+  TCLAP::ValueArg<std::int64_t> crest(
+      "", "crest", "demand is this many times as high for 2 s", false, 1,
+      "FACTOR", line);
   TCLAP::SwitchArg calm("c", "calm", "without the faults of the workload",
                         line);
   TCLAP::ValueArg<std::string> output("o", "output", "yaml", false, "yaml",
@@ -331,12 +369,16 @@
   const std::optional<cli::ExitCode> exit =
       cli::ParseArguments(line, "requests", args);
   if (exit.has_value()) return *exit;
-  RequestsArguments arguments{.workload = LoadWorkload(workload.getValue()),
-                              .policies = {kBaseline},
-                              .loads = load.getValue(),
-                              .seed = seed.getValue(),
-                              .gateways = gateways.getValue(),
-                              .faults = !calm.getValue()};
+  RequestsArguments arguments{
+      .workload = LoadWorkload(workload.getValue()),
+      .policies = {kBaseline},
+      .loads = load.getValue(),
+      .seed = seed.getValue(),
+      .gateways = gateways.getValue(),
+      .faults = !calm.getValue(),
+      .crest = {.from = kWarmUp + kCrestFrom,
+                .until = kWarmUp + kCrestFrom + kCrestLength,
+                .factor = crest.getValue()}};
   if (arguments.loads.empty()) arguments.loads = {40, 70, 90, 110, 150};
   std::vector<std::string> wanted = policy.getValue();
   if (wanted.empty()) wanted = {"least_outstanding"};
--- a/measure/requests_workload.cc
+++ b/measure/requests_workload.cc
@@ -142,27 +142,28 @@
   return Read(SettingsReader::Load(name));
 }
 
-std::vector<Request> Draw(const Workload& workload, std::int64_t load,
-                          std::size_t gateways, Duration length,
-                          std::uint64_t seed) {
-  std::mt19937_64 random(seed);
+std::vector<Request> Draw(const Workload& workload,
+                          const DrawOptions& options) {
+  std::mt19937_64 random(options.seed);
   const double slots = static_cast<double>(workload.instances * workload.slots);
   const double interval = static_cast<double>(workload.MeanLength().count()) *
-                          100 / (slots * static_cast<double>(load));
+                          100 / (slots * static_cast<double>(options.load));
   std::exponential_distribution<double> gap(1 / interval);
   std::vector<Request> requests;
   double at = gap(random);
-  while (at < static_cast<double>(length.count())) {
+  while (at < static_cast<double>(options.length.count())) {
     const Operation& operation = DrawOperation(workload, random);
     requests.push_back(
         {.at = Duration(static_cast<Duration::rep>(at)),
-         .gateway = static_cast<std::size_t>(random() % gateways),
+         .gateway = static_cast<std::size_t>(random() % options.gateways),
          .is_short = operation.is_short,
          .work = {.number = requests.size() + 1,
                   .operation = operation.name,
                   .idempotent = operation.idempotent,
                   .length = DrawLength(operation, random)}});
-    at += gap(random);
+    const bool crest = options.crest.Covers(requests.back().at);
+    at +=
+        gap(random) / (crest ? static_cast<double>(options.crest.factor) : 1.0);
   }
   return requests;
 }
--- a/measure/requests_workload.h
+++ b/measure/requests_workload.h
@@ -59,10 +59,26 @@
 // `zagreb`, `montevideo` or a file's name. Throws Error when it is malformed.
 Workload LoadWorkload(const std::string& name);
 
-// Requests for `length` at `load` percent of the slots; a Poisson process.
-std::vector<Request> Draw(const Workload& workload, std::int64_t load,
-                          std::size_t gateways, Duration length,
-                          std::uint64_t seed);
+// A time during which demand is a multiple of what it is otherwise.
+struct Crest {
+  Duration from = Duration::zero();
+  Duration until = Duration::zero();
+  std::int64_t factor = 1;
+
+  bool Covers(Duration at) const { return from <= at && at < until; }
+};
+
+struct DrawOptions {
+  // In percent of the slots.
+  std::int64_t load = 70;
+  std::size_t gateways = 6;
+  Duration length = Duration::zero();
+  Crest crest;
+  std::uint64_t seed = 1;
+};
+
+// A Poisson process of requests.
+std::vector<Request> Draw(const Workload& workload, const DrawOptions& options);
 
 }  // namespace carobmast::measure
 
