Keys are refused at once while the log is known to be out

Found with the real processes: with the log out a request with a key waited for its whole deadline (2.0 s). The new test failed before (no answer after 10 ms) and passes now.

--- a/src/requests/internal/key_claims.cc
+++ b/src/requests/internal/key_claims.cc
@@ -47,7 +47,7 @@
                                              : ClaimOutcome::kTakenBefore);
     return;
   }
-  if (waiting_.size() >= options_.max_waiting ||
+  if (log_out_ || waiting_.size() >= options_.max_waiting ||
       keys_.size() >= options_.max_keys) {
     hooks_.decided(request, ClaimOutcome::kUnavailable);
     return;
@@ -93,6 +93,7 @@
 
 void KeyClaims::OnAppend(const platform::AppendAnswer& answer,
                          MonotonicTime now) {
+  log_out_ = answer.outcome == platform::AppendOutcome::kNotSent;
   if (answer.outcome == platform::AppendOutcome::kAppended) {
     waiting_.erase(waiting_.begin(),
                    waiting_.begin() + static_cast<std::ptrdiff_t>(appending_));
@@ -112,6 +113,7 @@
 }
 
 void KeyClaims::OnRead(const platform::ReadAnswer& answer, MonotonicTime now) {
+  log_out_ = false;
   for (const platform::LogRecord& record : answer.records) {
     if (record.offset <= folded_) continue;
     folded_ = record.offset;
@@ -125,6 +127,7 @@
 }
 
 void KeyClaims::OnReadFailed(MonotonicTime now) {
+  log_out_ = true;
   next_read_ = now + options_.retry_after;
 }
 
--- a/src/requests/key_claims.h
+++ b/src/requests/key_claims.h
@@ -136,6 +136,8 @@
   std::deque<platform::NewRecord> waiting_;
   // Records of the append that is under way.
   std::size_t appending_ = 0;
+  // The last append or read failed: claims are refused at once.
+  bool log_out_ = false;
   MonotonicTime next_append_{};
   std::optional<MonotonicTime> next_read_;
   std::uint64_t next_id_ = 1;
--- a/src/requests/tests/key_claims_test.cc
+++ b/src/requests/tests/key_claims_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TwoAtOnceRunOnce);
   CPPUNIT_TEST(LostAppendAnswerStillRunsOnce);
   CPPUNIT_TEST(OutageIsToldAndNothingRuns);
+  CPPUNIT_TEST(OutageIsToldAtOnceWhenKnown);
   CPPUNIT_TEST(RepeatAfterGatewayDiedIsNotSent);
   CPPUNIT_TEST(PausedGatewayDoesNotSendLate);
   CPPUNIT_TEST(CutZoneDoesNotRunAgain);
@@ -65,6 +66,15 @@
     CPPUNIT_ASSERT(ended_.at(1).whole);
   }
 
+  void OutageIsToldAtOnceWhenKnown() {
+    cluster_.log().SetMode(LogMode::kOut);
+    Send(0);
+    Wait();
+    Send(0);
+    Wait(std::chrono::milliseconds(10));
+    ExpectRefused(1, Reason::kKeyUnavailable, Ran::kUnknown);
+  }
+
   void RepeatAfterGatewayDiedIsNotSent() {
     Send(0, std::chrono::milliseconds(300));
     Wait(std::chrono::milliseconds(200));
