Adopt what the owner before started after a known end; start nothing beside a stray

Cause: with stops that take 2 s, ZombieOwnerKeepsTheWorkerItReaches failed: a held task whose first attempt had ended on a dead worker took the zombie's second attempt for a stray, asked it to stop, and started a third beside it on the same worker. Reports of strays also asked for their stop again at once, in a loop at the speed of the network.

--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -176,6 +176,9 @@
                     const std::set<platform::AttemptId>& named);
   void UpdateStrays(MonotonicTime now, WorkerSession& session,
                     std::set<platform::AttemptId> strays);
+  void ClearStrays(WorkerSession& session);
+  // Whether an attempt of the task that must not run is still known to run.
+  bool HasStray(const std::string& task) const;
   void AdoptRunning(MonotonicTime now, WorkerSession& session, LocalTask& task,
                     const platform::TaskReport& report);
   void Forget(MonotonicTime now, WorkerSession& session,
@@ -229,6 +232,8 @@
   std::map<std::string, OwnCell> cells_;
   std::map<std::string, WorkerSession> sessions_;
   std::map<std::string, LocalTask> locals_;
+  // Task and worker of every stray.
+  std::set<std::pair<std::string, std::string>> strays_;
   // Locals that wait for room or for a stop to be sent again.
   std::set<std::string> to_advance_;
   // Takes on their way to the log.
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -224,11 +224,15 @@
     if (plan.cell == cell.cell) plans.push_back(id);
   }
   for (const std::string& id : plans) DropPlan(id);
-  std::erase_if(sessions_, [&](const auto& entry) {
-    if (entry.second.cell != cell.cell) return false;
-    table_.Remove(entry.first);
-    return true;
-  });
+  for (auto at = sessions_.begin(); at != sessions_.end();) {
+    if (at->second.cell != cell.cell) {
+      ++at;
+      continue;
+    }
+    ClearStrays(at->second);
+    table_.Remove(at->first);
+    at = sessions_.erase(at);
+  }
 }
 
 void SchedulerCore::Impl::AddSession(MonotonicTime now, OwnCell& cell,
@@ -250,6 +254,7 @@
   const auto found = sessions_.find(worker);
   if (found == sessions_.end()) return;
   LoseTasks(now, found->second, "worker left the cell");
+  ClearStrays(found->second);
   sessions_.erase(found);
   table_.Remove(worker);
 }
@@ -410,6 +415,7 @@
   ++counters_.workers_gone;
   UpdateUsable(now, session);
   LoseTasks(now, session, "worker is gone");
+  ClearStrays(session);
   OwnCell* cell = FindOwned(session.cell);
   if (cell == nullptr) return;
   ProposeMembers(*cell);
--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -207,11 +207,13 @@
     }
     return;
   }
-  const bool free =
-      task->worker.empty() &&
-      (task->state == LocalState::kHeld || task->state == LocalState::kReady) &&
-      report.id.attempt >= task->first_attempt;
-  if (free) {
+  // An attempt that the owner before started after the newest end known here.
+  const bool waits =
+      task->state == LocalState::kHeld || task->state == LocalState::kReady;
+  const std::uint32_t ended =
+      task->ending.has_value() ? task->ending->attempt : 0;
+  if (waits && report.id.attempt > ended &&
+      report.id.attempt >= task->first_attempt) {
     AdoptRunning(now, session, *task, report);
     return;
   }
@@ -309,11 +311,17 @@
   for (const platform::AttemptId& id : session.strays) {
     if (!strays.contains(id)) table_.Release(session.worker, id);
   }
+  ClearStrays(session);
   session.strays = std::move(strays);
+  for (const platform::AttemptId& id : session.strays) {
+    strays_.emplace(id.task, session.worker);
+  }
   const OwnCell* cell = FindOwned(session.cell);
   if (stopping_ || cell == nullptr || cell->state == CellState::kSuspended) {
     return;
   }
+  if (session.strays.empty() || now < session.next_stray_stop) return;
+  session.next_stray_stop = now + options_.probe_every;
   for (const platform::AttemptId& id : session.strays) {
     ++counters_.strays;
     platform::WorkerCommand command;
@@ -324,6 +332,18 @@
   }
 }
 
+void SchedulerCore::Impl::ClearStrays(WorkerSession& session) {
+  for (const platform::AttemptId& id : session.strays) {
+    strays_.erase({id.task, session.worker});
+  }
+  session.strays.clear();
+}
+
+bool SchedulerCore::Impl::HasStray(const std::string& task) const {
+  const auto found = strays_.lower_bound({task, ""});
+  return found != strays_.end() && found->first == task;
+}
+
 void SchedulerCore::Impl::Forget(MonotonicTime now, WorkerSession& session,
                                  const platform::AttemptId& id) {
   if (stopping_ || session.contact != Contact::kFenced) return;
--- a/src/work/internal/scheduler_tasks.cc
+++ b/src/work/internal/scheduler_tasks.cc
@@ -160,6 +160,7 @@
 void SchedulerCore::Impl::TryStart(MonotonicTime now, LocalTask& task) {
   to_advance_.insert(task.id);
   if (now < task.not_before || !task.has_spec || !OwnerLeaseValid(now)) return;
+  if (HasStray(task.id)) return;
   if (task.next_attempt >= task.first_attempt + kAttemptsPerClaim * 1000) {
     return;
   }
--- a/src/work/internal/worker_session.h
+++ b/src/work/internal/worker_session.h
@@ -49,6 +49,7 @@
   MonotonicTime refused_until;
   // Running attempts that must not run.
   std::set<platform::AttemptId> strays;
+  MonotonicTime next_stray_stop;
   // Attempts of which a start had no whole answer: the worker must remember
   // them, so that the start does nothing if it arrives later.
   std::set<platform::AttemptId> remember;
