--- a/src/config/internal/follower_core.cc
+++ b/src/config/internal/follower_core.cc
@@ -160,10 +160,12 @@
 
 Duration FollowerCore::AskInterval(MonotonicTime now, const Peer& peer) {
   const FollowerTiming& timing = options_.timing;
+  const bool urgent = IsUrgent(now);
   const Duration base =
-      IsUrgent(now) ? timing.peer_interval_urgent : timing.peer_interval;
-  const Duration interval =
-      Backoff(base, std::max(base, timing.peer_interval_max), peer.failures);
+      urgent ? timing.peer_interval_urgent : timing.peer_interval;
+  const Duration longest =
+      urgent ? timing.peer_interval_urgent_max : timing.peer_interval_max;
+  const Duration interval = Backoff(base, longest, peer.failures);
   // Spread, so that processes that start together don't ask together.
   std::uniform_int_distribution<Duration::rep> spread(0, interval.count() / 4);
   return interval + Duration(spread(random_));
@@ -182,11 +184,13 @@
 PeerStep FollowerCore::NextPeerCall(MonotonicTime now) {
   PeerStep step{.at = now + options_.timing.peer_interval_urgent};
   const Peer* best = nullptr;
+  platform::Offset best_offset = 0;
   for (const Peer& peer : peers_) {
     if (!ShouldFetch(now, peer)) continue;
-    if (best == nullptr || peer.head->offset > best->head->offset) {
-      best = &peer;
-    }
+    const platform::Offset offset = peer.head.value_or(Head{}).offset;
+    if (best != nullptr && offset <= best_offset) continue;
+    best = &peer;
+    best_offset = offset;
   }
   if (best != nullptr && !fetching_.has_value()) {
     step.action = PeerStep::Action::kFetch;
@@ -331,6 +335,9 @@
   for (Peer& peer : peers_) {
     if (peer.info.name != request.process) continue;
     NoteHead(now, peer, request.head);
+    // Who asks can be asked.
+    if (peer.failures > 0) peer.next_ask = now;
+    peer.failures = 0;
   }
   return {.process = options_.name, .head = fold().head()};
 }
@@ -418,6 +425,7 @@
 
 std::vector<PeerStatus> FollowerCore::Peers() const {
   std::vector<PeerStatus> list;
+  list.reserve(peers_.size());
   for (const Peer& peer : peers_) {
     list.push_back({.peer = peer.info,
                     .head = peer.head,
--- a/src/config/tests/follower_test.cc
+++ b/src/config/tests/follower_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(CompactionIsWrittenBeforeRetentionEnds);
   CPPUNIT_TEST(ReaderThatFellBehindResumes);
   CPPUNIT_TEST(LargeSetComesInPages);
+  CPPUNIT_TEST(PeerThatAsksIsAskedAtOnce);
   CPPUNIT_TEST(OlderProgramStopsAndSaysSo);
   CPPUNIT_TEST(OlderProgramThatStartsTakesNoSetItCannotRead);
   CPPUNIT_TEST_SUITE_END();
@@ -235,6 +236,18 @@
                          world.process(0).core->fold().set().size());
   }
 
+  void PeerThatAsksIsAskedAtOnce() {
+    MonotonicTime now(std::chrono::hours(1));
+    FollowerCore core({.name = "a", .peers = {{.name = "b", .zone = "z"}}},
+                      now);
+    now += std::chrono::minutes(1);
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kHead);
+    core.OnPeerError(now, 0);
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kWait);
+    core.OnHeadRequest(now, {.process = "b", .head = {.offset = 5}});
+    CPPUNIT_ASSERT(core.NextPeerCall(now).action == PeerStep::Action::kFetch);
+  }
+
   void OlderProgramStopsAndSaysSo() {
     ConfigWorld world({.first_with_rules_2 = 3});
     Publisher publisher(world);
@@ -243,8 +256,9 @@
     const platform::Offset second = publisher.Publish(JobChange("sum", 2), 2);
     world.RunFor(kBound);
     CPPUNIT_ASSERT_EQUAL(first, world.process(0).core->head().offset);
-    CPPUNIT_ASSERT_EQUAL(second,
-                         world.process(0).core->fold().stopped()->offset);
+    const std::optional<Verdict>& stopped =
+        world.process(0).core->fold().stopped();
+    CPPUNIT_ASSERT_EQUAL(second, stopped.value_or(Verdict{}).offset);
     CPPUNIT_ASSERT_EQUAL(second, world.process(3).core->head().offset);
   }
 
--- a/src/gateway/internal/target_port.cc
+++ b/src/gateway/internal/target_port.cc
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 constexpr int kFirstFinalStatus = 200;
 
@@ -100,9 +100,12 @@
   } else {
     const ResponseHead& head = job->parser->get();
     job->status = static_cast<int>(head.result_int());
-    const HeadVerdict verdict = core_->OnAnswerHead(
-        attempt, {.status = job->status, .refused = head[kRanField] == "no"},
-        MonotonicClock::now());
+    const HeadVerdict verdict =
+        core_->OnAnswerHead(attempt,
+                            {.status = job->status,
+                             .refused = head[kRanField] == "no",
+                             .leaving = head[kLeavingField] == "yes"},
+                            MonotonicClock::now());
     if (verdict != HeadVerdict::kDrop) {
       const AnswerEnd end = verdict == HeadVerdict::kPass ? co_await Pass(job)
                                                           : co_await Drain(job);
@@ -148,7 +151,8 @@
   if (!exchange.prefix.empty()) text += Frame(exchange.prefix, chunked);
   const bool whole = exchange.parser.is_done();
   if (whole && chunked) text += kLastChunk;
-  if (!core_->OnSent(job->order.attempt)) co_return false;
+  if (!core_->OnSent(job->order.attempt, MonotonicClock::now()))
+    co_return false;
   job->connection->stream.expires_after(options_.idle_timeout);
   if (!co_await Write(job->connection->stream, text)) co_return false;
   if (!whole && !exchange.pumping) {
@@ -196,7 +200,7 @@
   error_code error;
   int status = 0;
   while (status < kFirstFinalStatus) {
-    job->parser.emplace();
+    job->parser = std::make_unique<ResponseParser>();
     job->parser->header_limit(options_.max_head_bytes);
     job->parser->body_limit(boost::none);
     job->parser->skip(job->exchange->parser.get().method() == http::verb::head);
--- /dev/null
+++ b/src/placement/internal/remedies.h
@@ -0,0 +1,92 @@
+// Which remedy a worker gets whose services are slowed down, one step at a
+// time: throttle, checkpoint and move, stop; and when to loosen it again.
+#ifndef CAROBMAST_PLACEMENT_INTERNAL_REMEDIES_H_
+#define CAROBMAST_PLACEMENT_INTERNAL_REMEDIES_H_
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "placement/internal/slowdown.h"
+
+namespace carobmast::placement {
+
+// The bound on evictions, over all tasks and for each.
+class EvictionBudget {
+ public:
+  explicit EvictionBudget(const PlacementOptions& options)
+      : per_start_(options.evictions_per_start),
+        max_saved_(options.max_saved_evictions),
+        max_per_task_(options.max_evictions_per_task) {}
+
+  void OnBatchStart();
+  // Whether the task may be evicted now. `urgent` may use the budget ahead.
+  bool Allows(const std::string& task, bool urgent) const;
+  void Take(const std::string& task);
+  void Forget(const std::string& task) { evicted_.erase(task); }
+
+ private:
+  double per_start_;
+  double max_saved_;
+  std::uint32_t max_per_task_;
+  double saved_ = 1;
+  std::unordered_map<std::string, std::uint32_t> evicted_;
+};
+
+class Remedies {
+ public:
+  Remedies(const PlacementOptions& options, const SlowdownPredictor& predictor,
+           const InterferenceModel& model, EvictionBudget& budget,
+           PlacementCounters& counters)
+      : options_(options),
+        predictor_(predictor),
+        model_(model),
+        budget_(budget),
+        counters_(counters) {}
+
+  // Looks at one worker after its report.
+  std::vector<Remedy> Next(WorkerId id, WorkerEntry& worker, bool guards,
+                           bool room_is_wanted, MonotonicTime now);
+  void ForgetWorker(WorkerId id) { states_.erase(id); }
+
+ private:
+  struct State {
+    MonotonicTime last_remedy;
+    MonotonicTime well_since;
+    MonotonicTime bad_since;
+    bool had_remedy = false;
+    bool is_well = false;
+    bool is_bad = false;
+  };
+  // The worst logarithm of a slowdown on the worker: predicted, plus what the
+  // model did not explain so far.
+  double Worst(const WorkerEntry& worker, bool guards) const;
+  static void Note(State& state, bool is_bad, bool is_well, MonotonicTime now);
+  // Sets the throttles with which the worst slowdown is at most `target`, at
+  // the least cost to batch. Does not act yet.
+  void Plan(WorkerEntry& worker, double target, bool guards) const;
+  std::vector<Remedy> Tighten(WorkerEntry& worker, bool guards);
+  std::vector<Remedy> Loosen(WorkerEntry& worker, bool guards);
+  void NoteIdle(WorkerEntry& worker, MonotonicTime now) const;
+  // Moves a task away that gets nearly no processor time.
+  std::vector<Remedy> MoveIdle(WorkerEntry& worker, MonotonicTime now);
+  std::vector<Remedy> Evict(const WorkerEntry& worker, TaskEntry* task,
+                            const char* reason);
+  // The batch task that disturbs most for each processor that it uses.
+  TaskEntry* Culprit(const WorkerEntry& worker, bool guards,
+                     std::uint32_t above_throttle) const;
+  std::vector<Remedy> Changes(WorkerEntry& worker,
+                              const std::vector<std::uint16_t>& before,
+                              const char* reason);
+
+  const PlacementOptions& options_;
+  const SlowdownPredictor& predictor_;
+  const InterferenceModel& model_;
+  EvictionBudget& budget_;
+  PlacementCounters& counters_;
+  std::unordered_map<WorkerId, State> states_;
+};
+
+}  // namespace carobmast::placement
+
+#endif  // CAROBMAST_PLACEMENT_INTERNAL_REMEDIES_H_
