--- a/src/app/tests/cluster.py
+++ b/src/app/tests/cluster.py
@@ -13,6 +13,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 # Bounds on waiting; generous, since machines are shared.
@@ -288,10 +289,15 @@
         _, _, body = call(self.platform, "GET", f"/log/{stream}?from=1&max=10000")
         return json.loads(body)["records"]
 
-    def executions(self, prefix=""):
-        """Every period in which an attempt of a task ran, by the workers' word."""
+    def executions(self, owner=None):
+        """Every period in which an attempt ran, by the workers' word: of one task,
+        of the tasks of one submission or object, or of all."""
         _, _, body = call(self.platform, "GET", "/control/executions")
-        return [e for e in json.loads(body)["executions"] if e["task"].startswith(prefix)]
+        return [
+            execution
+            for execution in json.loads(body)["executions"]
+            if owner in (None, execution["task"], execution["task"].rsplit("/", 1)[0])
+        ]
 
     def request_runs(self):
         """How often each request id ran, over all instances."""
@@ -304,6 +310,70 @@
         return self.process(name).wait()
 
 
+class TcpProxy:
+    """Passes connections on to one address until it is cut."""
+
+    def __init__(self, target):
+        host, port = target.rsplit(":", 1)
+        self.target = (host, int(port))
+        self.is_cut = False
+        self.sockets = []
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            # While it is cut, connections are taken and nothing is passed on.
+            with self.lock:
+                self.sockets.append(caller)
+                if self.is_cut:
+                    continue
+                try:
+                    target = socket.create_connection(self.target)
+                except OSError:
+                    caller.close()
+                    continue
+                self.sockets.append(target)
+            for source, sink in ((caller, target), (target, caller)):
+                threading.Thread(target=self.pass_on, args=(source, sink), daemon=True).start()
+
+    def pass_on(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                if self.is_cut:
+                    return
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def cut(self):
+        """From now on every byte is lost; connections stay open."""
+        self.is_cut = True
+
+    def heal(self):
+        """Closes what is open, as a network does after a long cut."""
+        self.is_cut = False
+        with self.lock:
+            for each in self.sockets:
+                try:
+                    each.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+                each.close()
+            self.sockets.clear()
+
+    def close(self):
+        self.listener.close()
+        self.heal()
+
+
 def check_one_place(executions):
     """Fails when two periods of one task overlap."""
     by_task = {}
--- /dev/null
+++ b/src/app/tests/e2e_requests_test.py
@@ -0,0 +1,223 @@
+"""Requests: whole answers, truthful refusals, graceful stops."""
+
+import http.client
+import json
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.dont_write_bytecode = True
+
+from cluster import try_call, wait_for
+from e2e_case import INSTANCES, EndToEndCase
+
+
+class RequestsTest(EndToEndCase):
+    def test_stopping_gateway_answers_requests_in_flight(self):
+        self.wait_answers()
+        answers = []
+
+        def ask_slowly():
+            answers.append(
+                self.ask(path="/portal/import?ms=2000", headers={"x-request-id": "slow"}, seconds=30)
+            )
+
+        caller = threading.Thread(target=ask_slowly)
+        caller.start()
+        wait_for("it is in flight", lambda: "slow" in self.cluster.request_runs())
+        self.assertEqual(0, self.cluster.stop("gateway-1"))
+        caller.join()
+        self.assertEqual(200, answers[0][0])
+        self.assertEqual("slow", json.loads(answers[0][2])["request_id"])
+        self.assertTrue(self.answers("gateway-2"))
+
+    def test_answer_cut_short_is_an_error(self):
+        self.wait_answers()
+        self.cluster.fault("target_cut", bytes=150)
+        for method, request_id in (("GET", "cut-get"), ("POST", "cut-post")):
+            try:
+                status, _, body = self.ask(
+                    method=method,
+                    path="/portal/check?ms=1",
+                    body="x" * 200 if method == "POST" else None,
+                    headers={"x-request-id": request_id},
+                )
+                self.assertGreaterEqual(status, 500, body)
+            except (http.client.HTTPException, OSError):
+                pass  # A broken connection tells the caller as well.
+        self.assertEqual(1, self.cluster.request_runs()["cut-post"])
+        self.cluster.clear()
+        self.wait_answers()
+
+    def test_refusal_by_the_target_is_told_as_not_run(self):
+        self.wait_answers()
+        self.cluster.fault("target_refusing")
+        status, headers, _ = self.ask(
+            method="POST", body="x", headers={"x-request-id": "refused"}
+        )
+        self.assertGreaterEqual(status, 429)
+        self.assertEqual("no", headers.get("carobmast-ran"))
+        self.assertNotIn("refused", self.cluster.request_runs())
+        self.cluster.clear()
+        self.wait_answers()
+
+    def test_every_answer_belongs_to_its_request(self):
+        self.wait_answers()
+        wrong = []
+
+        def ask_many(caller):
+            gateway = self.cluster.names("gateway")[caller % 2]
+            for number in range(20):
+                request_id = f"own-{caller}-{number}"
+                body = request_id * (1 + number * 50)
+                answer = self.ask(
+                    gateway, "POST", f"/portal/check?ms={(caller * 7 + number * 3) % 40}",
+                    body=body, headers={"x-request-id": request_id}, seconds=30,
+                )
+                echo = json.loads(answer[2]) if answer[0] == 200 else {}
+                if echo.get("request_id") != request_id or echo.get("body") != body:
+                    wrong.append((request_id, answer[0], answer[2][:200]))
+
+        callers = [threading.Thread(target=ask_many, args=(n,)) for n in range(16)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual([], wrong[:3])
+        runs = self.cluster.request_runs()
+        self.assertEqual([], [i for i, n in runs.items() if i.startswith("own-") and n != 1])
+
+    def test_killed_gateway_runs_a_request_at_most_once(self):
+        self.wait_answers()
+        headers = {"x-request-id": "bill-1", "Idempotency-Key": "bill-1"}
+        outcome = []
+
+        def bill():
+            answer = try_call(
+                self.cluster.callers("gateway-1"), "POST", "/portal/bill?ms=1500",
+                body="42", headers=headers, seconds=30,
+            )
+            outcome.append(answer)
+
+        caller = threading.Thread(target=bill)
+        caller.start()
+        wait_for("it is in flight", lambda: "bill-1" in self.cluster.request_runs())
+        self.kill("gateway-1")
+        caller.join()
+        self.assertTrue(outcome[0] is None or outcome[0][0] != 200, outcome)
+        # The caller repeats it under the same key at the other gateway.
+        try_call(
+            self.cluster.callers("gateway-2"), "POST", "/portal/bill?ms=10",
+            body="42", headers=headers, seconds=30,
+        )
+        self.assertEqual(1, self.cluster.request_runs()["bill-1"])
+
+    def test_repeated_key_at_one_gateway_runs_once(self):
+        self.wait_answers()
+        headers = {"x-request-id": "book-1", "Idempotency-Key": "book-1"}
+        for _ in range(2):
+            self.ask(method="POST", path="/portal/book?ms=10", body="7", headers=headers)
+        self.assertEqual(1, self.cluster.request_runs()["book-1"])
+
+    def test_paused_gateway_answers_its_own_requests(self):
+        self.wait_answers()
+        answers = {}
+
+        def ask(number):
+            answers[number] = try_call(
+                self.cluster.callers("gateway-1"), "POST", "/portal/check?ms=500",
+                body=str(number), headers={"x-request-id": f"paused-{number}"}, seconds=30,
+            )
+
+        callers = [threading.Thread(target=ask, args=(n,)) for n in range(4)]
+        for caller in callers:
+            caller.start()
+        wait_for("they are in flight", lambda: "paused-3" in self.cluster.request_runs())
+        self.cluster.process("gateway-1").send(signal.SIGSTOP)
+        time.sleep(3)
+        self.cluster.process("gateway-1").send(signal.SIGCONT)
+        for caller in callers:
+            caller.join()
+        for number, answer in answers.items():
+            if answer is not None and answer[0] == 200:
+                self.assertEqual(f"paused-{number}", json.loads(answer[2])["request_id"])
+        runs = self.cluster.request_runs()
+        self.assertEqual([1] * 4, [runs[f"paused-{number}"] for number in range(4)])
+
+    def test_late_answers_are_not_given_to_others(self):
+        self.wait_answers()
+        self.cluster.fault("target_late", delay="1500ms")
+        for number in range(6):
+            try_call(
+                self.cluster.callers("gateway-1"), "POST", "/portal/check?ms=1", body="late",
+                headers={"x-request-id": f"late-{number}", "carobmast-timeout": "300ms"},
+            )
+        self.cluster.clear()
+        for number in range(30):
+            status, _, body = self.ask(
+                method="POST", path="/portal/check?ms=1", body="own",
+                headers={"x-request-id": f"after-{number}"},
+            )
+            if status == 200:
+                self.assertEqual(f"after-{number}", json.loads(body)["request_id"])
+        runs = self.cluster.request_runs()
+        self.assertEqual([], [i for i, n in runs.items() if n > 1])
+
+    def test_leaving_worker_gets_no_new_requests(self):
+        self.wait_answers()
+        victim = self.running("service")[0]
+        self.cluster.fault("vm_leaving", worker=victim["worker"])
+        wait_for(
+            "the instance is moved",
+            lambda: victim["worker"] not in {e["worker"] for e in self.running("service")}
+            and len(self.running("service")) == INSTANCES,
+        )
+        for number in range(40):
+            gateway = self.cluster.names("gateway")[number % 2]
+            status, _, body = self.ask(gateway)
+            self.assertEqual(200, status, body)
+
+    def test_stopping_all_gateways_in_turn_cuts_no_request_off(self):
+        self.wait_answers()
+        failures = []
+        done = threading.Event()
+
+        def ask_on(gateway):
+            number = 0
+            while not done.is_set():
+                number += 1
+                answer = None
+                try:
+                    answer = self.ask(gateway, "POST", "/portal/check?ms=30", body="x" * 1000,
+                                      headers={"x-request-id": f"roll-{gateway}-{number}"})
+                except ConnectionRefusedError:
+                    time.sleep(0.05)  # It is being replaced; nothing was sent.
+                    continue
+                except (OSError, http.client.HTTPException) as error:
+                    failures.append((gateway, number, repr(error)))
+                if answer is not None and answer[0] == 200 and "x" * 1000 not in answer[2]:
+                    failures.append((gateway, number, answer[2][:100]))
+
+        callers = [
+            threading.Thread(target=ask_on, args=(name,))
+            for name in self.cluster.names("gateway") for _ in range(4)
+        ]
+        for caller in callers:
+            caller.start()
+        try:
+            for name in self.cluster.names("gateway"):
+                time.sleep(1)
+                self.assertEqual(0, self.cluster.stop(name))
+                self.cluster.start_daemon(name)
+                wait_for(f"{name} passes requests on", lambda n=name: self.answers(n))
+        finally:
+            done.set()
+            for caller in callers:
+                caller.join()
+        self.assertEqual([], failures[:3])
+
+
+if __name__ == "__main__":
+    unittest.main()
