--- a/src/gateway/tests/http_front_test.cc
+++ b/src/gateway/tests/http_front_test.cc
@@ -22,6 +22,7 @@
 
 namespace {
 
+constexpr std::size_t kLongBody = 300'000;
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 
 // What an instance does with each connection's requests, in order.
@@ -97,6 +98,9 @@
   CPPUNIT_TEST(PassesWholeAnswer);
   CPPUNIT_TEST(KeepsConnections);
   CPPUNIT_TEST(PassesChunkedBodies);
+  CPPUNIT_TEST(PassesLongBodyPieceByPiece);
+  CPPUNIT_TEST(EarlyAnswerEndsConnection);
+  CPPUNIT_TEST(ServesManyAtOnceEachItsOwn);
   CPPUNIT_TEST(RefusesSmuggledRequests);
   CPPUNIT_TEST(TellsNotRunWhenNothingListens);
   CPPUNIT_TEST(TellsUnknownWhenAnswerNeverComes);
@@ -138,6 +142,51 @@
     CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
   }
 
+  void PassesLongBodyPieceByPiece() {
+    Serve({.answers = {kOk}});
+    instance_->end = "END!";
+    // Far longer than what is kept for a retry.
+    std::string body;
+    while (body.size() < kLongBody) body += std::to_string(body.size()) + " ";
+    body += "END!";
+    const std::string answer =
+        Ask("POST /portal HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    CPPUNIT_ASSERT(Has(answer, "hello"));
+    CPPUNIT_ASSERT(instance_->requests.at(0).ends_with("\r\n\r\n" + body));
+  }
+
+  void EarlyAnswerEndsConnection() {
+    Serve({.answers = {kOk}});
+    // The rest of the body never comes; what follows can't be a request.
+    const std::string answer =
+        Ask("POST /portal HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000"
+            "\r\n\r\n" +
+            std::string(100'000, 'x'));
+    CPPUNIT_ASSERT(Has(answer, "hello"));
+    CPPUNIT_ASSERT(Has(answer, "Connection: close"));
+    CPPUNIT_ASSERT(closed_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, front_->core().connections().open());
+  }
+
+  void ServesManyAtOnceEachItsOwn() {
+    Serve({.answers = {kOk}, .delay = std::chrono::milliseconds(5)});
+    constexpr int kCallers = 30;
+    int ended = 0;
+    std::vector<std::string> answers(kCallers);
+    for (std::string& answer : answers) {
+      asio::co_spawn(context_,
+                     Call("GET /portal HTTP/1.1\r\nHost: a\r\n\r\n", answer),
+                     [&ended](const std::exception_ptr&) { ++ended; });
+    }
+    while (ended < kCallers) context_.run_one();
+    for (const std::string& answer : answers) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Count(answer, "hello"));
+    }
+    // The instance has 8 slots; one more may wait there.
+    CPPUNIT_ASSERT(front_->core().connections().open() <= 9);
+  }
+
   void RefusesSmuggledRequests() {
     Serve({.answers = {kOk}});
     const std::string head = "POST /portal HTTP/1.1\r\nHost: a\r\n";
