--- a/measure/main.cc
+++ b/measure/main.cc
@@ -4,6 +4,7 @@
 #include "measure/config_measure.h"
 #include "measure/gateway_measure.h"
 #include "measure/link_measure.h"
+#include "measure/ownership_measure.h"
 #include "measure/requests_measure.h"
 #include "measure/starts_measure.h"
 #include "measure/work_measure.h"
@@ -14,6 +15,7 @@
       carobmast::measure::ConfigMeasureCommand(),
       carobmast::measure::GatewayCommand(),
       carobmast::measure::LinkCommand(),
+      carobmast::measure::OwnershipCommand(),
       carobmast::measure::RequestsCommand(),
       carobmast::measure::StartsCommand(),
       carobmast::measure::WorkCommand(),
