--- a/src/work/fakes/fake_world.h
+++ b/src/work/fakes/fake_world.h
@@ -29,6 +29,8 @@
   Duration tick = std::chrono::milliseconds(100);
   Duration log_poll = std::chrono::milliseconds(100);
   // Chances of one message or append, from 0 to 1.
+  // Longest delay of a late command.
+  Duration latest_command = std::chrono::seconds(60);
   double lost_answers = 0;
   double late_commands = 0;
   double lost_append_answers = 0;
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -396,11 +396,14 @@
   if (session.contact == Contact::kGone) return;
   if (session.control_in_flight || now < session.next_control) return;
   platform::WorkerCommand command;
-  if (session.contact == Contact::kFenced) {
+  // Until the worker may be fenced it is renewed all the same: nobody else may
+  // be left to keep its tasks alive.
+  const bool too_early =
+      session.contact == Contact::kUnfenced && !MayFence(now, *cell);
+  if (session.contact == Contact::kFenced || too_early) {
     command.verb = platform::WorkerVerb::kRenew;
     command.lease = options_.lease;
   } else {
-    if (session.contact == Contact::kUnfenced && !MayFence(now, *cell)) return;
     command.verb = platform::WorkerVerb::kFence;
   }
   session.control_in_flight = true;
--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -94,6 +94,12 @@
     return;
   }
   if (session.contact == Contact::kGone) return;
+  OwnCell* cell = FindOwned(session.cell);
+  if (cell == nullptr) return;
+  if (session.contact == Contact::kUnfenced && !MayFence(sent.sent_at, *cell)) {
+    session.next_control = now + options_.renew_every;
+    return;
+  }
   const bool first = session.contact == Contact::kUnfenced;
   const bool back = session.contact != Contact::kFenced;
   session.contact = Contact::kFenced;
@@ -106,8 +112,7 @@
   }
   UpdateUsable(now, session);
   ProcessReport(now, id, session, answer.report);
-  OwnCell* cell = FindOwned(session.cell);
-  if (first && cell != nullptr) CheckResolved(now, *cell);
+  if (first) CheckResolved(now, *cell);
 }
 
 void SchedulerCore::Impl::OnStartAnswer(MonotonicTime now, std::uint64_t id,
--- a/src/work/internal/scheduler_tasks.cc
+++ b/src/work/internal/scheduler_tasks.cc
@@ -200,6 +200,7 @@
   to_advance_.insert(task.id);
   WorkerSession* session = FindSession(task.worker);
   if (session == nullptr || session->contact != Contact::kFenced) return;
+  if (!OwnerLeaseValid(now)) return;
   platform::WorkerCommand command;
   command.verb = platform::WorkerVerb::kStart;
   command.id = {.task = task.id, .attempt = task.attempt};
