--- a/src/scheduler/internal/scheduler.cc
+++ b/src/scheduler/internal/scheduler.cc
@@ -153,6 +153,10 @@
 
 void Scheduler::SetObjects(const config::Objects& objects) {
   configured_ = true;
+  drained_vms_.clear();
+  for (const auto& entry : objects.drained_vms) {
+    drained_vms_.insert(entry.first);
+  }
   core_.OnConfig(MonotonicClock::now(), objects);
 }
 
@@ -204,8 +208,12 @@
 asio::awaitable<void> Scheduler::VmListLoop() {
   while (running_) {
     try {
-      const platform::VmListAnswer list =
+      platform::VmListAnswer list =
           co_await services_.vm_list.list(kVmListTimeout);
+      for (platform::Vm& vm : list.vms) {
+        if (!drained_vms_.contains(vm.name)) continue;
+        vm.state = platform::VmState::kLeaving;
+      }
       core_.OnVmList(MonotonicClock::now(), list);
     } catch (const Error&) {
       // The list of before stands.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,8 @@
   SchedulerServices services_;
   work::SchedulerCore core_;
   std::function<boost::json::object()> config_status_;
+  // VMs that the operators drain; they count as leaving.
+  std::set<std::string> drained_vms_;
   bool configured_ = false;
   bool log_known_ = false;
   bool running_ = false;
