--- a/measure/work_measure.cc
+++ b/measure/work_measure.cc
@@ -61,7 +61,8 @@
             << "  overcommitted: " << outcome.overcommitted << "\n";
 }
 
-void PrintTargets(const WorkOutcome& outcome, const WorkOutcome& alone) {
+// Returns whether all were met.
+bool PrintTargets(const WorkOutcome& outcome, const WorkOutcome& alone) {
   const double p99 =
       Ratio(Milliseconds(outcome.service_p99), Milliseconds(alone.service_p99));
   const double throughput =
@@ -75,7 +76,11 @@
             << "  batch_share_of_allowed_from_0.9: "
             << (throughput >= kMinThroughputShare ? "met" : "missed") << "\n"
             << "  evictions_per_20_tasks_up_to_1: "
-            << (evictions <= kMaxEvictionsPer20 ? "met" : "missed") << "\n";
+            << (evictions <= kMaxEvictionsPer20 ? "met" : "missed") << "\n"
+            << "  overcommitted_0: "
+            << (outcome.overcommitted == 0 ? "met" : "missed") << "\n";
+  return p99 <= kMaxP99Ratio && throughput >= kMinThroughputShare &&
+         evictions <= kMaxEvictionsPer20 && outcome.overcommitted == 0;
 }
 
 cli::ExitCode Run(const std::vector<std::string>& args) {
@@ -89,6 +94,7 @@
   TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "Seed", false, 1, "N", line);
   TCLAP::ValueArg<std::string> output("o", "output", "Only yaml", false, "yaml",
                                       "FORMAT", line);
+  TCLAP::SwitchArg check("c", "check", "Fail when a target is missed", line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "work", args);
   if (end.has_value()) return *end;
@@ -108,8 +114,9 @@
   for (const WorkOutcome* each : {&alone, &first_fit, &outcome}) {
     PrintOutcome(*each, alone, hours);
   }
-  PrintTargets(outcome, alone);
-  return cli::ExitCode::kDone;
+  const bool all_met = PrintTargets(outcome, alone);
+  return check.getValue() && !all_met ? cli::ExitCode::kRefused
+                                      : cli::ExitCode::kDone;
 }
 
 }  // namespace
--- a/measure/work_measure.h
+++ b/measure/work_measure.h
@@ -8,7 +8,8 @@
 
 // `carobmast_measure work --workload zagreb|montevideo|FILE --policy NAME
 // --seed N --output yaml`: the policy beside first fit without learning and
-// beside services alone, with the same seed.
+// beside services alone, with the same seed. With --check a missed target is an
+// error.
 cli::Command WorkCommand();
 
 }  // namespace carobmast::measure
