--- a/src/operators/internal/config_commands.cc
+++ b/src/operators/internal/config_commands.cc
@@ -11,6 +11,7 @@
 #include "operators/internal/arguments.h"
 #include "operators/internal/ask_status.h"
 #include "operators/internal/command_list.h"
+#include "operators/internal/key_file.h"
 #include "operators/internal/output.h"
 #include "operators/internal/publish_report.h"
 
@@ -20,7 +21,8 @@
 namespace json = boost::json;
 
 cli::ExitCode RunShow(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Prints the set in force as a file to edit and publish");
+  TCLAP::CmdLine line("Prints the set in force as a file to edit and publish",
+                      ' ', cli::Version());
   LogArguments log(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "show", args);
@@ -44,6 +46,8 @@
                "drained by an operator", "TEXT", line),
         publisher("", "publisher", "Who publishes", false, DefaultPublisher(),
                   "NAME", line),
+        key("", "key", "File with the publisher's private key", false, "",
+            "FILE", line),
         vm("vm", "Name of the VM", true, "", "VM", line) {}
 
   OutputArgument output;
@@ -51,11 +55,13 @@
   TCLAP::SwitchArg undo;
   TCLAP::ValueArg<std::string> reason;
   TCLAP::ValueArg<std::string> publisher;
+  TCLAP::ValueArg<std::string> key;
   TCLAP::UnlabeledValueArg<std::string> vm;
 };
 
 cli::ExitCode Drain(DrainArguments& arguments) {
   PublishFlowOptions options{.publisher = arguments.publisher.getValue(),
+                             .sign = MakeSigner(arguments.key.getValue()),
                              .new_id = [] { return "publish-" + RandomId(); },
                              .timeout = arguments.log.timeout()};
   options.remove_kind = config::Kind::kDrainedVm;
@@ -75,8 +81,8 @@
 }
 
 cli::ExitCode RunDrain(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line(
-      "Gives a VM no new work, as a change of the set in force");
+  TCLAP::CmdLine line("Gives a VM no new work, as a change of the set in force",
+                      ' ', cli::Version());
   DrainArguments arguments(line);
   const std::optional<cli::ExitCode> end =
       cli::ParseArguments(line, "drain", args);
@@ -85,7 +91,7 @@
 }
 
 cli::ExitCode RunStatus(const std::vector<std::string>& args) {
-  TCLAP::CmdLine line("Prints what a process knows");
+  TCLAP::CmdLine line("Prints what a process knows", ' ', cli::Version());
   OutputArgument output(line);
   TCLAP::ValueArg<std::string> scheduler(
       "", "scheduler", "Operator address of a scheduler or gateway", true, "",
