Long work's share counts instances of other zones where a zone has none

The bound on long work is a share of the slots that a gateway counts on, and those were the slots of its own zone alone: a gateway in a zone without instances counted one slot and let one long request run at a time. Once stragglers had moved an operation to the long class, its requests waited 4 s in the queue and were refused, with most of the 32 slots free.

--- a/src/requests/internal/service_pool.cc
+++ b/src/requests/internal/service_pool.cc
@@ -359,6 +359,12 @@
 }
 
 std::uint32_t ServicePool::Capacity() const {
+  // A zone without instances of its own spills all of its requests.
+  const bool any_local =
+      std::any_of(instances_.begin(), instances_.end(),
+                  [](const Ref<InstanceState>& state) {
+                    return state->local && !state->instance.leaving;
+                  });
   std::uint32_t total = 0;
   for (const Ref<InstanceState>& state : instances_) {
     if (state->instance.leaving) continue;
@@ -366,7 +372,7 @@
       if (state->homed_here) total += state->instance.slots;
       continue;
     }
-    if (state->local) {
+    if (state->local || !any_local) {
       total += CeilDivide(state->instance.slots, gateways_in_zone_);
     }
   }
