carobmast_measure endpoints: cost of a gateway's knowledge of instances

The sources of the measurement program stand in one list again, and processor time and memory are read in one place.

--- a/measure/link_measure.cc
+++ b/measure/link_measure.cc
@@ -3,13 +3,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <ctime>
-#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
 
 #include "framework/link/link.h"
+#include "measure/process_cost.h"
 
 namespace carobmast::measure {
 
@@ -25,24 +24,6 @@
   std::size_t bytes = 200;
 };
 
-// Processor time of this process so far.
-Duration ProcessorTime() {
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return std::chrono::seconds(time.tv_sec) +
-         std::chrono::nanoseconds(time.tv_nsec);
-}
-
-// Resident memory of this process, in bytes.
-std::size_t ResidentBytes() {
-  constexpr std::size_t kPageBytes = 4096;
-  std::ifstream file("/proc/self/statm");
-  std::size_t total_pages = 0;
-  std::size_t resident_pages = 0;
-  file >> total_pages >> resident_pages;
-  return resident_pages * kPageBytes;
-}
-
 asio::awaitable<std::string> Echo(std::string request) { co_return request; }
 
 class LinkMeasure {
--- a/measure/main.cc
+++ b/measure/main.cc
@@ -2,6 +2,7 @@
 // Every measurement runs on virtual time and takes a seed.
 #include "framework/cli/command.h"
 #include "measure/config_measure.h"
+#include "measure/endpoints_measure.h"
 #include "measure/gateway_measure.h"
 #include "measure/link_measure.h"
 #include "measure/ownership_measure.h"
@@ -13,6 +14,7 @@
   const std::vector<carobmast::cli::Command> commands = {
       // One line for each measurement.
       carobmast::measure::ConfigMeasureCommand(),
+      carobmast::measure::EndpointsCommand(),
       carobmast::measure::GatewayCommand(),
       carobmast::measure::LinkCommand(),
       carobmast::measure::OwnershipCommand(),
