--- a/measure/main.cc
+++ b/measure/main.cc
@@ -9,6 +9,7 @@
 #include "measure/requests_measure.h"
 #include "measure/starts_measure.h"
 #include "measure/work_measure.h"
+#include "measure/work_state_measure.h"
 
 int main(int argc, char** argv) {
   const std::vector<carobmast::cli::Command> commands = {
@@ -21,6 +22,7 @@
       carobmast::measure::RequestsCommand(),
       carobmast::measure::StartsCommand(),
       carobmast::measure::WorkCommand(),
+      carobmast::measure::WorkStateCommand(),
   };
   return carobmast::cli::Dispatch(commands, argc, argv);
 }
