--- a/measure/ownership_measure.cc
+++ b/measure/ownership_measure.cc
@@ -13,7 +13,6 @@
 namespace {
 
 using work::FakeWorld;
-using work::SchedulerCore;
 
 constexpr char kSummary[] =
     "Ownership of workers on virtual time: recovery, appends, cost of starts";
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -127,8 +127,10 @@
   void SyncCell(MonotonicTime now, const std::string& name);
   void ConsiderClaims(MonotonicTime now);
   void ConsiderClaim(MonotonicTime now, OwnCell& cell);
-  std::optional<MonotonicTime> ClaimDue(MonotonicTime now,
-                                        const OwnCell& cell) const;
+  // When this process may claim a cell that is free since `free_since`; empty
+  // when it is left to the schedulers of its own zone.
+  std::optional<MonotonicTime> ClaimDue(MonotonicTime now, const OwnCell& cell,
+                                        MonotonicTime free_since) const;
   void SendClaim(MonotonicTime now, OwnCell& cell);
   void Rebalance(MonotonicTime now);
   void Relinquish(MonotonicTime now, OwnCell& cell);
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -100,14 +100,15 @@
     return;
   }
   if (!cell.free_since.has_value()) cell.free_since = now;
-  const std::optional<MonotonicTime> due = ClaimDue(now, cell);
+  const std::optional<MonotonicTime> due =
+      ClaimDue(now, cell, *cell.free_since);
   if (due.has_value() && now >= *due) SendClaim(now, cell);
 }
 
 std::optional<MonotonicTime> SchedulerCore::Impl::ClaimDue(
-    MonotonicTime now, const OwnCell& cell) const {
+    MonotonicTime now, const OwnCell& cell, MonotonicTime free_since) const {
   std::vector<std::string> alive = monitor_.AliveIn({cell.zone}, now);
-  MonotonicTime due = *cell.free_since;
+  MonotonicTime due = free_since;
   if (cell.zone != options_.zone) {
     if (!alive.empty()) return std::nullopt;
     alive = monitor_.AliveIn({}, now);
