--- a/src/operators/internal/publish_flow.cc
+++ b/src/operators/internal/publish_flow.cc
@@ -53,9 +53,10 @@
   } else if (must_read_) {
     step.read = ReadStep();
   } else {
-    step.append = platform::AppendRequest{.stream = platform::kConfigStream,
-                                          .records = {*record_},
-                                          .timeout = kCallTimeout};
+    step.append = platform::AppendRequest{
+        .stream = platform::kConfigStream,
+        .records = {record_.value_or(platform::NewRecord{})},
+        .timeout = kCallTimeout};
   }
   return step;
 }
@@ -81,12 +82,12 @@
     base_objects_ = replay_.fold().set().objects();
   }
   if (result_.has_value()) return;
-  if (replay_.fold().stopped().has_value()) {
+  const std::optional<config::Verdict>& stopped = replay_.fold().stopped();
+  if (stopped.has_value()) {
     Finish(
         maybe_appended_ ? PublishOutcome::kUnknown : PublishOutcome::kRefused,
         "this program is too old for the log: offset " +
-            std::to_string(replay_.fold().stopped()->offset) + ": " +
-            replay_.fold().stopped()->reason);
+            std::to_string(stopped->offset) + ": " + stopped->reason);
     return;
   }
   if (!replay_.caught_up()) {
--- a/src/operators/tests/publish_flow_test.cc
+++ b/src/operators/tests/publish_flow_test.cc
@@ -65,8 +65,9 @@
     if (fate == Fate::kDone || fate == Fate::kAnswerLost) {
       answer.offsets = {log_.Append(request.records.front(), {})};
     }
-    if (fate == Fate::kDone)
+    if (fate == Fate::kDone) {
       answer.outcome = platform::AppendOutcome::kAppended;
+    }
     if (fate == Fate::kRefused) {
       answer.outcome = platform::AppendOutcome::kNotSent;
     }
@@ -280,7 +281,8 @@
                      .search_first = true},
                     kStart);
     AppendRunner runner(log, flow, kStart);
-    CPPUNIT_ASSERT_EQUAL(std::string("first"), runner.Run()->found);
+    CPPUNIT_ASSERT_EQUAL(std::string("first"),
+                         runner.Run().value_or(AppendResult{}).found);
     CPPUNIT_ASSERT_EQUAL(0, runner.appends);
   }
 
@@ -317,7 +319,7 @@
     const std::optional<PublishResult> result = runner.Run();
     appends_ = runner.appends;
     CPPUNIT_ASSERT(result.has_value());
-    return *result;
+    return result.value_or(PublishResult{});
   }
 
   FakeLog log_;
