An owner keeps a cell whose worker it fenced and that then fell silent

Cause: in a cell of two workers with one paused beyond its lease, the owner gave the cell up; only the owner that fenced a worker can count on its lapsed lease, so the task stayed held.

--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -44,7 +44,7 @@
   std::set<std::string> membership_in_flight;
   // An attempt may start late although nothing waits for it: claim anew.
   bool wants_new_token = false;
-  // Since when most of its workers were not reached.
+  // Since when none of its workers was reached, or most were not fenced.
   std::optional<MonotonicTime> unreached_since;
   // Given up because its workers were not reached: until then others claim it
   // first, and if it comes back all the same it is kept. Cleared when all its
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -186,17 +186,21 @@
 void SchedulerCore::Impl::GiveUpUnreached(MonotonicTime now, OwnCell& cell) {
   std::size_t present = 0;
   std::size_t reached = 0;
+  std::size_t unfenced = 0;
   const FoldedCell* folded = fold_.FindCell(cell.cell);
   for (const auto& [name, member] : folded->members) {
     const WorkerSession* session = FindSession(name);
     if (session == nullptr || session->absent_since.has_value()) continue;
     ++present;
     if (session->contact == Contact::kFenced) ++reached;
+    if (session->contact == Contact::kUnfenced) ++unfenced;
   }
+  // A worker that was fenced and then fell silent is no reason: only this owner
+  // can count on its lapsed lease.
+  const bool reaches = reached > 0 && unfenced * 2 < present;
   // Counts only while there is another scheduler to leave the cell to.
   const bool alone = monitor_.AliveIn({cell.zone}, now).size() < 2;
-  if (reached * 2 > present || present == 0 || now < cell.avoid_until ||
-      alone) {
+  if (reaches || present == 0 || now < cell.avoid_until || alone) {
     cell.unreached_since.reset();
     return;
   }
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -54,7 +54,8 @@
   Duration gone_after = std::chrono::seconds(5);
   // Cells move to schedulers that joined later, one at a time.
   Duration rebalance_every = std::chrono::seconds(10);
-  // An owner that doesn't reach most of a cell's workers for this long
+  // An owner that reaches none of a cell's workers, or could not fence most of
+  // them since its claim, for this long
   // leaves the cell to another scheduler; well under the lease.
   Duration unreached_limit = std::chrono::seconds(10);
   // The whole state is written again this often, by the log's time.
