--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -200,6 +200,9 @@
   for (const std::string& id : catalog_.SetConfig(objects)) {
     SyncTask(now, id);
   }
+  drained_.clear();
+  for (const auto& [name, vm] : objects.drained_vms) drained_.insert(name);
+  for (auto& [name, session] : sessions_) ApplyVm(now, session);
   for (auto& [id, task] : locals_) {
     UpdateSpec(task);
     to_advance_.insert(id);
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -247,6 +247,8 @@
   std::uint64_t next_command_ = 1;
   // The newest VM list, workers by name.
   std::map<std::string, platform::Vm> vms_;
+  // VMs that the configuration in force empties.
+  std::set<std::string> drained_;
   WallTime vms_as_of_{};
   bool vms_known_ = false;
   MonotonicTime last_log_read_;
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -341,7 +341,8 @@
     if (!session.absent_since.has_value()) session.absent_since = now;
   } else {
     session.absent_since.reset();
-    session.leaving = vm->second.state == platform::VmState::kLeaving;
+    session.leaving = vm->second.state == platform::VmState::kLeaving ||
+                      drained_.contains(session.worker);
     session.address = vm->second.address;
   }
   UpdateUsable(now, session);
--- a/src/work/tests/recovery_test.cc
+++ b/src/work/tests/recovery_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(LostAnswersNeverOvercommit);
   CPPUNIT_TEST(LateStartDoesNothing);
   CPPUNIT_TEST(LeavingWorkerIsEmptiedByCheckpoint);
+  CPPUNIT_TEST(DrainedWorkerIsEmptied);
   CPPUNIT_TEST(CancelledStaysCancelled);
   CPPUNIT_TEST(SurvivesRetention);
   CPPUNIT_TEST(FailingTaskIsHeld);
@@ -306,6 +307,21 @@
     AssertNoViolation(world);
   }
 
+  void DrainedWorkerIsEmptied() {
+    FakeWorld world({});
+    AddZone(world, "zg-a");
+    config::Objects objects = Watchers(3);
+    world.SetConfig(objects);
+    CPPUNIT_ASSERT(Settles(world, 3));
+    const std::string drained = world.RunningOn("watcher/0").front();
+    objects.drained_vms[drained] = {.name = drained};
+    world.SetConfig(objects);
+    world.RunFor(seconds(15));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.Running());
+    CPPUNIT_ASSERT(world.worker(drained).Committed() == platform::Resources{});
+    AssertNoViolation(world);
+  }
+
   void CancelledStaysCancelled() {
     // Around the moment of the start, in steps of 50 ms.
     for (int step = 0; step < 40; ++step) {
