--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -44,7 +44,7 @@
   std::set<std::string> membership_in_flight;
   // An attempt may start late although nothing waits for it: claim anew.
   bool wants_new_token = false;
-  // Since when most of its workers were not reached.
+  // Since when none of its workers was reached, or most were not fenced.
   std::optional<MonotonicTime> unreached_since;
   // Given up because its workers were not reached: until then others claim it
   // first, and if it comes back all the same it is kept. Cleared when all its
@@ -247,6 +247,8 @@
   std::uint64_t next_command_ = 1;
   // The newest VM list, workers by name.
   std::map<std::string, platform::Vm> vms_;
+  // VMs that the configuration in force empties.
+  std::set<std::string> drained_;
   WallTime vms_as_of_{};
   bool vms_known_ = false;
   MonotonicTime last_log_read_;
