Lines for changes of state in schedulers and gateways; the scheduler's counters as metrics

Cause: schedulers wrote no line when they gained or lost cells, or when the log or the VM list went out, and their counters stood only in /status.

--- a/src/config/internal/daemon_follower.cc
+++ b/src/config/internal/daemon_follower.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "framework/telemetry/log.h"
 #include "platform/http_platform.h"
 
 namespace carobmast::config {
@@ -20,7 +21,13 @@
   for (const daemon::PeerSettings& peer : settings.peers) {
     core.peers.push_back({.name = peer.name, .zone = peer.zone});
   }
-  core.on_in_force = std::move(on_in_force);
+  core.on_in_force = [on_in_force = std::move(on_in_force),
+                      log = telemetry::Log("config")](const InForceSet& set) {
+    log.Info("set in force", {{"offset", set.head.offset},
+                              {"digest", set.head.digest},
+                              {"whole", set.whole}});
+    on_in_force(set);
+  };
   return core;
 }
 
--- a/src/framework/telemetry/internal/metrics.cc
+++ b/src/framework/telemetry/internal/metrics.cc
@@ -182,6 +182,13 @@
                    labels);
 }
 
+void MetricsRegistry::SetCounter(const std::string& name,
+                                 const std::string& help, std::uint64_t value,
+                                 const Labels& labels) {
+  const Ref<Counter> counter = AddCounter(name, help, labels);
+  counter->Add(value - counter->value());
+}
+
 void MetricsRegistry::Remove(const std::string& name, const Labels& labels) {
   const std::map<std::string, Family>::iterator family = families_.find(name);
   if (family == families_.end()) return;
--- a/src/framework/telemetry/metrics.h
+++ b/src/framework/telemetry/metrics.h
@@ -96,6 +96,10 @@
                                      const std::string& help,
                                      const Labels& labels = {});
 
+  // Brings a counter that is kept elsewhere up to `value`, which never falls.
+  void SetCounter(const std::string& name, const std::string& help,
+                  std::uint64_t value, const Labels& labels = {});
+
   // Forgets a series, e.g. of an object that is no longer configured.
   void Remove(const std::string& name, const Labels& labels);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "config/types/objects.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
+#include "framework/telemetry/log.h"
 #include "gateway/http_front.h"
 #include "platform/log_service.h"
 #include "requests/endpoint_table.h"
@@ -91,6 +92,7 @@
   requests::PeerMessage* reply_ = nullptr;
   bool configured_ = false;
   bool running_ = false;
+  telemetry::Log lines_{"gateway"};
 };
 
 }  // namespace carobmast::gateway
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -307,6 +307,8 @@
 void Gateway::SetReachable(Peer& peer, bool reachable) {
   if (peer.reachable == reachable) return;
   peer.reachable = reachable;
+  lines_.Info("peer gateway", {{"peer", peer.settings.name},
+                               {"state", reachable ? "reachable" : "silent"}});
   std::vector<requests::GatewayPeer> gateways;
   for (const auto& [name, other] : peers_) {
     if (!other.reachable) continue;
--- a/src/scheduler/internal/scheduler.cc
+++ b/src/scheduler/internal/scheduler.cc
@@ -107,7 +107,10 @@
                      SchedulerServices services)
     : daemon_(daemon),
       services_(std::move(services)),
-      core_(MakeOptions(settings), MakeHooks()) {
+      core_(MakeOptions(settings), MakeHooks()),
+      log_state_(telemetry::Log("scheduler"), "log service"),
+      vm_list_state_(telemetry::Log("scheduler"), "vm list"),
+      cells_state_(telemetry::Log("scheduler"), "cells served") {
   daemon.AddRoute(
       "GET /status",
       [this](net::ServerRequest request) -> asio::awaitable<net::ServerAnswer> {
@@ -119,6 +122,7 @@
                  });
   daemon.AddReadiness("configuration", [this] { return configured_; });
   daemon.AddReadiness("work log", [this] { return log_known_; });
+  daemon.AddMetricsUpdate([this] { UpdateMetrics(); });
   daemon.AddStop([this](Duration grace) { return Stop(grace); });
 }
 
@@ -181,6 +185,7 @@
 asio::awaitable<void> Scheduler::TickLoop() {
   while (running_) {
     core_.OnTick(MonotonicClock::now());
+    cells_state_.Set(std::to_string(core_.serving_cells()));
     co_await Sleep(kTick);
   }
 }
@@ -198,8 +203,11 @@
       if (!running_) co_return;
       core_.OnLog(MonotonicClock::now(), started, answer);
       log_known_ = core_.fold().ready();
-    } catch (const Error&) {
+      log_state_.Set("answers");
+    } catch (const Error& error) {
       failed = true;
+      log_state_.Set("out", {{"error", error.what()}},
+                     telemetry::LogLevel::kWarn);
     }
     co_await Sleep(failed ? kLogRetry : kLogInterval);
   }
@@ -215,8 +223,11 @@
         vm.state = platform::VmState::kLeaving;
       }
       core_.OnVmList(MonotonicClock::now(), list);
-    } catch (const Error&) {
+      vm_list_state_.Set("answers");
+    } catch (const Error& error) {
       // The list of before stands.
+      vm_list_state_.Set("out", {{"error", error.what()}},
+                         telemetry::LogLevel::kWarn);
     }
     co_await Sleep(kVmListInterval);
   }
@@ -260,6 +271,18 @@
   return {.body = json::serialize(status)};
 }
 
+void Scheduler::UpdateMetrics() {
+  for (const json::key_value_pair& counter : CountersToJson(core_.counters())) {
+    const std::string name(counter.key());
+    daemon_.metrics().SetCounter("carobmast_scheduler_" + name + "_total",
+                                 "Scheduler counter " + name,
+                                 counter.value().to_number<std::uint64_t>());
+  }
+  daemon_.metrics()
+      .AddGauge("carobmast_scheduler_cells", "Cells that are served")
+      ->Set(static_cast<double>(core_.serving_cells()));
+}
+
 std::string Scheduler::AnswerEndpoints(const std::string& request) const {
   requests::proto::EndpointsRequest asked;
   if (!asked.ParseFromString(request)) {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -13,6 +13,7 @@
 #include "config/types/objects.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
+#include "framework/telemetry/log.h"
 #include "platform/log_service.h"
 #include "platform/vm_list.h"
 #include "platform/worker_service.h"
@@ -69,6 +70,7 @@
   boost::asio::awaitable<void> Stop(Duration grace);
   net::ServerAnswer AnswerStatus(const net::ServerRequest& request) const;
   std::string AnswerEndpoints(const std::string& request) const;
+  void UpdateMetrics();
 
   daemon::Daemon& daemon_;
   SchedulerServices services_;
@@ -76,6 +78,9 @@
   std::function<boost::json::object()> config_status_;
   // VMs that the operators drain; they count as leaving.
   std::set<std::string> drained_vms_;
+  telemetry::StateLog log_state_;
+  telemetry::StateLog vm_list_state_;
+  telemetry::StateLog cells_state_;
   bool configured_ = false;
   bool log_known_ = false;
   bool running_ = false;
