Gateways answer GET /status

Cause: 'carobmast status' is documented for gateways too, but they had no such page. e2e.published_set_reaches_all_processes asks the gateways as well now; it failed before (no answer to read) and passes after.

--- a/src/app/tests/e2e_config_test.py
+++ b/src/app/tests/e2e_config_test.py
@@ -42,7 +42,7 @@
         self.assertTrue(report["rollout"]["complete"], report)
         wait_for("the new replicas run", lambda: len(self.running("standing")) == 5)
         offset = report["in_force"]["offset"]
-        for name in self.cluster.names("scheduler"):
+        for name in self.cluster.names("scheduler") + self.cluster.names("gateway"):
             self.assertEqual(offset, self.cluster.status(name)["config"]["in_force"]["offset"])
         code, output, errors = self.cluster.command(
             "publish", SET_FILE, "--base", "1", "--log", self.cluster.platform
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -36,6 +36,11 @@
             daemon_, client_, [this](const config::InForceSet& in_force) {
               gateway_.SetObjects(in_force.set.objects());
             })) {
+    daemon_.AddRoute(
+        "GET /status",
+        [this](net::ServerRequest) -> asio::awaitable<net::ServerAnswer> {
+          co_return net::ServerAnswer{.body = boost::json::serialize(Status())};
+        });
     daemon_.AddMetricsUpdate([this]() {
       UpdateMetrics(daemon_.metrics(), gateway_.front().core());
     });
@@ -56,6 +61,17 @@
   }
 
  private:
+  boost::json::object Status() {
+    const requests::RequestCore& core = gateway_.front().core();
+    return {{"name", daemon_.settings().name},
+            {"zone", daemon_.settings().zone},
+            {"open_instances", core.open_instances()},
+            {"requests_in_flight", core.in_flight()},
+            {"requests", core.counters().requests},
+            {"answered", core.counters().answered},
+            {"config", follower_->Status()}};
+  }
+
   daemon::Daemon daemon_;
   Ref<net::HttpClient> client_;
   RequestTracer tracer_;
