A cell whose silent worker's lease has yet to lapse is not moved

Only the owner that fenced a worker can count on its lapsed lease, so the successor held the task until the worker answered. Ruled out: the give-up of unreached cells, which keeps such a cell already. Before: CellWithSilentWorkerIsNotMoved failed.

--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -135,6 +135,7 @@
                                         MonotonicTime free_since) const;
   void SendClaim(MonotonicTime now, OwnCell& cell);
   void Rebalance(MonotonicTime now);
+  bool AwaitsLapsedLease(const OwnCell& cell) const;
   void Relinquish(MonotonicTime now, OwnCell& cell);
   std::vector<KnownCheckpoint> CheckpointsOf(const OwnCell& cell) const;
   void GiveUpUnreached(MonotonicTime now);
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -134,6 +134,17 @@
   Fire(now, cell, CellEvent::kClaimSent);
 }
 
+// Only the owner that fenced a worker can count on its lapsed lease.
+bool SchedulerCore::Impl::AwaitsLapsedLease(const OwnCell& cell) const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [&cell](const auto& entry) {
+                       const WorkerSession& session = entry.second;
+                       return session.cell == cell.cell &&
+                              session.contact == Contact::kUnreachable &&
+                              !session.tasks.empty();
+                     });
+}
+
 void SchedulerCore::Impl::Rebalance(MonotonicTime now) {
   if (now < next_rebalance_ || !LogHealthy(now)) return;
   next_rebalance_ = now + options_.rebalance_every;
@@ -143,6 +154,7 @@
     const bool best = RendezvousRank(name, options_.name, alive) == 0;
     const bool foreign = cell.zone != options_.zone && !alive.empty();
     if (best && !foreign) continue;
+    if (AwaitsLapsedLease(cell)) continue;
     // Nothing may be on its way to the workers when the cell is given up.
     const bool busy = std::any_of(
         commands_.begin(), commands_.end(), [&](const auto& command) {
--- a/src/work/tests/recovery_test.cc
+++ b/src/work/tests/recovery_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(ZombieCantCountOnALapsedLease);
   CPPUNIT_TEST(LapsedLeaseMovesTheTaskOnce);
   CPPUNIT_TEST(LostTaskResumesUnderTheNextOwner);
+  CPPUNIT_TEST(CellWithSilentWorkerIsNotMoved);
   CPPUNIT_TEST(RestartsDuringLogOutage);
   CPPUNIT_TEST(LostAnswersNeverOvercommit);
   CPPUNIT_TEST(LateStartDoesNothing);
@@ -228,6 +229,29 @@
     AssertNoViolation(world);
   }
 
+  // Only the owner that fenced a worker can count on its lapsed lease, so the
+  // cell stays until the tasks of the silent worker have moved.
+  void CellWithSilentWorkerIsNotMoved() {
+    FakeWorld world({});
+    AddZone(world, "zg-a", 1);
+    world.SetConfig(Watchers(1));
+    CPPUNIT_ASSERT(Settles(world, 1));
+    const std::string first = world.RunningOn("watcher/0").front();
+    world.PauseWorker(first, minutes(5));
+    world.RunFor(seconds(4));
+    for (int i = 1; i <= 6; ++i) {
+      world.AddScheduler(
+          {.name = "joined-" + std::to_string(i), .zone = "zg-a"});
+    }
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&] {
+          const std::vector<std::string> now = world.RunningOn("watcher/0");
+          return now.size() == 1 && now.front() != first;
+        },
+        seconds(60)));
+    AssertNoViolation(world);
+  }
+
   // The worker dies, and its owner hands over before it knows.
   void LostTaskResumesUnderTheNextOwner() {
     FakeWorld world({});
