--- a/src/app/tests/cluster.py
+++ b/src/app/tests/cluster.py
@@ -198,8 +198,11 @@
             daemon["callers"] = self.reserve(ip)
         self.daemons[name] = daemon
 
-    def start_daemon(self, name, log_service=None):
-        """Starts a planned daemon, at its addresses, with all others as peers."""
+    def start_daemon(self, name, log_service=None, **more):
+        """Starts a planned daemon, at its addresses, with all others as peers.
+
+        `more` are further settings.
+        """
         daemon = self.daemons[name]
         settings = {
             "name": name,
@@ -213,6 +216,7 @@
             ],
             "log_service": log_service or self.platform,
             "vm_list": self.platform,
+            **more,
         }
         if daemon["role"] == "gateway":
             settings["callers_address"] = daemon["callers"]
--- a/src/app/tests/e2e_case.py
+++ b/src/app/tests/e2e_case.py
@@ -45,6 +45,7 @@
 }
 # Exit codes of the commands.
 REFUSED = 1
+USAGE = 2
 PLATFORM_OUT = 3
 
 
--- a/src/app/tests/e2e_config_test.py
+++ b/src/app/tests/e2e_config_test.py
@@ -14,6 +14,7 @@
     REFUSED,
     REPLICAS,
     SET_FILE,
+    USAGE,
     EndToEndCase,
 )
 
@@ -34,6 +35,16 @@
             self.wait_finished(submission, EXTRACT_TASKS)
         self.check_work()
 
+    def test_wrong_settings_start_nothing(self):
+        for role in ("gateway", "scheduler"):
+            path = self.cluster.folder / "wrong.yaml"
+            text = (self.cluster.folder / f"{role}-1.yaml").read_text()
+            path.write_text(text.replace('"zone"', '"zones"', 1))
+            code, output, errors = self.cluster.command(role, "--settings", path)
+            self.assertEqual(USAGE, code)
+            self.assertEqual("", output)
+            self.assertIn("wrong.yaml:1: key 'zone': missing, expected text", errors)
+
     def test_published_set_reaches_all_processes(self):
         report = self.publish(
             self.changed_set("more", replicas=5),
--- a/src/app/tests/e2e_requests_test.py
+++ b/src/app/tests/e2e_requests_test.py
@@ -33,6 +33,42 @@
         self.assertEqual("slow", json.loads(answers[0][2])["request_id"])
         self.assertTrue(self.answers("gateway-2"))
 
+    def test_request_leaves_spans_metrics_and_lines(self):
+        self.wait_answers()
+        self.kill("gateway-1")
+        spans_file = self.cluster.folder / "spans.json"
+        self.cluster.start_daemon("gateway-1", trace_file=str(spans_file))
+        wait_for("it passes requests on", self.answers)
+        trace = "0af7651916cd43dd8448eb211c80319c"
+        caller = "b7ad6b7169203331"
+        self.ask(headers={"traceparent": f"00-{trace}-{caller}-01"})
+
+        def spans():
+            lines = spans_file.read_text().splitlines() if spans_file.exists() else []
+            return [
+                span
+                for line in lines
+                for resource in json.loads(line)["resourceSpans"]
+                for scope in resource["scopeSpans"]
+                for span in scope["spans"]
+                if span["traceId"] == trace
+            ]
+
+        wait_for("a span for each hop", lambda: len(spans()) == 2)
+        request, attempt = sorted(spans(), key=lambda span: span["kind"])
+        self.assertEqual(caller, request["parentSpanId"])
+        self.assertEqual(request["spanId"], attempt["parentSpanId"])
+        operator = self.cluster.operator("gateway-1")
+        metrics = try_call(operator, "GET", "/metrics")[2]
+        self.assertIn("carobmast_answered_total", metrics)
+        self.assertIn("carobmast_request_seconds_bucket", metrics)
+        scheduler = self.cluster.operator("scheduler-1")
+        self.assertIn(
+            "carobmast_scheduler_claims_total", try_call(scheduler, "GET", "/metrics")[2]
+        )
+        lines = (self.cluster.folder / "gateway-1.err").read_text()
+        self.assertIn('module=config event="set in force"', lines)
+
     def test_answer_cut_short_is_an_error(self):
         self.wait_answers()
         self.cluster.fault("target_cut", bytes=150)
