--- a/src/app/tests/e2e_requests_test.py
+++ b/src/app/tests/e2e_requests_test.py
@@ -1,6 +1,7 @@
 """Requests: whole answers, truthful refusals, graceful stops."""
 
 import http.client
+import http.server
 import json
 import signal
 import sys
@@ -14,7 +15,40 @@
 from e2e_case import INSTANCES, EndToEndCase
 
 
+class Collector(http.server.BaseHTTPRequestHandler):
+    """Takes the spans that daemons send; keeps the bodies in `bodies`."""
+
+    bodies = []
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers["content-length"]))
+        self.bodies.append((self.path, json.loads(body)))
+        self.send_response(200)
+        self.send_header("content-length", "0")
+        self.end_headers()
+
+    def log_message(self, *arguments):
+        pass
+
+
 class RequestsTest(EndToEndCase):
+    def test_spans_go_to_a_collector(self):
+        self.wait_answers()
+        server = http.server.HTTPServer(("127.0.0.1", 0), Collector)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        self.kill("gateway-1")
+        self.cluster.start_daemon(
+            "gateway-1",
+            trace_address=f"127.0.0.1:{server.server_address[1]}",
+            trace_percent=100,
+        )
+        wait_for("it passes requests on", self.answers)
+        path, body = wait_for("the collector got spans", lambda: next(iter(Collector.bodies), None))
+        self.assertEqual("/v1/traces", path)
+        self.assertIn("resourceSpans", body)
+
     def test_stopping_gateway_answers_requests_in_flight(self):
         self.wait_answers()
         answers = []
