Listening sockets are opened in one place

Cause: the HTTP server, the link server and the callers' port each spelled out the same five steps and the same error. Behaviour is as before: net, link, daemon and gateway tests and one end-to-end test pass.

--- a/src/framework/link/internal/server.cc
+++ b/src/framework/link/internal/server.cc
@@ -8,6 +8,7 @@
 #include "framework/base/error.h"
 #include "framework/link/internal/connection.h"
 #include "framework/link/link.h"
+#include "framework/net/listener.h"
 
 namespace carobmast::link {
 
@@ -49,22 +50,9 @@
 
   Impl(const asio::any_io_executor& executor, LinkServerOptions server_options)
       : options(std::move(server_options)),
-        acceptor(executor),
+        acceptor(net::OpenListener(executor, options.listen)),
         drain_timer(executor) {}
 
-  void Listen() {
-    try {
-      const asio::ip::tcp::endpoint endpoint(
-          asio::ip::make_address(options.listen.ip), options.listen.port);
-      acceptor.open(endpoint.protocol());
-      acceptor.set_option(asio::socket_base::reuse_address(true));
-      acceptor.bind(endpoint);
-      acceptor.listen();
-    } catch (const boost::system::system_error& error) {
-      throw Error("listen", options.listen.ToString(), error.code().message());
-    }
-  }
-
   static asio::awaitable<void> Accept(Ref<Impl> self) {
     while (!self->stopping) {
       error_code error;
@@ -182,7 +170,6 @@
 LinkServer::LinkServer(asio::any_io_executor executor,
                        LinkServerOptions options)
     : impl_(MakeRef<Impl>(executor, std::move(options))) {
-  impl_->Listen();
   asio::co_spawn(executor, Impl::Accept(impl_), asio::detached);
 }
 
@@ -197,8 +184,7 @@
 }
 
 net::Address LinkServer::address() const {
-  const asio::ip::tcp::endpoint endpoint = impl_->acceptor.local_endpoint();
-  return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
+  return net::AddressOf(impl_->acceptor);
 }
 
 std::size_t LinkServer::links() const { return impl_->links.size(); }
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "framework/base/error.h"
+#include "framework/net/listener.h"
 
 namespace carobmast::net {
 
@@ -123,22 +124,9 @@
 
   Impl(const asio::any_io_executor& executor, HttpServerOptions server_options)
       : options(std::move(server_options)),
-        acceptor(executor),
+        acceptor(OpenListener(executor, options.listen)),
         drain_timer(executor) {}
 
-  void Listen() {
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(options.listen.ip), options.listen.port);
-    try {
-      acceptor.open(endpoint.protocol());
-      acceptor.set_option(asio::socket_base::reuse_address(true));
-      acceptor.bind(endpoint);
-      acceptor.listen();
-    } catch (const boost::system::system_error& error) {
-      throw Error("listen", options.listen.ToString(), error.code().message());
-    }
-  }
-
   static asio::awaitable<void> Accept(Ref<Impl> self) {
     while (!self->stopping) {
       error_code error;
@@ -236,7 +224,6 @@
 HttpServer::HttpServer(asio::any_io_executor executor,
                        HttpServerOptions options)
     : impl_(MakeRef<Impl>(executor, std::move(options))) {
-  impl_->Listen();
   asio::co_spawn(executor, Impl::Accept(impl_), asio::detached);
 }
 
@@ -247,10 +234,7 @@
   impl_->CloseSessions(true);
 }
 
-Address HttpServer::address() const {
-  const asio::ip::tcp::endpoint endpoint = impl_->acceptor.local_endpoint();
-  return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
-}
+Address HttpServer::address() const { return AddressOf(impl_->acceptor); }
 
 std::size_t HttpServer::connections() const { return impl_->sessions.size(); }
 
--- /dev/null
+++ b/src/framework/net/listener.h
@@ -0,0 +1,22 @@
+// Listening sockets.
+#ifndef CAROBMAST_FRAMEWORK_NET_LISTENER_H_
+#define CAROBMAST_FRAMEWORK_NET_LISTENER_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "framework/net/http_client.h"
+
+namespace carobmast::net {
+
+// Listens at `address`; port 0 takes a free port. Throws Error (step "listen")
+// when the address is taken.
+boost::asio::ip::tcp::acceptor OpenListener(
+    const boost::asio::any_io_executor& executor, const Address& address);
+
+// The address that it listens at, with the real port.
+Address AddressOf(const boost::asio::ip::tcp::acceptor& listener);
+
+}  // namespace carobmast::net
+
+#endif  // CAROBMAST_FRAMEWORK_NET_LISTENER_H_
--- a/src/gateway/internal/caller_port.cc
+++ b/src/gateway/internal/caller_port.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
-#include "framework/base/error.h"
+#include "framework/net/listener.h"
 #include "gateway/http_rules.h"
 #include "gateway/target_port.h"
 
@@ -26,20 +26,6 @@
 // After a failed accept, for example without free file descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
-tcp::acceptor Listen(const asio::any_io_executor& executor,
-                     const net::Address& address) {
-  tcp::acceptor acceptor(executor);
-  error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(address.ip),
-                               address.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) throw Error("listen", address.ToString(), error.message());
-  return acceptor;
-}
-
 asio::awaitable<void> Sleep(asio::any_io_executor executor, Duration time) {
   asio::steady_timer timer(executor, time);
   error_code error;
@@ -60,16 +46,13 @@
                        CallerPortOptions options)
     : executor_(std::move(executor)),
       options_(std::move(options)),
-      acceptor_(Listen(executor_, options_.listen)) {}
+      acceptor_(net::OpenListener(executor_, options_.listen)) {}
 
 void CallerPort::Start() {
   asio::co_spawn(executor_, Accept(), asio::detached);
 }
 
-net::Address CallerPort::address() const {
-  const tcp::endpoint endpoint = acceptor_.local_endpoint();
-  return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
-}
+net::Address CallerPort::address() const { return net::AddressOf(acceptor_); }
 
 asio::awaitable<void> CallerPort::Accept() {
   while (acceptor_.is_open()) {
