--- a/measure/config_measure.cc
+++ b/measure/config_measure.cc
@@ -72,7 +72,7 @@
   }
 
  private:
-  static platform::Resources Need() {
+  static contracts::Resources Need() {
     return {.milli_cpus = 500, .memory = {.bytes = 2'000'000'000}};
   }
 
@@ -141,9 +141,9 @@
                                       .publisher = "operator",
                                       .digest = mirror.Digest(),
                                       .change = change};
-  const platform::LogRecord record{.offset = fold.head().through + 1,
-                                   .id = "publish-0123456789abcdef",
-                                   .data = config::EncodePublish(publish)};
+  const contracts::LogRecord record{.offset = fold.head().through + 1,
+                                    .id = "publish-0123456789abcdef",
+                                    .data = config::EncodePublish(publish)};
   const Duration before = ProcessorTime();
   const config::Verdict verdict = fold.OnRecord(record);
   const Duration used = ProcessorTime() - before;
@@ -168,7 +168,7 @@
 
 void MeasureCompaction(const config::ConfigFold& fold, json::object& out) {
   const Duration start = ProcessorTime();
-  std::vector<platform::NewRecord> records =
+  std::vector<contracts::NewRecord> records =
       config::EncodeCompaction(fold.head(), fold.set(), "group");
   const Duration encoded = ProcessorTime();
   std::size_t bytes = 0;
@@ -176,9 +176,9 @@
   config::ConfigFold fresh;
   for (std::size_t i = 0; i < records.size(); ++i) {
     bytes += records[i].data.size();
-    const platform::LogRecord record{.offset = i + 2,
-                                     .id = records[i].id,
-                                     .data = std::move(records[i].data)};
+    const contracts::LogRecord record{.offset = i + 2,
+                                      .id = records[i].id,
+                                      .data = std::move(records[i].data)};
     const std::optional<config::WholeSet> whole = collector.OnRecord(record, 1);
     if (whole.has_value()) fresh.Adopt(*whole);
   }
--- a/measure/ownership_measure.cc
+++ b/measure/ownership_measure.cc
@@ -25,7 +25,7 @@
 constexpr std::uint32_t kStartsPerSecond = 780;
 constexpr std::chrono::minutes kLimit{5};
 
-platform::Resources Need(std::uint64_t milli_cpus, std::uint64_t megabytes) {
+contracts::Resources Need(std::uint64_t milli_cpus, std::uint64_t megabytes) {
   return {.milli_cpus = milli_cpus,
           .memory = {.bytes = megabytes * 1000 * 1000}};
 }
@@ -40,7 +40,7 @@
   }
 }
 
-void AddWorkers(FakeWorld& world, const platform::Resources& capacity) {
+void AddWorkers(FakeWorld& world, const contracts::Resources& capacity) {
   for (int zone = 0; zone < kZones; ++zone) {
     const std::string name = "z" + std::to_string(zone);
     for (int i = 0; i < kRacksPerZone * kRackSize; ++i) {
@@ -53,7 +53,7 @@
   }
 }
 
-config::BatchJob Job(std::uint32_t tasks, const platform::Resources& task) {
+config::BatchJob Job(std::uint32_t tasks, const contracts::Resources& task) {
   return {.name = "job",
           .pool = "pool",
           .program = "run 5s",
--- a/measure/starts_measure.cc
+++ b/measure/starts_measure.cc
@@ -107,8 +107,8 @@
         .id = {"task-" + std::to_string(serial_++), 1},
         .type = service ? "service-" + std::to_string(number % kServices)
                         : "job-" + std::to_string(number % kJobs),
-        .kind =
-            service ? platform::TaskKind::kService : platform::TaskKind::kBatch,
+        .kind = service ? contracts::TaskKind::kService
+                        : contracts::TaskKind::kBatch,
         .team = "team-" + std::to_string(number % kTeams),
         .pool = "pool"};
     request.need = {.milli_cpus = 500 + 500 * (random_() % 3),
@@ -137,7 +137,7 @@
     const Duration before = ProcessorTime();
     for (int round = 0; round < kRounds; ++round) {
       now_ += std::chrono::seconds(5);
-      for (const std::pair<std::string, platform::AttemptId>& service :
+      for (const std::pair<std::string, contracts::AttemptId>& service :
            services_) {
         placement_->OnReport(
             {.worker = service.first,
@@ -161,7 +161,7 @@
     int held = 0;
     for (int i = 0; i < kMeasuredStarts && !running_.empty(); ++i) {
       now_ += std::chrono::milliseconds(1);
-      const platform::AttemptId oldest = running_.front();
+      const contracts::AttemptId oldest = running_.front();
       running_.pop_front();
       const TaskRequest request = Next(false);
       const Duration t0 = ProcessorTime();
@@ -182,8 +182,8 @@
 
   std::mt19937_64 random_;
   std::unique_ptr<Placement> placement_;
-  std::deque<platform::AttemptId> running_;
-  std::vector<std::pair<std::string, platform::AttemptId>> services_;
+  std::deque<contracts::AttemptId> running_;
+  std::vector<std::pair<std::string, contracts::AttemptId>> services_;
   MonotonicTime now_{std::chrono::hours(1)};
   std::uint64_t serial_ = 0;
   Figures figures_;
--- a/measure/work_policies.cc
+++ b/measure/work_policies.cc
@@ -9,13 +9,13 @@
 
 namespace carobmast::measure {
 
+using contracts::Resources;
 using placement::Choice;
 using placement::Placement;
 using placement::PlacementOptions;
 using placement::Remedy;
 using placement::TaskEnd;
 using placement::TaskRequest;
-using platform::Resources;
 
 namespace {
 
@@ -30,7 +30,7 @@
     Resources free;
   };
   std::vector<Worker> workers;
-  std::map<platform::AttemptId, std::size_t> places;
+  std::map<contracts::AttemptId, std::size_t> places;
   std::deque<TaskRequest> queue;
 
   // Returns whether the task was started.
@@ -51,7 +51,7 @@
   }
 
   void End(const TaskRequest& request) {
-    const std::map<platform::AttemptId, std::size_t>::iterator place =
+    const std::map<contracts::AttemptId, std::size_t>::iterator place =
         places.find(request.id);
     Resources& free = workers[place->second].free;
     free.milli_cpus += request.need.milli_cpus;
@@ -114,7 +114,7 @@
                 std::size_t instance = 0;
                 std::deque<TaskRequest> left;
                 for (const TaskRequest& request : state->queue) {
-                  if (request.kind == platform::TaskKind::kService) {
+                  if (request.kind == contracts::TaskKind::kService) {
                     const std::size_t place =
                         instance++ % state->workers.size();
                     FirstFit::Worker& worker = state->workers[place];
@@ -162,7 +162,7 @@
             state->End(request, end, run_time, now);
           },
       .report =
-          [state, with_remedies](const platform::WorkerReport& report,
+          [state, with_remedies](const contracts::WorkerReport& report,
                                  MonotonicTime now) {
             std::vector<Remedy> remedies =
                 state->placement.OnReport(report, now);
--- a/measure/work_simulation.cc
+++ b/measure/work_simulation.cc
@@ -9,12 +9,12 @@
 
 namespace carobmast::measure {
 
+using contracts::Resources;
 using placement::Choice;
 using placement::Remedy;
 using placement::RemedyKind;
 using placement::TaskEnd;
 using placement::TaskRequest;
-using platform::Resources;
 
 namespace {
 
@@ -102,7 +102,7 @@
   std::vector<Running> running;
   // The service's instance, if there is one.
   bool has_instance = false;
-  platform::AttemptId instance;
+  contracts::AttemptId instance;
   std::deque<Sample> samples;
 };
 
@@ -173,7 +173,7 @@
       const TaskRequest request{
           .id = {workload_.service + "-" + std::to_string(i), 1},
           .type = workload_.service,
-          .kind = platform::TaskKind::kService,
+          .kind = contracts::TaskKind::kService,
           .priority = config::Priority::kHigh,
           .pool = "pool",
           .need = workload_.instance};
@@ -214,7 +214,7 @@
         worker.committed.memory > workload_.worker.memory) {
       ++outcome_.overcommitted;
     }
-    if (request.kind == platform::TaskKind::kService) {
+    if (request.kind == contracts::TaskKind::kService) {
       worker.has_instance = true;
       worker.instance = request.id;
       return;
@@ -345,8 +345,8 @@
   }
 
   void ReportWorker(FakeWorker& worker, double noise) {
-    platform::WorkerReport report{.worker = worker.name,
-                                  .capacity = workload_.worker};
+    contracts::WorkerReport report{.worker = worker.name,
+                                   .capacity = workload_.worker};
     if (worker.has_instance && !worker.samples.empty()) {
       const Sample& sample = worker.samples.front();
       report.tasks.push_back(
--- a/measure/work_simulation.h
+++ b/measure/work_simulation.h
@@ -29,7 +29,7 @@
   std::function<void(const placement::TaskRequest&, placement::TaskEnd,
                      Duration run_time, MonotonicTime now)>
       end;
-  std::function<std::vector<placement::Remedy>(const platform::WorkerReport&,
+  std::function<std::vector<placement::Remedy>(const contracts::WorkerReport&,
                                                MonotonicTime now)>
       report;
 };
--- a/measure/work_state_measure.cc
+++ b/measure/work_state_measure.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "contracts/service_codec.h"
 #include "measure/process_cost.h"
-#include "platform/platform_codec.h"
 #include "work/work_fold.h"
 #include "work/work_record.h"
 
@@ -35,11 +35,11 @@
     }
   }
 
-  const std::vector<platform::LogRecord>& records() const { return records_; }
+  const std::vector<contracts::LogRecord>& records() const { return records_; }
 
  private:
-  platform::Offset Add(const work::WorkRecord& record) {
-    const platform::Offset offset = records_.size() + 1;
+  contracts::Offset Add(const work::WorkRecord& record) {
+    const contracts::Offset offset = records_.size() + 1;
     records_.push_back({.offset = offset,
                         .id = "record-" + std::to_string(offset),
                         .data = work::EncodeRecord(record)});
@@ -49,7 +49,7 @@
   void AddCell(std::size_t first_worker) {
     const std::string cell =
         "zg-a/rack-" + std::to_string(first_worker / kWorkersPerCell);
-    const platform::FencingToken token = Add(work::ClaimRecord{
+    const contracts::FencingToken token = Add(work::ClaimRecord{
         .cell = cell, .zone = "zg-a", .scheduler = "scheduler-1/1"});
     work::MembersRecord members{.cell = cell, .token = token};
     for (std::size_t i = 0; i < kWorkersPerCell; ++i) {
@@ -76,7 +76,7 @@
     Add(take);
   }
 
-  std::vector<platform::LogRecord> records_;
+  std::vector<contracts::LogRecord> records_;
   std::vector<work::TakeRecord> cells_;
 };
 
@@ -89,7 +89,7 @@
 }
 
 std::size_t VmListBytes(std::size_t workers) {
-  platform::VmListAnswer list;
+  contracts::VmListAnswer list;
   for (std::size_t i = 0; i < workers; ++i) {
     list.vms.push_back({.name = WorkerName(i),
                         .zone = "zg-a",
@@ -97,13 +97,13 @@
                         .pool = "zagreb-workers",
                         .address = "10.20.30.40:8080"});
   }
-  return platform::EncodeVmList(list).size();
+  return contracts::EncodeVmList(list).size();
 }
 
 void MeasureSize(std::size_t tasks) {
   const Stream stream(tasks);
-  const platform::ReadAnswer answer{.records = stream.records(),
-                                    .next = stream.records().size() + 1};
+  const contracts::ReadAnswer answer{.records = stream.records(),
+                                     .next = stream.records().size() + 1};
   const std::size_t memory_before = ResidentBytes();
   const Duration begin = ProcessorTime();
   work::WorkFold fold;
--- a/measure/work_workload.cc
+++ b/measure/work_workload.cc
@@ -26,7 +26,7 @@
   }
 }
 
-platform::Resources ReadResources(SettingsReader& reader) {
+contracts::Resources ReadResources(SettingsReader& reader) {
   return {.milli_cpus =
               static_cast<std::uint64_t>(reader.Int("cpus", 1, kMany)) * 1000,
           .memory = reader.ByteCountOr("memory", {})};
--- a/measure/work_workload.h
+++ b/measure/work_workload.h
@@ -6,15 +6,15 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::measure {
 
 struct BatchType {
   std::string name;
   std::int64_t per_hour = 0;
-  platform::Resources need;
+  contracts::Resources need;
   Duration declared = Duration::zero();
   Duration mean = Duration::zero();
   double sigma = 0;
@@ -49,12 +49,12 @@
   std::vector<std::string> zones;
   std::size_t workers = 0;
   std::size_t rack_size = 8;
-  platform::Resources worker;
+  contracts::Resources worker;
   bool guards = false;
 
   std::string service;
   std::size_t instances = 0;
-  platform::Resources instance;
+  contracts::Resources instance;
   Duration median = Duration::zero();
   double sigma = 0;
   Duration deadline = Duration::zero();
--- a/src/config/check.h
+++ b/src/config/check.h
@@ -17,7 +17,7 @@
   // All errors, in the order of lines; the set is valid when there is none.
   std::vector<CheckError> errors;
   // The offset that the file says it was made from.
-  std::optional<platform::Offset> base;
+  std::optional<contracts::Offset> base;
 };
 
 // Throws Error (step "check", peer "FILE:LINE") when `text` can't be read as a
--- a/src/config/fold.h
+++ b/src/config/fold.h
@@ -12,7 +12,7 @@
 #include "config/rules.h"
 #include "config/types/change.h"
 #include "config/types/head.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -25,7 +25,7 @@
 
 struct Verdict {
   VerdictKind kind = VerdictKind::kNoEffect;
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   std::string id;
   std::string publisher;
   // When it is refused or unknown.
@@ -55,7 +55,7 @@
 
   // Folds the next record. The caller leaves no record out. Records at or
   // before head().through have no effect; after a stop, none has.
-  Verdict OnRecord(const platform::LogRecord& record);
+  Verdict OnRecord(const contracts::LogRecord& record);
 
   // Takes a whole set in place of its own. Throws Error (step "config adopt")
   // and changes nothing when the set is older than its own, when its digest is
@@ -64,10 +64,10 @@
 
   // Says that all records up to `through` are folded, which a peer at the same
   // offset and digest has shown.
-  void AdvanceThrough(platform::Offset through);
+  void AdvanceThrough(contracts::Offset through);
 
  private:
-  Verdict OnPublish(const platform::LogRecord& record,
+  Verdict OnPublish(const contracts::LogRecord& record,
                     const PublishRecord& publish);
   std::string ReasonAgainst(const PublishRecord& publish) const;
 
@@ -86,8 +86,8 @@
 
   // Returns a whole set whose `through` leaves no gap before `first_kept`, the
   // oldest record that the log still has.
-  std::optional<WholeSet> OnRecord(const platform::LogRecord& record,
-                                   platform::Offset first_kept);
+  std::optional<WholeSet> OnRecord(const contracts::LogRecord& record,
+                                   contracts::Offset first_kept);
 
  private:
   struct Group {
--- a/src/config/follower.h
+++ b/src/config/follower.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "config/follower_core.h"
+#include "contracts/log_service.h"
 #include "framework/base/intrusive.h"
 #include "framework/base/time.h"
-#include "platform/log_service.h"
 
 namespace carobmast::config {
 
@@ -29,7 +29,7 @@
 
 struct ConfigFollowerOptions {
   FollowerCoreOptions core;
-  platform::LogService log;
+  contracts::LogService log;
   CallPeer call_peer;
 };
 
--- a/src/config/follower_core.h
+++ b/src/config/follower_core.h
@@ -17,8 +17,8 @@
 
 #include "config/log_replay.h"
 #include "config/types/peer_messages.h"
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -76,7 +76,7 @@
 // What a caller of NextLogRead, NextPeerCall or NextCompaction does: the
 // action, or nothing until `at`.
 struct LogStep {
-  std::optional<platform::ReadRequest> read;
+  std::optional<contracts::ReadRequest> read;
   MonotonicTime at;
 };
 struct PeerStep {
@@ -88,7 +88,7 @@
 };
 struct CompactionStep {
   // Appended one after the other; given up at the first that fails.
-  std::vector<platform::NewRecord> records;
+  std::vector<contracts::NewRecord> records;
   MonotonicTime at;
 };
 
@@ -118,8 +118,8 @@
 
   // One read at a time.
   LogStep NextLogRead(MonotonicTime now) const;
-  void OnLogAnswer(MonotonicTime now, platform::Offset from,
-                   const platform::ReadAnswer& answer);
+  void OnLogAnswer(MonotonicTime now, contracts::Offset from,
+                   const contracts::ReadAnswer& answer);
   void OnLogError(MonotonicTime now);
 
   // May be called again while other calls are under way, never twice for one
@@ -172,8 +172,8 @@
   bool ShouldFetch(MonotonicTime now, const Peer& peer) const;
   void OnRecords(MonotonicTime now, const FetchAnswer& answer);
   void OnPage(MonotonicTime now, std::size_t peer, const FetchAnswer& answer);
-  void Remember(const platform::LogRecord& record);
-  void NoteCompactions(const std::vector<platform::LogRecord>& records);
+  void Remember(const contracts::LogRecord& record);
+  void NoteCompactions(const std::vector<contracts::LogRecord>& records);
   void NoteVerdicts(const std::vector<Verdict>& verdicts);
   bool MayComeIntoForce() const;
   void UpdateInForce();
@@ -193,9 +193,9 @@
   std::uint32_t log_failures_ = 0;
 
   // Accepted records after `ring_from_`, for peers.
-  std::deque<platform::LogRecord> ring_;
+  std::deque<contracts::LogRecord> ring_;
   std::size_t ring_bytes_ = 0;
-  platform::Offset ring_from_ = 0;
+  contracts::Offset ring_from_ = 0;
   std::optional<Pages> pages_;
   // The peer of the fetch that is under way.
   std::optional<std::size_t> fetching_;
--- a/src/config/internal/codec.cc
+++ b/src/config/internal/codec.cc
@@ -32,7 +32,7 @@
 constexpr char kStep[] = "config codec";
 constexpr unsigned kMaxJsonDepth = 32;
 
-json::value ToJson(const platform::Resources& value) {
+json::value ToJson(const contracts::Resources& value) {
   json::object object;
   object["milli_cpus"] = value.milli_cpus;
   object["memory"] = value.memory.bytes;
@@ -159,7 +159,7 @@
   }
 
   void Read(const json::value& value, const char* field,
-            platform::Resources& out, ResourcesSpec) {
+            contracts::Resources& out, ResourcesSpec) {
     if (!value.is_object()) Fail(field, "no resources");
     constexpr std::uint64_t kMax = std::numeric_limits<std::uint64_t>::max();
     bool has_cpus = false;
@@ -272,7 +272,7 @@
 std::string YamlText(bool value) { return value ? "true" : "false"; }
 std::string YamlText(Duration value) { return FormatDuration(value); }
 std::string YamlText(Priority value) { return internal::PriorityName(value); }
-std::string YamlText(const platform::Resources& value) {
+std::string YamlText(const contracts::Resources& value) {
   std::string text = "{cpus: " + internal::FormatCpus(value.milli_cpus) +
                      ", memory: " + FormatByteCount(value.memory);
   if (value.accelerators > 0) {
--- a/src/config/internal/daemon_follower.cc
+++ b/src/config/internal/daemon_follower.cc
@@ -3,8 +3,8 @@
 #include <random>
 #include <utility>
 
+#include "contracts/http_services.h"
 #include "framework/telemetry/log.h"
-#include "platform/http_platform.h"
 
 namespace carobmast::config {
 
@@ -41,7 +41,7 @@
       daemon.executor(),
       ConfigFollowerOptions{
           .core = MakeCore(settings, std::move(on_in_force)),
-          .log = platform::MakeHttpLogService(client, settings.log_service),
+          .log = contracts::MakeHttpLogService(client, settings.log_service),
           .call_peer = [&daemon](std::size_t peer, std::string method,
                                  std::string request, Duration timeout) {
             const net::Address link = daemon.settings().peers[peer].link;
--- a/src/config/internal/fold.cc
+++ b/src/config/internal/fold.cc
@@ -13,7 +13,7 @@
 // Compactions that are under way at once; more are not looked at.
 constexpr std::size_t kMaxGroups = 8;
 
-Verdict MakeVerdict(const platform::LogRecord& record, VerdictKind kind,
+Verdict MakeVerdict(const contracts::LogRecord& record, VerdictKind kind,
                     std::string reason) {
   return {.kind = kind,
           .offset = record.offset,
@@ -44,7 +44,7 @@
   head_.digest = set_.Digest();
 }
 
-Verdict ConfigFold::OnRecord(const platform::LogRecord& record) {
+Verdict ConfigFold::OnRecord(const contracts::LogRecord& record) {
   if (stopped_.has_value()) return *stopped_;
   if (record.offset <= head_.through) {
     return MakeVerdict(record, VerdictKind::kNoEffect, "folded before");
@@ -89,7 +89,7 @@
   return "";
 }
 
-Verdict ConfigFold::OnPublish(const platform::LogRecord& record,
+Verdict ConfigFold::OnPublish(const contracts::LogRecord& record,
                               const PublishRecord& publish) {
   Verdict verdict =
       MakeVerdict(record, VerdictKind::kRefused, ReasonAgainst(publish));
@@ -142,13 +142,13 @@
   stopped_.reset();
 }
 
-void ConfigFold::AdvanceThrough(platform::Offset through) {
+void ConfigFold::AdvanceThrough(contracts::Offset through) {
   if (stopped_.has_value()) return;
   head_.through = std::max(head_.through, through);
 }
 
 std::optional<WholeSet> CompactionCollector::OnRecord(
-    const platform::LogRecord& record, platform::Offset first_kept) {
+    const contracts::LogRecord& record, contracts::Offset first_kept) {
   Record decoded = DecodeRecord(record.data, max_rules_);
   CompactionRecord* part = std::get_if<CompactionRecord>(&decoded);
   if (part == nullptr || part->head.through + 1 < first_kept) return {};
--- a/src/config/internal/follower.cc
+++ b/src/config/internal/follower.cc
@@ -54,7 +54,7 @@
 
   asio::any_io_executor executor;
   FollowerCore core;
-  platform::LogService log;
+  contracts::LogService log;
   CallPeer call_peer;
   // Timers of the loops that sleep.
   std::vector<asio::steady_timer*> sleepers;
@@ -64,10 +64,10 @@
   asio::awaitable<void> LogLoop(Ref<Impl> self);
   asio::awaitable<void> PeerLoop(Ref<Impl> self);
   asio::awaitable<void> CompactionLoop(Ref<Impl> self);
-  asio::awaitable<void> ReadLog(platform::ReadRequest request);
+  asio::awaitable<void> ReadLog(contracts::ReadRequest request);
   asio::awaitable<void> AskHead(std::size_t peer);
   asio::awaitable<void> Fetch(std::size_t peer, FetchRequest request);
-  asio::awaitable<bool> Append(std::vector<platform::NewRecord> records);
+  asio::awaitable<bool> Append(std::vector<contracts::NewRecord> records);
 };
 
 asio::awaitable<void> ConfigFollower::Impl::SleepUntil(MonotonicTime at) {
@@ -80,9 +80,9 @@
 }
 
 asio::awaitable<void> ConfigFollower::Impl::ReadLog(
-    platform::ReadRequest request) {
-  const platform::Offset from = request.from;
-  platform::ReadAnswer answer;
+    contracts::ReadRequest request) {
+  const contracts::Offset from = request.from;
+  contracts::ReadAnswer answer;
   try {
     answer = co_await log.read(std::move(request));
   } catch (const std::exception&) {
@@ -156,12 +156,12 @@
 }
 
 asio::awaitable<bool> ConfigFollower::Impl::Append(
-    std::vector<platform::NewRecord> records) {
-  for (platform::NewRecord& record : records) {
-    platform::AppendRequest request{.stream = platform::kConfigStream};
+    std::vector<contracts::NewRecord> records) {
+  for (contracts::NewRecord& record : records) {
+    contracts::AppendRequest request{.stream = contracts::kConfigStream};
     request.records.push_back(std::move(record));
-    const platform::AppendAnswer answer = co_await log.append(request);
-    if (answer.outcome != platform::AppendOutcome::kAppended) co_return false;
+    const contracts::AppendAnswer answer = co_await log.append(request);
+    if (answer.outcome != contracts::AppendOutcome::kAppended) co_return false;
   }
   co_return true;
 }
--- a/src/config/internal/follower_core.cc
+++ b/src/config/internal/follower_core.cc
@@ -66,20 +66,20 @@
 LogStep FollowerCore::NextLogRead(MonotonicTime now) const {
   // After a stop there is nothing to read; ask now and then whether it is out.
   if (now < next_log_read_) return {.at = next_log_read_};
-  platform::ReadRequest read{.stream = platform::kConfigStream,
-                             .from = replay_.NextRead(),
-                             .max_records = kMaxRecordsPerRead,
-                             .wait = options_.timing.log_wait,
-                             .timeout = options_.timing.log_timeout};
+  contracts::ReadRequest read{.stream = contracts::kConfigStream,
+                              .from = replay_.NextRead(),
+                              .max_records = kMaxRecordsPerRead,
+                              .wait = options_.timing.log_wait,
+                              .timeout = options_.timing.log_timeout};
   if (fold().stopped().has_value()) read.max_records = 1;
   return {.read = std::move(read), .at = now};
 }
 
-void FollowerCore::OnLogAnswer(MonotonicTime now, platform::Offset from,
-                               const platform::ReadAnswer& answer) {
+void FollowerCore::OnLogAnswer(MonotonicTime now, contracts::Offset from,
+                               const contracts::ReadAnswer& answer) {
   last_log_answer_ = now;
   log_failures_ = 0;
-  const platform::Offset through = fold().head().through;
+  const contracts::Offset through = fold().head().through;
   NoteCompactions(answer.records);
   const std::vector<Verdict> verdicts = replay_.OnRead(from, answer);
   const bool adopted = verdicts.empty() && fold().head().through != through;
@@ -93,7 +93,7 @@
     if (verdict.kind != VerdictKind::kAccepted) continue;
     const auto record =
         std::find_if(answer.records.begin(), answer.records.end(),
-                     [&](const platform::LogRecord& r) {
+                     [&](const contracts::LogRecord& r) {
                        return r.offset == verdict.offset;
                      });
     Remember(*record);
@@ -124,8 +124,8 @@
 }
 
 void FollowerCore::NoteCompactions(
-    const std::vector<platform::LogRecord>& records) {
-  for (const platform::LogRecord& record : records) {
+    const std::vector<contracts::LogRecord>& records) {
+  for (const contracts::LogRecord& record : records) {
     const Record decoded = DecodeRecord(record.data, fold().max_rules());
     const CompactionRecord* part = std::get_if<CompactionRecord>(&decoded);
     if (part == nullptr) {
@@ -144,7 +144,7 @@
   }
 }
 
-void FollowerCore::Remember(const platform::LogRecord& record) {
+void FollowerCore::Remember(const contracts::LogRecord& record) {
   ring_.push_back(record);
   ring_bytes_ += record.data.size();
   while (ring_.size() > kMaxRingRecords || ring_bytes_ > kMaxRingBytes) {
@@ -184,10 +184,10 @@
 PeerStep FollowerCore::NextPeerCall(MonotonicTime now) {
   PeerStep step{.at = now + options_.timing.peer_interval_urgent};
   const Peer* best = nullptr;
-  platform::Offset best_offset = 0;
+  contracts::Offset best_offset = 0;
   for (const Peer& peer : peers_) {
     if (!ShouldFetch(now, peer)) continue;
-    const platform::Offset offset = peer.head.value_or(Head{}).offset;
+    const contracts::Offset offset = peer.head.value_or(Head{}).offset;
     if (best != nullptr && offset <= best_offset) continue;
     best = &peer;
     best_offset = offset;
@@ -293,7 +293,7 @@
 
 void FollowerCore::OnRecords(MonotonicTime, const FetchAnswer& answer) {
   std::vector<Verdict> verdicts;
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     if (record.offset <= fold().head().through) continue;
     verdicts.push_back(replay_.fold().OnRecord(record));
     if (verdicts.back().kind == VerdictKind::kAccepted) Remember(record);
@@ -349,7 +349,7 @@
                         request.page_head->digest == answer.head.digest;
   std::size_t bytes = 0;
   if (!has_page && request.through >= ring_from_) {
-    for (const platform::LogRecord& record : ring_) {
+    for (const contracts::LogRecord& record : ring_) {
       if (record.offset <= request.through) continue;
       if (bytes > 0 && bytes + record.data.size() > kPageBytes) break;
       answer.records.push_back(record);
--- a/src/config/internal/log_replay.cc
+++ b/src/config/internal/log_replay.cc
@@ -8,18 +8,18 @@
 
 LogReplay::LogReplay(RuleTable rules) : fold_(std::move(rules)) {}
 
-platform::Offset LogReplay::NextRead() const {
+contracts::Offset LogReplay::NextRead() const {
   return seek_.has_value() ? seek_->next : fold_.head().through + 1;
 }
 
-void LogReplay::StartSeek(platform::Offset first_kept) {
+void LogReplay::StartSeek(contracts::Offset first_kept) {
   seek_.emplace(Seek{.next = first_kept,
                      .collector = CompactionCollector(fold_.max_rules())});
   caught_up_ = false;
 }
 
-void LogReplay::OnSeekRead(const platform::ReadAnswer& answer, Seek& seek) {
-  for (const platform::LogRecord& record : answer.records) {
+void LogReplay::OnSeekRead(const contracts::ReadAnswer& answer, Seek& seek) {
+  for (const contracts::LogRecord& record : answer.records) {
     if (record.offset < seek.next) continue;
     seek.next = record.offset + 1;
     const std::optional<WholeSet> whole =
@@ -37,11 +37,11 @@
 }
 
 std::vector<Verdict> LogReplay::OnRead(
-    platform::Offset from, const platform::ReadAnswer& answer,
+    contracts::Offset from, const contracts::ReadAnswer& answer,
     const std::function<void(const Verdict&)>& on_verdict) {
   // The answer to a read that was asked before a set was adopted.
   if (from > NextRead()) return {};
-  const platform::Offset needed = fold_.head().through + 1;
+  const contracts::Offset needed = fold_.head().through + 1;
   const bool has_gap = answer.first_kept > needed;
   if (seek_.has_value() && !has_gap) seek_.reset();
   if (has_gap && (!seek_.has_value() || seek_->next < answer.first_kept)) {
@@ -54,7 +54,7 @@
   // The search may have gone past records that are needed now.
   if (from > needed) return {};
   std::vector<Verdict> verdicts;
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     if (record.offset <= fold_.head().through) continue;
     verdicts.push_back(fold_.OnRecord(record));
     if (on_verdict) on_verdict(verdicts.back());
--- a/src/config/internal/object_set.cc
+++ b/src/config/internal/object_set.cc
@@ -64,13 +64,13 @@
 
 }  // namespace
 
-void ResourceSum::Add(const platform::Resources& each, std::uint64_t count) {
+void ResourceSum::Add(const contracts::Resources& each, std::uint64_t count) {
   Change128(milli_cpus, each.milli_cpus, count, true);
   Change128(memory_bytes, each.memory.bytes, count, true);
   Change128(accelerators, each.accelerators, count, true);
 }
 
-void ResourceSum::Subtract(const platform::Resources& each,
+void ResourceSum::Subtract(const contracts::Resources& each,
                            std::uint64_t count) {
   Change128(milli_cpus, each.milli_cpus, count, false);
   Change128(memory_bytes, each.memory.bytes, count, false);
@@ -130,7 +130,7 @@
 }
 
 void ObjectSet::Count(const Object& object, bool add) {
-  const auto change = [add](ResourceSum& sum, const platform::Resources& each,
+  const auto change = [add](ResourceSum& sum, const contracts::Resources& each,
                             std::uint64_t count) {
     add ? sum.Add(each, count) : sum.Subtract(each, count);
   };
--- a/src/config/internal/parse.cc
+++ b/src/config/internal/parse.cc
@@ -206,7 +206,7 @@
   }
 
   void Read(const YamlNode& node, const std::string& field,
-            platform::Resources& value, ResourcesSpec) {
+            contracts::Resources& value, ResourcesSpec) {
     if (node.type != YamlNode::Type::kMap) {
       errors_.Expected(node, field, "a map of cpus, memory and accelerators");
       return;
@@ -223,7 +223,7 @@
   }
 
   void ReadCpus(const YamlNode& map, KeyTable& keys, const std::string& field,
-                platform::Resources& value) {
+                contracts::Resources& value) {
     const YamlNode* node = keys.Take("cpus");
     if (node == nullptr) {
       errors_.Add(map, field, "missing");
@@ -235,7 +235,7 @@
   }
 
   void ReadMemory(const YamlNode& map, KeyTable& keys, const std::string& field,
-                  platform::Resources& value) {
+                  contracts::Resources& value) {
     const YamlNode* node = keys.Take("memory");
     if (node == nullptr) {
       errors_.Add(map, field, "missing");
--- a/src/config/internal/peer_codec.cc
+++ b/src/config/internal/peer_codec.cc
@@ -43,14 +43,14 @@
   return {.process = message.process(), .head = ReadHead(message.head())};
 }
 
-void WriteRecord(const platform::LogRecord& record, proto::LogRecord& out) {
+void WriteRecord(const contracts::LogRecord& record, proto::LogRecord& out) {
   out.set_offset(record.offset);
   out.set_appended_ms(record.appended_at.time_since_epoch().count());
   out.set_id(record.id);
   out.set_data(record.data);
 }
 
-platform::LogRecord ReadRecord(const proto::LogRecord& record) {
+contracts::LogRecord ReadRecord(const proto::LogRecord& record) {
   const std::chrono::milliseconds since_epoch(record.appended_ms());
   return {.offset = record.offset(),
           .appended_at = WallTime(since_epoch),
@@ -100,7 +100,7 @@
 std::string EncodeFetchAnswer(const FetchAnswer& answer) {
   proto::FetchAnswer message;
   WriteHead(answer.head, *message.mutable_head());
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     WriteRecord(record, *message.add_records());
   }
   message.set_whole(answer.whole);
--- a/src/config/internal/record.cc
+++ b/src/config/internal/record.cc
@@ -171,11 +171,11 @@
   return json::serialize(out);
 }
 
-std::vector<platform::NewRecord> EncodeCompaction(const Head& head,
-                                                  const ObjectSet& set,
-                                                  const std::string& group) {
+std::vector<contracts::NewRecord> EncodeCompaction(const Head& head,
+                                                   const ObjectSet& set,
+                                                   const std::string& group) {
   std::vector<json::array> parts = SplitIntoParts(set);
-  std::vector<platform::NewRecord> records;
+  std::vector<contracts::NewRecord> records;
   for (std::size_t i = 0; i < parts.size(); ++i) {
     json::object out = CompactionHeader(head, group);
     out["part"] = i;
--- a/src/config/internal/rules.cc
+++ b/src/config/internal/rules.cc
@@ -109,7 +109,7 @@
                    FormatDuration(value));
   }
 
-  void Check(const char* field, const platform::Resources& value,
+  void Check(const char* field, const contracts::Resources& value,
              ResourcesSpec spec) {
     const std::uint64_t max_cpus = kMaxMilliCpus * spec.max_workers;
     if (value.milli_cpus == 0 || value.milli_cpus > max_cpus) {
@@ -172,7 +172,7 @@
   return false;
 }
 
-bool Fits(const platform::Resources& need, const platform::Resources& room) {
+bool Fits(const contracts::Resources& need, const contracts::Resources& room) {
   return need.milli_cpus <= room.milli_cpus &&
          need.memory.bytes <= room.memory.bytes &&
          need.accelerators <= room.accelerators;
@@ -182,7 +182,7 @@
 struct Work {
   const std::string& team;
   const std::string& pool;
-  const platform::Resources& need;
+  const contracts::Resources& need;
   const char* need_field;
 };
 
--- a/src/config/internal/values.cc
+++ b/src/config/internal/values.cc
@@ -61,7 +61,7 @@
   return kPriorityNames[static_cast<std::size_t>(priority)];
 }
 
-std::string FormatResources(const platform::Resources& resources) {
+std::string FormatResources(const contracts::Resources& resources) {
   std::string text = FormatCpus(resources.milli_cpus) + " cpus, " +
                      FormatByteCount(resources.memory);
   if (resources.accelerators > 0) {
--- a/src/config/internal/values.h
+++ b/src/config/internal/values.h
@@ -21,7 +21,7 @@
 std::string PriorityName(Priority priority);
 
 // E.g. "16 cpus, 60GB, 0 accelerators".
-std::string FormatResources(const platform::Resources& resources);
+std::string FormatResources(const contracts::Resources& resources);
 
 }  // namespace carobmast::config::internal
 
--- a/src/config/log_replay.h
+++ b/src/config/log_replay.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "config/fold.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -18,13 +18,13 @@
   explicit LogReplay(RuleTable rules = AllRules());
 
   // Where the next read starts.
-  platform::Offset NextRead() const;
+  contracts::Offset NextRead() const;
 
   // Takes the answer of a read from `from`. Returns the verdicts on the records
   // that were folded, in the order of offsets. `on_verdict` is called for each
   // as soon as its record is folded, when the set is the one of that record.
   std::vector<Verdict> OnRead(
-      platform::Offset from, const platform::ReadAnswer& answer,
+      contracts::Offset from, const contracts::ReadAnswer& answer,
       const std::function<void(const Verdict&)>& on_verdict = {});
 
   // Whether the last read reached the end of the stream and left no gap.
@@ -38,12 +38,12 @@
 
  private:
   struct Seek {
-    platform::Offset next;
+    contracts::Offset next;
     CompactionCollector collector;
   };
 
-  void StartSeek(platform::Offset first_kept);
-  void OnSeekRead(const platform::ReadAnswer& answer, Seek& seek);
+  void StartSeek(contracts::Offset first_kept);
+  void OnSeekRead(const contracts::ReadAnswer& answer, Seek& seek);
 
   ConfigFold fold_;
   std::optional<Seek> seek_;
--- a/src/config/object_set.h
+++ b/src/config/object_set.h
@@ -15,8 +15,8 @@
 #include "config/set_digest.h"
 #include "config/types/change.h"
 #include "config/types/objects.h"
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -29,15 +29,15 @@
   WideCount memory_bytes = 0;
   WideCount accelerators = 0;
 
-  void Add(const platform::Resources& each, std::uint64_t count);
-  void Subtract(const platform::Resources& each, std::uint64_t count);
+  void Add(const contracts::Resources& each, std::uint64_t count);
+  void Subtract(const contracts::Resources& each, std::uint64_t count);
   // Whether no member is larger than that of `other`.
   bool FitsIn(const ResourceSum& other) const;
 };
 
 // The record that changed an object last.
 struct Stamp {
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   WallTime at;
 };
 
--- a/src/config/parse.h
+++ b/src/config/parse.h
@@ -15,7 +15,7 @@
 
 #include "config/types/check_error.h"
 #include "config/types/objects.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -24,7 +24,7 @@
   std::vector<Object> objects;
   // Unknown keys, wrong types and units, missing fields, unusable names.
   std::vector<CheckError> errors;
-  std::optional<platform::Offset> base;
+  std::optional<contracts::Offset> base;
   // Line of each object ("") and of each field that the file gives.
   std::map<std::pair<std::string, std::string>, int> lines;
 
--- a/src/config/record.h
+++ b/src/config/record.h
@@ -23,7 +23,7 @@
 #include "config/object_set.h"
 #include "config/types/change.h"
 #include "config/types/head.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -38,7 +38,7 @@
 struct PublishRecord {
   std::uint32_t rules = 1;
   // Offset of the set that the change was made for.
-  platform::Offset base = 0;
+  contracts::Offset base = 0;
   std::string publisher;
   // Digest of the whole set after the change.
   std::string digest;
@@ -77,9 +77,9 @@
 std::string EncodePublish(const PublishRecord& record);
 
 // A whole set as records, with ids made of `group` and the part.
-std::vector<platform::NewRecord> EncodeCompaction(const Head& head,
-                                                  const ObjectSet& set,
-                                                  const std::string& group);
+std::vector<contracts::NewRecord> EncodeCompaction(const Head& head,
+                                                   const ObjectSet& set,
+                                                   const std::string& group);
 
 // {"at":O,"ms":MS,"object":OBJECT}, as in compactions.
 std::string EncodeStamped(const StampedObject& object);
--- a/src/config/tests/config_fuzz.cc
+++ b/src/config/tests/config_fuzz.cc
@@ -28,7 +28,7 @@
     std::uint32_t rules = 1;
   };
 
-  void Fold(const platform::LogRecord& record) {
+  void Fold(const contracts::LogRecord& record) {
     const Record decoded = DecodeRecord(record.data, 2);
     const PublishRecord* publish = std::get_if<PublishRecord>(&decoded);
     if (publish == nullptr || publish->base != newest_) return;
@@ -51,9 +51,9 @@
     accepted_[newest_] = {.digest = publish->digest, .rules = publish->rules};
   }
 
-  platform::Offset newest() const { return newest_; }
+  contracts::Offset newest() const { return newest_; }
   const Objects& objects() const { return objects_; }
-  const std::map<platform::Offset, Accepted>& accepted() const {
+  const std::map<contracts::Offset, Accepted>& accepted() const {
     return accepted_;
   }
   // Whether a program that knows rule version 1 only can follow.
@@ -91,8 +91,8 @@
   }
 
   Objects objects_;
-  platform::Offset newest_ = 0;
-  std::map<platform::Offset, Accepted> accepted_;
+  contracts::Offset newest_ = 0;
+  std::map<contracts::Offset, Accepted> accepted_;
 };
 
 // The processes with the oracle beside them.
@@ -113,7 +113,7 @@
 
   void FoldNew() {
     while (folded_ < world.log.all().size()) {
-      const platform::LogRecord& record = world.log.all()[folded_];
+      const contracts::LogRecord& record = world.log.all()[folded_];
       oracle.Fold(record);
       // Older programs stop here, whatever becomes of the record.
       const Record decoded = DecodeRecord(record.data, 1);
@@ -166,7 +166,7 @@
  private:
   // Every set in force was accepted, and offsets only grew.
   void CheckHistory(const ConfigWorld::Process& process) const {
-    platform::Offset last = 0;
+    contracts::Offset last = 0;
     for (const Head& head : process.in_force) {
       RC_ASSERT(head.offset > last);
       last = head.offset;
@@ -192,7 +192,7 @@
   void CheckBound() {
     for (std::size_t i = 0; i < world.size(); ++i) {
       if (!MustFollow(i)) continue;
-      const platform::Offset own = world.process(i).core->head().offset;
+      const contracts::Offset own = world.process(i).core->head().offset;
       if (world.CanReachLog(i) && HasWhole()) {
         RC_ASSERT(own == oracle.newest());
       }
@@ -205,7 +205,7 @@
 
   // Whether the log still has what a fresh reader needs.
   bool HasWhole() {
-    const std::pair<platform::Offset, platform::Offset> state(
+    const std::pair<contracts::Offset, contracts::Offset> state(
         world.log.first_kept(), world.log.next());
     if (state != whole_checked_) {
       whole_checked_ = state;
@@ -217,7 +217,7 @@
   bool ReadsWhole() const {
     LogReplay replay({{1, CheckChangeV1}, {2, CheckChangeV1}});
     for (std::size_t i = 0; i <= world.log.all().size() / 100 + 1; ++i) {
-      const platform::Offset from = replay.NextRead();
+      const contracts::Offset from = replay.NextRead();
       replay.OnRead(from, world.log.Read({.from = from, .max_records = 1000}));
     }
     return replay.caught_up();
@@ -226,7 +226,7 @@
   std::size_t folded_ = 0;
   MonotonicTime changed_at_{};
   bool saw_rules_2_ = false;
-  std::pair<platform::Offset, platform::Offset> whole_checked_;
+  std::pair<contracts::Offset, contracts::Offset> whole_checked_;
   bool has_whole_ = false;
 };
 
@@ -375,7 +375,7 @@
 void Retention::Act(CheckedWorld& sut) const {
   sut.RunFor(std::chrono::minutes(a_ % 4));
   const WallTime oldest = sut.world.wall() - std::chrono::minutes(10);
-  for (const platform::LogRecord& record : sut.world.log.all()) {
+  for (const contracts::LogRecord& record : sut.world.log.all()) {
     if (record.appended_at < oldest) sut.world.log.Expire(record.offset + 1);
   }
 }
--- a/src/config/tests/config_world.cc
+++ b/src/config/tests/config_world.cc
@@ -171,7 +171,7 @@
   if (step.records.empty()) return;
   const bool reached = CanReachLog(i);
   if (reached) {
-    for (const platform::NewRecord& record : step.records) {
+    for (const contracts::NewRecord& record : step.records) {
       log.Append(record, wall());
     }
   }
@@ -193,7 +193,7 @@
   while (now_ < end) Step();
 }
 
-bool ConfigWorld::RunUntilInForce(platform::Offset offset, Duration limit) {
+bool ConfigWorld::RunUntilInForce(contracts::Offset offset, Duration limit) {
   const MonotonicTime end = now_ + limit;
   for (;;) {
     bool all = true;
--- a/src/config/tests/config_world.h
+++ b/src/config/tests/config_world.h
@@ -64,11 +64,11 @@
 
   void RunFor(Duration time);
   // Runs until every process that is up holds `offset`; false after `limit`.
-  bool RunUntilInForce(platform::Offset offset, Duration limit);
+  bool RunUntilInForce(contracts::Offset offset, Duration limit);
 
  private:
   struct LogCall {
-    platform::ReadRequest request;
+    contracts::ReadRequest request;
     MonotonicTime due;
     MonotonicTime deadline;
   };
--- a/src/config/tests/fake_log.h
+++ b/src/config/tests/fake_log.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -15,7 +15,7 @@
   // Whether it neither takes nor gives records.
   bool out = false;
 
-  platform::Offset Append(const platform::NewRecord& record, WallTime at) {
+  contracts::Offset Append(const contracts::NewRecord& record, WallTime at) {
     records_.push_back({.offset = next(),
                         .appended_at = at,
                         .id = record.id,
@@ -23,9 +23,9 @@
     return records_.back().offset;
   }
 
-  platform::ReadAnswer Read(const platform::ReadRequest& request) const {
-    platform::ReadAnswer answer{.first_kept = first_kept_, .next = next()};
-    for (const platform::LogRecord& record : records_) {
+  contracts::ReadAnswer Read(const contracts::ReadRequest& request) const {
+    contracts::ReadAnswer answer{.first_kept = first_kept_, .next = next()};
+    for (const contracts::LogRecord& record : records_) {
       if (record.offset < std::max(request.from, first_kept_)) continue;
       if (answer.records.size() == request.max_records) break;
       answer.records.push_back(record);
@@ -34,18 +34,18 @@
   }
 
   // Forgets the records before `first`.
-  void Expire(platform::Offset first) {
+  void Expire(contracts::Offset first) {
     first_kept_ = std::max(first_kept_, std::min(first, next()));
   }
 
   // All records that were ever appended.
-  const std::vector<platform::LogRecord>& all() const { return records_; }
-  platform::Offset first_kept() const { return first_kept_; }
-  platform::Offset next() const { return records_.size() + 1; }
+  const std::vector<contracts::LogRecord>& all() const { return records_; }
+  contracts::Offset first_kept() const { return first_kept_; }
+  contracts::Offset next() const { return records_.size() + 1; }
 
  private:
-  std::vector<platform::LogRecord> records_;
-  platform::Offset first_kept_ = 1;
+  std::vector<contracts::LogRecord> records_;
+  contracts::Offset first_kept_ = 1;
 };
 
 }  // namespace carobmast::config
--- a/src/config/tests/fold_test.cc
+++ b/src/config/tests/fold_test.cc
@@ -28,13 +28,13 @@
 // Reads the whole log into `replay`.
 void ReadAll(const FakeLog& log, LogReplay& replay) {
   for (int i = 0; i < 100; ++i) {
-    const platform::Offset from = replay.NextRead();
+    const contracts::Offset from = replay.NextRead();
     replay.OnRead(from, log.Read({.from = from, .max_records = 3}));
   }
 }
 
 void AppendCompaction(FakeLog& log, const ConfigFold& fold) {
-  for (const platform::NewRecord& record :
+  for (const contracts::NewRecord& record :
        EncodeCompaction(fold.head(), fold.set(), "group")) {
     log.Append(record, WallTime());
   }
@@ -42,7 +42,7 @@
 
 void AppendPublish(FakeLog& log, ConfigFold& fold, const Change& change) {
   const std::string data = EncodePublish(PublishOn(fold, change));
-  const platform::Offset offset =
+  const contracts::Offset offset =
       log.Append({.id = "p" + std::to_string(log.next()), .data = data}, {});
   fold.OnRecord(log.all().at(offset - 1));
 }
@@ -72,15 +72,15 @@
     const Verdict first = Fold(fold, PublishOn(fold, FirstChange()));
     CPPUNIT_ASSERT_EQUAL(std::string(), first.reason);
     CPPUNIT_ASSERT(first.kind == VerdictKind::kAccepted);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, fold.head().offset);
     CPPUNIT_ASSERT_EQUAL(std::string(kFirstDigest), fold.head().digest);
     const Verdict second = Fold(fold, PublishOn(fold, JobChange("sum", 9)));
     CPPUNIT_ASSERT(second.kind == VerdictKind::kAccepted);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{9},
                          fold.set().objects().batch_jobs.at("sum").tasks);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2},
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2},
                          fold.set().Find("sum")->stamp.offset);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1},
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1},
                          fold.set().Find("pool")->stamp.offset);
   }
 
@@ -104,7 +104,7 @@
     CPPUNIT_ASSERT(Fold(fold, record, "same").kind == VerdictKind::kRefused);
     CPPUNIT_ASSERT_EQUAL(head.offset, fold.head().offset);
     CPPUNIT_ASSERT_EQUAL(head.digest, fold.set().Digest());
-    const platform::LogRecord again = At(1, "same", EncodePublish(record));
+    const contracts::LogRecord again = At(1, "same", EncodePublish(record));
     CPPUNIT_ASSERT(fold.OnRecord(again).kind == VerdictKind::kNoEffect);
   }
 
@@ -125,7 +125,7 @@
     AssertRefused(Fold(fold, record),
                   "the set after the change has another digest");
     CPPUNIT_ASSERT_EQUAL(digest, fold.set().Digest());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, fold.head().offset);
     CPPUNIT_ASSERT(Fold(fold, PublishOn(fold, JobChange("sum", 2))).kind ==
                    VerdictKind::kAccepted);
   }
@@ -140,7 +140,7 @@
           fold.OnRecord(At(fold.head().through + 1, "id", data));
       CPPUNIT_ASSERT_MESSAGE(data, verdict.kind == VerdictKind::kRefused);
     }
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{0}, fold.head().offset);
     PublishRecord twice = PublishOn(fold, FirstChange());
     twice.change.put.push_back(twice.change.put.front());
     CPPUNIT_ASSERT(Fold(fold, twice).kind == VerdictKind::kRefused);
@@ -152,13 +152,13 @@
     PublishRecord newer = PublishOn(fold, JobChange("sum", 2));
     newer.rules = 2;
     CPPUNIT_ASSERT(Fold(fold, newer).kind == VerdictKind::kUnknown);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2},
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2},
                          fold.stopped().value_or(Verdict{}).offset);
     const PublishRecord next = PublishOn(fold, JobChange("sum", 3));
     CPPUNIT_ASSERT(fold.OnRecord(At(3, "id", EncodePublish(next))).kind ==
                    VerdictKind::kUnknown);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().offset);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, fold.head().through);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, fold.head().through);
   }
 
   void OlderRulesDoNotComeBack() {
@@ -204,7 +204,7 @@
     ReadAll(log, replay);
     CPPUNIT_ASSERT(replay.caught_up());
     CPPUNIT_ASSERT(replay.fold().head() == fold.head());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1},
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1},
                          replay.fold().set().Find("pool")->stamp.offset);
   }
 
@@ -214,10 +214,10 @@
     FakeLog log;
     ConfigFold fold;
     AppendPublish(log, fold, FirstChange());
-    const std::vector<platform::NewRecord> late =
+    const std::vector<contracts::NewRecord> late =
         EncodeCompaction(fold.head(), fold.set(), "late");
     AppendPublish(log, fold, JobChange("sum", 2));
-    for (const platform::NewRecord& record : late) log.Append(record, {});
+    for (const contracts::NewRecord& record : late) log.Append(record, {});
     log.Expire(2);
     LogReplay with_publish;
     ReadAll(log, with_publish);
@@ -225,7 +225,7 @@
     log.Expire(3);
     LogReplay without;
     ReadAll(log, without);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, without.fold().head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{0}, without.fold().head().offset);
     CPPUNIT_ASSERT(!without.caught_up());
   }
 
@@ -238,7 +238,7 @@
     LogReplay replay;
     ReadAll(log, replay);
     CPPUNIT_ASSERT(replay.seeking());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, replay.fold().head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{0}, replay.fold().head().offset);
   }
 
   // A reader that looks for a compaction gets the set from a peer: the records
@@ -276,7 +276,7 @@
     WholeSet damaged = whole;
     damaged.objects.pop_back();
     CPPUNIT_ASSERT_THROW(fresh.Adopt(damaged), Error);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{0}, fresh.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{0}, fresh.head().offset);
     fresh.Adopt(whole);
     CPPUNIT_ASSERT(fresh.head() == fold.head());
     Fold(fold, PublishOn(fold, JobChange("sum", 2)));
--- a/src/config/tests/follower_io_test.cc
+++ b/src/config/tests/follower_io_test.cc
@@ -89,10 +89,10 @@
   }
 
  private:
-  platform::LogService MakeLog() {
-    platform::LogService service;
-    service.read = [this](platform::ReadRequest request)
-        -> asio::awaitable<platform::ReadAnswer> {
+  contracts::LogService MakeLog() {
+    contracts::LogService service;
+    service.read = [this](contracts::ReadRequest request)
+        -> asio::awaitable<contracts::ReadAnswer> {
       const MonotonicTime end = MonotonicClock::now() + request.wait;
       while (log_.next() <= request.from && MonotonicClock::now() < end) {
         co_await Sleep(context_, kStep);
@@ -100,11 +100,11 @@
       if (log_.out) throw Error("log read", "fake", "out");
       co_return log_.Read(request);
     };
-    service.append = [this](platform::AppendRequest request)
-        -> asio::awaitable<platform::AppendAnswer> {
-      platform::AppendAnswer answer{.outcome =
-                                        platform::AppendOutcome::kAppended};
-      for (const platform::NewRecord& record : request.records) {
+    service.append = [this](contracts::AppendRequest request)
+        -> asio::awaitable<contracts::AppendAnswer> {
+      contracts::AppendAnswer answer{.outcome =
+                                         contracts::AppendOutcome::kAppended};
+      for (const contracts::NewRecord& record : request.records) {
         answer.offsets.push_back(log_.Append(record, WallTime()));
       }
       co_return answer;
@@ -157,7 +157,7 @@
     fold_.OnRecord(log_.all().back());
   }
 
-  bool AllHave(platform::Offset offset) const {
+  bool AllHave(contracts::Offset offset) const {
     for (const Ref<ConfigFollower>& follower : followers_) {
       if (follower->head().offset != offset) return false;
     }
--- a/src/config/tests/follower_test.cc
+++ b/src/config/tests/follower_test.cc
@@ -16,7 +16,7 @@
  public:
   explicit TestPublisher(ConfigWorld& world) : world_(world) {}
 
-  platform::Offset Publish(const Change& change, std::uint32_t rules = 1) {
+  contracts::Offset Publish(const Change& change, std::uint32_t rules = 1) {
     while (fold_.head().through + 1 < world_.log.next()) {
       fold_.OnRecord(world_.log.all().at(fold_.head().through));
     }
@@ -78,13 +78,13 @@
   void LongOutageKeepsTheSet() {
     ConfigWorld world({});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.log.out = true;
     world.RunFor(std::chrono::hours(2));
     CPPUNIT_ASSERT(world.RunUntilInForce(first, Duration::zero()));
     CPPUNIT_ASSERT(!world.process(0).core->LogAnswers(world.now()));
-    const platform::Offset second = publisher.Publish(JobChange("sum", 2));
+    const contracts::Offset second = publisher.Publish(JobChange("sum", 2));
     world.log.out = false;
     CPPUNIT_ASSERT(world.RunUntilInForce(second, kBound));
   }
@@ -96,7 +96,7 @@
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     // Process 1 alone has read the newest set when the log goes out.
     for (std::size_t i = 0; i < world.size(); ++i) world.CutFromLog(i, i != 1);
-    const platform::Offset newest = publisher.Publish(JobChange("sum", 2));
+    const contracts::Offset newest = publisher.Publish(JobChange("sum", 2));
     world.RunFor(std::chrono::milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(newest, world.process(1).core->head().offset);
     world.log.out = true;
@@ -115,7 +115,7 @@
   void AllReplacedDuringOutageHaveNone() {
     ConfigWorld world({});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.log.out = true;
     for (std::size_t i = 0; i < world.size(); ++i) world.Start(i);
@@ -134,7 +134,7 @@
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     for (const std::size_t i : {0, 3}) world.CutFromLog(i, true);
     world.RunFor(std::chrono::minutes(1));
-    const platform::Offset second = publisher.Publish(JobChange("sum", 2));
+    const contracts::Offset second = publisher.Publish(JobChange("sum", 2));
     CPPUNIT_ASSERT(world.RunUntilInForce(second, kBound));
     CPPUNIT_ASSERT(world.process(0).core->counters().sets_from_peers > 0);
   }
@@ -142,11 +142,11 @@
   void ZoneCutOffKeepsItsSetAndCatchesUp() {
     ConfigWorld world({});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.CutZone(0, true);
     for (const std::size_t i : {0, 3}) world.CutFromLog(i, true);
-    const platform::Offset second = publisher.Publish(JobChange("sum", 2));
+    const contracts::Offset second = publisher.Publish(JobChange("sum", 2));
     world.RunFor(std::chrono::minutes(10));
     CPPUNIT_ASSERT_EQUAL(first, world.process(0).core->head().offset);
     CPPUNIT_ASSERT_EQUAL(second, world.process(1).core->head().offset);
@@ -158,7 +158,7 @@
   void RestartInACutZoneTakesWhatTheZoneHas() {
     ConfigWorld world({});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.CutZone(0, true);
     for (const std::size_t i : {0, 3}) world.CutFromLog(i, true);
@@ -175,7 +175,7 @@
     CPPUNIT_ASSERT(
         world.RunUntilInForce(publisher.Publish(FirstChange()), kBound));
     for (std::uint32_t tasks = 2; tasks < 12; ++tasks) {
-      const platform::Offset offset =
+      const contracts::Offset offset =
           publisher.Publish(JobChange("sum", tasks));
       CPPUNIT_ASSERT(world.RunUntilInForce(offset, kBound));
     }
@@ -187,7 +187,7 @@
   void CompactionIsWrittenBeforeRetentionEnds() {
     ConfigWorld world({});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.RunFor(std::chrono::minutes(90));
     CPPUNIT_ASSERT(world.log.next() > 2);
@@ -210,8 +210,8 @@
     publisher.Publish(JobChange("sum", 2));
     world.RunFor(std::chrono::minutes(90));
     world.log.Expire(3);
-    const platform::Offset newest = publisher.Publish(JobChange("sum", 3));
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1},
+    const contracts::Offset newest = publisher.Publish(JobChange("sum", 3));
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1},
                          world.process(0).core->head().offset);
     world.CutFromLog(0, false);
     world.CutFromLog(3, false);
@@ -227,7 +227,7 @@
       Change job = JobChange("job-" + std::to_string(i), 2);
       change.put.push_back(std::move(job.put.front()));
     }
-    const platform::Offset first = publisher.Publish(change);
+    const contracts::Offset first = publisher.Publish(change);
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
     world.log.out = true;
     world.Start(0);
@@ -251,9 +251,9 @@
   void OlderProgramStopsAndSaysSo() {
     ConfigWorld world({.first_with_rules_2 = 3});
     TestPublisher publisher(world);
-    const platform::Offset first = publisher.Publish(FirstChange());
+    const contracts::Offset first = publisher.Publish(FirstChange());
     CPPUNIT_ASSERT(world.RunUntilInForce(first, kBound));
-    const platform::Offset second = publisher.Publish(JobChange("sum", 2), 2);
+    const contracts::Offset second = publisher.Publish(JobChange("sum", 2), 2);
     world.RunFor(kBound);
     CPPUNIT_ASSERT_EQUAL(first, world.process(0).core->head().offset);
     const std::optional<Verdict>& stopped =
--- a/src/config/tests/test_sets.h
+++ b/src/config/tests/test_sets.h
@@ -11,7 +11,7 @@
 
 namespace carobmast::config {
 
-inline platform::Resources SmallResources(std::uint64_t cpus) {
+inline contracts::Resources SmallResources(std::uint64_t cpus) {
   return {.milli_cpus = 1000 * cpus, .memory = {.bytes = cpus * 1'000'000'000}};
 }
 
@@ -59,8 +59,8 @@
           .change = change};
 }
 
-inline platform::LogRecord At(platform::Offset offset, const std::string& id,
-                              const std::string& data) {
+inline contracts::LogRecord At(contracts::Offset offset, const std::string& id,
+                               const std::string& data) {
   return {.offset = offset, .id = id, .data = data};
 }
 
--- a/src/config/types/head.h
+++ b/src/config/types/head.h
@@ -5,17 +5,17 @@
 #include <cstdint>
 #include <string>
 
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
 struct Head {
   // Of the record that published the set; 0 for the empty set that stands
   // before every record.
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   std::string digest;
   // Every record up to this offset has been folded.
-  platform::Offset through = 0;
+  contracts::Offset through = 0;
   // Rule version of the record that published the set.
   std::uint32_t rules = 1;
 
--- a/src/config/types/objects.h
+++ b/src/config/types/objects.h
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
 #include "framework/base/units.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::config {
 
@@ -20,7 +20,7 @@
 // A team with a quota over everything that it runs.
 struct Team {
   std::string name;
-  platform::Resources quota;
+  contracts::Resources quota;
   Priority priority = Priority::kNormal;
   // Requests that the team may have in flight at one gateway; 0 for no limit.
   std::uint32_t max_requests = 0;
@@ -40,7 +40,7 @@
   std::string name;
   std::vector<std::string> zones;
   std::uint32_t workers = 0;
-  platform::Resources worker;
+  contracts::Resources worker;
   std::uint32_t rack_size = 8;
   // Whether a reserve is kept free ahead of known crests.
   bool guards = false;
@@ -53,7 +53,7 @@
   std::string pool;
   std::string program;
   std::uint32_t instances = 1;
-  platform::Resources instance;
+  contracts::Resources instance;
   std::uint32_t slots = 8;
   std::uint32_t connections = 64;
   // Requests without a deadline of their own get this one.
@@ -69,7 +69,7 @@
   std::string pool;
   std::string program;
   std::uint32_t tasks = 1;
-  platform::Resources task;
+  contracts::Resources task;
   Duration expected_run_time = std::chrono::minutes(1);
   // Attempts per task before it is held for an operator.
   std::uint32_t max_attempts = 5;
@@ -86,7 +86,7 @@
   std::string pool;
   std::string program;
   std::uint32_t replicas = 1;
-  platform::Resources task;
+  contracts::Resources task;
 };
 
 // A VM that gets no new work, by the operators' will. Its name is the VM's.
--- a/src/config/types/peer_messages.h
+++ b/src/config/types/peer_messages.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "config/types/head.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::config {
 
@@ -19,7 +19,7 @@
 
 struct FetchRequest {
   // Records up to this offset are folded already.
-  platform::Offset through = 0;
+  contracts::Offset through = 0;
   // To go on with the pages of a whole set.
   std::optional<Head> page_head;
   // The last name of the page before.
@@ -30,7 +30,7 @@
   // Of the set that the peer holds.
   Head head;
   // Accepted records after the request's `through`.
-  std::vector<platform::LogRecord> records;
+  std::vector<contracts::LogRecord> records;
   // Whether this is a page of the whole set instead.
   bool whole = false;
   // Stamped objects as text, see EncodeStamped.
--- a/src/platform/internal/http_platform.cc
+++ b/src/contracts/internal/http_services.cc
@@ -1,14 +1,14 @@
-#include "platform/http_platform.h"
+#include "contracts/http_services.h"
 
 #include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
 
+#include "contracts/service_codec.h"
 #include "framework/base/error.h"
-#include "platform/platform_codec.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 namespace asio = boost::asio;
 using net::CallOutcome;
@@ -231,4 +231,4 @@
   }};
 }
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
--- a/src/platform/internal/platform_codec.cc
+++ b/src/contracts/internal/service_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_codec.h"
+#include "contracts/service_codec.h"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include "framework/base/error.h"
 #include "framework/base/json.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 namespace json = boost::json;
 
@@ -442,4 +442,4 @@
   return std::string(text.substr(0, kMaxErrorBytes));
 }
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
--- a/src/platform/log_service.h
+++ b/src/contracts/log_service.h
@@ -1,14 +1,14 @@
 // The contract with the platform's log service: append-only streams of records
 // with offsets, kept for a limited time.
-#ifndef CAROBMAST_PLATFORM_LOG_SERVICE_H_
-#define CAROBMAST_PLATFORM_LOG_SERVICE_H_
+#ifndef CAROBMAST_CONTRACTS_LOG_SERVICE_H_
+#define CAROBMAST_CONTRACTS_LOG_SERVICE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 // The service as hooks, so that tests and other protocols can take its place.
 struct LogService {
@@ -18,6 +18,6 @@
   std::function<boost::asio::awaitable<ReadAnswer>(ReadRequest)> read;
 };
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_LOG_SERVICE_H_
+#endif  // CAROBMAST_CONTRACTS_LOG_SERVICE_H_
--- a/src/platform/platform_codec.h
+++ b/src/contracts/service_codec.h
@@ -1,22 +1,22 @@
 // The platform's wire format: JSON text for the data in types/. The adapters in
-// http_platform.h and the stand-in platform both use it.
+// http_services.h and the stand-in platform both use it.
 //
 // Every string on the wire is UTF-8. Every Decode function throws Error (step
 // "platform answer" or "platform request", peer `peer`) when the text is
 // malformed, a field is missing or mistyped, or a bound is passed.
-#ifndef CAROBMAST_PLATFORM_PLATFORM_CODEC_H_
-#define CAROBMAST_PLATFORM_PLATFORM_CODEC_H_
+#ifndef CAROBMAST_CONTRACTS_SERVICE_CODEC_H_
+#define CAROBMAST_CONTRACTS_SERVICE_CODEC_H_
 
 #include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "platform/types/log_record.h"
-#include "platform/types/vm.h"
-#include "platform/types/worker.h"
+#include "contracts/types/log_record.h"
+#include "contracts/types/vm.h"
+#include "contracts/types/worker.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 // Bounds on what one message may hold.
 inline constexpr std::size_t kMaxLogRecords = 10'000;
@@ -72,6 +72,6 @@
 // The field "error" of `text`, or the start of the text where there is none.
 std::string ErrorText(std::string_view text);
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_PLATFORM_CODEC_H_
+#endif  // CAROBMAST_CONTRACTS_SERVICE_CODEC_H_
--- a/src/platform/tests/http_platform_test.cc
+++ b/src/contracts/tests/http_services_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_platform.h"
+#include "contracts/http_services.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,17 +9,17 @@
 #include <stdexcept>
 #include <utility>
 
+#include "contracts/service_codec.h"
 #include "framework/base/error.h"
 #include "framework/net/http_server.h"
-#include "platform/platform_codec.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 namespace asio = boost::asio;
 
 // The adapters against a server that gives one prepared answer.
-class HttpPlatformTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(HttpPlatformTest);
+class HttpServicesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServicesTest);
   CPPUNIT_TEST(AppendOutcomesAreTruthful);
   CPPUNIT_TEST(CommandOutcomesAreTruthful);
   CPPUNIT_TEST(ReadsThrowOnRefusalAndOnMalformedAnswers);
@@ -171,6 +171,6 @@
   WorkerService workers_ = MakeHttpWorkerService(client_);
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpPlatformTest, "http_platform_test");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpServicesTest, "http_services_test");
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
--- a/src/platform/tests/platform_codec_test.cc
+++ b/src/contracts/tests/service_codec_test.cc
@@ -1,13 +1,13 @@
-#include "platform/platform_codec.h"
+#include "contracts/service_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "framework/base/error.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
-class PlatformCodecTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(PlatformCodecTest);
+class ServiceCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServiceCodecTest);
   CPPUNIT_TEST(ReportsKeepAllFields);
   CPPUNIT_TEST(CommandsKeepTheirFields);
   CPPUNIT_TEST(RefusesOffsetsOutOfPlace);
@@ -108,6 +108,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(PlatformCodecTest, "platform_codec_test");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ServiceCodecTest, "service_codec_test");
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
--- a/src/platform/types/log_record.h
+++ b/src/contracts/types/log_record.h
@@ -1,6 +1,6 @@
 // Plain data of the log service.
-#ifndef CAROBMAST_PLATFORM_TYPES_LOG_RECORD_H_
-#define CAROBMAST_PLATFORM_TYPES_LOG_RECORD_H_
+#ifndef CAROBMAST_CONTRACTS_TYPES_LOG_RECORD_H_
+#define CAROBMAST_CONTRACTS_TYPES_LOG_RECORD_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,7 +9,7 @@
 
 #include "framework/base/time.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 // Position of a record in its stream; the first record has offset 1. Zero means
 // "before every record".
@@ -73,6 +73,6 @@
 inline constexpr char kConfigStream[] = "config";
 inline constexpr char kWorkStream[] = "work";
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_TYPES_LOG_RECORD_H_
+#endif  // CAROBMAST_CONTRACTS_TYPES_LOG_RECORD_H_
--- a/src/platform/types/vm.h
+++ b/src/contracts/types/vm.h
@@ -1,13 +1,13 @@
 // Plain data of the VM list.
-#ifndef CAROBMAST_PLATFORM_TYPES_VM_H_
-#define CAROBMAST_PLATFORM_TYPES_VM_H_
+#ifndef CAROBMAST_CONTRACTS_TYPES_VM_H_
+#define CAROBMAST_CONTRACTS_TYPES_VM_H_
 
 #include <string>
 #include <vector>
 
 #include "framework/base/time.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 enum class VmState { kLive, kLeaving };
 
@@ -32,6 +32,6 @@
   std::vector<Vm> vms;
 };
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_TYPES_VM_H_
+#endif  // CAROBMAST_CONTRACTS_TYPES_VM_H_
--- a/src/platform/types/worker.h
+++ b/src/contracts/types/worker.h
@@ -1,6 +1,6 @@
 // Plain data of a worker's agent: reports, commands and their outcomes.
-#ifndef CAROBMAST_PLATFORM_TYPES_WORKER_H_
-#define CAROBMAST_PLATFORM_TYPES_WORKER_H_
+#ifndef CAROBMAST_CONTRACTS_TYPES_WORKER_H_
+#define CAROBMAST_CONTRACTS_TYPES_WORKER_H_
 
 #include <cstdint>
 #include <string>
@@ -9,7 +9,7 @@
 #include "framework/base/time.h"
 #include "framework/base/units.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 // Monotonic per cell; issued by the log as the offset of the claim.
 using FencingToken = std::uint64_t;
@@ -117,6 +117,6 @@
   std::string error;
 };
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_TYPES_WORKER_H_
+#endif  // CAROBMAST_CONTRACTS_TYPES_WORKER_H_
--- a/src/platform/worker_service.h
+++ b/src/contracts/worker_service.h
@@ -4,21 +4,21 @@
 // refuses the command as stale and does nothing. Commands are idempotent per
 // (task, attempt): a repeated command changes nothing and gets the present
 // state.
-#ifndef CAROBMAST_PLATFORM_WORKER_SERVICE_H_
-#define CAROBMAST_PLATFORM_WORKER_SERVICE_H_
+#ifndef CAROBMAST_CONTRACTS_WORKER_SERVICE_H_
+#define CAROBMAST_CONTRACTS_WORKER_SERVICE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 
-namespace carobmast::platform {
+namespace carobmast::contracts {
 
 struct WorkerService {
   // Never throws; every failure is an outcome.
   std::function<boost::asio::awaitable<CommandAnswer>(WorkerCommand)> command;
 };
 
-}  // namespace carobmast::platform
+}  // namespace carobmast::contracts
 
-#endif  // CAROBMAST_PLATFORM_WORKER_SERVICE_H_
+#endif  // CAROBMAST_CONTRACTS_WORKER_SERVICE_H_
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,11 +8,11 @@
 #include <string>
 
 #include "config/types/objects.h"
+#include "contracts/log_service.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
 #include "framework/telemetry/log.h"
 #include "gateway/http_front.h"
-#include "platform/log_service.h"
 #include "requests/endpoint_table.h"
 #include "requests/key_claims.h"
 
@@ -42,7 +42,7 @@
   // Adds its calls, readiness tests and stop to the daemon. Throws Error when
   // the callers' address is taken.
   Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
-          platform::LogService log, const TraceHooks& trace);
+          contracts::LogService log, const TraceHooks& trace);
 
   // The configuration in force.
   void SetObjects(const config::Objects& objects);
@@ -66,8 +66,8 @@
   HttpFrontOptions MakeFront(const GatewaySettings& settings,
                              const TraceHooks& trace);
   requests::KeyClaimsHooks MakeClaimHooks();
-  boost::asio::awaitable<void> AppendClaims(platform::AppendRequest request);
-  boost::asio::awaitable<void> ReadClaims(platform::ReadRequest request);
+  boost::asio::awaitable<void> AppendClaims(contracts::AppendRequest request);
+  boost::asio::awaitable<void> ReadClaims(contracts::ReadRequest request);
   boost::asio::awaitable<void> RunClaims();
   // Lets the timer of RunClaims look again.
   void WakeClaims();
@@ -81,7 +81,7 @@
   std::string AnswerSlots(const std::string& request);
 
   daemon::Daemon& daemon_;
-  platform::LogService log_;
+  contracts::LogService log_;
   requests::KeyClaims claims_;
   boost::asio::steady_timer claims_wake_;
   HttpFront front_;
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -122,7 +122,7 @@
 }
 
 Gateway::Gateway(daemon::Daemon& daemon, const GatewaySettings& settings,
-                 platform::LogService log, const TraceHooks& trace)
+                 contracts::LogService log, const TraceHooks& trace)
     : daemon_(daemon),
       log_(std::move(log)),
       claims_({.incarnation = RandomId(), .window = settings.key_window},
@@ -204,10 +204,10 @@
 
 requests::KeyClaimsHooks Gateway::MakeClaimHooks() {
   requests::KeyClaimsHooks hooks;
-  hooks.append = [this](const platform::AppendRequest& request) {
+  hooks.append = [this](const contracts::AppendRequest& request) {
     asio::co_spawn(daemon_.executor(), AppendClaims(request), asio::detached);
   };
-  hooks.read = [this](const platform::ReadRequest& request) {
+  hooks.read = [this](const contracts::ReadRequest& request) {
     asio::co_spawn(daemon_.executor(), ReadClaims(request), asio::detached);
   };
   hooks.decided = [this](requests::RequestId id,
@@ -217,16 +217,16 @@
   return hooks;
 }
 
-asio::awaitable<void> Gateway::AppendClaims(platform::AppendRequest request) {
-  const platform::AppendAnswer answer = co_await log_.append(request);
+asio::awaitable<void> Gateway::AppendClaims(contracts::AppendRequest request) {
+  const contracts::AppendAnswer answer = co_await log_.append(request);
   claims_.OnAppend(answer, MonotonicClock::now());
   WakeClaims();
 }
 
-asio::awaitable<void> Gateway::ReadClaims(platform::ReadRequest request) {
+asio::awaitable<void> Gateway::ReadClaims(contracts::ReadRequest request) {
   bool failed = false;
   try {
-    const platform::ReadAnswer answer = co_await log_.read(request);
+    const contracts::ReadAnswer answer = co_await log_.read(request);
     claims_.OnRead(answer, MonotonicClock::now());
   } catch (const Error&) {
     failed = true;
--- a/src/gateway/internal/gateway_command.cc
+++ b/src/gateway/internal/gateway_command.cc
@@ -5,11 +5,11 @@
 #include <utility>
 
 #include "config/daemon_follower.h"
+#include "contracts/http_services.h"
 #include "framework/daemon/daemon_command.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/request_tracer.h"
-#include "platform/http_platform.h"
 
 namespace carobmast::gateway {
 
@@ -29,8 +29,8 @@
                                          net::HttpClientOptions{})),
         tracer_(daemon_.tracer(), daemon_.metrics()),
         gateway_(daemon_, own,
-                 platform::MakeHttpLogService(client_,
-                                              daemon_.settings().log_service),
+                 contracts::MakeHttpLogService(client_,
+                                               daemon_.settings().log_service),
                  tracer_.MakeHooks()),
         follower_(config::MakeDaemonFollower(
             daemon_, client_, [this](const config::InForceSet& in_force) {
--- a/src/operators/append_flow.h
+++ b/src/operators/append_flow.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::operators {
 
@@ -20,22 +20,22 @@
 
 struct AppendResult {
   AppendResultKind kind = AppendResultKind::kUnknown;
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   // The data of the first record with the id, when it was found by a search.
   std::string found;
   std::string reason;
 };
 
 struct AppendStep {
-  std::optional<platform::ReadRequest> read;
-  std::optional<platform::AppendRequest> append;
+  std::optional<contracts::ReadRequest> read;
+  std::optional<contracts::AppendRequest> append;
   MonotonicTime at;
   std::optional<AppendResult> result;
 };
 
 struct AppendFlowOptions {
   std::string stream;
-  platform::NewRecord record;
+  contracts::NewRecord record;
   // Whether an earlier run may have appended the id, so that the whole stream
   // is searched first.
   bool search_first = false;
@@ -48,10 +48,10 @@
 
   // One step at a time; each read and append ends with one event below.
   AppendStep Next(MonotonicTime now);
-  void OnRead(MonotonicTime now, platform::Offset from,
-              const platform::ReadAnswer& answer);
+  void OnRead(MonotonicTime now, contracts::Offset from,
+              const contracts::ReadAnswer& answer);
   void OnReadError(MonotonicTime now, const std::string& reason);
-  void OnAppend(MonotonicTime now, const platform::AppendAnswer& answer);
+  void OnAppend(MonotonicTime now, const contracts::AppendAnswer& answer);
 
  private:
   void Finish(AppendResult result);
@@ -61,7 +61,7 @@
   MonotonicTime next_try_;
   // Records before it are known not to be the own one; empty before the first
   // read, which comes before the first append.
-  std::optional<platform::Offset> search_from_;
+  std::optional<contracts::Offset> search_from_;
   bool must_search_ = false;
   bool maybe_appended_ = false;
   std::string last_error_;
--- a/src/operators/drive.h
+++ b/src/operators/drive.h
@@ -6,24 +6,24 @@
 #include <functional>
 
 #include "config/log_replay.h"
+#include "contracts/log_service.h"
 #include "operators/append_flow.h"
 #include "operators/publish_flow.h"
-#include "platform/log_service.h"
 
 namespace carobmast::operators {
 
-boost::asio::awaitable<PublishResult> DrivePublish(platform::LogService log,
+boost::asio::awaitable<PublishResult> DrivePublish(contracts::LogService log,
                                                    PublishFlowOptions options);
 
-boost::asio::awaitable<AppendResult> DriveAppend(platform::LogService log,
+boost::asio::awaitable<AppendResult> DriveAppend(contracts::LogService log,
                                                  AppendFlowOptions options);
 
 // Reads the configuration stream to its end and calls `on_verdict`, which may
 // be empty, for each record. Throws Error (step "read configuration") when the
 // log gives no whole answer within `timeout`.
 boost::asio::awaitable<void> ReadConfig(
-    platform::LogService log, Duration timeout, config::LogReplay& replay,
-    std::function<void(const config::Verdict&, const platform::LogRecord&)>
+    contracts::LogService log, Duration timeout, config::LogReplay& replay,
+    std::function<void(const config::Verdict&, const contracts::LogRecord&)>
         on_verdict);
 
 }  // namespace carobmast::operators
--- a/src/operators/explain.h
+++ b/src/operators/explain.h
@@ -11,13 +11,13 @@
 
 #include "config/fold.h"
 #include "config/object_set.h"
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 
 namespace carobmast::operators {
 
 // One record of the configuration stream, for people.
 struct HistoryEntry {
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   WallTime at;
   std::string id;
   std::string publisher;
@@ -33,7 +33,7 @@
   explicit History(std::size_t max_entries) : max_entries_(max_entries) {}
 
   // Compactions are left out.
-  void Add(const config::Verdict& verdict, const platform::LogRecord& record);
+  void Add(const config::Verdict& verdict, const contracts::LogRecord& record);
 
   const std::deque<HistoryEntry>& entries() const { return entries_; }
 
--- a/src/operators/internal/append_flow.cc
+++ b/src/operators/internal/append_flow.cc
@@ -35,16 +35,16 @@
   } else if (now < next_try_) {
     step.at = std::min(next_try_, deadline_);
   } else if (!search_from_.has_value() || must_search_) {
-    step.read = platform::ReadRequest{.stream = options_.stream,
-                                      .from = search_from_.value_or(1),
-                                      .max_records = kMaxRecordsPerRead,
-                                      .timeout = kCallTimeout};
+    step.read = contracts::ReadRequest{.stream = options_.stream,
+                                       .from = search_from_.value_or(1),
+                                       .max_records = kMaxRecordsPerRead,
+                                       .timeout = kCallTimeout};
     // The first read only tells where the stream ends.
     if (!search_from_.has_value()) step.read->max_records = 1;
   } else {
-    step.append = platform::AppendRequest{.stream = options_.stream,
-                                          .records = {options_.record},
-                                          .timeout = kCallTimeout};
+    step.append = contracts::AppendRequest{.stream = options_.stream,
+                                           .records = {options_.record},
+                                           .timeout = kCallTimeout};
   }
   return step;
 }
@@ -54,14 +54,14 @@
   next_try_ = now + kRetryInterval;
 }
 
-void AppendFlow::OnRead(MonotonicTime now, platform::Offset,
-                        const platform::ReadAnswer& answer) {
+void AppendFlow::OnRead(MonotonicTime now, contracts::Offset,
+                        const contracts::ReadAnswer& answer) {
   if (!search_from_.has_value()) {
     search_from_ = answer.next;
     return;
   }
   search_from_ = std::max(*search_from_, answer.first_kept);
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     search_from_ = std::max(*search_from_, record.offset + 1);
     if (record.id != options_.record.id) continue;
     Finish({.kind = AppendResultKind::kAppended,
@@ -76,18 +76,18 @@
 }
 
 void AppendFlow::OnAppend(MonotonicTime now,
-                          const platform::AppendAnswer& answer) {
+                          const contracts::AppendAnswer& answer) {
   last_error_ = answer.error;
   switch (answer.outcome) {
-    case platform::AppendOutcome::kAppended:
+    case contracts::AppendOutcome::kAppended:
       Finish({.kind = AppendResultKind::kAppended,
               .offset = answer.offsets.empty() ? 0 : answer.offsets.front()});
       break;
-    case platform::AppendOutcome::kUnknown:
+    case contracts::AppendOutcome::kUnknown:
       maybe_appended_ = true;
       must_search_ = true;
       break;
-    case platform::AppendOutcome::kNotSent:
+    case contracts::AppendOutcome::kNotSent:
       next_try_ = now + kRetryInterval;
       break;
   }
--- a/src/operators/internal/arguments.cc
+++ b/src/operators/internal/arguments.cc
@@ -5,11 +5,11 @@
 #include <exception>
 #include <utility>
 
+#include "contracts/http_services.h"
 #include "framework/base/error.h"
 #include "framework/base/units.h"
 #include "framework/settings/settings.h"
 #include "operators/internal/output.h"
-#include "platform/http_platform.h"
 
 namespace carobmast::operators::internal {
 namespace {
@@ -57,7 +57,7 @@
 LogSession::LogSession(const net::Address& address)
     : client_(MakeRef<net::HttpClient>(context_.get_executor(),
                                        net::HttpClientOptions{})),
-      log_(platform::MakeHttpLogService(client_, address)) {}
+      log_(contracts::MakeHttpLogService(client_, address)) {}
 
 LogSession::~LogSession() { client_->Close(); }
 
--- a/src/operators/internal/arguments.h
+++ b/src/operators/internal/arguments.h
@@ -12,10 +12,10 @@
 #include <string>
 #include <vector>
 
+#include "contracts/log_service.h"
 #include "framework/base/time.h"
 #include "framework/cli/command.h"
 #include "framework/net/http_client.h"
-#include "platform/log_service.h"
 
 namespace carobmast::operators::internal {
 
@@ -54,7 +54,7 @@
   explicit LogSession(const net::Address& address);
   ~LogSession();
 
-  const platform::LogService& log() const { return log_; }
+  const contracts::LogService& log() const { return log_; }
   net::HttpClient& client() { return *client_; }
 
   // Runs it to its end; throws what it throws.
@@ -65,7 +65,7 @@
  private:
   boost::asio::io_context context_{1};
   Ref<net::HttpClient> client_;
-  platform::LogService log_;
+  contracts::LogService log_;
 };
 
 template <typename Result>
--- a/src/operators/internal/drive.cc
+++ b/src/operators/internal/drive.cc
@@ -28,12 +28,12 @@
 
 // The answer, or empty with the reason.
 struct ReadOutcome {
-  std::optional<platform::ReadAnswer> answer;
+  std::optional<contracts::ReadAnswer> answer;
   std::string error;
 };
 
-asio::awaitable<ReadOutcome> Read(platform::LogService log,
-                                  platform::ReadRequest request) {
+asio::awaitable<ReadOutcome> Read(contracts::LogService log,
+                                  contracts::ReadRequest request) {
   ReadOutcome outcome;
   try {
     outcome.answer = co_await log.read(std::move(request));
@@ -45,12 +45,12 @@
 
 // Runs `flow`, which its caller keeps alive, to its result.
 template <typename Flow, typename Step, typename Result>
-asio::awaitable<Result> Drive(platform::LogService log, Flow* flow) {
+asio::awaitable<Result> Drive(contracts::LogService log, Flow* flow) {
   for (;;) {
     Step step = flow->Next(MonotonicClock::now());
     if (step.result.has_value()) co_return *step.result;
     if (step.read.has_value()) {
-      const platform::Offset from = step.read->from;
+      const contracts::Offset from = step.read->from;
       const ReadOutcome outcome = co_await Read(log, std::move(*step.read));
       if (outcome.answer.has_value()) {
         flow->OnRead(MonotonicClock::now(), from, *outcome.answer);
@@ -58,7 +58,7 @@
         flow->OnReadError(MonotonicClock::now(), outcome.error);
       }
     } else if (step.append.has_value()) {
-      const platform::AppendAnswer answer =
+      const contracts::AppendAnswer answer =
           co_await log.append(std::move(*step.append));
       flow->OnAppend(MonotonicClock::now(), answer);
     } else {
@@ -69,21 +69,21 @@
 
 }  // namespace
 
-asio::awaitable<PublishResult> DrivePublish(platform::LogService log,
+asio::awaitable<PublishResult> DrivePublish(contracts::LogService log,
                                             PublishFlowOptions options) {
   PublishFlow flow(std::move(options), MonotonicClock::now());
   co_return co_await Drive<PublishFlow, PublishStep, PublishResult>(log, &flow);
 }
 
-asio::awaitable<AppendResult> DriveAppend(platform::LogService log,
+asio::awaitable<AppendResult> DriveAppend(contracts::LogService log,
                                           AppendFlowOptions options) {
   AppendFlow flow(std::move(options), MonotonicClock::now());
   co_return co_await Drive<AppendFlow, AppendStep, AppendResult>(log, &flow);
 }
 
 asio::awaitable<void> ReadConfig(
-    platform::LogService log, Duration timeout, config::LogReplay& replay,
-    std::function<void(const config::Verdict&, const platform::LogRecord&)>
+    contracts::LogService log, Duration timeout, config::LogReplay& replay,
+    std::function<void(const config::Verdict&, const contracts::LogRecord&)>
         on_verdict) {
   const MonotonicTime deadline = MonotonicClock::now() + timeout;
   std::string reason = "the set in force has expired from the log";
@@ -91,11 +91,11 @@
     if (MonotonicClock::now() >= deadline) {
       throw Error("read configuration", "log", reason);
     }
-    platform::ReadRequest request{.stream = platform::kConfigStream,
-                                  .from = replay.NextRead(),
-                                  .max_records = kMaxRecordsPerRead,
-                                  .timeout = kReadTimeout};
-    const platform::Offset from = request.from;
+    contracts::ReadRequest request{.stream = contracts::kConfigStream,
+                                   .from = replay.NextRead(),
+                                   .max_records = kMaxRecordsPerRead,
+                                   .timeout = kReadTimeout};
+    const contracts::Offset from = request.from;
     const ReadOutcome outcome = co_await Read(log, std::move(request));
     if (!outcome.answer.has_value()) {
       reason = outcome.error;
@@ -106,7 +106,7 @@
         replay.OnRead(from, *outcome.answer);
     for (const config::Verdict& verdict : verdicts) {
       if (!on_verdict) break;
-      for (const platform::LogRecord& record : outcome.answer->records) {
+      for (const contracts::LogRecord& record : outcome.answer->records) {
         if (record.offset == verdict.offset) on_verdict(verdict, record);
       }
     }
--- a/src/operators/internal/explain.cc
+++ b/src/operators/internal/explain.cc
@@ -59,7 +59,7 @@
   std::uint32_t count = 0;
   std::string program;
   std::string pool;
-  platform::Resources need;
+  contracts::Resources need;
 };
 
 std::optional<Standing> StandingOf(const config::Object& object) {
@@ -138,7 +138,7 @@
 }  // namespace
 
 void History::Add(const config::Verdict& verdict,
-                  const platform::LogRecord& record) {
+                  const contracts::LogRecord& record) {
   if (verdict.kind == config::VerdictKind::kNoEffect) return;
   HistoryEntry entry{.offset = record.offset,
                      .at = record.appended_at,
--- a/src/operators/internal/publish_command.cc
+++ b/src/operators/internal/publish_command.cc
@@ -68,7 +68,7 @@
                              .new_id = [] { return "publish-" + RandomId(); },
                              .timeout = arguments.log.timeout()};
   if (arguments.base.getValue() != kNoBase) {
-    options.base = static_cast<platform::Offset>(arguments.base.getValue());
+    options.base = static_cast<contracts::Offset>(arguments.base.getValue());
   }
   return options;
 }
--- a/src/operators/internal/publish_flow.cc
+++ b/src/operators/internal/publish_flow.cc
@@ -28,9 +28,9 @@
   if (options_.base == 0) base_objects_.emplace();
 }
 
-platform::ReadRequest PublishFlow::ReadStep() const {
+contracts::ReadRequest PublishFlow::ReadStep() const {
   // While the own record is awaited, the log may hold the answer back.
-  return {.stream = platform::kConfigStream,
+  return {.stream = contracts::kConfigStream,
           .from = replay_.NextRead(),
           .max_records = kMaxRecordsPerRead,
           .wait = maybe_appended_ ? kReadWait : Duration::zero(),
@@ -53,9 +53,9 @@
   } else if (must_read_) {
     step.read = ReadStep();
   } else {
-    step.append = platform::AppendRequest{
-        .stream = platform::kConfigStream,
-        .records = {record_.value_or(platform::NewRecord{})},
+    step.append = contracts::AppendRequest{
+        .stream = contracts::kConfigStream,
+        .records = {record_.value_or(contracts::NewRecord{})},
         .timeout = kCallTimeout};
   }
   return step;
@@ -68,9 +68,9 @@
   Retry(now);
 }
 
-void PublishFlow::OnRead(MonotonicTime now, platform::Offset from,
-                         const platform::ReadAnswer& answer) {
-  const platform::Offset next = replay_.NextRead();
+void PublishFlow::OnRead(MonotonicTime now, contracts::Offset from,
+                         const contracts::ReadAnswer& answer) {
+  const contracts::Offset next = replay_.NextRead();
   const config::Head before = replay_.fold().head();
   const std::vector<config::Verdict> verdicts =
       replay_.OnRead(from, answer, [this](const config::Verdict& verdict) {
@@ -201,7 +201,7 @@
     Finish(PublishOutcome::kUnchanged, "the set in force is this one already");
     return;
   }
-  const platform::Offset base = options_.base.value_or(0);
+  const contracts::Offset base = options_.base.value_or(0);
   if (base == head.offset) {
     ProposeChange(all);
     return;
@@ -266,8 +266,8 @@
     Finish(PublishOutcome::kRefused, not_allowed);
     return;
   }
-  record_ = platform::NewRecord{.id = options_.new_id(),
-                                .data = config::EncodePublish(record)};
+  record_ = contracts::NewRecord{.id = options_.new_id(),
+                                 .data = config::EncodePublish(record)};
   if (record_->data.size() > config::kMaxRecordBytes) {
     Finish(PublishOutcome::kRefused,
            "the change is larger than 8MiB; publish it in steps");
@@ -297,15 +297,15 @@
 }
 
 void PublishFlow::OnAppend(MonotonicTime now,
-                           const platform::AppendAnswer& answer) {
+                           const contracts::AppendAnswer& answer) {
   switch (answer.outcome) {
-    case platform::AppendOutcome::kAppended:
-    case platform::AppendOutcome::kUnknown:
+    case contracts::AppendOutcome::kAppended:
+    case contracts::AppendOutcome::kUnknown:
       maybe_appended_ = true;
       must_read_ = true;
       last_error_ = answer.error;
       break;
-    case platform::AppendOutcome::kNotSent:
+    case contracts::AppendOutcome::kNotSent:
       last_error_ = answer.error;
       // Someone may have published meanwhile.
       must_read_ = true;
--- a/src/operators/internal/question_commands.cc
+++ b/src/operators/internal/question_commands.cc
@@ -28,7 +28,7 @@
   LogSession session(arguments.address());
   session.Run(ReadConfig(session.log(), arguments.timeout(), replay,
                          [&history](const config::Verdict& verdict,
-                                    const platform::LogRecord& record) {
+                                    const contracts::LogRecord& record) {
                            history.Add(verdict, record);
                          }));
 }
--- a/src/operators/internal/rollout.cc
+++ b/src/operators/internal/rollout.cc
@@ -24,14 +24,14 @@
   return array;
 }
 
-void ReadPeer(const JsonReader& peer, platform::Offset offset,
+void ReadPeer(const JsonReader& peer, contracts::Offset offset,
               RolloutState& state) {
   const std::string name = peer.String("name");
   if (!peer.Has("head") || !peer.Bool("reachable")) {
     state.behind.push_back(name + " (not reached)");
     return;
   }
-  const platform::Offset held = peer.Object("head").Unsigned("offset");
+  const contracts::Offset held = peer.Object("head").Unsigned("offset");
   if (held >= offset) {
     state.in_force.push_back(name);
   } else {
@@ -41,7 +41,7 @@
 
 RolloutState ParseStatus(const net::HttpAnswer& answer,
                          const net::Address& scheduler,
-                         platform::Offset offset) {
+                         contracts::Offset offset) {
   const std::string peer = scheduler.ToString();
   if (answer.outcome != net::CallOutcome::kAnswered) {
     throw Error(kStep, peer, answer.error);
@@ -56,10 +56,10 @@
 }  // namespace
 
 RolloutState ReadRollout(const json::object& config_status,
-                         platform::Offset offset) {
+                         contracts::Offset offset) {
   const JsonReader config(config_status, kStep, "scheduler");
   RolloutState state;
-  const platform::Offset own = config.Object("in_force").Unsigned("offset");
+  const contracts::Offset own = config.Object("in_force").Unsigned("offset");
   if (own >= offset) {
     state.in_force.push_back("the scheduler asked");
   } else {
@@ -75,7 +75,7 @@
 
 asio::awaitable<RolloutState> WaitForRollout(net::HttpClient* client,
                                              net::Address scheduler,
-                                             platform::Offset offset,
+                                             contracts::Offset offset,
                                              Duration timeout) {
   const MonotonicTime deadline = MonotonicClock::now() + timeout;
   asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/src/operators/internal/rollout.h
+++ b/src/operators/internal/rollout.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
 #include "framework/net/http_client.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::operators::internal {
 
@@ -24,13 +24,13 @@
 
 // Reads the "config" object of a daemon's /status.
 RolloutState ReadRollout(const boost::json::object& config_status,
-                         platform::Offset offset);
+                         contracts::Offset offset);
 
 // Asks `scheduler` until the set of `offset` is in force in every process, or
 // until the time is up. The client stays alive meanwhile.
 boost::asio::awaitable<RolloutState> WaitForRollout(net::HttpClient* client,
                                                     net::Address scheduler,
-                                                    platform::Offset offset,
+                                                    contracts::Offset offset,
                                                     Duration timeout);
 
 void AddRollout(const RolloutState& state, boost::json::object& report);
--- a/src/operators/internal/work_commands.cc
+++ b/src/operators/internal/work_commands.cc
@@ -102,7 +102,7 @@
                   arguments.output.format());
   }
   AppendFlowOptions options{
-      .stream = platform::kWorkStream,
+      .stream = contracts::kWorkStream,
       .record = work::MakeSubmit(id, FindJob(replay, job)),
       .search_first = arguments.id.isSet(),
       .timeout = arguments.log.timeout()};
@@ -137,7 +137,7 @@
   if (end.has_value()) return *end;
   return Guarded("cancel", [&] {
     LogSession session(log.address());
-    AppendFlowOptions options{.stream = platform::kWorkStream,
+    AppendFlowOptions options{.stream = contracts::kWorkStream,
                               .record = work::MakeCancel(id.getValue()),
                               .timeout = log.timeout()};
     const AppendResult result =
--- a/src/operators/publish_flow.h
+++ b/src/operators/publish_flow.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "config/log_replay.h"
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::operators {
 
@@ -31,7 +31,7 @@
   PublishOutcome outcome = PublishOutcome::kUnknown;
   std::string id;
   // Of the set in force, as far as it is known.
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   std::string digest;
   std::string reason;
   std::size_t objects_put = 0;
@@ -46,7 +46,7 @@
   // The kind that the objects removed by `change` must have.
   std::optional<config::Kind> remove_kind;
   // The offset of the set that `wanted` was made from.
-  std::optional<platform::Offset> base;
+  std::optional<contracts::Offset> base;
   // Whether to replay the change on a newer set when no object was changed by
   // both.
   bool rebase = false;
@@ -59,8 +59,8 @@
 };
 
 struct PublishStep {
-  std::optional<platform::ReadRequest> read;
-  std::optional<platform::AppendRequest> append;
+  std::optional<contracts::ReadRequest> read;
+  std::optional<contracts::AppendRequest> append;
   // Wait until then when there is nothing else to do.
   MonotonicTime at;
   std::optional<PublishResult> result;
@@ -72,15 +72,15 @@
 
   // One step at a time; each read and append ends with one event below.
   PublishStep Next(MonotonicTime now);
-  void OnRead(MonotonicTime now, platform::Offset from,
-              const platform::ReadAnswer& answer);
+  void OnRead(MonotonicTime now, contracts::Offset from,
+              const contracts::ReadAnswer& answer);
   void OnReadError(MonotonicTime now, const std::string& reason);
-  void OnAppend(MonotonicTime now, const platform::AppendAnswer& answer);
+  void OnAppend(MonotonicTime now, const contracts::AppendAnswer& answer);
 
  private:
   // What the log did to objects since the base.
   struct Touched {
-    platform::Offset offset = 0;
+    contracts::Offset offset = 0;
     std::string publisher;
   };
 
@@ -94,7 +94,7 @@
   void OnOwnVerdict(const config::Verdict& verdict);
   void Finish(PublishOutcome outcome, const std::string& reason);
   void Retry(MonotonicTime now);
-  platform::ReadRequest ReadStep() const;
+  contracts::ReadRequest ReadStep() const;
 
   PublishFlowOptions options_;
   MonotonicTime deadline_;
@@ -105,7 +105,7 @@
   std::map<std::string, Touched> touched_;
   std::optional<Touched> last_accepted_;
   // The proposal that is under way.
-  std::optional<platform::NewRecord> record_;
+  std::optional<contracts::NewRecord> record_;
   config::Change proposed_;
   // Whether an append may have reached the log.
   bool maybe_appended_ = false;
--- a/src/operators/tests/explain_test.cc
+++ b/src/operators/tests/explain_test.cc
@@ -90,12 +90,13 @@
       Publish(JobChange("sum", tasks), "ana");
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, history_.entries().size());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{7}, history_.entries().back().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{7},
+                         history_.entries().back().offset);
   }
 
  private:
   void Publish(const Change& change, const std::string& publisher) {
-    platform::LogRecord record =
+    contracts::LogRecord record =
         config::At(fold_.head().through + 1, "id",
                    EncodePublish(PublishOn(fold_, change, publisher)));
     record.appended_at = WallTime(std::chrono::seconds(record.offset));
--- a/src/operators/tests/publish_flow_test.cc
+++ b/src/operators/tests/publish_flow_test.cc
@@ -47,7 +47,7 @@
   }
 
  private:
-  void Read(const platform::ReadRequest& request) {
+  void Read(const contracts::ReadRequest& request) {
     now_ += std::chrono::milliseconds(100);
     if (log_.out) {
       flow_.OnReadError(now_, "the log is out");
@@ -56,20 +56,20 @@
     }
   }
 
-  void Append(const platform::AppendRequest& request) {
+  void Append(const contracts::AppendRequest& request) {
     if (before_append) before_append();
     now_ += std::chrono::milliseconds(100);
     const std::size_t index = static_cast<std::size_t>(appends++);
     const Fate fate = index < fates.size() ? fates[index] : Fate::kDone;
-    platform::AppendAnswer answer{.error = "fault"};
+    contracts::AppendAnswer answer{.error = "fault"};
     if (fate == Fate::kDone || fate == Fate::kAnswerLost) {
       answer.offsets = {log_.Append(request.records.front(), {})};
     }
     if (fate == Fate::kDone) {
-      answer.outcome = platform::AppendOutcome::kAppended;
+      answer.outcome = contracts::AppendOutcome::kAppended;
     }
     if (fate == Fate::kRefused) {
-      answer.outcome = platform::AppendOutcome::kNotSent;
+      answer.outcome = contracts::AppendOutcome::kNotSent;
     }
     flow_.OnAppend(now_, answer);
   }
@@ -120,10 +120,10 @@
   void PublishesAndSaysUnchangedAfterwards() {
     const PublishResult first = Publish(Wanted(FirstChange()), {});
     CPPUNIT_ASSERT(first.outcome == PublishOutcome::kPublished);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, first.offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, first.offset);
     const PublishResult again = Publish(Wanted(FirstChange()), {});
     CPPUNIT_ASSERT(again.outcome == PublishOutcome::kUnchanged);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, log_.next());
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2}, log_.next());
   }
 
   void LostAnswerPublishesOnce() {
@@ -139,7 +139,7 @@
                 {Fate::kLostOnTheWay, Fate::kRefused, Fate::kAnswerLost});
     CPPUNIT_ASSERT(result.outcome == PublishOutcome::kPublished);
     CPPUNIT_ASSERT_EQUAL(3, appends_);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, log_.next());
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2}, log_.next());
   }
 
   void LogOutMeansNotPublished() {
@@ -175,7 +175,7 @@
     const PublishResult result =
         Publish(Wanted(FirstChange(), JobChange("sum", 3)), {});
     CPPUNIT_ASSERT(result.outcome == PublishOutcome::kRefused);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, log_.next());
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2}, log_.next());
   }
 
   void RebaseReplaysWhatNobodyElseTouched() {
@@ -210,7 +210,7 @@
     options.rebase = true;
     CPPUNIT_ASSERT(Publish(options, {}).outcome == PublishOutcome::kPublished);
     ConfigFold fold = FoldAll();
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{4}, fold.head().offset);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{4}, fold.head().offset);
     CPPUNIT_ASSERT(fold.set().Find("theirs") != nullptr);
   }
 
@@ -262,7 +262,7 @@
       AppendRunner runner(log, flow, kStart);
       runner.fates = {reached ? Fate::kAnswerLost : Fate::kLostOnTheWay};
       CPPUNIT_ASSERT(runner.Run()->kind == AppendResultKind::kAppended);
-      CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, log.next());
+      CPPUNIT_ASSERT_EQUAL(contracts::Offset{2}, log.next());
     }
     AppendFlow flow({.stream = "work", .record = {.id = "a", .data = "x"}},
                     kStart);
@@ -288,13 +288,13 @@
 
  private:
   PublishFlowOptions Wanted(const Change& change, const Change& more = {},
-                            std::optional<platform::Offset> base = {}) {
+                            std::optional<contracts::Offset> base = {}) {
     return {.wanted = With(ObjectsOf(change), more), .base = base};
   }
 
   ConfigFold FoldAll() {
     ConfigFold fold;
-    for (const platform::LogRecord& record : log_.all()) fold.OnRecord(record);
+    for (const contracts::LogRecord& record : log_.all()) fold.OnRecord(record);
     return fold;
   }
 
--- a/src/placement/internal/interference.cc
+++ b/src/placement/internal/interference.cc
@@ -52,7 +52,7 @@
   if (service.has_common && now - service.common_at < kCommonEvery) return;
   std::vector<double> rests;
   rests.reserve(service.instances.size());
-  for (const std::pair<const platform::AttemptId, Instance>& entry :
+  for (const std::pair<const contracts::AttemptId, Instance>& entry :
        service.instances) {
     if (entry.second.reports < kWarmUpReports) continue;
     rests.push_back(entry.second.log_latency -
@@ -114,7 +114,7 @@
 }
 
 void InterferenceModel::OnLatency(NameId service_id,
-                                  const platform::AttemptId& id,
+                                  const contracts::AttemptId& id,
                                   Duration latency, double use,
                                   const Shares& shares, MonotonicTime now) {
   if (latency <= Duration::zero()) return;
@@ -141,18 +141,18 @@
 }
 
 void InterferenceModel::ForgetInstance(NameId service,
-                                       const platform::AttemptId& instance) {
+                                       const contracts::AttemptId& instance) {
   const std::unordered_map<NameId, Service>::iterator found =
       services_.find(service);
   if (found != services_.end()) found->second.instances.erase(instance);
 }
 
 const InterferenceModel::Instance* InterferenceModel::Find(
-    NameId service, const platform::AttemptId& instance) const {
+    NameId service, const contracts::AttemptId& instance) const {
   const std::unordered_map<NameId, Service>::const_iterator found =
       services_.find(service);
   if (found == services_.end()) return nullptr;
-  const std::map<platform::AttemptId, Instance>::const_iterator entry =
+  const std::map<contracts::AttemptId, Instance>::const_iterator entry =
       found->second.instances.find(instance);
   return entry == found->second.instances.end() ? nullptr : &entry->second;
 }
@@ -169,14 +169,14 @@
 }
 
 double InterferenceModel::Unexplained(
-    NameId service, const platform::AttemptId& instance) const {
+    NameId service, const contracts::AttemptId& instance) const {
   const Instance* found = Find(service, instance);
   if (found == nullptr) return 0;
   return std::max(0.0, found->residual - kResidualNoise);
 }
 
 double InterferenceModel::Use(NameId service,
-                              const platform::AttemptId& instance) const {
+                              const contracts::AttemptId& instance) const {
   const Instance* found = Find(service, instance);
   return found == nullptr ? kDefaultUse : found->use;
 }
--- a/src/placement/internal/interference.h
+++ b/src/placement/internal/interference.h
@@ -25,18 +25,19 @@
 
   // A service's instance reported its latency and its use (0 to 1) while
   // `shares` were on its worker.
-  void OnLatency(NameId service, const platform::AttemptId& instance,
+  void OnLatency(NameId service, const contracts::AttemptId& instance,
                  Duration latency, double use, const Shares& shares,
                  MonotonicTime now);
-  void ForgetInstance(NameId service, const platform::AttemptId& instance);
+  void ForgetInstance(NameId service, const contracts::AttemptId& instance);
 
   // Logarithm of the slowdown that one share causes at the use `use`.
   double Predict(NameId service, NameId type, double share, double use) const;
   // Smoothed logarithm of the slowdown beyond what the model explains; 0 when
   // there is none.
-  double Unexplained(NameId service, const platform::AttemptId& instance) const;
+  double Unexplained(NameId service,
+                     const contracts::AttemptId& instance) const;
   // The use of an instance: smoothed, and the highest of its service.
-  double Use(NameId service, const platform::AttemptId& instance) const;
+  double Use(NameId service, const contracts::AttemptId& instance) const;
   double PeakUse(NameId service) const;
 
  private:
@@ -55,7 +56,7 @@
     double At(double use) const { return (linear + square * use) * use; }
   };
   struct Service {
-    std::map<platform::AttemptId, Instance> instances;
+    std::map<contracts::AttemptId, Instance> instances;
     std::unordered_map<NameId, Coefficients> coefficients;
     double common = 0;
     double peak_use = 0;
@@ -72,7 +73,7 @@
   void Smooth(Instance& instance, double log_latency, double use,
               const Shares& shares, MonotonicTime now) const;
   const Instance* Find(NameId service,
-                       const platform::AttemptId& instance) const;
+                       const contracts::AttemptId& instance) const;
 
   Duration lag_;
   std::unordered_map<NameId, Service> services_;
--- a/src/placement/internal/ledger.cc
+++ b/src/placement/internal/ledger.cc
@@ -4,7 +4,7 @@
 
 namespace carobmast::placement {
 
-using platform::Resources;
+using contracts::Resources;
 
 namespace {
 
@@ -95,7 +95,7 @@
   WorkerEntry& worker = workers_[id];
   while (!worker.tasks.empty()) {
     // A copy: the entry goes away.
-    const platform::AttemptId task = worker.tasks.back()->id;
+    const contracts::AttemptId task = worker.tasks.back()->id;
     Remove(task);
   }
   Unindex(id);
@@ -155,7 +155,7 @@
 
 TaskEntry* Ledger::Add(WorkerId worker_id, const TaskRequest& request,
                        MonotonicTime now) {
-  const std::pair<std::map<platform::AttemptId, TaskEntry>::iterator, bool>
+  const std::pair<std::map<contracts::AttemptId, TaskEntry>::iterator, bool>
       inserted = tasks_.emplace(request.id, TaskEntry{});
   if (!inserted.second) return nullptr;
   TaskEntry& task = inserted.first->second;
@@ -177,8 +177,8 @@
   return &task;
 }
 
-void Ledger::Remove(const platform::AttemptId& id) {
-  const std::map<platform::AttemptId, TaskEntry>::iterator found =
+void Ledger::Remove(const contracts::AttemptId& id) {
+  const std::map<contracts::AttemptId, TaskEntry>::iterator found =
       tasks_.find(id);
   if (found == tasks_.end()) return;
   TaskEntry& task = found->second;
@@ -200,13 +200,13 @@
   }
   running_of_type_[task.type] += added ? 1 : -1;
   PoolEntry& pool = pools_[worker.pool];
-  if (task.kind != platform::TaskKind::kBatch) {
+  if (task.kind != contracts::TaskKind::kBatch) {
     ChangeCount(pool.service_cpus, task.need.milli_cpus, added);
   } else if (task.is_long) {
     ChangeCount(pool.long_cpus, task.need.milli_cpus, added);
   }
   // Only services are spread.
-  if (task.kind != platform::TaskKind::kService) return;
+  if (task.kind != contracts::TaskKind::kService) return;
   for (const NameId place : {worker.rack, worker.zone}) {
     const std::uint64_t key = PairKey(task.type, place);
     std::uint32_t& count = in_place_[key];
@@ -215,8 +215,8 @@
   }
 }
 
-TaskEntry* Ledger::FindTask(const platform::AttemptId& id) {
-  const std::map<platform::AttemptId, TaskEntry>::iterator found =
+TaskEntry* Ledger::FindTask(const contracts::AttemptId& id) {
+  const std::map<contracts::AttemptId, TaskEntry>::iterator found =
       tasks_.find(id);
   return found == tasks_.end() ? nullptr : &found->second;
 }
--- a/src/placement/internal/ledger.h
+++ b/src/placement/internal/ledger.h
@@ -32,16 +32,16 @@
   std::vector<std::string> names_;
 };
 
-bool Fits(const platform::Resources& need, const platform::Resources& room);
-platform::Resources Sum(const platform::Resources& a,
-                        const platform::Resources& b);
+bool Fits(const contracts::Resources& need, const contracts::Resources& room);
+contracts::Resources Sum(const contracts::Resources& a,
+                         const contracts::Resources& b);
 // Never below zero.
-platform::Resources Difference(const platform::Resources& a,
-                               const platform::Resources& b);
+contracts::Resources Difference(const contracts::Resources& a,
+                                const contracts::Resources& b);
 
 struct TaskEntry {
-  platform::AttemptId id;
-  platform::Resources need;
+  contracts::AttemptId id;
+  contracts::Resources need;
   MonotonicTime started;
   // While throttled to less than PlacementOptions::idle_throttle.
   MonotonicTime idle_since;
@@ -50,7 +50,7 @@
   NameId team = kNoId;
   WorkerId worker = kNoId;
   std::uint16_t throttle = 1000;
-  platform::TaskKind kind = platform::TaskKind::kBatch;
+  contracts::TaskKind kind = contracts::TaskKind::kBatch;
   config::Priority priority = config::Priority::kNormal;
   bool checkpoints = false;
   bool is_long = false;
@@ -63,8 +63,8 @@
   NameId pool = kNoId;
   NameId rack = kNoId;
   NameId zone = kNoId;
-  platform::Resources capacity;
-  platform::Resources committed;
+  contracts::Resources capacity;
+  contracts::Resources committed;
   // In the order of starting. Pointers into the task map.
   std::vector<TaskEntry*> tasks;
   bool known = false;
@@ -74,7 +74,7 @@
   // While on probation, one task at a time.
   bool probation = false;
 
-  platform::Resources Free() const { return Difference(capacity, committed); }
+  contracts::Resources Free() const { return Difference(capacity, committed); }
 };
 
 struct PoolEntry {
@@ -110,10 +110,10 @@
   // Null when the attempt is known already.
   TaskEntry* Add(WorkerId worker, const TaskRequest& request,
                  MonotonicTime now);
-  void Remove(const platform::AttemptId& id);
+  void Remove(const contracts::AttemptId& id);
 
   WorkerId FindWorker(const std::string& name) const;
-  TaskEntry* FindTask(const platform::AttemptId& id);
+  TaskEntry* FindTask(const contracts::AttemptId& id);
   WorkerEntry& worker(WorkerId id) { return workers_[id]; }
   const WorkerEntry& worker(WorkerId id) const { return workers_[id]; }
   // Null when there is none.
@@ -130,7 +130,7 @@
   NameTable& types() { return types_; }
   const NameTable& types() const { return types_; }
   NameTable& teams() { return teams_; }
-  const platform::Resources& team_committed(NameId team) const {
+  const contracts::Resources& team_committed(NameId team) const {
     return team_committed_[team];
   }
   NameId AddTeam(const std::string& name);
@@ -150,10 +150,10 @@
   NameTable teams_;
   std::vector<WorkerEntry> workers_;
   std::vector<PoolEntry> pools_;
-  std::vector<platform::Resources> team_committed_;
+  std::vector<contracts::Resources> team_committed_;
   std::vector<std::uint32_t> running_of_type_;
   // Node-based: entries keep their addresses.
-  std::map<platform::AttemptId, TaskEntry> tasks_;
+  std::map<contracts::AttemptId, TaskEntry> tasks_;
   std::unordered_map<std::uint64_t, std::uint32_t> in_place_;
 };
 
--- a/src/placement/internal/placement.cc
+++ b/src/placement/internal/placement.cc
@@ -13,8 +13,8 @@
 
 namespace carobmast::placement {
 
-using platform::Resources;
-using platform::TaskKind;
+using contracts::Resources;
+using contracts::TaskKind;
 
 namespace {
 
@@ -46,8 +46,8 @@
   Choice Choose(const TaskRequest& request, MonotonicTime now);
   bool Commit(const Choice& choice, const TaskRequest& request,
               MonotonicTime now);
-  void End(const platform::AttemptId& id, TaskEnd end, MonotonicTime now);
-  std::vector<Remedy> OnReport(const platform::WorkerReport& report,
+  void End(const contracts::AttemptId& id, TaskEnd end, MonotonicTime now);
+  std::vector<Remedy> OnReport(const contracts::WorkerReport& report,
                                MonotonicTime now);
   std::vector<Remedy> MakeRoom(const TaskRequest& request, MonotonicTime now);
   void RemoveWorker(const std::string& worker);
@@ -63,7 +63,7 @@
     return std::exp(
         predictor_.Worst(worker, kNoId, 0, ledger_.pool(worker.pool).guards));
   }
-  void Learn(const WorkerEntry& worker, const platform::TaskReport& report,
+  void Learn(const WorkerEntry& worker, const contracts::TaskReport& report,
              MonotonicTime now);
 
  private:
@@ -356,7 +356,7 @@
   return true;
 }
 
-void Placement::Impl::End(const platform::AttemptId& id, TaskEnd end,
+void Placement::Impl::End(const contracts::AttemptId& id, TaskEnd end,
                           MonotonicTime now) {
   const TaskEntry* task = ledger_.FindTask(id);
   if (task == nullptr) return;
@@ -396,7 +396,7 @@
 }
 
 void Placement::Impl::Learn(const WorkerEntry& worker,
-                            const platform::TaskReport& report,
+                            const contracts::TaskReport& report,
                             MonotonicTime now) {
   const TaskEntry* task = ledger_.FindTask(report.id);
   if (task == nullptr || task->kind != TaskKind::kService ||
@@ -410,12 +410,12 @@
 }
 
 std::vector<Remedy> Placement::Impl::OnReport(
-    const platform::WorkerReport& report, MonotonicTime now) {
+    const contracts::WorkerReport& report, MonotonicTime now) {
   ReleaseQuarantined(now);
   const WorkerId id = ledger_.FindWorker(report.worker);
   if (id == kNoId) return {};
   WorkerEntry& worker = ledger_.worker(id);
-  for (const platform::TaskReport& task : report.tasks) {
+  for (const contracts::TaskReport& task : report.tasks) {
     Learn(worker, task, now);
   }
   const PoolEntry& pool = ledger_.pool(worker.pool);
@@ -542,7 +542,7 @@
   if (id != kNoId) impl_->ledger().Add(id, request, now);
 }
 
-void Placement::End(const platform::AttemptId& id, TaskEnd end,
+void Placement::End(const contracts::AttemptId& id, TaskEnd end,
                     MonotonicTime now) {
   impl_->End(id, end, now);
 }
@@ -556,7 +556,7 @@
   impl_->failures().ForgetTask(task);
 }
 
-std::vector<Remedy> Placement::OnReport(const platform::WorkerReport& report,
+std::vector<Remedy> Placement::OnReport(const contracts::WorkerReport& report,
                                         MonotonicTime now) {
   return impl_->OnReport(report, now);
 }
--- a/src/placement/internal/remedies.cc
+++ b/src/placement/internal/remedies.cc
@@ -33,7 +33,7 @@
 double Remedies::Worst(const WorkerEntry& worker, bool guards) const {
   double worst = 0;
   for (const TaskEntry* task : worker.tasks) {
-    if (task->kind != platform::TaskKind::kService) continue;
+    if (task->kind != contracts::TaskKind::kService) continue;
     worst = std::max(worst, predictor_.OfInstance(worker, *task, guards) +
                                 model_.Unexplained(task->type, task->id));
   }
@@ -83,7 +83,7 @@
   TaskEntry* culprit = nullptr;
   double most = 0;
   for (TaskEntry* task : worker.tasks) {
-    if (task->kind != platform::TaskKind::kBatch || task->ending) continue;
+    if (task->kind != contracts::TaskKind::kBatch || task->ending) continue;
     if (task->throttle <= above_throttle) continue;
     const double contribution = predictor_.Contribution(worker, *task, guards);
     if (contribution < kLeastContribution) continue;
--- a/src/placement/internal/slowdown.cc
+++ b/src/placement/internal/slowdown.cc
@@ -9,13 +9,13 @@
 constexpr double kFullThrottle = 1000;
 
 bool IsService(const TaskEntry& task) {
-  return task.kind == platform::TaskKind::kService;
+  return task.kind == contracts::TaskKind::kService;
 }
 
 }  // namespace
 
 double SlowdownPredictor::ShareOf(const WorkerEntry& worker,
-                                  const platform::Resources& need,
+                                  const contracts::Resources& need,
                                   std::uint32_t throttle) {
   if (worker.capacity.milli_cpus == 0) return 0;
   return static_cast<double>(need.milli_cpus) *
--- a/src/placement/internal/slowdown.h
+++ b/src/placement/internal/slowdown.h
@@ -16,7 +16,7 @@
   Shares SharesOn(const WorkerEntry& worker, const TaskEntry* except) const;
   // The share of the worker that a task uses at a throttle.
   static double ShareOf(const WorkerEntry& worker,
-                        const platform::Resources& need,
+                        const contracts::Resources& need,
                         std::uint32_t throttle);
 
   // Logarithms of slowdowns, with the guards of the pool.
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -29,7 +29,7 @@
   void SetUsable(const std::string& worker, bool usable);
 
   // Configuration. Teams without a quota are not limited.
-  void SetQuota(const std::string& team, const platform::Resources& quota);
+  void SetQuota(const std::string& team, const contracts::Resources& quota);
   void RemoveQuota(const std::string& team);
   void SetGuards(const std::string& pool, bool guards);
 
@@ -43,7 +43,7 @@
   void Adopt(const std::string& worker, const TaskRequest& request,
              MonotonicTime now);
   // The attempt has certainly ended: its room is free.
-  void End(const platform::AttemptId& id, TaskEnd end, MonotonicTime now);
+  void End(const contracts::AttemptId& id, TaskEnd end, MonotonicTime now);
   // The task will not run again: forgets what is known of it.
   void Forget(const std::string& task);
   // Lets a task that failed everywhere be tried again.
@@ -51,7 +51,7 @@
 
   // Learns from a report, and returns remedies on that worker. They count as
   // taken; a move or a stop ends with End.
-  std::vector<Remedy> OnReport(const platform::WorkerReport& report,
+  std::vector<Remedy> OnReport(const contracts::WorkerReport& report,
                                MonotonicTime now);
   // Tasks of lower priority to stop so that `request` fits on one worker; empty
   // when there is no way within the limits.
@@ -59,8 +59,8 @@
 
   // For operators and tests.
   bool IsQuarantined(const std::string& worker) const;
-  platform::Resources Committed(const std::string& worker) const;
-  platform::Resources TeamCommitted(const std::string& team) const;
+  contracts::Resources Committed(const std::string& worker) const;
+  contracts::Resources TeamCommitted(const std::string& team) const;
   // The predicted slowdown of the services on a worker; 1 for none.
   double PredictedSlowdown(const std::string& worker) const;
   const PlacementCounters& counters() const;
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -11,8 +11,8 @@
 
 namespace carobmast::placement {
 
-using platform::Resources;
-using platform::TaskKind;
+using contracts::Resources;
+using contracts::TaskKind;
 
 namespace {
 
@@ -383,7 +383,7 @@
     std::vector<Remedy> remedies;
     for (int round = 0; round < rounds; ++round) {
       now_ += std::chrono::seconds(5);
-      for (const std::pair<const std::string, platform::AttemptId>& entry :
+      for (const std::pair<const std::string, contracts::AttemptId>& entry :
            instances_) {
         const int worker = std::stoi(entry.first.substr(1));
         const bool noisy = noisy_on_one_ ? worker == 0 : worker < 8;
@@ -391,7 +391,7 @@
             share > 0 ? share
                       : (noisy_on_one_ ? 0.5 : 0.25) * throttles_[worker];
         const double factor = std::exp(noisy ? strength * there * use : 0);
-        const platform::TaskReport task{
+        const contracts::TaskReport task{
             .id = entry.second,
             .used = {.milli_cpus = static_cast<std::uint64_t>(4000 * use)},
             .latency_p99 = std::chrono::microseconds(
@@ -430,7 +430,7 @@
   }
 
   std::unique_ptr<Placement> placement_;
-  std::map<std::string, platform::AttemptId> instances_;
+  std::map<std::string, contracts::AttemptId> instances_;
   std::vector<double> throttles_;
   MonotonicTime now_;
   int serial_ = 0;
--- a/src/placement/types/placement_types.h
+++ b/src/placement/types/placement_types.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "config/types/objects.h"
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::placement {
 
@@ -17,19 +17,19 @@
   std::string pool;
   std::string zone;
   std::string rack;
-  platform::Resources capacity;
+  contracts::Resources capacity;
 };
 
 // One task that is to run or runs. `type` is the name of the configured object
 // that it belongs to: what is learned is learned for the type.
 struct TaskRequest {
-  platform::AttemptId id;
+  contracts::AttemptId id;
   std::string type;
-  platform::TaskKind kind = platform::TaskKind::kBatch;
+  contracts::TaskKind kind = contracts::TaskKind::kBatch;
   std::string team;
   config::Priority priority = config::Priority::kNormal;
   std::string pool;
-  platform::Resources need;
+  contracts::Resources need;
   bool checkpoints = false;
   // Expected to run much longer than most; see PendingQueue::IsLong.
   bool is_long = false;
@@ -70,7 +70,7 @@
 struct Remedy {
   RemedyKind kind = RemedyKind::kThrottle;
   std::string worker;
-  platform::AttemptId id;
+  contracts::AttemptId id;
   std::uint32_t throttle = 1000;
   std::string reason;
 };
--- a/src/requests/endpoint_table.h
+++ b/src/requests/endpoint_table.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 #include "requests/types/instance.h"
 
 namespace carobmast::requests {
@@ -14,7 +14,7 @@
 // The whole list of one cell's instances, by the cell's owner.
 struct CellList {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::vector<Instance> instances;
 };
 
--- a/src/requests/fakes/fake_cluster.cc
+++ b/src/requests/fakes/fake_cluster.cc
@@ -172,16 +172,16 @@
 
 KeyClaimsHooks FakeCluster::MakeClaimHooks(std::size_t gateway) {
   KeyClaimsHooks hooks;
-  hooks.append = [this, gateway](const platform::AppendRequest& request) {
+  hooks.append = [this, gateway](const contracts::AppendRequest& request) {
     if (cut_zones_.contains(ZoneOfGateway(gateway))) {
       return Deliver(gateway, request.timeout, [this, gateway] {
         gateways_[gateway].claims->OnAppend(
-            {.outcome = platform::AppendOutcome::kNotSent}, time_.now());
+            {.outcome = contracts::AppendOutcome::kNotSent}, time_.now());
         RunClaims(gateway);
       });
     }
     const std::uint64_t incarnation = gateways_[gateway].incarnation;
-    log_.Append(request, [=, this](const platform::AppendAnswer& answer) {
+    log_.Append(request, [=, this](const contracts::AppendAnswer& answer) {
       if (gateways_[gateway].incarnation != incarnation) return;
       Deliver(gateway, Duration::zero(), [this, gateway, answer] {
         gateways_[gateway].claims->OnAppend(answer, time_.now());
@@ -189,12 +189,12 @@
       });
     });
   };
-  hooks.read = [this, gateway](const platform::ReadRequest& request) {
+  hooks.read = [this, gateway](const contracts::ReadRequest& request) {
     const std::uint64_t incarnation = gateways_[gateway].incarnation;
-    log_.Read(request, [=, this](const platform::ReadAnswer* answer) {
+    log_.Read(request, [=, this](const contracts::ReadAnswer* answer) {
       if (gateways_[gateway].incarnation != incarnation) return;
       const bool cut = cut_zones_.contains(ZoneOfGateway(gateway));
-      const std::optional<platform::ReadAnswer> read =
+      const std::optional<contracts::ReadAnswer> read =
           answer == nullptr || cut ? std::nullopt : std::optional(*answer);
       Deliver(gateway, Duration::zero(), [this, gateway, read] {
         KeyClaims& claims = *gateways_[gateway].claims;
--- a/src/requests/fakes/fake_log.h
+++ b/src/requests/fakes/fake_log.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 #include "requests/fakes/virtual_time.h"
 
 namespace carobmast::requests::fakes {
@@ -27,17 +27,17 @@
   std::size_t appends() const { return appends_; }
 
   // `answer` gets the outcome after a while.
-  void Append(platform::AppendRequest request,
-              std::function<void(const platform::AppendAnswer&)> answer) {
+  void Append(contracts::AppendRequest request,
+              std::function<void(const contracts::AppendAnswer&)> answer) {
     if (mode_ == LogMode::kOut) {
       return time_.After(request.timeout, [answer] {
-        answer({.outcome = platform::AppendOutcome::kNotSent});
+        answer({.outcome = contracts::AppendOutcome::kNotSent});
       });
     }
     const bool lost = mode_ == LogMode::kLosesAnswers;
     time_.After(kLatency, [this, request, answer, lost] {
       ++appends_;
-      for (const platform::NewRecord& record : request.records) {
+      for (const contracts::NewRecord& record : request.records) {
         records_.push_back({.offset = records_.size() + 1,
                             .appended_at = Now(),
                             .id = record.id,
@@ -46,18 +46,18 @@
       Wake();
       if (!lost) {
         return time_.After(kLatency, [answer] {
-          answer({.outcome = platform::AppendOutcome::kAppended});
+          answer({.outcome = contracts::AppendOutcome::kAppended});
         });
       }
       time_.After(request.timeout, [answer] {
-        answer({.outcome = platform::AppendOutcome::kUnknown});
+        answer({.outcome = contracts::AppendOutcome::kUnknown});
       });
     });
   }
 
   // `answer` gets null when the read failed.
-  void Read(platform::ReadRequest request,
-            std::function<void(const platform::ReadAnswer*)> answer) {
+  void Read(contracts::ReadRequest request,
+            std::function<void(const contracts::ReadAnswer*)> answer) {
     if (mode_ == LogMode::kOut) {
       return time_.After(request.timeout, [answer] { answer(nullptr); });
     }
@@ -69,8 +69,8 @@
 
  private:
   struct Waiting {
-    platform::ReadRequest request;
-    std::function<void(const platform::ReadAnswer*)> answer;
+    contracts::ReadRequest request;
+    std::function<void(const contracts::ReadAnswer*)> answer;
   };
 
   static constexpr Duration kLatency = std::chrono::milliseconds(3);
@@ -86,7 +86,7 @@
         waiting_.push_back(reader);
         continue;
       }
-      platform::ReadAnswer read{.next = records_.size() + 1};
+      contracts::ReadAnswer read{.next = records_.size() + 1};
       read.records.assign(records_.begin() +
                               static_cast<std::ptrdiff_t>(reader.request.from) -
                               1,
@@ -99,7 +99,7 @@
 
   VirtualTime& time_;
   LogMode mode_ = LogMode::kHealthy;
-  std::vector<platform::LogRecord> records_;
+  std::vector<contracts::LogRecord> records_;
   std::list<Waiting> waiting_;
   std::size_t appends_ = 0;
 };
--- a/src/requests/internal/key_claims.cc
+++ b/src/requests/internal/key_claims.cc
@@ -82,8 +82,8 @@
   if (appending_ > 0 || waiting_.empty() || now < next_append_) return;
   appending_ = std::min(waiting_.size(), options_.max_records_per_append);
   ++counters_.appends;
-  platform::AppendRequest request{.stream = kKeyStream,
-                                  .timeout = options_.append_timeout};
+  contracts::AppendRequest request{.stream = kKeyStream,
+                                   .timeout = options_.append_timeout};
   request.records.assign(
       waiting_.begin(),
       waiting_.begin() + static_cast<std::ptrdiff_t>(appending_));
@@ -91,10 +91,10 @@
   hooks_.append(request);
 }
 
-void KeyClaims::OnAppend(const platform::AppendAnswer& answer,
+void KeyClaims::OnAppend(const contracts::AppendAnswer& answer,
                          MonotonicTime now) {
-  log_out_ = answer.outcome == platform::AppendOutcome::kNotSent;
-  if (answer.outcome == platform::AppendOutcome::kAppended) {
+  log_out_ = answer.outcome == contracts::AppendOutcome::kNotSent;
+  if (answer.outcome == contracts::AppendOutcome::kAppended) {
     waiting_.erase(waiting_.begin(),
                    waiting_.begin() + static_cast<std::ptrdiff_t>(appending_));
   } else {
@@ -112,9 +112,9 @@
       {.stream = kKeyStream, .from = folded_ + 1, .wait = options_.read_wait});
 }
 
-void KeyClaims::OnRead(const platform::ReadAnswer& answer, MonotonicTime now) {
+void KeyClaims::OnRead(const contracts::ReadAnswer& answer, MonotonicTime now) {
   log_out_ = false;
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     if (record.offset <= folded_) continue;
     folded_ = record.offset;
     Fold(record, now);
@@ -131,7 +131,7 @@
   next_read_ = now + options_.retry_after;
 }
 
-void KeyClaims::Fold(const platform::LogRecord& record, MonotonicTime now) {
+void KeyClaims::Fold(const contracts::LogRecord& record, MonotonicTime now) {
   Forget(record.appended_at);
   if (const std::optional<std::string> key = After(record.data, kClaim)) {
     FoldClaim(record, *key, now);
@@ -143,7 +143,7 @@
   }
 }
 
-void KeyClaims::FoldClaim(const platform::LogRecord& record,
+void KeyClaims::FoldClaim(const contracts::LogRecord& record,
                           const std::string& key, MonotonicTime now) {
   // A record that was appended twice counts once, also after its release.
   if (!seen_.insert(record.id).second) return;
@@ -157,7 +157,7 @@
 
 // The pending claim with this record's id, if any, is decided by the first
 // record with that id.
-void KeyClaims::Decide(const platform::LogRecord& record, MonotonicTime now) {
+void KeyClaims::Decide(const contracts::LogRecord& record, MonotonicTime now) {
   const auto found = pending_.find(record.id);
   if (found == pending_.end()) return;
   const Pending pending = found->second;
--- a/src/requests/key_claims.h
+++ b/src/requests/key_claims.h
@@ -22,8 +22,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 #include "requests/request_core.h"
 
 namespace carobmast::requests {
@@ -52,9 +52,9 @@
 // Commands to the I/O code. None may call back before it returns.
 struct KeyClaimsHooks {
   // Append; report OnAppend.
-  std::function<void(const platform::AppendRequest&)> append;
+  std::function<void(const contracts::AppendRequest&)> append;
   // Read; report OnRead or OnReadFailed.
-  std::function<void(const platform::ReadRequest&)> read;
+  std::function<void(const contracts::ReadRequest&)> read;
   // Returns whether the request still waits for its claim.
   std::function<bool(RequestId, ClaimOutcome)> decided;
 };
@@ -79,8 +79,8 @@
   // A request with a claimed key ended.
   void OnKeyEnded(const std::string& key, Ran ran, MonotonicTime now);
 
-  void OnAppend(const platform::AppendAnswer& answer, MonotonicTime now);
-  void OnRead(const platform::ReadAnswer& answer, MonotonicTime now);
+  void OnAppend(const contracts::AppendAnswer& answer, MonotonicTime now);
+  void OnRead(const contracts::ReadAnswer& answer, MonotonicTime now);
   void OnReadFailed(MonotonicTime now);
 
   void Tick(MonotonicTime now);
@@ -109,18 +109,18 @@
   std::string NextId();
   void Write(std::string id, std::string data, MonotonicTime now);
   void MayAppend(MonotonicTime now);
-  void Fold(const platform::LogRecord& record, MonotonicTime now);
-  void FoldClaim(const platform::LogRecord& record, const std::string& key,
+  void Fold(const contracts::LogRecord& record, MonotonicTime now);
+  void FoldClaim(const contracts::LogRecord& record, const std::string& key,
                  MonotonicTime now);
   void FoldEnd(const std::string& claim, bool ran);
-  void Decide(const platform::LogRecord& record, MonotonicTime now);
+  void Decide(const contracts::LogRecord& record, MonotonicTime now);
   void Release(const std::string& claim, MonotonicTime now);
   void Forget(WallTime now);
   void ReadOn(MonotonicTime now);
 
   KeyClaimsOptions options_;
   KeyClaimsHooks hooks_;
-  platform::Offset folded_ = 0;
+  contracts::Offset folded_ = 0;
   // By the digest of the key.
   std::unordered_map<std::string, Held> keys_;
   // The key of each claim that holds one.
@@ -133,7 +133,7 @@
   std::map<std::string, Pending> pending_;
   // Of this gateway, claimed and not ended; by the digest of the key.
   std::map<std::string, std::string> own_;
-  std::deque<platform::NewRecord> waiting_;
+  std::deque<contracts::NewRecord> waiting_;
   // Records of the append that is under way.
   std::size_t appending_ = 0;
   // The last append or read failed: claims are refused at once.
--- a/src/requests/tests/key_claims_test.cc
+++ b/src/requests/tests/key_claims_test.cc
@@ -130,8 +130,8 @@
   void DuplicateClaimAfterReleaseCountsOnce() {
     std::vector<ClaimOutcome> decided;
     KeyClaims claims({.incarnation = "x"},
-                     {.append = [](const platform::AppendRequest&) {},
-                      .read = [](const platform::ReadRequest&) {},
+                     {.append = [](const contracts::AppendRequest&) {},
+                      .read = [](const contracts::ReadRequest&) {},
                       .decided =
                           [&](RequestId, ClaimOutcome outcome) {
                             decided.push_back(outcome);
@@ -147,8 +147,8 @@
 
   void KeysAreForgottenAfterWindow() {
     KeyClaims claims({.incarnation = "x", .window = std::chrono::hours(1)},
-                     {.append = [](const platform::AppendRequest&) {},
-                      .read = [](const platform::ReadRequest&) {},
+                     {.append = [](const contracts::AppendRequest&) {},
+                      .read = [](const contracts::ReadRequest&) {},
                       .decided = [](RequestId, ClaimOutcome) { return true; }});
     const MonotonicTime now{std::chrono::hours(1)};
     const WallTime start{std::chrono::hours(100)};
--- a/src/requests/types/instance.h
+++ b/src/requests/types/instance.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 
 namespace carobmast::requests {
 
--- a/src/scheduler/internal/scheduler.cc
+++ b/src/scheduler/internal/scheduler.cc
@@ -142,12 +142,12 @@
 work::SchedulerHooks Scheduler::MakeHooks() {
   return {
       .append =
-          [this](std::uint64_t id, std::vector<platform::NewRecord> records) {
+          [this](std::uint64_t id, std::vector<contracts::NewRecord> records) {
             asio::co_spawn(daemon_.executor(), Append(id, std::move(records)),
                            Rethrow);
           },
       .command =
-          [this](std::uint64_t id, platform::WorkerCommand command) {
+          [this](std::uint64_t id, contracts::WorkerCommand command) {
             asio::co_spawn(daemon_.executor(), Command(id, std::move(command)),
                            Rethrow);
           },
@@ -195,8 +195,8 @@
     const MonotonicTime started = MonotonicClock::now();
     bool failed = false;
     try {
-      const platform::ReadAnswer answer =
-          co_await services_.log.read({.stream = platform::kWorkStream,
+      const contracts::ReadAnswer answer =
+          co_await services_.log.read({.stream = contracts::kWorkStream,
                                        .from = core_.next_offset(),
                                        .wait = kLogWait,
                                        .timeout = kLogTimeout});
@@ -216,11 +216,11 @@
 asio::awaitable<void> Scheduler::VmListLoop() {
   while (running_) {
     try {
-      platform::VmListAnswer list =
+      contracts::VmListAnswer list =
           co_await services_.vm_list.list(kVmListTimeout);
-      for (platform::Vm& vm : list.vms) {
+      for (contracts::Vm& vm : list.vms) {
         if (!drained_vms_.contains(vm.name)) continue;
-        vm.state = platform::VmState::kLeaving;
+        vm.state = contracts::VmState::kLeaving;
       }
       core_.OnVmList(MonotonicClock::now(), list);
       vm_list_state_.Set("answers");
@@ -234,17 +234,17 @@
 }
 
 asio::awaitable<void> Scheduler::Append(
-    std::uint64_t id, std::vector<platform::NewRecord> records) {
-  const platform::AppendAnswer answer =
-      co_await services_.log.append({.stream = platform::kWorkStream,
+    std::uint64_t id, std::vector<contracts::NewRecord> records) {
+  const contracts::AppendAnswer answer =
+      co_await services_.log.append({.stream = contracts::kWorkStream,
                                      .records = std::move(records),
                                      .timeout = kAppendTimeout});
   core_.OnAppendAnswer(MonotonicClock::now(), id, answer.outcome);
 }
 
 asio::awaitable<void> Scheduler::Command(std::uint64_t id,
-                                         platform::WorkerCommand command) {
-  const platform::CommandAnswer answer =
+                                         contracts::WorkerCommand command) {
+  const contracts::CommandAnswer answer =
       co_await services_.workers.command(std::move(command));
   core_.OnCommandAnswer(MonotonicClock::now(), id, answer);
 }
--- a/src/scheduler/internal/scheduler_command.cc
+++ b/src/scheduler/internal/scheduler_command.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "config/daemon_follower.h"
+#include "contracts/http_services.h"
 #include "framework/daemon/daemon_command.h"
-#include "platform/http_platform.h"
 #include "scheduler/scheduler.h"
 
 namespace carobmast::scheduler {
@@ -48,9 +48,9 @@
   SchedulerServices MakeServices() {
     const daemon::DaemonSettings& settings = daemon_.settings();
     return {
-        .log = platform::MakeHttpLogService(client_, settings.log_service),
-        .vm_list = platform::MakeHttpVmListService(client_, settings.vm_list),
-        .workers = platform::MakeHttpWorkerService(client_)};
+        .log = contracts::MakeHttpLogService(client_, settings.log_service),
+        .vm_list = contracts::MakeHttpVmListService(client_, settings.vm_list),
+        .workers = contracts::MakeHttpWorkerService(client_)};
   }
 
   daemon::Daemon daemon_;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -11,12 +11,12 @@
 #include <vector>
 
 #include "config/types/objects.h"
+#include "contracts/log_service.h"
+#include "contracts/vm_list.h"
+#include "contracts/worker_service.h"
 #include "framework/daemon/daemon.h"
 #include "framework/settings/settings.h"
 #include "framework/telemetry/log.h"
-#include "platform/log_service.h"
-#include "platform/vm_list.h"
-#include "platform/worker_service.h"
 #include "work/scheduler_core.h"
 
 namespace carobmast::scheduler {
@@ -37,9 +37,9 @@
 SchedulerSettings ReadSchedulerSettings(settings::SettingsReader& reader);
 
 struct SchedulerServices {
-  platform::LogService log;
-  platform::VmListService vm_list;
-  platform::WorkerService workers;
+  contracts::LogService log;
+  contracts::VmListService vm_list;
+  contracts::WorkerService workers;
 };
 
 class Scheduler {
@@ -63,10 +63,10 @@
   boost::asio::awaitable<void> TickLoop();
   boost::asio::awaitable<void> LogLoop();
   boost::asio::awaitable<void> VmListLoop();
-  boost::asio::awaitable<void> Append(std::uint64_t id,
-                                      std::vector<platform::NewRecord> records);
+  boost::asio::awaitable<void> Append(
+      std::uint64_t id, std::vector<contracts::NewRecord> records);
   boost::asio::awaitable<void> Command(std::uint64_t id,
-                                       platform::WorkerCommand command);
+                                       contracts::WorkerCommand command);
   boost::asio::awaitable<void> Stop(Duration grace);
   net::ServerAnswer AnswerStatus(const net::ServerRequest& request) const;
   std::string AnswerEndpoints(const std::string& request) const;
--- a/src/work/fakes/fake_worker.cc
+++ b/src/work/fakes/fake_worker.cc
@@ -11,7 +11,7 @@
 constexpr std::string_view kRunPrefix = "run ";
 
 bool IsRunning(const FakeExecution& execution) {
-  return execution.state == platform::TaskState::kRunning;
+  return execution.state == contracts::TaskState::kRunning;
 }
 
 }  // namespace
@@ -24,8 +24,8 @@
          std::chrono::duration_cast<Duration>(lease / options_.clock_rate);
 }
 
-platform::Resources FakeWorker::Committed() const {
-  platform::Resources sum;
+contracts::Resources FakeWorker::Committed() const {
+  contracts::Resources sum;
   for (const auto& [id, execution] : executions_) {
     if (!IsRunning(execution)) continue;
     sum.milli_cpus += execution.resources.milli_cpus;
@@ -41,15 +41,15 @@
     const MonotonicTime end = std::min(execution.ends_at, execution.stops_at);
     if (end <= now && end <= execution.lease_until) {
       if (execution.ends_at <= execution.stops_at) {
-        execution.state = platform::TaskState::kFinished;
+        execution.state = contracts::TaskState::kFinished;
         ++completed_[id.task];
       } else {
         EndStop(execution);
       }
     } else if (execution.lease_until <= now) {
-      execution.state = platform::TaskState::kLeaseExpired;
+      execution.state = contracts::TaskState::kLeaseExpired;
     } else if (options_.reports_checkpoints &&
-               execution.kind == platform::TaskKind::kBatch) {
+               execution.kind == contracts::TaskKind::kBatch) {
       const Duration done =
           execution.done_before + (now - execution.started_at);
       execution.checkpoint = std::to_string(done.count());
@@ -58,7 +58,7 @@
 }
 
 void FakeWorker::EndStop(FakeExecution& execution) {
-  execution.state = platform::TaskState::kStopped;
+  execution.state = contracts::TaskState::kStopped;
   if (!execution.take_checkpoint) return;
   const Duration done =
       execution.done_before + (execution.stops_at - execution.started_at);
@@ -79,12 +79,12 @@
   Settle(to);
 }
 
-platform::WorkerReport FakeWorker::Report() const {
-  platform::WorkerReport report{
+contracts::WorkerReport FakeWorker::Report() const {
+  contracts::WorkerReport report{
       .worker = options_.name, .capacity = options_.capacity, .token = token_};
   for (const auto& [id, execution] : executions_) {
     const bool serves =
-        execution.kind == platform::TaskKind::kService && IsRunning(execution);
+        execution.kind == contracts::TaskKind::kService && IsRunning(execution);
     report.tasks.push_back({.id = id,
                             .state = execution.state,
                             .reserved = execution.resources,
@@ -95,35 +95,35 @@
   return report;
 }
 
-platform::CommandAnswer FakeWorker::Answer(
-    platform::CommandOutcome outcome) const {
+contracts::CommandAnswer FakeWorker::Answer(
+    contracts::CommandOutcome outcome) const {
   return {.outcome = outcome, .report = Report()};
 }
 
-platform::CommandAnswer FakeWorker::Execute(
-    MonotonicTime now, const platform::WorkerCommand& command) {
+contracts::CommandAnswer FakeWorker::Execute(
+    MonotonicTime now, const contracts::WorkerCommand& command) {
   Settle(now);
   if (options_.checks_tokens && command.token < token_) {
-    return Answer(platform::CommandOutcome::kStale);
+    return Answer(contracts::CommandOutcome::kStale);
   }
   token_ = command.token;
   switch (command.verb) {
-    case platform::WorkerVerb::kFence:
-    case platform::WorkerVerb::kThrottle:
+    case contracts::WorkerVerb::kFence:
+    case contracts::WorkerVerb::kThrottle:
       break;
-    case platform::WorkerVerb::kStart:
+    case contracts::WorkerVerb::kStart:
       return Start(now, command);
-    case platform::WorkerVerb::kRenew:
+    case contracts::WorkerVerb::kRenew:
       for (auto& [id, execution] : executions_) {
         if (IsRunning(execution)) {
           execution.lease_until = LeaseEnd(now, command.lease);
         }
       }
       break;
-    case platform::WorkerVerb::kStop:
+    case contracts::WorkerVerb::kStop:
       Stop(now, command);
       break;
-    case platform::WorkerVerb::kForget: {
+    case contracts::WorkerVerb::kForget: {
       const auto found = executions_.find(command.id);
       if (found != executions_.end() && !IsRunning(found->second)) {
         executions_.erase(found);
@@ -131,15 +131,15 @@
       break;
     }
   }
-  return Answer(platform::CommandOutcome::kDone);
+  return Answer(contracts::CommandOutcome::kDone);
 }
 
-platform::CommandAnswer FakeWorker::Start(
-    MonotonicTime now, const platform::WorkerCommand& command) {
+contracts::CommandAnswer FakeWorker::Start(
+    MonotonicTime now, const contracts::WorkerCommand& command) {
   if (executions_.contains(command.id)) {
-    return Answer(platform::CommandOutcome::kDone);
+    return Answer(contracts::CommandOutcome::kDone);
   }
-  const platform::Resources committed = Committed();
+  const contracts::Resources committed = Committed();
   const bool has_room =
       committed.milli_cpus + command.resources.milli_cpus <=
           options_.capacity.milli_cpus &&
@@ -148,7 +148,7 @@
       committed.accelerators + command.resources.accelerators <=
           options_.capacity.accelerators;
   if (options_.checks_room && !has_room) {
-    return Answer(platform::CommandOutcome::kNoRoom);
+    return Answer(contracts::CommandOutcome::kNoRoom);
   }
   ++starts_;
   FakeExecution execution{.kind = command.kind,
@@ -167,14 +167,14 @@
     execution.ends_at = now + work - execution.done_before;
   }
   if (command.program == "fail" || options_.fails_everything) {
-    execution.state = platform::TaskState::kFailed;
+    execution.state = contracts::TaskState::kFailed;
   }
   executions_[command.id] = execution;
-  return Answer(platform::CommandOutcome::kDone);
+  return Answer(contracts::CommandOutcome::kDone);
 }
 
 void FakeWorker::Stop(MonotonicTime now,
-                      const platform::WorkerCommand& command) {
+                      const contracts::WorkerCommand& command) {
   const auto found = executions_.find(command.id);
   if (found == executions_.end() || !IsRunning(found->second)) return;
   FakeExecution& execution = found->second;
--- a/src/work/fakes/fake_worker.h
+++ b/src/work/fakes/fake_worker.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::work {
 
@@ -17,7 +17,7 @@
   std::string zone;
   std::string rack;
   std::string pool;
-  platform::Resources capacity;
+  contracts::Resources capacity;
   // Speed of its clock against true time.
   double clock_rate = 1.0;
   // Whether it refuses what doesn't fit. Without, the scheduler's ledger alone
@@ -36,9 +36,9 @@
 // One execution. Programs: "run DURATION" ends by itself after that much work,
 // "fail" fails at once, anything else runs until it is stopped.
 struct FakeExecution {
-  platform::TaskState state = platform::TaskState::kRunning;
-  platform::TaskKind kind = platform::TaskKind::kBatch;
-  platform::Resources resources;
+  contracts::TaskState state = contracts::TaskState::kRunning;
+  contracts::TaskKind kind = contracts::TaskKind::kBatch;
+  contracts::Resources resources;
   std::string program;
   // True times.
   MonotonicTime started_at;
@@ -60,35 +60,35 @@
   std::string address() const { return "fake:" + options_.name; }
 
   // Executes one command at true time `now`.
-  platform::CommandAnswer Execute(MonotonicTime now,
-                                  const platform::WorkerCommand& command);
+  contracts::CommandAnswer Execute(MonotonicTime now,
+                                   const contracts::WorkerCommand& command);
   // Ends what has ended by itself or lost its lease by `now`.
   void Settle(MonotonicTime now);
   // The VM stood still from `from` to `to`.
   void Resume(MonotonicTime from, MonotonicTime to);
 
   // All executions that it remembers.
-  const std::map<platform::AttemptId, FakeExecution>& executions() const {
+  const std::map<contracts::AttemptId, FakeExecution>& executions() const {
     return executions_;
   }
   // Executions that ran to their end, by task; survives forgetting.
   const std::map<std::string, int>& completed() const { return completed_; }
-  platform::Resources Committed() const;
+  contracts::Resources Committed() const;
   std::uint64_t starts() const { return starts_; }
   void set_fails_everything(bool fails) { options_.fails_everything = fails; }
 
  private:
-  platform::CommandAnswer Answer(platform::CommandOutcome outcome) const;
-  platform::WorkerReport Report() const;
-  platform::CommandAnswer Start(MonotonicTime now,
-                                const platform::WorkerCommand& command);
-  void Stop(MonotonicTime now, const platform::WorkerCommand& command);
+  contracts::CommandAnswer Answer(contracts::CommandOutcome outcome) const;
+  contracts::WorkerReport Report() const;
+  contracts::CommandAnswer Start(MonotonicTime now,
+                                 const contracts::WorkerCommand& command);
+  void Stop(MonotonicTime now, const contracts::WorkerCommand& command);
   static void EndStop(FakeExecution& execution);
   MonotonicTime LeaseEnd(MonotonicTime now, Duration lease) const;
 
   FakeWorkerOptions options_;
-  platform::FencingToken token_ = 0;
-  std::map<platform::AttemptId, FakeExecution> executions_;
+  contracts::FencingToken token_ = 0;
+  std::map<contracts::AttemptId, FakeExecution> executions_;
   std::map<std::string, int> completed_;
   std::uint64_t starts_ = 0;
 };
--- a/src/work/fakes/fake_world.cc
+++ b/src/work/fakes/fake_world.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxViolations = 20;
 
 bool IsRunning(const FakeExecution& execution) {
-  return execution.state == platform::TaskState::kRunning;
+  return execution.state == contracts::TaskState::kRunning;
 }
 
 }  // namespace
@@ -77,12 +77,12 @@
       SchedulerHooks{
           .append =
               [this, name, life](std::uint64_t id,
-                                 std::vector<platform::NewRecord> records) {
+                                 std::vector<contracts::NewRecord> records) {
                 Append(name, life, id, std::move(records));
               },
           .command =
               [this, name, life](std::uint64_t id,
-                                 platform::WorkerCommand command) {
+                                 contracts::WorkerCommand command) {
                 Command(name, life, id, std::move(command));
               }});
   if (has_config_) process.core->OnConfig(Local(process, now_), objects_);
@@ -122,10 +122,10 @@
           PollLog(name, life);
           return;
         }
-        platform::ReadAnswer answer{.next = next_offset_};
+        contracts::ReadAnswer answer{.next = next_offset_};
         answer.first_kept = log_.empty() ? next_offset_ : log_.front().offset;
-        const platform::Offset from = process.core->next_offset();
-        for (const platform::LogRecord& record : log_) {
+        const contracts::Offset from = process.core->next_offset();
+        for (const contracts::LogRecord& record : log_) {
           if (record.offset < std::max(from, answer.first_kept)) continue;
           if (answer.records.size() == kReadLimit) break;
           answer.records.push_back(record);
@@ -150,7 +150,7 @@
 }
 
 void FakeWorld::NoteVms() {
-  std::vector<platform::Vm> vms;
+  std::vector<contracts::Vm> vms;
   for (const auto& [name, machine] : machines_) {
     if (!machine.alive) continue;
     const FakeWorkerOptions& options = machine.worker->options();
@@ -158,16 +158,16 @@
                    .zone = options.zone,
                    .rack = options.rack,
                    .pool = options.pool,
-                   .role = platform::VmRole::kWorker,
-                   .state = machine.leaving ? platform::VmState::kLeaving
-                                            : platform::VmState::kLive,
+                   .role = contracts::VmRole::kWorker,
+                   .state = machine.leaving ? contracts::VmState::kLeaving
+                                            : contracts::VmState::kLive,
                    .address = machine.worker->address()});
   }
   vm_history_[now_] = std::move(vms);
 }
 
-platform::VmListAnswer FakeWorld::VmList(MonotonicTime as_of) const {
-  platform::VmListAnswer answer{
+contracts::VmListAnswer FakeWorld::VmList(MonotonicTime as_of) const {
+  contracts::VmListAnswer answer{
       .as_of = WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
           as_of.time_since_epoch()))};
   auto newest = vm_history_.upper_bound(as_of);
@@ -182,16 +182,16 @@
 
 void FakeWorld::Append(const std::string& name, std::uint64_t life,
                        std::uint64_t id,
-                       std::vector<platform::NewRecord> records) {
+                       std::vector<contracts::NewRecord> records) {
   const auto reply = [this, name, life, id](MonotonicTime time,
-                                            platform::AppendOutcome outcome) {
+                                            contracts::AppendOutcome outcome) {
     InProcess(time, name, life, [this, id, outcome](Process& process) {
       process.core->OnAppendAnswer(Local(process, now_), id, outcome);
     });
   };
   const Process& process = processes_[name];
   if (log_out_ || process.log_cut) {
-    reply(now_ + kAppendTimeout, platform::AppendOutcome::kNotSent);
+    reply(now_ + kAppendTimeout, contracts::AppendOutcome::kNotSent);
     return;
   }
   const bool late = Chance(options_.late_appends);
@@ -200,15 +200,15 @@
       (late ? Duration(3 * kAppendTimeout) : Duration::zero());
   At(landing, [this, records = std::move(records)]() { Land(records); });
   if (late || Chance(options_.lost_append_answers)) {
-    reply(now_ + kAppendTimeout, platform::AppendOutcome::kUnknown);
+    reply(now_ + kAppendTimeout, contracts::AppendOutcome::kUnknown);
   } else {
-    reply(landing + options_.log_delay, platform::AppendOutcome::kAppended);
+    reply(landing + options_.log_delay, contracts::AppendOutcome::kAppended);
   }
 }
 
-void FakeWorld::Land(const std::vector<platform::NewRecord>& records) {
+void FakeWorld::Land(const std::vector<contracts::NewRecord>& records) {
   ++appends_;
-  for (const platform::NewRecord& record : records) {
+  for (const contracts::NewRecord& record : records) {
     log_.push_back({.offset = next_offset_++,
                     .appended_at = WallTime(
                         std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -238,14 +238,14 @@
 }
 
 void FakeWorld::Command(const std::string& name, std::uint64_t life,
-                        std::uint64_t id, platform::WorkerCommand command) {
+                        std::uint64_t id, contracts::WorkerCommand command) {
   const Process& process = processes_[name];
   const auto machine = machines_.find(command.worker);
   const bool reachable = machine != machines_.end() && machine->second.alive &&
                          process.cut_workers.count(command.worker) == 0;
   if (!reachable) {
     Answer(now_ + command.timeout, name, life, id,
-           {.outcome = platform::CommandOutcome::kNotSent});
+           {.outcome = contracts::CommandOutcome::kNotSent});
     return;
   }
   const bool late = Chance(options_.late_commands);
@@ -260,7 +260,7 @@
   const bool timed_out = arrival - now_ >= command.timeout;
   if (timed_out || lost) {
     Answer(now_ + command.timeout, name, life, id,
-           {.outcome = platform::CommandOutcome::kUnknown});
+           {.outcome = contracts::CommandOutcome::kUnknown});
   }
   At(arrival, [this, name, life, id, command, lost, timed_out]() {
     Deliver(name, life, id, command, lost, timed_out);
@@ -269,13 +269,13 @@
 
 void FakeWorld::Deliver(const std::string& name, std::uint64_t life,
                         std::uint64_t id,
-                        const platform::WorkerCommand& command,
+                        const contracts::WorkerCommand& command,
                         bool answer_lost, bool timed_out) {
   const auto machine = machines_.find(command.worker);
   if (machine == machines_.end() || !machine->second.alive) {
     if (!answer_lost && !timed_out) {
       Answer(now_ + command.timeout, name, life, id,
-             {.outcome = platform::CommandOutcome::kUnknown});
+             {.outcome = contracts::CommandOutcome::kUnknown});
     }
     return;
   }
@@ -285,13 +285,13 @@
     });
     if (!answer_lost && !timed_out) {
       Answer(now_ + command.timeout, name, life, id,
-             {.outcome = platform::CommandOutcome::kUnknown});
+             {.outcome = contracts::CommandOutcome::kUnknown});
     }
     return;
   }
   FakeWorker& executor = *machine->second.worker;
   const std::uint64_t starts = executor.starts();
-  platform::CommandAnswer answer = executor.Execute(now_, command);
+  contracts::CommandAnswer answer = executor.Execute(now_, command);
   if (options_.check && executor.starts() != starts) {
     CheckStart(command.id);
     Check(command.worker);
@@ -302,7 +302,7 @@
 
 void FakeWorld::Answer(MonotonicTime time, const std::string& name,
                        std::uint64_t life, std::uint64_t id,
-                       platform::CommandAnswer answer) {
+                       contracts::CommandAnswer answer) {
   InProcess(time, name, life,
             [this, id, answer = std::move(answer)](Process& process) {
               process.core->OnCommandAnswer(Local(process, now_), id, answer);
@@ -315,7 +315,7 @@
   }
 }
 
-void FakeWorld::CheckStart(const platform::AttemptId& id) {
+void FakeWorld::CheckStart(const contracts::AttemptId& id) {
   if (!started_.insert(id).second) {
     Report("task " + id.task + " ran attempt " + std::to_string(id.attempt) +
            " twice");
@@ -328,8 +328,8 @@
 
 void FakeWorld::Check(const std::string& name) {
   const FakeWorker& started = *machines_[name].worker;
-  const platform::Resources committed = started.Committed();
-  const platform::Resources& capacity = started.options().capacity;
+  const contracts::Resources committed = started.Committed();
+  const contracts::Resources& capacity = started.options().capacity;
   if (committed.milli_cpus > capacity.milli_cpus ||
       committed.memory > capacity.memory ||
       committed.accelerators > capacity.accelerators) {
@@ -337,7 +337,7 @@
   }
   for (const auto& [id, execution] : started.executions()) {
     if (!IsRunning(execution)) continue;
-    if (execution.kind == platform::TaskKind::kService) continue;
+    if (execution.kind == contracts::TaskKind::kService) continue;
     const std::vector<std::string> places = RunningOn(id.task);
     if (places.size() > 1) {
       Report("task " + id.task + " runs on " + places[0] + " and " + places[1]);
--- a/src/work/fakes/fake_world.h
+++ b/src/work/fakes/fake_world.h
@@ -97,7 +97,7 @@
   // Number of running executions, all workers that are not paused or dead.
   std::size_t Running() const;
   const std::vector<Violation>& violations() const { return violations_; }
-  const std::vector<platform::LogRecord>& log() const { return log_; }
+  const std::vector<contracts::LogRecord>& log() const { return log_; }
   std::uint64_t appends() const { return appends_; }
   // Tasks that ran to their end more than once, or after their result.
   int Completed(const std::string& task) const;
@@ -132,20 +132,20 @@
   void PollLog(const std::string& name, std::uint64_t life);
   void PollVmList(const std::string& name, std::uint64_t life);
   void Append(const std::string& name, std::uint64_t life, std::uint64_t id,
-              std::vector<platform::NewRecord> records);
-  void Land(const std::vector<platform::NewRecord>& records);
+              std::vector<contracts::NewRecord> records);
+  void Land(const std::vector<contracts::NewRecord>& records);
   void Command(const std::string& name, std::uint64_t life, std::uint64_t id,
-               platform::WorkerCommand command);
+               contracts::WorkerCommand command);
   void Deliver(const std::string& name, std::uint64_t life, std::uint64_t id,
-               const platform::WorkerCommand& command, bool answer_lost,
+               const contracts::WorkerCommand& command, bool answer_lost,
                bool timed_out);
   void Answer(MonotonicTime time, const std::string& name, std::uint64_t life,
-              std::uint64_t id, platform::CommandAnswer answer);
+              std::uint64_t id, contracts::CommandAnswer answer);
   bool Paused(const Machine& machine) const;
   void Check(const std::string& worker);
-  void CheckStart(const platform::AttemptId& id);
+  void CheckStart(const contracts::AttemptId& id);
   void Report(const std::string& what);
-  platform::VmListAnswer VmList(MonotonicTime as_of) const;
+  contracts::VmListAnswer VmList(MonotonicTime as_of) const;
   void NoteVms();
   bool Chance(double chance);
 
@@ -157,19 +157,19 @@
   std::map<std::string, Process> processes_;
   std::map<std::string, Machine> machines_;
   std::uint64_t next_life_ = 1;
-  std::vector<platform::LogRecord> log_;
-  platform::Offset next_offset_ = 1;
+  std::vector<contracts::LogRecord> log_;
+  contracts::Offset next_offset_ = 1;
   bool log_out_ = false;
   bool vm_list_out_ = false;
   std::uint64_t appends_ = 0;
   config::Objects objects_;
   bool has_config_ = false;
   // What the VM list showed, by the time it became true.
-  std::map<MonotonicTime, std::vector<platform::Vm>> vm_history_;
+  std::map<MonotonicTime, std::vector<contracts::Vm>> vm_history_;
   std::vector<Violation> violations_;
   std::map<std::string, int> completed_by_dead_;
   // Every attempt that any worker ever started.
-  std::set<platform::AttemptId> started_;
+  std::set<contracts::AttemptId> started_;
   // What the log says when an attempt starts.
   WorkFold log_fold_;
 };
--- a/src/work/internal/append_queue.cc
+++ b/src/work/internal/append_queue.cc
@@ -34,13 +34,14 @@
   return id;
 }
 
-void AppendQueue::AddTake(const std::string& cell, platform::FencingToken token,
+void AppendQueue::AddTake(const std::string& cell,
+                          contracts::FencingToken token,
                           const std::string& task) {
   takes_[{cell, token}].push_back(task);
 }
 
 void AppendQueue::AddResult(const std::string& cell,
-                            platform::FencingToken token, ResultEntry result) {
+                            contracts::FencingToken token, ResultEntry result) {
   results_[{cell, token}].push_back(std::move(result));
 }
 
@@ -80,17 +81,17 @@
 }
 
 void AppendQueue::OnAnswer(MonotonicTime now, std::uint64_t id,
-                           platform::AppendOutcome outcome) {
+                           contracts::AppendOutcome outcome) {
   if (id != batch_.id || phase_ != Phase::kSent) return;
   switch (outcome) {
-    case platform::AppendOutcome::kAppended:
+    case contracts::AppendOutcome::kAppended:
       phase_ = Phase::kIdle;
       break;
-    case platform::AppendOutcome::kNotSent:
+    case contracts::AppendOutcome::kNotSent:
       phase_ = Phase::kRetry;
       not_before_ = now + options_.retry;
       break;
-    case platform::AppendOutcome::kUnknown:
+    case contracts::AppendOutcome::kUnknown:
       phase_ = Phase::kUnknown;
       unknown_since_ = now;
       break;
@@ -98,12 +99,12 @@
 }
 
 void AppendQueue::OnRead(MonotonicTime now, MonotonicTime started,
-                         const std::vector<platform::LogRecord>& records,
+                         const std::vector<contracts::LogRecord>& records,
                          bool at_end) {
   if (phase_ == Phase::kIdle) return;
   const std::string& first = batch_.records.front().id;
   const bool found = std::any_of(records.begin(), records.end(),
-                                 [&first](const platform::LogRecord& record) {
+                                 [&first](const contracts::LogRecord& record) {
                                    return record.id == first;
                                  });
   if (found) {
--- a/src/work/internal/append_queue.h
+++ b/src/work/internal/append_queue.h
@@ -14,8 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 #include "work/types/records.h"
 
 namespace carobmast::work {
@@ -33,7 +33,7 @@
 // One append to be sent.
 struct AppendBatch {
   std::uint64_t id = 0;
-  std::vector<platform::NewRecord> records;
+  std::vector<contracts::NewRecord> records;
 };
 
 class AppendQueue {
@@ -43,9 +43,9 @@
   // Queues a record and returns its id.
   std::string Add(const WorkRecord& record);
   // Queues a task or result for the next batch of its cell and token.
-  void AddTake(const std::string& cell, platform::FencingToken token,
+  void AddTake(const std::string& cell, contracts::FencingToken token,
                const std::string& task);
-  void AddResult(const std::string& cell, platform::FencingToken token,
+  void AddResult(const std::string& cell, contracts::FencingToken token,
                  ResultEntry result);
 
   // Puts the tasks and results so far before whatever is added next.
@@ -55,21 +55,21 @@
   std::optional<AppendBatch> Poll(MonotonicTime now);
   // The answer to batch `id`.
   void OnAnswer(MonotonicTime now, std::uint64_t id,
-                platform::AppendOutcome outcome);
+                contracts::AppendOutcome outcome);
   // A read that started at `started` reached the end of the stream.
   void OnRead(MonotonicTime now, MonotonicTime started,
-              const std::vector<platform::LogRecord>& records, bool at_end);
+              const std::vector<contracts::LogRecord>& records, bool at_end);
 
   // Nothing queued and nothing in flight.
   bool Idle() const;
   std::uint64_t appends() const { return appends_; }
 
  private:
-  using CellKey = std::pair<std::string, platform::FencingToken>;
+  using CellKey = std::pair<std::string, contracts::FencingToken>;
   enum class Phase { kIdle, kSent, kUnknown, kRetry };
 
   AppendQueueOptions options_;
-  std::deque<platform::NewRecord> queue_;
+  std::deque<contracts::NewRecord> queue_;
   std::map<CellKey, std::vector<std::string>> takes_;
   std::map<CellKey, std::vector<ResultEntry>> results_;
   Phase phase_ = Phase::kIdle;
--- a/src/work/internal/local_task.h
+++ b/src/work/internal/local_task.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/worker.h"
 #include "work/types/task_spec.h"
 
 namespace carobmast::work {
@@ -39,7 +39,7 @@
 struct Ending {
   std::uint32_t attempt = 0;
   // kRunning means that its worker is gone.
-  platform::TaskState state = platform::TaskState::kStopped;
+  contracts::TaskState state = contracts::TaskState::kStopped;
   std::string checkpoint;
   std::string reason;
 };
@@ -64,7 +64,7 @@
   std::optional<Ending> ending;
   std::string checkpoint;
   std::string endpoint;
-  platform::Resources used;
+  contracts::Resources used;
   // Starts without a whole answer: the attempt may start at any time.
   bool start_in_doubt = false;
   bool start_in_flight = false;
--- a/src/work/internal/pending_queue.cc
+++ b/src/work/internal/pending_queue.cc
@@ -6,7 +6,7 @@
 namespace carobmast::work {
 
 void PendingQueue::Add(const std::string& task, const TaskSpec& spec,
-                       platform::Offset offset, MonotonicTime due) {
+                       contracts::Offset offset, MonotonicTime due) {
   Remove(task);
   places_[task] = {
       .shape = {static_cast<int>(spec.priority), spec.pool,
--- a/src/work/internal/pending_queue.h
+++ b/src/work/internal/pending_queue.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <tuple>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 #include "work/types/task_spec.h"
 
 namespace carobmast::work {
@@ -22,7 +22,7 @@
   // Adds a task, or changes when it is due. Tasks of one priority are offered
   // in the order of `offset`.
   void Add(const std::string& task, const TaskSpec& spec,
-           platform::Offset offset, MonotonicTime due);
+           contracts::Offset offset, MonotonicTime due);
   void Remove(const std::string& task);
   bool Contains(const std::string& task) const {
     return places_.contains(task);
@@ -41,7 +41,7 @@
                            std::uint32_t>;
   struct Place {
     Shape shape;
-    platform::Offset offset = 0;
+    contracts::Offset offset = 0;
     MonotonicTime due;
     bool is_due = false;
   };
@@ -50,7 +50,7 @@
 
   std::map<std::string, Place> places_;
   std::set<std::pair<MonotonicTime, std::string>> later_;
-  std::map<Shape, std::set<std::pair<platform::Offset, std::string>>> due_;
+  std::map<Shape, std::set<std::pair<contracts::Offset, std::string>>> due_;
 };
 
 }  // namespace carobmast::work
--- a/src/work/internal/pick_worker.cc
+++ b/src/work/internal/pick_worker.cc
@@ -43,7 +43,7 @@
   if (!request.cell.empty()) return FirstInCell(request, workers, *index);
   const FreeIndex::const_iterator first =
       index->lower_bound({request.spec.resources.milli_cpus, std::string()});
-  if (request.spec.kind == platform::TaskKind::kBatch) {
+  if (request.spec.kind == contracts::TaskKind::kBatch) {
     return FirstOf(request, workers, first, index->end());
   }
   return FirstOf(request, workers, index->rbegin(),
--- a/src/work/internal/scheduler_core.cc
+++ b/src/work/internal/scheduler_core.cc
@@ -162,7 +162,7 @@
 }
 
 void SchedulerCore::Impl::OnLog(MonotonicTime now, MonotonicTime started,
-                                const platform::ReadAnswer& answer) {
+                                const contracts::ReadAnswer& answer) {
   fold_.Apply(answer);
   const bool at_end = fold_.next() >= answer.next;
   queue_.OnRead(now, started, answer.records, at_end);
@@ -181,7 +181,7 @@
   } else {
     for (const std::string& id : changes.tasks) SyncTask(now, id);
   }
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     const auto sent = heartbeats_sent_.find(record.id);
     if (sent == heartbeats_sent_.end()) continue;
     authority_until_ = sent->second + options_.owner_lease;
@@ -191,7 +191,7 @@
 }
 
 void SchedulerCore::Impl::OnAppendAnswer(MonotonicTime now, std::uint64_t id,
-                                         platform::AppendOutcome outcome) {
+                                         contracts::AppendOutcome outcome) {
   queue_.OnAnswer(now, id, outcome);
 }
 
@@ -258,17 +258,17 @@
 void SchedulerCore::OnTick(MonotonicTime now) { impl_->OnTick(now); }
 
 void SchedulerCore::OnLog(MonotonicTime now, MonotonicTime started,
-                          const platform::ReadAnswer& answer) {
+                          const contracts::ReadAnswer& answer) {
   impl_->OnLog(now, started, answer);
 }
 
 void SchedulerCore::OnAppendAnswer(MonotonicTime now, std::uint64_t id,
-                                   platform::AppendOutcome outcome) {
+                                   contracts::AppendOutcome outcome) {
   impl_->OnAppendAnswer(now, id, outcome);
 }
 
 void SchedulerCore::OnVmList(MonotonicTime now,
-                             const platform::VmListAnswer& list) {
+                             const contracts::VmListAnswer& list) {
   impl_->OnVmList(now, list);
 }
 
@@ -278,7 +278,7 @@
 }
 
 void SchedulerCore::OnCommandAnswer(MonotonicTime now, std::uint64_t id,
-                                    const platform::CommandAnswer& answer) {
+                                    const contracts::CommandAnswer& answer) {
   impl_->OnCommandAnswer(now, id, answer);
 }
 
@@ -286,7 +286,7 @@
 
 bool SchedulerCore::stopped() const { return impl_->stopped(); }
 
-platform::Offset SchedulerCore::next_offset() const {
+contracts::Offset SchedulerCore::next_offset() const {
   return impl_->fold().next();
 }
 
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -33,13 +33,13 @@
   std::string zone;
   CellState state = CellState::kForeign;
   // The own claim in force, while owned.
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   // When the own claim was read.
   MonotonicTime claimed_at;
   // Since when it has had no living owner; empty while it has one.
   std::optional<MonotonicTime> free_since;
   // The previous token of the claim in flight.
-  std::optional<platform::FencingToken> claim_in_flight;
+  std::optional<contracts::FencingToken> claim_in_flight;
   // Members whose addition or removal is on its way to the log.
   std::set<std::string> membership_in_flight;
   // An attempt may start late although nothing waits for it: claim anew.
@@ -64,13 +64,13 @@
 
   void OnTick(MonotonicTime now);
   void OnLog(MonotonicTime now, MonotonicTime started,
-             const platform::ReadAnswer& answer);
+             const contracts::ReadAnswer& answer);
   void OnAppendAnswer(MonotonicTime now, std::uint64_t id,
-                      platform::AppendOutcome outcome);
-  void OnVmList(MonotonicTime now, const platform::VmListAnswer& list);
+                      contracts::AppendOutcome outcome);
+  void OnVmList(MonotonicTime now, const contracts::VmListAnswer& list);
   void OnConfig(MonotonicTime now, const config::Objects& objects);
   void OnCommandAnswer(MonotonicTime now, std::uint64_t id,
-                       const platform::CommandAnswer& answer);
+                       const contracts::CommandAnswer& answer);
   void OnStop(MonotonicTime now);
   bool stopped() const { return stopped_; }
   const WorkFold& fold() const { return fold_; }
@@ -97,15 +97,15 @@
   using TaskChart = statechart::StateChart<LocalState, LocalEvent, TaskContext>;
 
   struct CommandInFlight {
-    platform::WorkerVerb verb = platform::WorkerVerb::kFence;
+    contracts::WorkerVerb verb = contracts::WorkerVerb::kFence;
     std::string worker;
-    platform::FencingToken token = 0;
-    platform::AttemptId id;
+    contracts::FencingToken token = 0;
+    contracts::AttemptId id;
     MonotonicTime sent_at;
   };
   struct Plan {
     std::string cell;
-    platform::FencingToken token = 0;
+    contracts::FencingToken token = 0;
     std::string worker;
   };
 
@@ -161,34 +161,34 @@
 
   // scheduler_reports.cc
   std::uint64_t Send(MonotonicTime now, const WorkerSession& session,
-                     platform::WorkerCommand command);
+                     contracts::WorkerCommand command);
   void OnControlAnswer(MonotonicTime now, std::uint64_t id,
                        const CommandInFlight& sent, WorkerSession& session,
-                       const platform::CommandAnswer& answer);
+                       const contracts::CommandAnswer& answer);
   void OnStartAnswer(MonotonicTime now, std::uint64_t id,
                      const CommandInFlight& sent, WorkerSession& session,
-                     const platform::CommandAnswer& answer);
+                     const contracts::CommandAnswer& answer);
   void OnStale(MonotonicTime now, WorkerSession& session);
   void ProcessReport(MonotonicTime now, std::uint64_t sent_id,
                      WorkerSession& session,
-                     const platform::WorkerReport& report);
+                     const contracts::WorkerReport& report);
   void ProcessRunning(MonotonicTime now, WorkerSession& session,
-                      const platform::TaskReport& report,
-                      std::set<platform::AttemptId>& strays);
+                      const contracts::TaskReport& report,
+                      std::set<contracts::AttemptId>& strays);
   void ProcessEnded(MonotonicTime now, WorkerSession& session,
-                    const platform::TaskReport& report);
+                    const contracts::TaskReport& report);
   void FindVanished(MonotonicTime now, std::uint64_t sent_id,
                     WorkerSession& session,
-                    const std::set<platform::AttemptId>& named);
+                    const std::set<contracts::AttemptId>& named);
   void UpdateStrays(MonotonicTime now, WorkerSession& session,
-                    std::set<platform::AttemptId> strays);
+                    std::set<contracts::AttemptId> strays);
   void ClearStrays(WorkerSession& session);
   // Whether an attempt of the task that must not run is still known to run.
   bool HasStray(const std::string& task) const;
   void AdoptRunning(MonotonicTime now, WorkerSession& session, LocalTask& task,
-                    const platform::TaskReport& report);
+                    const contracts::TaskReport& report);
   void Forget(MonotonicTime now, WorkerSession& session,
-              const platform::AttemptId& id);
+              const contracts::AttemptId& id);
 
   // scheduler_tasks.cc
   LocalTask* FindLocal(const std::string& task);
@@ -248,7 +248,7 @@
   std::map<std::uint64_t, CommandInFlight> commands_;
   std::uint64_t next_command_ = 1;
   // The newest VM list, workers by name.
-  std::map<std::string, platform::Vm> vms_;
+  std::map<std::string, contracts::Vm> vms_;
   // VMs that the configuration in force empties.
   std::set<std::string> drained_;
   WallTime vms_as_of_{};
--- a/src/work/internal/scheduler_monitor.cc
+++ b/src/work/internal/scheduler_monitor.cc
@@ -31,9 +31,9 @@
 }
 
 void SchedulerMonitor::MarkReplaced() {
-  std::map<std::string, platform::Offset> newest;
+  std::map<std::string, contracts::Offset> newest;
   for (const auto& [name, seen] : seen_) {
-    platform::Offset& offset = newest[NameOf(name)];
+    contracts::Offset& offset = newest[NameOf(name)];
     offset = std::max(offset, seen.last_offset);
   }
   for (auto& [name, seen] : seen_) {
--- a/src/work/internal/scheduler_monitor.h
+++ b/src/work/internal/scheduler_monitor.h
@@ -36,7 +36,7 @@
  private:
   struct Seen {
     std::string zone;
-    platform::Offset last_offset = 0;
+    contracts::Offset last_offset = 0;
     MonotonicTime at;
     // A newer incarnation of the same name writes.
     bool replaced = false;
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -21,7 +21,7 @@
 // How long an owner that didn't reach a cell leaves it to others.
 constexpr std::chrono::minutes kAvoid{2};
 
-std::string CellOf(const platform::Vm& vm) { return vm.zone + "/" + vm.rack; }
+std::string CellOf(const contracts::Vm& vm) { return vm.zone + "/" + vm.rack; }
 
 }  // namespace
 
@@ -61,7 +61,7 @@
   OwnCell& cell = cells_[name];
   cell.cell = name;
   if (folded != nullptr) cell.zone = folded->zone;
-  const platform::FencingToken token = folded == nullptr ? 0 : folded->token;
+  const contracts::FencingToken token = folded == nullptr ? 0 : folded->token;
   if (cell.claim_in_flight.has_value() && *cell.claim_in_flight != token) {
     cell.claim_in_flight.reset();
   }
@@ -124,7 +124,8 @@
 
 void SchedulerCore::Impl::SendClaim(MonotonicTime now, OwnCell& cell) {
   const FoldedCell* folded = fold_.FindCell(cell.cell);
-  const platform::FencingToken previous = folded == nullptr ? 0 : folded->token;
+  const contracts::FencingToken previous =
+      folded == nullptr ? 0 : folded->token;
   queue_.Add(ClaimRecord{.cell = cell.cell,
                          .zone = cell.zone,
                          .scheduler = options_.name,
@@ -332,7 +333,7 @@
     }
   }
   for (const auto& [name, vm] : vms_) {
-    if (CellOf(vm) != cell.cell || vm.state == platform::VmState::kLeaving) {
+    if (CellOf(vm) != cell.cell || vm.state == contracts::VmState::kLeaving) {
       continue;
     }
     if (sessions_.contains(name) || members >= kMaxMembers) continue;
@@ -345,14 +346,14 @@
 }
 
 void SchedulerCore::Impl::OnVmList(MonotonicTime now,
-                                   const platform::VmListAnswer& list) {
+                                   const contracts::VmListAnswer& list) {
   // An older list than the last one says nothing new.
   if (vms_known_ && list.as_of <= vms_as_of_) return;
   vms_known_ = true;
   vms_as_of_ = list.as_of;
   vms_.clear();
-  for (const platform::Vm& vm : list.vms) {
-    if (vm.role != platform::VmRole::kWorker) continue;
+  for (const contracts::Vm& vm : list.vms) {
+    if (vm.role != contracts::VmRole::kWorker) continue;
     vms_[vm.name] = vm;
     OwnCell& cell = cells_[CellOf(vm)];
     cell.cell = CellOf(vm);
@@ -371,7 +372,7 @@
     if (!session.absent_since.has_value()) session.absent_since = now;
   } else {
     session.absent_since.reset();
-    session.leaving = vm->second.state == platform::VmState::kLeaving ||
+    session.leaving = vm->second.state == contracts::VmState::kLeaving ||
                       drained_.contains(session.worker);
     session.address = vm->second.address;
   }
@@ -431,16 +432,16 @@
   CheckGone(now, session);
   if (session.contact == Contact::kGone) return;
   if (session.control_in_flight || now < session.next_control) return;
-  platform::WorkerCommand command;
+  contracts::WorkerCommand command;
   // Until the worker may be fenced it is renewed all the same: nobody else may
   // be left to keep its tasks alive.
   const bool too_early =
       session.contact == Contact::kUnfenced && !MayFence(now, *cell);
   if (session.contact == Contact::kFenced || too_early) {
-    command.verb = platform::WorkerVerb::kRenew;
+    command.verb = contracts::WorkerVerb::kRenew;
     command.lease = options_.lease;
   } else {
-    command.verb = platform::WorkerVerb::kFence;
+    command.verb = contracts::WorkerVerb::kFence;
   }
   session.control_in_flight = true;
   Send(now, session, command);
--- a/src/work/internal/scheduler_placing.cc
+++ b/src/work/internal/scheduler_placing.cc
@@ -40,7 +40,7 @@
     return;
   }
   if (plans_.contains(id)) return;
-  const platform::Offset order = job == nullptr ? 0 : job->offset;
+  const contracts::Offset order = job == nullptr ? 0 : job->offset;
   const std::uint32_t failures = folded == nullptr ? 0 : folded->failures;
   pending_.Add(id, *spec, order,
                now + TakeDelay(now, id, *spec) + FailureDelay(failures));
@@ -65,7 +65,7 @@
   const WorkerSession* session = FindSession(*worker);
   OwnCell* cell = session == nullptr ? nullptr : FindOwned(session->cell);
   if (cell == nullptr || cell->state == CellState::kSuspended) return false;
-  const platform::AttemptId planned{.task = id, .attempt = 0};
+  const contracts::AttemptId planned{.task = id, .attempt = 0};
   if (!table_.Reserve(*worker, planned, spec->resources)) return false;
   plans_[id] = {.cell = cell->cell, .token = cell->token, .worker = *worker};
   queue_.AddTake(cell->cell, cell->token, id);
