--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -18,7 +18,7 @@
 
 std::uint64_t SchedulerCore::Impl::Send(MonotonicTime now,
                                         const WorkerSession& session,
-                                        platform::WorkerCommand command) {
+                                        contracts::WorkerCommand command) {
   const std::uint64_t id = next_command_++;
   command.worker = session.worker;
   command.address = session.address;
@@ -36,7 +36,7 @@
 
 void SchedulerCore::Impl::OnCommandAnswer(
     MonotonicTime now, std::uint64_t id,
-    const platform::CommandAnswer& answer) {
+    const contracts::CommandAnswer& answer) {
   const auto found = commands_.find(id);
   if (found == commands_.end()) return;
   const CommandInFlight sent = found->second;
@@ -44,28 +44,28 @@
   WorkerSession* session = FindSession(sent.worker);
   // An answer to a command of an earlier claim says nothing about this one.
   if (session == nullptr || session->token != sent.token) return;
-  if (answer.outcome == platform::CommandOutcome::kStale) {
+  if (answer.outcome == contracts::CommandOutcome::kStale) {
     OnStale(now, *session);
     return;
   }
   switch (sent.verb) {
-    case platform::WorkerVerb::kFence:
-    case platform::WorkerVerb::kRenew:
+    case contracts::WorkerVerb::kFence:
+    case contracts::WorkerVerb::kRenew:
       OnControlAnswer(now, id, sent, *session, answer);
       break;
-    case platform::WorkerVerb::kStart:
+    case contracts::WorkerVerb::kStart:
       OnStartAnswer(now, id, sent, *session, answer);
       break;
-    case platform::WorkerVerb::kStop:
+    case contracts::WorkerVerb::kStop:
       if (LocalTask* task = FindLocal(sent.id.task); task != nullptr) {
         task->stop_in_flight = false;
       }
-      if (answer.outcome == platform::CommandOutcome::kDone) {
+      if (answer.outcome == contracts::CommandOutcome::kDone) {
         ProcessReport(now, id, *session, answer.report);
       }
       break;
-    case platform::WorkerVerb::kThrottle:
-    case platform::WorkerVerb::kForget:
+    case contracts::WorkerVerb::kThrottle:
+    case contracts::WorkerVerb::kForget:
       break;
   }
 }
@@ -82,13 +82,13 @@
 
 void SchedulerCore::Impl::OnControlAnswer(
     MonotonicTime now, std::uint64_t id, const CommandInFlight& sent,
-    WorkerSession& session, const platform::CommandAnswer& answer) {
+    WorkerSession& session, const contracts::CommandAnswer& answer) {
   session.control_in_flight = false;
-  const bool renewal = sent.verb == platform::WorkerVerb::kRenew;
-  if (answer.outcome != platform::CommandOutcome::kDone) {
+  const bool renewal = sent.verb == contracts::WorkerVerb::kRenew;
+  if (answer.outcome != contracts::CommandOutcome::kDone) {
     const bool no_effect =
-        answer.outcome == platform::CommandOutcome::kNotSent ||
-        answer.outcome == platform::CommandOutcome::kRefused;
+        answer.outcome == contracts::CommandOutcome::kNotSent ||
+        answer.outcome == contracts::CommandOutcome::kRefused;
     if (renewal && !no_effect) ++session.renewals_in_doubt;
     LoseContact(now, session);
     return;
@@ -115,11 +115,10 @@
   if (first) CheckResolved(now, *cell);
 }
 
-void SchedulerCore::Impl::OnStartAnswer(MonotonicTime now, std::uint64_t id,
-                                        const CommandInFlight& sent,
-                                        WorkerSession& session,
-                                        const platform::CommandAnswer& answer) {
-  if (answer.outcome == platform::CommandOutcome::kUnknown) {
+void SchedulerCore::Impl::OnStartAnswer(
+    MonotonicTime now, std::uint64_t id, const CommandInFlight& sent,
+    WorkerSession& session, const contracts::CommandAnswer& answer) {
+  if (answer.outcome == contracts::CommandOutcome::kUnknown) {
     session.remember.insert(sent.id);
     OwnCell* cell = FindOwned(session.cell);
     if (session.remember.size() > kMaxRemembered && cell != nullptr) {
@@ -134,22 +133,22 @@
   task->start_in_flight = false;
   to_advance_.insert(task->id);
   switch (answer.outcome) {
-    case platform::CommandOutcome::kDone:
+    case contracts::CommandOutcome::kDone:
       task->start_in_doubt = false;
       task->confirmed_by = next_command_;
       session.lease_bound = std::max(session.lease_bound, now + LeaseBound());
       ProcessReport(now, id, session, answer.report);
       return;
-    case platform::CommandOutcome::kUnknown:
-    case platform::CommandOutcome::kStale:
+    case contracts::CommandOutcome::kUnknown:
+    case contracts::CommandOutcome::kStale:
       task->start_in_doubt = task->state == LocalState::kStarting;
       LoseContact(now, session);
       return;
-    case platform::CommandOutcome::kNotSent:
+    case contracts::CommandOutcome::kNotSent:
       LoseContact(now, session);
       break;
-    case platform::CommandOutcome::kNoRoom:
-    case platform::CommandOutcome::kRefused:
+    case contracts::CommandOutcome::kNoRoom:
+    case contracts::CommandOutcome::kRefused:
       session.refused_until = now + kAfterRefusal;
       UpdateUsable(now, session);
       break;
@@ -168,13 +167,13 @@
 void SchedulerCore::Impl::ProcessReport(MonotonicTime now,
                                         std::uint64_t sent_id,
                                         WorkerSession& session,
-                                        const platform::WorkerReport& report) {
+                                        const contracts::WorkerReport& report) {
   table_.SetCapacity(session.worker, report.capacity);
-  std::set<platform::AttemptId> named;
-  std::set<platform::AttemptId> strays;
-  for (const platform::TaskReport& task : report.tasks) {
+  std::set<contracts::AttemptId> named;
+  std::set<contracts::AttemptId> strays;
+  for (const contracts::TaskReport& task : report.tasks) {
     named.insert(task.id);
-    if (task.state == platform::TaskState::kRunning) {
+    if (task.state == contracts::TaskState::kRunning) {
       ProcessRunning(now, session, task, strays);
     } else {
       ProcessEnded(now, session, task);
@@ -186,7 +185,8 @@
 
 void SchedulerCore::Impl::ProcessRunning(
     MonotonicTime now, WorkerSession& session,
-    const platform::TaskReport& report, std::set<platform::AttemptId>& strays) {
+    const contracts::TaskReport& report,
+    std::set<contracts::AttemptId>& strays) {
   LocalTask* task = FindLocal(report.id.task);
   if (task == nullptr || task->cell != session.cell) {
     strays.insert(report.id);
@@ -228,7 +228,7 @@
 
 void SchedulerCore::Impl::AdoptRunning(MonotonicTime now,
                                        WorkerSession& session, LocalTask& task,
-                                       const platform::TaskReport& report) {
+                                       const contracts::TaskReport& report) {
   task.worker = session.worker;
   task.attempt = report.id.attempt;
   task.next_attempt = std::max(task.next_attempt, report.id.attempt + 1);
@@ -247,7 +247,7 @@
 
 void SchedulerCore::Impl::ProcessEnded(MonotonicTime now,
                                        WorkerSession& session,
-                                       const platform::TaskReport& report) {
+                                       const contracts::TaskReport& report) {
   LocalTask* task = FindLocal(report.id.task);
   table_.Release(session.worker, report.id);
   if (task == nullptr || task->cell != session.cell ||
@@ -289,7 +289,7 @@
 
 void SchedulerCore::Impl::FindVanished(
     MonotonicTime now, std::uint64_t sent_id, WorkerSession& session,
-    const std::set<platform::AttemptId>& named) {
+    const std::set<contracts::AttemptId>& named) {
   std::vector<std::string> vanished;
   for (const LocalTask& task : session.tasks) {
     const bool believed = task.state == LocalState::kRunning ||
@@ -302,7 +302,7 @@
   for (const std::string& id : vanished) {
     LocalTask& task = *FindLocal(id);
     task.ending = {.attempt = task.attempt,
-                   .state = platform::TaskState::kRunning,
+                   .state = contracts::TaskState::kRunning,
                    .checkpoint = task.checkpoint,
                    .reason = "the worker does not know it any more"};
     Fire(now, task, LocalEvent::kFoundEnded);
@@ -312,13 +312,13 @@
 
 void SchedulerCore::Impl::UpdateStrays(MonotonicTime now,
                                        WorkerSession& session,
-                                       std::set<platform::AttemptId> strays) {
-  for (const platform::AttemptId& id : session.strays) {
+                                       std::set<contracts::AttemptId> strays) {
+  for (const contracts::AttemptId& id : session.strays) {
     if (!strays.contains(id)) table_.Release(session.worker, id);
   }
   ClearStrays(session);
   session.strays = std::move(strays);
-  for (const platform::AttemptId& id : session.strays) {
+  for (const contracts::AttemptId& id : session.strays) {
     strays_.emplace(id.task, session.worker);
   }
   const OwnCell* cell = FindOwned(session.cell);
@@ -327,10 +327,10 @@
   }
   if (session.strays.empty() || now < session.next_stray_stop) return;
   session.next_stray_stop = now + options_.probe_every;
-  for (const platform::AttemptId& id : session.strays) {
+  for (const contracts::AttemptId& id : session.strays) {
     ++counters_.strays;
-    platform::WorkerCommand command;
-    command.verb = platform::WorkerVerb::kStop;
+    contracts::WorkerCommand command;
+    command.verb = contracts::WorkerVerb::kStop;
     command.id = id;
     command.take_checkpoint = false;
     Send(now, session, command);
@@ -338,7 +338,7 @@
 }
 
 void SchedulerCore::Impl::ClearStrays(WorkerSession& session) {
-  for (const platform::AttemptId& id : session.strays) {
+  for (const contracts::AttemptId& id : session.strays) {
     strays_.erase({id.task, session.worker});
   }
   session.strays.clear();
@@ -350,11 +350,11 @@
 }
 
 void SchedulerCore::Impl::Forget(MonotonicTime now, WorkerSession& session,
-                                 const platform::AttemptId& id) {
+                                 const contracts::AttemptId& id) {
   if (stopping_ || session.contact != Contact::kFenced) return;
   if (session.remember.contains(id)) return;
-  platform::WorkerCommand command;
-  command.verb = platform::WorkerVerb::kForget;
+  contracts::WorkerCommand command;
+  command.verb = contracts::WorkerVerb::kForget;
   command.id = id;
   Send(now, session, command);
 }
--- a/src/work/internal/scheduler_status.cc
+++ b/src/work/internal/scheduler_status.cc
@@ -133,7 +133,7 @@
   }
   for (const auto& [id, task] : locals_) {
     if (task.endpoint.empty() || !task.has_spec) continue;
-    if (task.spec.kind != platform::TaskKind::kService) continue;
+    if (task.spec.kind != contracts::TaskKind::kService) continue;
     const auto session = sessions_.find(task.worker);
     const bool leaving = session != sessions_.end() && session->second.leaving;
     const auto cell = cells_.find(task.cell);
--- a/src/work/internal/scheduler_tasks.cc
+++ b/src/work/internal/scheduler_tasks.cc
@@ -19,13 +19,13 @@
 TaskResult ResultOf(const std::optional<Ending>& ending, bool cancelled) {
   if (!ending.has_value()) return TaskResult::kReleased;
   switch (ending->state) {
-    case platform::TaskState::kFinished:
+    case contracts::TaskState::kFinished:
       return TaskResult::kFinished;
-    case platform::TaskState::kFailed:
+    case contracts::TaskState::kFailed:
       return TaskResult::kFailed;
-    case platform::TaskState::kStopped:
-    case platform::TaskState::kLeaseExpired:
-    case platform::TaskState::kRunning:
+    case contracts::TaskState::kStopped:
+    case contracts::TaskState::kLeaseExpired:
+    case contracts::TaskState::kRunning:
       break;
   }
   return cancelled ? TaskResult::kCancelled : TaskResult::kReleased;
@@ -164,7 +164,7 @@
   if (task.next_attempt >= task.first_attempt + kAttemptsPerClaim * 1000) {
     return;
   }
-  const platform::AttemptId planned{.task = task.id, .attempt = 0};
+  const contracts::AttemptId planned{.task = task.id, .attempt = 0};
   std::string worker;
   if (!task.planned_worker.empty()) {
     worker = std::exchange(task.planned_worker, "");
@@ -177,7 +177,7 @@
         {.task = task.id, .spec = task.spec, .cell = task.cell}, table_, now);
     worker = picked.value_or("");
   }
-  const platform::AttemptId id{.task = task.id, .attempt = task.next_attempt};
+  const contracts::AttemptId id{.task = task.id, .attempt = task.next_attempt};
   if (worker.empty() || !table_.Reserve(worker, id, task.spec.resources)) {
     if (LogHealthy(now)) {
       Fire(now, task, LocalEvent::kGiveUp);
@@ -201,8 +201,8 @@
   WorkerSession* session = FindSession(task.worker);
   if (session == nullptr || session->contact != Contact::kFenced) return;
   if (!OwnerLeaseValid(now)) return;
-  platform::WorkerCommand command;
-  command.verb = platform::WorkerVerb::kStart;
+  contracts::WorkerCommand command;
+  command.verb = contracts::WorkerVerb::kStart;
   command.id = {.task = task.id, .attempt = task.attempt};
   command.lease = options_.lease;
   command.kind = task.spec.kind;
@@ -220,8 +220,8 @@
   task.not_before = now + options_.probe_every;
   WorkerSession* session = FindSession(task.worker);
   if (session == nullptr || session->contact != Contact::kFenced) return;
-  platform::WorkerCommand command;
-  command.verb = platform::WorkerVerb::kStop;
+  contracts::WorkerCommand command;
+  command.verb = contracts::WorkerVerb::kStop;
   command.id = {.task = task.id, .attempt = task.attempt};
   command.take_checkpoint =
       task.spec.checkpoints && catalog_.Wanted(task.id, fold_);
@@ -260,7 +260,7 @@
     return;
   }
   const bool stable = now - task.running_since >= kStableRun;
-  const bool failed = task.ending->state == platform::TaskState::kFailed;
+  const bool failed = task.ending->state == contracts::TaskState::kFailed;
   task.restarts = failed && !stable ? task.restarts + 1 : 0;
   task.not_before = now;
   if (task.restarts > 0) {
@@ -277,7 +277,7 @@
     LocalTask& task = *FindLocal(id);
     if (!task.ending.has_value() || task.ending->attempt != task.attempt) {
       task.ending = {.attempt = task.attempt,
-                     .state = platform::TaskState::kRunning,
+                     .state = contracts::TaskState::kRunning,
                      .checkpoint = task.checkpoint,
                      .reason = reason};
     }
--- a/src/work/internal/task_catalog.cc
+++ b/src/work/internal/task_catalog.cc
@@ -31,7 +31,7 @@
   const std::map<std::string, TaskSpec> before =
       std::exchange(configured_, std::map<std::string, TaskSpec>{});
   for (const auto& [name, service] : objects.services) {
-    const TaskSpec spec{.kind = platform::TaskKind::kService,
+    const TaskSpec spec{.kind = contracts::TaskKind::kService,
                         .object = name,
                         .team = service.team,
                         .pool = service.pool,
@@ -45,7 +45,7 @@
     }
   }
   for (const auto& [name, worker] : objects.standing_workers) {
-    const TaskSpec spec{.kind = platform::TaskKind::kStanding,
+    const TaskSpec spec{.kind = contracts::TaskKind::kStanding,
                         .object = name,
                         .team = worker.team,
                         .pool = worker.pool,
@@ -69,7 +69,7 @@
 }
 
 TaskSpec TaskCatalog::JobSpec(const config::BatchJob& job) const {
-  return {.kind = platform::TaskKind::kBatch,
+  return {.kind = contracts::TaskKind::kBatch,
           .object = job.name,
           .team = job.team,
           .pool = job.pool,
--- a/src/work/internal/work_fold.cc
+++ b/src/work/internal/work_fold.cc
@@ -62,7 +62,7 @@
 // Collects entries to parts of bounded size.
 class PartBuilder {
  public:
-  PartBuilder(std::string id, platform::Offset base)
+  PartBuilder(std::string id, contracts::Offset base)
       : id_(std::move(id)), base_(base) {
     AddPart();
   }
@@ -88,7 +88,7 @@
   }
 
   std::string id_;
-  platform::Offset base_;
+  contracts::Offset base_;
   std::vector<SnapshotRecord> parts_;
   std::size_t entries_ = 0;
 };
@@ -99,16 +99,16 @@
   return submission + "/" + std::to_string(index);
 }
 
-void WorkFold::Apply(const platform::ReadAnswer& answer) {
+void WorkFold::Apply(const contracts::ReadAnswer& answer) {
   if (next_ < answer.first_kept) Reset(answer.first_kept);
-  for (const platform::LogRecord& record : answer.records) {
+  for (const contracts::LogRecord& record : answer.records) {
     if (record.offset != next_) continue;
     ApplyRecord(record);
     ++next_;
   }
 }
 
-void WorkFold::ApplyRecord(const platform::LogRecord& record) {
+void WorkFold::ApplyRecord(const contracts::LogRecord& record) {
   if (snapshot_at_ == WallTime{}) snapshot_at_ = record.appended_at;
   newest_at_ = std::max(newest_at_, record.appended_at);
   WorkRecord body = UnknownRecord{};
@@ -125,13 +125,14 @@
   }
 }
 
-void WorkFold::ApplyBody(const platform::LogRecord& record,
+void WorkFold::ApplyBody(const contracts::LogRecord& record,
                          const WorkRecord& body) {
   std::visit([&](const auto& typed) { Fold(record, typed); }, body);
   ForgetOld(record.appended_at);
 }
 
-void WorkFold::Wait(const platform::LogRecord& record, const WorkRecord& body) {
+void WorkFold::Wait(const contracts::LogRecord& record,
+                    const WorkRecord& body) {
   if (waiting_.size() >= kMaxWaiting) {
     throw Error("work log", "log service",
                 "no snapshot within " + std::to_string(kMaxWaiting) +
@@ -150,7 +151,7 @@
   Load(whole);
   ready_ = true;
   changes_.reset = true;
-  const std::vector<std::pair<platform::LogRecord, WorkRecord>> since =
+  const std::vector<std::pair<contracts::LogRecord, WorkRecord>> since =
       std::exchange(waiting_, {});
   parts_.clear();
   for (const auto& [at, later] : since) {
@@ -158,7 +159,7 @@
   }
 }
 
-void WorkFold::Reset(platform::Offset next) {
+void WorkFold::Reset(contracts::Offset next) {
   WorkFold fresh;
   fresh.next_ = next;
   fresh.ready_ = next == 1;
@@ -212,7 +213,8 @@
   }
 }
 
-void WorkFold::Fold(const platform::LogRecord& at, const SubmitRecord& record) {
+void WorkFold::Fold(const contracts::LogRecord& at,
+                    const SubmitRecord& record) {
   const std::uint32_t count = record.spec.tasks;
   if (count == 0 || count > kMaxTasksPerJob || record.submission.empty() ||
       record.submission.find('/') != std::string::npos) {
@@ -228,7 +230,8 @@
   }
 }
 
-void WorkFold::Fold(const platform::LogRecord& at, const CancelRecord& record) {
+void WorkFold::Fold(const contracts::LogRecord& at,
+                    const CancelRecord& record) {
   const auto found = jobs_.find(record.submission);
   if (found == jobs_.end() || found->second.cancelled ||
       found->second.Ended()) {
@@ -246,13 +249,13 @@
   }
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const HeartbeatRecord& record) {
   schedulers_[record.scheduler] = {
       .zone = record.zone, .last_offset = at.offset, .last_at = at.appended_at};
 }
 
-void WorkFold::Fold(const platform::LogRecord& at, const ClaimRecord& record) {
+void WorkFold::Fold(const contracts::LogRecord& at, const ClaimRecord& record) {
   FoldedCell& cell = cells_[record.cell];
   if (cell.token != record.previous) return;
   if (cell.claims != 0 && cell.zone != record.zone) return;
@@ -270,7 +273,7 @@
 }
 
 FoldedCell* WorkFold::CurrentCell(const std::string& cell,
-                                  platform::FencingToken token) {
+                                  contracts::FencingToken token) {
   const auto found = cells_.find(cell);
   if (found == cells_.end()) return nullptr;
   FoldedCell& current = found->second;
@@ -278,7 +281,7 @@
   return &current;
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const RelinquishRecord& record) {
   static_cast<void>(at);
   FoldedCell* cell = CurrentCell(record.cell, record.token);
@@ -291,7 +294,7 @@
   changes_.cells.insert(record.cell);
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const MembersRecord& record) {
   FoldedCell* cell = CurrentCell(record.cell, record.token);
   if (cell == nullptr) return;
@@ -314,7 +317,7 @@
   changes_.cells.insert(record.cell);
 }
 
-void WorkFold::Fold(const platform::LogRecord& at, const TakeRecord& record) {
+void WorkFold::Fold(const contracts::LogRecord& at, const TakeRecord& record) {
   FoldedCell* cell = CurrentCell(record.cell, record.token);
   if (cell == nullptr) return;
   for (const std::string& id : record.tasks) {
@@ -329,14 +332,14 @@
   }
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const ResultsRecord& record) {
   FoldedCell* cell = CurrentCell(record.cell, record.token);
   if (cell == nullptr) return;
   for (const ResultEntry& entry : record.results) FoldResult(at, *cell, entry);
 }
 
-void WorkFold::FoldResult(const platform::LogRecord& at, FoldedCell& cell,
+void WorkFold::FoldResult(const contracts::LogRecord& at, FoldedCell& cell,
                           const ResultEntry& entry) {
   const std::string& id = entry.id.task;
   if (cell.tasks.count(id) == 0) return;
@@ -366,7 +369,7 @@
   task.stage = TaskStage::kPending;
 }
 
-void WorkFold::EndTask(const platform::LogRecord& at, const std::string& id,
+void WorkFold::EndTask(const contracts::LogRecord& at, const std::string& id,
                        FoldedTask& task, TaskStage stage) {
   task.stage = stage;
   FoldedJob* job = FindJobOf(id);
@@ -393,13 +396,13 @@
   }
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const SnapshotRecord& record) {
   // The state is whole already.
   if (record.part + 1 == record.parts) snapshot_at_ = at.appended_at;
 }
 
-void WorkFold::Fold(const platform::LogRecord& at,
+void WorkFold::Fold(const contracts::LogRecord& at,
                     const UnknownRecord& record) {
   static_cast<void>(at);
   static_cast<void>(record);
--- a/src/work/internal/work_record.cc
+++ b/src/work/internal/work_record.cc
@@ -49,13 +49,13 @@
   return strings;
 }
 
-json::object EncodeResources(const platform::Resources& resources) {
+json::object EncodeResources(const contracts::Resources& resources) {
   return {{"milli_cpus", resources.milli_cpus},
           {"memory", resources.memory.bytes},
           {"accelerators", resources.accelerators}};
 }
 
-platform::Resources DecodeResources(const JsonReader& reader) {
+contracts::Resources DecodeResources(const JsonReader& reader) {
   return {.milli_cpus = reader.Unsigned("milli_cpus"),
           .memory = {.bytes = reader.Unsigned("memory")},
           .accelerators =
@@ -441,14 +441,14 @@
   return DecodeKind(reader, source);
 }
 
-platform::NewRecord MakeSubmit(const std::string& submission,
-                               const config::BatchJob& spec) {
+contracts::NewRecord MakeSubmit(const std::string& submission,
+                                const config::BatchJob& spec) {
   return {.id = "submit-" + submission,
           .data = EncodeRecord(
               SubmitRecord{.submission = submission, .spec = spec})};
 }
 
-platform::NewRecord MakeCancel(const std::string& submission) {
+contracts::NewRecord MakeCancel(const std::string& submission) {
   return {.id = "cancel-" + submission,
           .data = EncodeRecord(CancelRecord{.submission = submission})};
 }
--- a/src/work/internal/worker_session.h
+++ b/src/work/internal/worker_session.h
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
+#include "contracts/types/log_record.h"
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
-#include "platform/types/worker.h"
 #include "work/internal/local_task.h"
 
 namespace carobmast::work {
@@ -28,9 +28,9 @@
   std::string pool;
   // Carried by every command: the offset of the claim or of the record that
   // added the worker to the cell, whichever is later.
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   // Offset of the record that added it.
-  platform::Offset added_at = 0;
+  contracts::Offset added_at = 0;
   // Member at the claim: may run tasks that were taken before it.
   bool at_claim = false;
   Contact contact = Contact::kUnfenced;
@@ -48,11 +48,11 @@
   // No starts before this, after a refusal.
   MonotonicTime refused_until;
   // Running attempts that must not run.
-  std::set<platform::AttemptId> strays;
+  std::set<contracts::AttemptId> strays;
   MonotonicTime next_stray_stop;
   // Attempts of which a start had no whole answer: the worker must remember
   // them, so that the start does nothing if it arrives later.
-  std::set<platform::AttemptId> remember;
+  std::set<contracts::AttemptId> remember;
   LocalTaskList tasks;
 };
 
--- a/src/work/internal/worker_table.cc
+++ b/src/work/internal/worker_table.cc
@@ -8,15 +8,15 @@
   return from > amount ? from - amount : Number{0};
 }
 
-platform::Resources Plus(const platform::Resources& a,
-                         const platform::Resources& b) {
+contracts::Resources Plus(const contracts::Resources& a,
+                          const contracts::Resources& b) {
   return {.milli_cpus = a.milli_cpus + b.milli_cpus,
           .memory = {.bytes = a.memory.bytes + b.memory.bytes},
           .accelerators = a.accelerators + b.accelerators};
 }
 
-platform::Resources Minus(const platform::Resources& a,
-                          const platform::Resources& b) {
+contracts::Resources Minus(const contracts::Resources& a,
+                           const contracts::Resources& b) {
   return {.milli_cpus = Less(a.milli_cpus, b.milli_cpus),
           .memory = {.bytes = Less(a.memory.bytes, b.memory.bytes)},
           .accelerators = Less(a.accelerators, b.accelerators)};
@@ -24,12 +24,12 @@
 
 }  // namespace
 
-bool Fits(const platform::Resources& need, const platform::Resources& free) {
+bool Fits(const contracts::Resources& need, const contracts::Resources& free) {
   return need.milli_cpus <= free.milli_cpus && need.memory <= free.memory &&
          need.accelerators <= free.accelerators;
 }
 
-platform::Resources OwnedWorker::Free() const {
+contracts::Resources OwnedWorker::Free() const {
   return Minus(capacity, committed);
 }
 
@@ -59,7 +59,7 @@
 }
 
 void WorkerTable::SetCapacity(const std::string& worker,
-                              const platform::Resources& capacity) {
+                              const contracts::Resources& capacity) {
   Update(worker, [&](OwnedWorker& entry) { entry.capacity = capacity; });
 }
 
@@ -68,8 +68,8 @@
 }
 
 bool WorkerTable::Reserve(const std::string& worker,
-                          const platform::AttemptId& id,
-                          const platform::Resources& need) {
+                          const contracts::AttemptId& id,
+                          const contracts::Resources& need) {
   const OwnedWorker* entry = Find(worker);
   if (entry == nullptr || !Fits(need, entry->Free())) return false;
   Adopt(worker, id, need);
@@ -77,8 +77,8 @@
 }
 
 void WorkerTable::Adopt(const std::string& worker,
-                        const platform::AttemptId& id,
-                        const platform::Resources& taken) {
+                        const contracts::AttemptId& id,
+                        const contracts::Resources& taken) {
   Release(worker, id);
   Update(worker, [&](OwnedWorker& entry) {
     entry.reservations[id] = taken;
@@ -87,7 +87,7 @@
 }
 
 void WorkerTable::Release(const std::string& worker,
-                          const platform::AttemptId& id) {
+                          const contracts::AttemptId& id) {
   Update(worker, [&](OwnedWorker& entry) {
     const auto found = entry.reservations.find(id);
     if (found == entry.reservations.end()) return;
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "config/types/objects.h"
+#include "contracts/types/log_record.h"
+#include "contracts/types/vm.h"
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
-#include "platform/types/vm.h"
-#include "platform/types/worker.h"
 #include "work/pick_worker.h"
 #include "work/types/status.h"
 #include "work/work_fold.h"
@@ -71,10 +71,10 @@
 
 struct SchedulerHooks {
   // Appends to the work stream; answered by OnAppendAnswer with the same id.
-  std::function<void(std::uint64_t id, std::vector<platform::NewRecord>)>
+  std::function<void(std::uint64_t id, std::vector<contracts::NewRecord>)>
       append;
   // Sends a command to a worker; answered by OnCommandAnswer with the same id.
-  std::function<void(std::uint64_t id, platform::WorkerCommand)> command;
+  std::function<void(std::uint64_t id, contracts::WorkerCommand)> command;
   // Chooses workers; PickFirstFit() when empty.
   PickWorker pick_worker;
   // State charts in YAML that override the built-in ones, when not empty.
@@ -113,21 +113,21 @@
   void OnTick(MonotonicTime now);
   // The answer to a read from next_offset() that was sent at `started`.
   void OnLog(MonotonicTime now, MonotonicTime started,
-             const platform::ReadAnswer& answer);
+             const contracts::ReadAnswer& answer);
   void OnAppendAnswer(MonotonicTime now, std::uint64_t id,
-                      platform::AppendOutcome outcome);
-  void OnVmList(MonotonicTime now, const platform::VmListAnswer& list);
+                      contracts::AppendOutcome outcome);
+  void OnVmList(MonotonicTime now, const contracts::VmListAnswer& list);
   // A configuration set came into force.
   void OnConfig(MonotonicTime now, const config::Objects& objects);
   void OnCommandAnswer(MonotonicTime now, std::uint64_t id,
-                       const platform::CommandAnswer& answer);
+                       const contracts::CommandAnswer& answer);
   // Starts the handover: no further command is sent, and the cells are given
   // up once the commands in flight were answered.
   void OnStop(MonotonicTime now);
 
   // The handover has reached the log.
   bool stopped() const;
-  platform::Offset next_offset() const;
+  contracts::Offset next_offset() const;
   const WorkFold& fold() const;
   const SchedulerCounters& counters() const;
   const WorkerTable& workers() const;
--- a/src/work/tests/recovery_test.cc
+++ b/src/work/tests/recovery_test.cc
@@ -12,7 +12,7 @@
 
 // By the reader that has read most.
 std::string OwnerOf(FakeWorld& world, const std::string& cell) {
-  platform::FencingToken newest = 0;
+  contracts::FencingToken newest = 0;
   std::string owner;
   for (const std::string& name : world.scheduler_names()) {
     const FoldedCell* folded = world.scheduler(name)->fold().FindCell(cell);
@@ -372,7 +372,7 @@
     world.SetConfig(objects);
     world.RunFor(seconds(15));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.Running());
-    CPPUNIT_ASSERT(world.worker(drained).Committed() == platform::Resources{});
+    CPPUNIT_ASSERT(world.worker(drained).Committed() == contracts::Resources{});
     AssertNoViolation(world);
   }
 
--- a/src/work/tests/scenario.h
+++ b/src/work/tests/scenario.h
@@ -11,7 +11,7 @@
 
 namespace carobmast::work {
 
-inline platform::Resources Need(std::uint64_t cpus, std::uint64_t gigabytes) {
+inline contracts::Resources Need(std::uint64_t cpus, std::uint64_t gigabytes) {
   return {.milli_cpus = cpus * 1000,
           .memory = {.bytes = gigabytes * 1000 * 1000 * 1000}};
 }
--- a/src/work/tests/work_fold_test.cc
+++ b/src/work/tests/work_fold_test.cc
@@ -11,11 +11,11 @@
 // A log that the test writes record by record.
 class TestLog {
  public:
-  platform::Offset Add(const WorkRecord& record) {
+  contracts::Offset Add(const WorkRecord& record) {
     return AddText(EncodeRecord(record));
   }
-  platform::Offset AddText(const std::string& text) {
-    const platform::Offset offset = records_.size() + 1;
+  contracts::Offset AddText(const std::string& text) {
+    const contracts::Offset offset = records_.size() + 1;
     records_.push_back(
         {.offset = offset,
          .appended_at = WallTime(std::chrono::milliseconds(offset)),
@@ -23,21 +23,21 @@
          .data = text});
     return offset;
   }
-  platform::ReadAnswer Read(platform::Offset first_kept = 1) const {
-    platform::ReadAnswer answer{.first_kept = first_kept,
-                                .next = records_.size() + 1};
-    for (const platform::LogRecord& record : records_) {
+  contracts::ReadAnswer Read(contracts::Offset first_kept = 1) const {
+    contracts::ReadAnswer answer{.first_kept = first_kept,
+                                 .next = records_.size() + 1};
+    for (const contracts::LogRecord& record : records_) {
       if (record.offset >= first_kept) answer.records.push_back(record);
     }
     return answer;
   }
 
  private:
-  std::vector<platform::LogRecord> records_;
+  std::vector<contracts::LogRecord> records_;
 };
 
 ClaimRecord Claim(const std::string& scheduler,
-                  platform::FencingToken previous) {
+                  contracts::FencingToken previous) {
   return {.cell = "zg-a/r0",
           .zone = "zg-a",
           .scheduler = scheduler,
@@ -69,7 +69,7 @@
  public:
   void OneClaimWins() {
     TestLog log;
-    const platform::Offset first = log.Add(Claim("s0/1", 0));
+    const contracts::Offset first = log.Add(Claim("s0/1", 0));
     log.Add(Claim("s1/2", 0));
     WorkFold fold;
     fold.Apply(log.Read());
@@ -79,10 +79,10 @@
 
   void FirstTakeWins() {
     TestLog log;
-    const platform::Offset a = log.Add(Claim("s0/1", 0));
+    const contracts::Offset a = log.Add(Claim("s0/1", 0));
     ClaimRecord other = Claim("s1/2", 0);
     other.cell = "zg-b/r0";
-    const platform::Offset b = log.Add(other);
+    const contracts::Offset b = log.Add(other);
     log.Add(TakeRecord{.cell = "zg-b/r0", .token = b, .tasks = {"watch/0"}});
     log.Add(TakeRecord{.cell = "zg-a/r0", .token = a, .tasks = {"watch/0"}});
     WorkFold fold;
@@ -94,10 +94,10 @@
   void RepeatedRecordsChangeNothing() {
     TestLog log;
     log.AddText(MakeSubmit("sub1", {.name = "job", .tasks = 2}).data);
-    const platform::Offset token = log.Add(Claim("s0/1", 0));
+    const contracts::Offset token = log.Add(Claim("s0/1", 0));
     const MembersRecord add{
         .cell = "zg-a/r0", .token = token, .add = {{.worker = "w0"}}};
-    const platform::Offset added = log.Add(add);
+    const contracts::Offset added = log.Add(add);
     const TakeRecord take{
         .cell = "zg-a/r0", .token = token, .tasks = {"sub1/0", "sub1/1"}};
     log.Add(take);
@@ -128,7 +128,7 @@
 
   void OldOwnerIsRefused() {
     TestLog log;
-    const platform::Offset old = log.Add(Claim("s0/1", 0));
+    const contracts::Offset old = log.Add(Claim("s0/1", 0));
     log.Add(Claim("s1/2", old));
     log.Add(TakeRecord{.cell = "zg-a/r0", .token = old, .tasks = {"watch/0"}});
     log.Add(RelinquishRecord{.cell = "zg-a/r0", .token = old});
@@ -144,7 +144,7 @@
   void SnapshotGivesTheSameState() {
     TestLog log;
     WorkFold whole;
-    const platform::Offset snapshot = Fill(log, whole);
+    const contracts::Offset snapshot = Fill(log, whole);
     WorkFold late;
     late.Apply(log.Read(snapshot));
     CPPUNIT_ASSERT(late.ready());
@@ -160,7 +160,7 @@
     TestLog log;
     WorkFold whole;
     Fill(log, whole);
-    const platform::Offset after = log.Read().next;
+    const contracts::Offset after = log.Read().next;
     log.Add(HeartbeatRecord{.scheduler = "s2/3", .zone = "zg-a"});
     WorkFold late;
     late.Apply(log.Read(after));
@@ -185,14 +185,14 @@
     WorkFold fold;
     fold.Apply(log.Read());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fold.malformed());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{5}, fold.next());
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{5}, fold.next());
   }
 
  private:
   // Returns the offset of the first part of a snapshot.
-  static platform::Offset Fill(TestLog& log, WorkFold& fold) {
+  static contracts::Offset Fill(TestLog& log, WorkFold& fold) {
     log.AddText(MakeSubmit("sub1", {.name = "job", .tasks = 1500}).data);
-    const platform::Offset token = log.Add(Claim("s0/1", 0));
+    const contracts::Offset token = log.Add(Claim("s0/1", 0));
     log.Add(MembersRecord{
         .cell = "zg-a/r0", .token = token, .add = {{.worker = "w0"}}});
     log.Add(TakeRecord{
@@ -202,7 +202,7 @@
                           .results = {{.id = {.task = "sub1/0", .attempt = 1},
                                        .result = TaskResult::kFinished}}});
     fold.Apply(log.Read());
-    const platform::Offset snapshot = fold.next();
+    const contracts::Offset snapshot = fold.next();
     for (const SnapshotRecord& part : fold.MakeSnapshot("first")) {
       log.Add(part);
     }
--- a/src/work/types/records.h
+++ b/src/work/types/records.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "config/types/objects.h"
-#include "platform/types/log_record.h"
-#include "platform/types/worker.h"
+#include "contracts/types/log_record.h"
+#include "contracts/types/worker.h"
 
 namespace carobmast::work {
 
@@ -44,7 +44,7 @@
   std::string cell;
   std::string zone;
   std::string scheduler;
-  platform::FencingToken previous = 0;
+  contracts::FencingToken previous = 0;
 };
 
 // The newest checkpoint that an owner heard of.
@@ -58,7 +58,7 @@
 // its tasks begin anew.
 struct RelinquishRecord {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::vector<KnownCheckpoint> checkpoints;
 };
 
@@ -69,7 +69,7 @@
   std::string pool;
   // Offset of the record that added it; set by the fold. No command with a
   // lower token is meant for this membership.
-  platform::Offset added_at = 0;
+  contracts::Offset added_at = 0;
 };
 
 // The owner adds workers to its cell, or removes workers that are gone. A
@@ -77,7 +77,7 @@
 // record can't remove a later membership.
 struct MembersRecord {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::vector<CellMember> add;
   std::vector<CellMember> remove;
 };
@@ -86,7 +86,7 @@
 // there.
 struct TakeRecord {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::vector<std::string> tasks;
 };
 
@@ -99,7 +99,7 @@
 
 struct ResultEntry {
   // The last attempt that may have been started.
-  platform::AttemptId id;
+  contracts::AttemptId id;
   TaskResult result = TaskResult::kReleased;
   std::string checkpoint;
   std::string reason;
@@ -108,7 +108,7 @@
 // The owner reports tasks of its cell of which no attempt runs any more.
 struct ResultsRecord {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::vector<ResultEntry> results;
 };
 
@@ -117,7 +117,7 @@
   std::string cell;
   std::string zone;
   std::string owner;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::uint32_t claims = 0;
   std::vector<CellMember> members;
 };
@@ -136,7 +136,7 @@
   std::string task;
   TaskStage stage = TaskStage::kPending;
   std::string cell;
-  platform::Offset taken_at = 0;
+  contracts::Offset taken_at = 0;
   std::uint32_t first_attempt = 1;
   std::uint32_t next_attempt = 1;
   std::uint32_t failures = 0;
@@ -147,7 +147,7 @@
 // One job in a snapshot.
 struct JobSnapshot {
   SubmitRecord submit;
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   bool cancelled = false;
   // Wall time of the record that ended it; 0 while it has not ended.
   std::int64_t ended_at_ms = 0;
@@ -157,7 +157,7 @@
 struct SchedulerSnapshot {
   std::string scheduler;
   std::string zone;
-  platform::Offset last_offset = 0;
+  contracts::Offset last_offset = 0;
   std::int64_t last_at_ms = 0;
 };
 
@@ -171,7 +171,7 @@
 // of one snapshot share `snapshot` and are appended together.
 struct SnapshotRecord {
   std::string snapshot;
-  platform::Offset base = 0;
+  contracts::Offset base = 0;
   std::uint32_t part = 0;
   std::uint32_t parts = 1;
   std::vector<CellSnapshot> cells;
--- a/src/work/types/status.h
+++ b/src/work/types/status.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 
 namespace carobmast::work {
 
@@ -15,7 +15,7 @@
   // Of the ownership chart.
   std::string state;
   std::string owner;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::uint32_t members = 0;
   // Members that were neither fenced nor confirmed gone.
   std::vector<std::string> unresolved;
@@ -62,7 +62,7 @@
 // all known.
 struct CellHead {
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
 };
 
 // An instance of a service that runs on an own worker.
@@ -71,7 +71,7 @@
   std::string task;
   std::uint32_t attempt = 0;
   std::string cell;
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   std::string endpoint;
   std::string worker;
   std::string zone;
--- a/src/work/types/task_spec.h
+++ b/src/work/types/task_spec.h
@@ -6,18 +6,18 @@
 #include <string>
 
 #include "config/types/objects.h"
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 
 namespace carobmast::work {
 
 struct TaskSpec {
-  platform::TaskKind kind = platform::TaskKind::kBatch;
+  contracts::TaskKind kind = contracts::TaskKind::kBatch;
   // The service, standing worker or batch job that it belongs to.
   std::string object;
   std::string team;
   std::string pool;
   std::string program;
-  platform::Resources resources;
+  contracts::Resources resources;
   config::Priority priority = config::Priority::kNormal;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
--- a/src/work/work_fold.h
+++ b/src/work/work_fold.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 #include "work/types/records.h"
 
 namespace carobmast::work {
@@ -35,7 +35,7 @@
   // "name/incarnation" of the owner; empty when relinquished.
   std::string owner;
   // Offset of the claim in force.
-  platform::FencingToken token = 0;
+  contracts::FencingToken token = 0;
   // Number of claims so far.
   std::uint32_t claims = 0;
   std::map<std::string, CellMember> members;
@@ -47,7 +47,7 @@
   TaskStage stage = TaskStage::kPending;
   std::string cell;
   // Offset of the take that assigned it.
-  platform::Offset taken_at = 0;
+  contracts::Offset taken_at = 0;
   // The first attempt that may be started after the take.
   std::uint32_t first_attempt = 1;
   // The first attempt that the present owner may use.
@@ -59,7 +59,7 @@
 
 struct FoldedJob {
   SubmitRecord submit;
-  platform::Offset offset = 0;
+  contracts::Offset offset = 0;
   bool cancelled = false;
   std::uint32_t finished = 0;
   std::uint32_t ended = 0;
@@ -73,7 +73,7 @@
 struct FoldedScheduler {
   std::string zone;
   // Offset and time of its newest record.
-  platform::Offset last_offset = 0;
+  contracts::Offset last_offset = 0;
   WallTime last_at{};
 };
 
@@ -93,10 +93,10 @@
   // Applies the records of one read, in order. Reads that start behind the
   // retention make the fold wait for a whole snapshot. Records at other offsets
   // than next() are skipped. A malformed record changes nothing.
-  void Apply(const platform::ReadAnswer& answer);
+  void Apply(const contracts::ReadAnswer& answer);
 
   // The offset to read next.
-  platform::Offset next() const { return next_; }
+  contracts::Offset next() const { return next_; }
   // Whether the state is whole; false until a snapshot was found when the
   // oldest records have expired.
   bool ready() const { return ready_; }
@@ -127,32 +127,32 @@
   std::vector<SnapshotRecord> MakeSnapshot(const std::string& id) const;
 
  private:
-  void ApplyRecord(const platform::LogRecord& record);
-  void ApplyBody(const platform::LogRecord& record, const WorkRecord& body);
-  void Wait(const platform::LogRecord& record, const WorkRecord& body);
+  void ApplyRecord(const contracts::LogRecord& record);
+  void ApplyBody(const contracts::LogRecord& record, const WorkRecord& body);
+  void Wait(const contracts::LogRecord& record, const WorkRecord& body);
   void Load(const std::vector<SnapshotRecord>& parts);
-  void Reset(platform::Offset next);
-  void Fold(const platform::LogRecord& at, const SubmitRecord& record);
-  void Fold(const platform::LogRecord& at, const CancelRecord& record);
-  void Fold(const platform::LogRecord& at, const HeartbeatRecord& record);
-  void Fold(const platform::LogRecord& at, const ClaimRecord& record);
-  void Fold(const platform::LogRecord& at, const RelinquishRecord& record);
-  void Fold(const platform::LogRecord& at, const MembersRecord& record);
-  void Fold(const platform::LogRecord& at, const TakeRecord& record);
-  void Fold(const platform::LogRecord& at, const ResultsRecord& record);
-  void Fold(const platform::LogRecord& at, const SnapshotRecord& record);
-  void Fold(const platform::LogRecord& at, const UnknownRecord& record);
+  void Reset(contracts::Offset next);
+  void Fold(const contracts::LogRecord& at, const SubmitRecord& record);
+  void Fold(const contracts::LogRecord& at, const CancelRecord& record);
+  void Fold(const contracts::LogRecord& at, const HeartbeatRecord& record);
+  void Fold(const contracts::LogRecord& at, const ClaimRecord& record);
+  void Fold(const contracts::LogRecord& at, const RelinquishRecord& record);
+  void Fold(const contracts::LogRecord& at, const MembersRecord& record);
+  void Fold(const contracts::LogRecord& at, const TakeRecord& record);
+  void Fold(const contracts::LogRecord& at, const ResultsRecord& record);
+  void Fold(const contracts::LogRecord& at, const SnapshotRecord& record);
+  void Fold(const contracts::LogRecord& at, const UnknownRecord& record);
   // The cell when `token` is its claim in force; null otherwise.
   FoldedCell* CurrentCell(const std::string& cell,
-                          platform::FencingToken token);
-  void FoldResult(const platform::LogRecord& at, FoldedCell& cell,
+                          contracts::FencingToken token);
+  void FoldResult(const contracts::LogRecord& at, FoldedCell& cell,
                   const ResultEntry& entry);
-  void EndTask(const platform::LogRecord& at, const std::string& id,
+  void EndTask(const contracts::LogRecord& at, const std::string& id,
                FoldedTask& task, TaskStage stage);
   FoldedJob* FindJobOf(const std::string& task);
   void ForgetOld(WallTime now);
 
-  platform::Offset next_ = 1;
+  contracts::Offset next_ = 1;
   bool ready_ = true;
   std::map<std::string, FoldedCell> cells_;
   std::map<std::string, FoldedJob> jobs_;
@@ -168,7 +168,7 @@
   std::uint64_t malformed_ = 0;
   FoldChanges changes_;
   // While not ready: the records since the oldest kept, and snapshot parts.
-  std::vector<std::pair<platform::LogRecord, WorkRecord>> waiting_;
+  std::vector<std::pair<contracts::LogRecord, WorkRecord>> waiting_;
   std::map<std::string, std::vector<SnapshotRecord>> parts_;
 };
 
--- a/src/work/work_record.h
+++ b/src/work/work_record.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/types/log_record.h"
+#include "contracts/types/log_record.h"
 #include "work/types/records.h"
 
 namespace carobmast::work {
@@ -27,11 +27,11 @@
 
 // Makes the record that the submit command appends. Its log id is "submit-"
 // followed by the submission, so a repeated append is known as a duplicate.
-platform::NewRecord MakeSubmit(const std::string& submission,
-                               const config::BatchJob& spec);
+contracts::NewRecord MakeSubmit(const std::string& submission,
+                                const config::BatchJob& spec);
 
 // Makes the record that the cancel command appends.
-platform::NewRecord MakeCancel(const std::string& submission);
+contracts::NewRecord MakeCancel(const std::string& submission);
 
 }  // namespace carobmast::work
 
--- a/src/work/worker_table.h
+++ b/src/work/worker_table.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <utility>
 
-#include "platform/types/worker.h"
+#include "contracts/types/worker.h"
 
 namespace carobmast::work {
 
@@ -19,19 +19,19 @@
   std::string worker;
   std::string cell;
   std::string pool;
-  platform::Resources capacity;
+  contracts::Resources capacity;
   // Sum of all reservations. Exceeds `capacity` only if the worker reported
   // more than it has.
-  platform::Resources committed;
-  std::map<platform::AttemptId, platform::Resources> reservations;
+  contracts::Resources committed;
+  std::map<contracts::AttemptId, contracts::Resources> reservations;
   // Fenced, reachable, not leaving: new tasks may start here.
   bool usable = false;
 
-  platform::Resources Free() const;
+  contracts::Resources Free() const;
 };
 
 // Whether `need` fits into `free`.
-bool Fits(const platform::Resources& need, const platform::Resources& free);
+bool Fits(const contracts::Resources& need, const contracts::Resources& free);
 
 class WorkerTable {
  public:
@@ -39,17 +39,17 @@
            const std::string& pool);
   void Remove(const std::string& worker);
   void SetCapacity(const std::string& worker,
-                   const platform::Resources& capacity);
+                   const contracts::Resources& capacity);
   void SetUsable(const std::string& worker, bool usable);
 
   // Commits room for an attempt; false when there is not enough.
-  bool Reserve(const std::string& worker, const platform::AttemptId& id,
-               const platform::Resources& need);
+  bool Reserve(const std::string& worker, const contracts::AttemptId& id,
+               const contracts::Resources& need);
   // Records room that an attempt takes already, even beyond the capacity.
-  void Adopt(const std::string& worker, const platform::AttemptId& id,
-             const platform::Resources& taken);
+  void Adopt(const std::string& worker, const contracts::AttemptId& id,
+             const contracts::Resources& taken);
   // Returns the room of an attempt; nothing when it has none here.
-  void Release(const std::string& worker, const platform::AttemptId& id);
+  void Release(const std::string& worker, const contracts::AttemptId& id);
 
   // Null when there is none.
   const OwnedWorker* Find(const std::string& worker) const;
--- a/standin/fake_log.h
+++ b/standin/fake_log.h
@@ -8,8 +8,8 @@
 #include <map>
 #include <string>
 
+#include "contracts/types/log_record.h"
 #include "framework/base/time.h"
-#include "platform/types/log_record.h"
 
 namespace carobmast::standin {
 
@@ -41,11 +41,11 @@
  public:
   explicit FakeLog(FakeLogOptions options);
 
-  platform::AppendAnswer Append(const platform::AppendRequest& request,
-                                MonotonicTime now);
+  contracts::AppendAnswer Append(const contracts::AppendRequest& request,
+                                 MonotonicTime now);
   // Throws Error (step "log read") during an outage. Never waits.
-  platform::ReadAnswer Read(const platform::ReadRequest& request,
-                            MonotonicTime now);
+  contracts::ReadAnswer Read(const contracts::ReadRequest& request,
+                             MonotonicTime now);
 
   LogFaults& faults() { return faults_; }
   // Changes from now on; records that are too old go with the next call.
@@ -53,8 +53,8 @@
 
  private:
   struct Stream {
-    std::deque<platform::LogRecord> records;
-    platform::Offset next = 1;
+    std::deque<contracts::LogRecord> records;
+    contracts::Offset next = 1;
   };
 
   WallTime ToWallTime(MonotonicTime now) const;
--- a/standin/fake_vm_list.h
+++ b/standin/fake_vm_list.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/vm.h"
 #include "framework/base/time.h"
-#include "platform/types/vm.h"
 
 namespace carobmast::standin {
 
@@ -19,7 +19,7 @@
   // How long a change takes to show.
   Duration lag = Duration::zero();
   // Listed from the start.
-  std::vector<platform::Vm> vms;
+  std::vector<contracts::Vm> vms;
 };
 
 class FakeVmList {
@@ -27,12 +27,12 @@
   explicit FakeVmList(FakeVmListOptions options);
 
   // Adds or replaces the VM of this name; shows after the lag.
-  void Put(const platform::Vm& vm, MonotonicTime now);
+  void Put(const contracts::Vm& vm, MonotonicTime now);
   void Remove(const std::string& name, MonotonicTime now);
 
   // The list as it was `lag` ago, by name. Throws Error (step "VM list") during
   // an outage.
-  platform::VmListAnswer List(MonotonicTime now);
+  contracts::VmListAnswer List(MonotonicTime now);
 
   void set_out(bool out) { out_ = out; }
 
@@ -41,13 +41,13 @@
     MonotonicTime at;
     std::string name;
     // Empty when the VM is removed.
-    std::optional<platform::Vm> vm;
+    std::optional<contracts::Vm> vm;
   };
 
   FakeVmListOptions options_;
   bool out_ = false;
   std::deque<Change> pending_;
-  std::map<std::string, platform::Vm> shown_;
+  std::map<std::string, contracts::Vm> shown_;
 };
 
 }  // namespace carobmast::standin
--- a/standin/fake_worker.h
+++ b/standin/fake_worker.h
@@ -18,8 +18,8 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::standin {
 
@@ -38,19 +38,19 @@
 
 // One period in which an attempt ran on the worker; for oracles.
 struct Execution {
-  platform::AttemptId id;
-  platform::TaskKind kind = platform::TaskKind::kBatch;
-  platform::Resources reserved;
+  contracts::AttemptId id;
+  contracts::TaskKind kind = contracts::TaskKind::kBatch;
+  contracts::Resources reserved;
   MonotonicTime from;
   // Empty while it runs.
   std::optional<MonotonicTime> to;
   // How it ended.
-  platform::TaskState state = platform::TaskState::kRunning;
+  contracts::TaskState state = contracts::TaskState::kRunning;
 };
 
 struct FakeWorkerOptions {
   std::string name;
-  platform::Resources capacity;
+  contracts::Resources capacity;
   // How long a batch task runs whose program gives no duration.
   Duration default_run = std::chrono::seconds(2);
   // A batch task writes a checkpoint each time it has done so much more.
@@ -63,11 +63,12 @@
   std::size_t max_tasks = 4096;
   // Opens the endpoint of a service's instance and returns "ip:port"; empty for
   // none. May throw Error, which refuses the start.
-  std::function<std::string(const platform::WorkerCommand&)> open_endpoint;
+  std::function<std::string(const contracts::WorkerCommand&)> open_endpoint;
   // Closes it; `graceful` lets requests in flight end.
-  std::function<void(const platform::AttemptId&, bool graceful)> close_endpoint;
+  std::function<void(const contracts::AttemptId&, bool graceful)>
+      close_endpoint;
   // The 99th percentile of an instance's latency; empty for zero.
-  std::function<Duration(const platform::AttemptId&)> measure_latency;
+  std::function<Duration(const contracts::AttemptId&)> measure_latency;
 };
 
 class FakeWorker {
@@ -76,8 +77,8 @@
 
   // Carries out one command. A paused worker gives the outcome unknown, without
   // effect.
-  platform::CommandAnswer Handle(const platform::WorkerCommand& command,
-                                 MonotonicTime now);
+  contracts::CommandAnswer Handle(const contracts::WorkerCommand& command,
+                                  MonotonicTime now);
   // Ends the tasks that finished, failed or lost their lease up to `now`, each
   // at its exact time.
   void Advance(MonotonicTime now);
@@ -85,15 +86,15 @@
   void Reboot(MonotonicTime now);
 
   // Valid after Advance(now).
-  platform::WorkerReport Report(MonotonicTime now) const;
+  contracts::WorkerReport Report(MonotonicTime now) const;
   const std::vector<Execution>& executions() const { return executions_; }
   const FakeWorkerOptions& options() const { return options_; }
   WorkerFaults& faults() { return faults_; }
 
  private:
   struct Task {
-    platform::TaskReport report;
-    platform::TaskKind kind = platform::TaskKind::kBatch;
+    contracts::TaskReport report;
+    contracts::TaskKind kind = contracts::TaskKind::kBatch;
     MonotonicTime started;
     MonotonicTime lease_until;
     // Work of a batch task: `done` at the time `since`, `total` in all.
@@ -105,25 +106,25 @@
     std::size_t execution = 0;
   };
 
-  platform::CommandAnswer Apply(const platform::WorkerCommand& command,
-                                MonotonicTime now);
-  platform::CommandAnswer Start(const platform::WorkerCommand& command,
-                                MonotonicTime now);
-  platform::CommandAnswer Renew(const platform::WorkerCommand& command,
-                                MonotonicTime now);
-  platform::CommandAnswer Stop(const platform::WorkerCommand& command,
-                               MonotonicTime now);
-  platform::CommandAnswer Throttle(const platform::WorkerCommand& command,
-                                   MonotonicTime now);
-  platform::CommandAnswer Forget(const platform::WorkerCommand& command,
+  contracts::CommandAnswer Apply(const contracts::WorkerCommand& command,
                                  MonotonicTime now);
-  platform::CommandAnswer Answer(platform::CommandOutcome outcome,
-                                 MonotonicTime now, std::string error) const;
+  contracts::CommandAnswer Start(const contracts::WorkerCommand& command,
+                                 MonotonicTime now);
+  contracts::CommandAnswer Renew(const contracts::WorkerCommand& command,
+                                 MonotonicTime now);
+  contracts::CommandAnswer Stop(const contracts::WorkerCommand& command,
+                                MonotonicTime now);
+  contracts::CommandAnswer Throttle(const contracts::WorkerCommand& command,
+                                    MonotonicTime now);
+  contracts::CommandAnswer Forget(const contracts::WorkerCommand& command,
+                                  MonotonicTime now);
+  contracts::CommandAnswer Answer(contracts::CommandOutcome outcome,
+                                  MonotonicTime now, std::string error) const;
 
-  Task MakeTask(const platform::WorkerCommand& command,
+  Task MakeTask(const contracts::WorkerCommand& command,
                 MonotonicTime now) const;
-  void End(Task& task, platform::TaskState state, MonotonicTime at);
-  bool HasRoom(const platform::Resources& wanted) const;
+  void End(Task& task, contracts::TaskState state, MonotonicTime at);
+  bool HasRoom(const contracts::Resources& wanted) const;
   std::string CheckpointOf(const Task& task, MonotonicTime now,
                            Duration interval) const;
   static Duration DoneAt(const Task& task, MonotonicTime now);
@@ -132,8 +133,8 @@
 
   FakeWorkerOptions options_;
   WorkerFaults faults_;
-  platform::FencingToken token_ = 0;
-  std::map<platform::AttemptId, Task> tasks_;
+  contracts::FencingToken token_ = 0;
+  std::map<contracts::AttemptId, Task> tasks_;
   // The highest attempt of a task that was forgotten: never started again.
   std::map<std::string, std::uint32_t> forgotten_;
   std::vector<Execution> executions_;
--- a/standin/internal/fake_log.cc
+++ b/standin/internal/fake_log.cc
@@ -6,10 +6,10 @@
 
 namespace carobmast::standin {
 
-using platform::AppendAnswer;
-using platform::AppendOutcome;
-using platform::LogRecord;
-using platform::ReadAnswer;
+using contracts::AppendAnswer;
+using contracts::AppendOutcome;
+using contracts::LogRecord;
+using contracts::ReadAnswer;
 
 namespace {
 
@@ -50,14 +50,14 @@
   }
 }
 
-AppendAnswer FakeLog::Append(const platform::AppendRequest& request,
+AppendAnswer FakeLog::Append(const contracts::AppendRequest& request,
                              MonotonicTime now) {
   if (faults_.out) return NotSent("the log is out");
   if (faults_.read_only) return NotSent("the log is read-only");
   if (TakeOne(faults_.lost_requests)) return Unknown("request lost");
   Stream& stream = streams_[request.stream];
   AppendAnswer answer{.outcome = AppendOutcome::kAppended};
-  for (const platform::NewRecord& record : request.records) {
+  for (const contracts::NewRecord& record : request.records) {
     answer.offsets.push_back(stream.next);
     stream.records.push_back({.offset = stream.next,
                               .appended_at = ToWallTime(now),
@@ -70,7 +70,7 @@
   return answer;
 }
 
-ReadAnswer FakeLog::Read(const platform::ReadRequest& request,
+ReadAnswer FakeLog::Read(const contracts::ReadRequest& request,
                          MonotonicTime now) {
   if (faults_.out) throw Error("log read", kPeer, "the log is out");
   Stream& stream = streams_[request.stream];
@@ -79,9 +79,9 @@
                                       ? stream.next
                                       : stream.records.front().offset,
                     .next = stream.next};
-  const platform::Offset from = std::max(request.from, answer.first_kept);
+  const contracts::Offset from = std::max(request.from, answer.first_kept);
   std::size_t bytes = 0;
-  for (platform::Offset offset = from; offset < stream.next; ++offset) {
+  for (contracts::Offset offset = from; offset < stream.next; ++offset) {
     const LogRecord& record = stream.records[offset - answer.first_kept];
     bytes += record.data.size();
     if (answer.records.size() >= request.max_records) break;
--- a/standin/internal/fake_vm_list.cc
+++ b/standin/internal/fake_vm_list.cc
@@ -6,8 +6,8 @@
 
 namespace carobmast::standin {
 
-using platform::Vm;
-using platform::VmListAnswer;
+using contracts::Vm;
+using contracts::VmListAnswer;
 
 FakeVmList::FakeVmList(FakeVmListOptions options)
     : options_(std::move(options)) {
--- a/standin/internal/fake_worker.cc
+++ b/standin/internal/fake_worker.cc
@@ -8,14 +8,14 @@
 
 namespace carobmast::standin {
 
-using platform::CommandAnswer;
-using platform::CommandOutcome;
-using platform::Resources;
-using platform::TaskKind;
-using platform::TaskReport;
-using platform::TaskState;
-using platform::WorkerCommand;
-using platform::WorkerVerb;
+using contracts::CommandAnswer;
+using contracts::CommandOutcome;
+using contracts::Resources;
+using contracts::TaskKind;
+using contracts::TaskReport;
+using contracts::TaskState;
+using contracts::WorkerCommand;
+using contracts::WorkerVerb;
 
 namespace {
 
@@ -158,7 +158,7 @@
 
 CommandAnswer FakeWorker::Renew(const WorkerCommand& command,
                                 MonotonicTime now) {
-  for (std::pair<const platform::AttemptId, Task>& entry : tasks_) {
+  for (std::pair<const contracts::AttemptId, Task>& entry : tasks_) {
     if (entry.second.report.state != TaskState::kRunning) continue;
     entry.second.lease_until = now + std::min(command.lease, kMaxLease);
   }
@@ -220,7 +220,7 @@
 }
 
 void FakeWorker::Advance(MonotonicTime now) {
-  for (std::pair<const platform::AttemptId, Task>& entry : tasks_) {
+  for (std::pair<const contracts::AttemptId, Task>& entry : tasks_) {
     Task& task = entry.second;
     if (task.report.state != TaskState::kRunning) continue;
     const MonotonicTime own_end = OwnEnd(task);
@@ -239,7 +239,7 @@
 
 void FakeWorker::Reboot(MonotonicTime now) {
   Advance(now);
-  for (std::pair<const platform::AttemptId, Task>& entry : tasks_) {
+  for (std::pair<const contracts::AttemptId, Task>& entry : tasks_) {
     if (entry.second.report.state != TaskState::kRunning) continue;
     End(entry.second, TaskState::kFailed, now);
   }
@@ -261,7 +261,7 @@
 
 bool FakeWorker::HasRoom(const Resources& wanted) const {
   Resources taken = wanted;
-  for (const std::pair<const platform::AttemptId, Task>& entry : tasks_) {
+  for (const std::pair<const contracts::AttemptId, Task>& entry : tasks_) {
     const TaskReport& report = entry.second.report;
     if (report.state != TaskState::kRunning) continue;
     taken.milli_cpus += report.reserved.milli_cpus;
@@ -274,10 +274,10 @@
          taken.accelerators <= capacity.accelerators;
 }
 
-platform::WorkerReport FakeWorker::Report(MonotonicTime now) const {
-  platform::WorkerReport report{
+contracts::WorkerReport FakeWorker::Report(MonotonicTime now) const {
+  contracts::WorkerReport report{
       .worker = options_.name, .capacity = options_.capacity, .token = token_};
-  for (const std::pair<const platform::AttemptId, Task>& entry : tasks_) {
+  for (const std::pair<const contracts::AttemptId, Task>& entry : tasks_) {
     const Task& task = entry.second;
     TaskReport shown = task.report;
     if (shown.state == TaskState::kRunning) {
--- a/standin/internal/settings.cc
+++ b/standin/internal/settings.cc
@@ -6,8 +6,8 @@
 
 namespace carobmast::standin {
 
-using platform::Vm;
-using platform::VmRole;
+using contracts::Vm;
+using contracts::VmRole;
 
 namespace {
 
--- a/standin/internal/stand_in.cc
+++ b/standin/internal/stand_in.cc
@@ -7,21 +7,21 @@
 #include <charconv>
 #include <utility>
 
+#include "contracts/service_codec.h"
 #include "framework/base/error.h"
 #include "framework/base/units.h"
-#include "platform/platform_codec.h"
 
 namespace carobmast::standin {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+using contracts::AppendAnswer;
+using contracts::AppendOutcome;
+using contracts::ReadAnswer;
+using contracts::ReadRequest;
+using contracts::VmState;
 using net::ServerAnswer;
 using net::ServerRequest;
-using platform::AppendAnswer;
-using platform::AppendOutcome;
-using platform::ReadAnswer;
-using platform::ReadRequest;
-using platform::VmState;
 
 namespace {
 
@@ -47,12 +47,12 @@
 }
 
 ServerAnswer Refuse(const std::string& reason) {
-  return {.status = kUnavailable, .body = platform::EncodeRefusal(reason)};
+  return {.status = kUnavailable, .body = contracts::EncodeRefusal(reason)};
 }
 
 std::string StreamOf(const ServerRequest& request) {
   std::string stream = request.path.substr(sizeof(kLogPrefix) - 1);
-  if (!platform::IsPathName(stream)) {
+  if (!contracts::IsPathName(stream)) {
     throw Error("log request", kCaller, "malformed stream name");
   }
   return stream;
@@ -89,15 +89,15 @@
       {"worker", worker},
       {"task", execution.id.task},
       {"attempt", execution.id.attempt},
-      {"kind", execution.kind == platform::TaskKind::kService ? "service"
-               : execution.kind == platform::TaskKind::kBatch ? "batch"
-                                                              : "standing"},
+      {"kind", execution.kind == contracts::TaskKind::kService ? "service"
+               : execution.kind == contracts::TaskKind::kBatch ? "batch"
+                                                               : "standing"},
       {"milli_cpus", execution.reserved.milli_cpus},
       {"memory_bytes", execution.reserved.memory.bytes},
       {"accelerators", execution.reserved.accelerators},
       {"from_ms", ToMilliseconds(execution.from)},
       {"to_ms", nullptr},
-      {"state", platform::TaskStateName(execution.state)}};
+      {"state", contracts::TaskStateName(execution.state)}};
   if (execution.to.has_value()) {
     written["to_ms"] = ToMilliseconds(*execution.to);
   }
@@ -113,10 +113,10 @@
       log_(
           {.wall_at_zero = WallAtZero(), .retention = settings_.log_retention}),
       vm_list_({}) {
-  std::vector<platform::Vm> listed = settings_.entries;
+  std::vector<contracts::Vm> listed = settings_.entries;
   constexpr std::uint64_t kSeedsPerWorker = 1'000'000;
   std::uint64_t seed = settings_.seed;
-  for (const platform::Vm& vm : MakeWorkerVms(settings_)) {
+  for (const contracts::Vm& vm : MakeWorkerVms(settings_)) {
     const Ref<WorkerHost> host =
         MakeRef<WorkerHost>(executor_, settings_, vm, book_, seed);
     seed += kSeedsPerWorker;
@@ -161,15 +161,15 @@
 }
 
 asio::awaitable<ServerAnswer> StandIn::Append(ServerRequest request) {
-  const platform::AppendRequest append{
+  const contracts::AppendRequest append{
       .stream = StreamOf(request),
-      .records = platform::DecodeNewRecords(request.body, kCaller)};
+      .records = contracts::DecodeNewRecords(request.body, kCaller)};
   const AppendAnswer answer = log_.Append(append, MonotonicClock::now());
   for (asio::steady_timer* reader : waiting_reads_) reader->cancel();
   co_await WaitForDelay();
   switch (answer.outcome) {
     case AppendOutcome::kAppended:
-      co_return ServerAnswer{.body = platform::EncodeOffsets(answer.offsets)};
+      co_return ServerAnswer{.body = contracts::EncodeOffsets(answer.offsets)};
     case AppendOutcome::kNotSent:
       co_return Refuse(answer.error);
     case AppendOutcome::kUnknown:
@@ -183,14 +183,14 @@
       .stream = StreamOf(request),
       .from = NumberOf(request, "from", 1),
       .max_records = std::min<std::uint64_t>(NumberOf(request, "max", 1000),
-                                             platform::kMaxLogRecords)};
+                                             contracts::kMaxLogRecords)};
   const Duration wait = std::chrono::milliseconds(
       std::min<std::uint64_t>(NumberOf(request, "wait_ms", 0),
                               kMaxWait / std::chrono::milliseconds(1)));
   co_await WaitForDelay();
   if (!log_.faults().out) co_await WaitForRecord(read, wait);
   if (log_.faults().out) co_return Refuse("the log is out");
-  co_return ServerAnswer{.body = platform::EncodeReadAnswer(
+  co_return ServerAnswer{.body = contracts::EncodeReadAnswer(
                              log_.Read(read, MonotonicClock::now()))};
 }
 
@@ -220,7 +220,7 @@
 ServerAnswer StandIn::ListVms() {
   try {
     return {.body =
-                platform::EncodeVmList(vm_list_.List(MonotonicClock::now()))};
+                contracts::EncodeVmList(vm_list_.List(MonotonicClock::now()))};
   } catch (const Error& error) {
     return Refuse(error.reason());
   }
@@ -236,7 +236,7 @@
     return {.body = "{}"};
   }
   if (called != "POST /control/fault") {
-    return {.status = kNotFound, .body = platform::EncodeRefusal("no page")};
+    return {.status = kNotFound, .body = contracts::EncodeRefusal("no page")};
   }
   const JsonReader fault = JsonReader::Parse(request.body, "control", kCaller);
   const auto handler = fault_handlers_.find(fault.String("kind"));
@@ -389,7 +389,8 @@
   for (const std::pair<const std::string, Ref<WorkerHost>>& entry : hosts_) {
     FakeWorker& worker = entry.second->worker();
     worker.Advance(now);
-    list.push_back(json::parse(platform::EncodeReport(worker.Report(now), "")));
+    list.push_back(
+        json::parse(contracts::EncodeReport(worker.Report(now), "")));
   }
   return json::serialize(json::object{{"workers", std::move(list)}});
 }
--- a/standin/internal/worker_host.cc
+++ b/standin/internal/worker_host.cc
@@ -7,17 +7,17 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "contracts/service_codec.h"
 #include "framework/base/error.h"
-#include "platform/platform_codec.h"
 
 namespace carobmast::standin {
 
 namespace asio = boost::asio;
+using contracts::CommandAnswer;
+using contracts::CommandOutcome;
+using contracts::WorkerCommand;
 using net::ServerAnswer;
 using net::ServerRequest;
-using platform::CommandAnswer;
-using platform::CommandOutcome;
-using platform::WorkerCommand;
 
 namespace {
 
@@ -40,9 +40,9 @@
     throw Error("worker command", "caller", "expected POST /workers/NAME/VERB");
   }
   WorkerCommand command{
-      .verb = platform::ParseVerb(request.path.substr(slash + 1), "caller"),
+      .verb = contracts::ParseVerb(request.path.substr(slash + 1), "caller"),
       .worker = request.path.substr(name, slash - name)};
-  return platform::DecodeCommand(request.body, std::move(command), "caller");
+  return contracts::DecodeCommand(request.body, std::move(command), "caller");
 }
 
 int StatusOf(CommandOutcome outcome) {
@@ -65,13 +65,13 @@
 ServerAnswer ToAnswer(const CommandAnswer& answer) {
   if (answer.outcome == CommandOutcome::kUnknown) return {.cut_after_bytes = 0};
   return {.status = StatusOf(answer.outcome),
-          .body = platform::EncodeReport(answer.report, answer.error)};
+          .body = contracts::EncodeReport(answer.report, answer.error)};
 }
 
 }  // namespace
 
 WorkerHost::WorkerHost(asio::any_io_executor executor,
-                       const StandInSettings& settings, platform::Vm vm,
+                       const StandInSettings& settings, contracts::Vm vm,
                        Ref<RequestBook> book, std::uint64_t seed)
     : executor_(std::move(executor)),
       vm_(std::move(vm)),
@@ -98,10 +98,10 @@
           [this](const WorkerCommand& command) {
             return OpenEndpoint(command);
           },
-      .close_endpoint = [this](const platform::AttemptId& id,
+      .close_endpoint = [this](const contracts::AttemptId& id,
                                bool graceful) { CloseEndpoint(id, graceful); },
       .measure_latency =
-          [this](const platform::AttemptId& id) {
+          [this](const contracts::AttemptId& id) {
             return targets_.at(id)->LatencyP99();
           }};
 }
@@ -144,13 +144,13 @@
 }
 
 void WorkerHost::PowerOn() {
-  vm_.state = platform::VmState::kLive;
+  vm_.state = contracts::VmState::kLive;
   if (server_ == nullptr) Listen();
 }
 
 void WorkerHost::ChangeTargets(
     const std::string& task, const std::function<void(TargetFaults&)>& change) {
-  for (const std::pair<const platform::AttemptId, Ref<Target>>& entry :
+  for (const std::pair<const contracts::AttemptId, Ref<Target>>& entry :
        targets_) {
     if (entry.first.task.rfind(task, 0) == 0) change(entry.second->faults());
   }
@@ -170,7 +170,7 @@
   return target->address().ToString();
 }
 
-void WorkerHost::CloseEndpoint(const platform::AttemptId& id, bool graceful) {
+void WorkerHost::CloseEndpoint(const contracts::AttemptId& id, bool graceful) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) return;
   asio::co_spawn(
--- a/standin/settings.h
+++ b/standin/settings.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "contracts/types/vm.h"
+#include "contracts/types/worker.h"
 #include "framework/base/time.h"
 #include "framework/net/http_client.h"
-#include "platform/types/vm.h"
-#include "platform/types/worker.h"
 
 namespace carobmast::standin {
 
@@ -22,10 +22,10 @@
   std::uint32_t workers = 8;
   std::uint32_t rack_size = 8;
   std::string pool = "workers";
-  platform::Resources capacity = {.milli_cpus = 16'000,
-                                  .memory = {60'000'000'000}};
+  contracts::Resources capacity = {.milli_cpus = 16'000,
+                                   .memory = {60'000'000'000}};
   // Entry VMs, listed beside the workers.
-  std::vector<platform::Vm> entries;
+  std::vector<contracts::Vm> entries;
   Duration vm_list_lag = std::chrono::seconds(2);
   Duration log_retention = std::chrono::hours(24);
   Duration default_run = std::chrono::seconds(2);
@@ -40,7 +40,7 @@
 
 // The workers that the settings ask for, without addresses: "ZONE-w01" in rack
 // "ZONE-r1" and so on.
-std::vector<platform::Vm> MakeWorkerVms(const StandInSettings& settings);
+std::vector<contracts::Vm> MakeWorkerVms(const StandInSettings& settings);
 
 }  // namespace carobmast::standin
 
--- a/standin/stand_in.h
+++ b/standin/stand_in.h
@@ -49,7 +49,7 @@
   net::ServerAnswer ListVms();
   net::ServerAnswer Control(const net::ServerRequest& request);
   boost::asio::awaitable<void> WaitForDelay();
-  boost::asio::awaitable<void> WaitForRecord(platform::ReadRequest request,
+  boost::asio::awaitable<void> WaitForRecord(contracts::ReadRequest request,
                                              Duration wait);
 
   void AddLogFaults();
--- a/standin/tests/fake_platform_test.cc
+++ b/standin/tests/fake_platform_test.cc
@@ -8,13 +8,13 @@
 
 namespace carobmast::standin {
 
-using platform::AppendOutcome;
-using platform::CommandAnswer;
-using platform::CommandOutcome;
-using platform::TaskKind;
-using platform::TaskState;
-using platform::WorkerCommand;
-using platform::WorkerVerb;
+using contracts::AppendOutcome;
+using contracts::CommandAnswer;
+using contracts::CommandOutcome;
+using contracts::TaskKind;
+using contracts::TaskState;
+using contracts::WorkerCommand;
+using contracts::WorkerVerb;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -35,18 +35,18 @@
  public:
   void LogKeepsOffsetsOverRetentionAndFaults() {
     FakeLog log({.retention = seconds(10)});
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{1}, Append(log, 0).offsets.at(0));
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{1}, Append(log, 0).offsets.at(0));
     log.faults().lost_answers = 1;
     CPPUNIT_ASSERT(Append(log, 5).outcome == AppendOutcome::kUnknown);
     log.faults().lost_requests = 1;
     CPPUNIT_ASSERT(Append(log, 5).outcome == AppendOutcome::kUnknown);
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{3}, Append(log, 5).offsets.at(0));
-    const platform::ReadAnswer read = log.Read({.stream = "s"}, At(11));
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{2}, read.first_kept);
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{3}, Append(log, 5).offsets.at(0));
+    const contracts::ReadAnswer read = log.Read({.stream = "s"}, At(11));
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{2}, read.first_kept);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.records.size());
     CPPUNIT_ASSERT(
         log.Read({.stream = "s", .from = 9}, At(11)).records.empty());
-    CPPUNIT_ASSERT_EQUAL(platform::Offset{4},
+    CPPUNIT_ASSERT_EQUAL(contracts::Offset{4},
                          log.Read({.stream = "s"}, At(60)).first_kept);
     log.faults().out = true;
     CPPUNIT_ASSERT(Append(log, 60).outcome == AppendOutcome::kNotSent);
@@ -55,19 +55,19 @@
 
   void VmListLags() {
     FakeVmList list({.lag = seconds(2), .vms = {{.name = "a"}}});
-    list.Put({.name = "a", .state = platform::VmState::kLeaving}, At(10));
+    list.Put({.name = "a", .state = contracts::VmState::kLeaving}, At(10));
     list.Remove("a", At(11));
     CPPUNIT_ASSERT(list.List(At(11)).vms.at(0).state ==
-                   platform::VmState::kLive);
+                   contracts::VmState::kLive);
     CPPUNIT_ASSERT(list.List(At(12)).vms.at(0).state ==
-                   platform::VmState::kLeaving);
+                   contracts::VmState::kLeaving);
     CPPUNIT_ASSERT(list.List(At(13)).vms.empty());
   }
 
   void WorkerRefusesLowerTokens() {
     CPPUNIT_ASSERT(Do(0, {.token = 5}) == CommandOutcome::kDone);
     CPPUNIT_ASSERT(Do(0, Start("t", 1, 4)) == CommandOutcome::kStale);
-    CPPUNIT_ASSERT_EQUAL(platform::FencingToken{5}, answer_.report.token);
+    CPPUNIT_ASSERT_EQUAL(contracts::FencingToken{5}, answer_.report.token);
     CPPUNIT_ASSERT(answer_.report.tasks.empty());
     CPPUNIT_ASSERT(Do(0, Start("t", 1, 5)) == CommandOutcome::kDone);
   }
@@ -166,14 +166,14 @@
     return MonotonicTime() + seconds(second);
   }
 
-  static platform::AppendAnswer Append(FakeLog& log, int second) {
+  static contracts::AppendAnswer Append(FakeLog& log, int second) {
     return log.Append({.stream = "s", .records = {{.id = "i", .data = "d"}}},
                       At(second));
   }
 
   // A start of a batch task that runs for 2 s on a quarter of the worker.
   static WorkerCommand Start(const std::string& task, std::uint32_t attempt,
-                             platform::FencingToken token) {
+                             contracts::FencingToken token) {
     return {.verb = WorkerVerb::kStart,
             .token = token,
             .id = {.task = task, .attempt = attempt},
--- a/standin/worker_host.h
+++ b/standin/worker_host.h
@@ -10,9 +10,9 @@
 #include <memory>
 #include <string>
 
+#include "contracts/types/vm.h"
 #include "framework/base/intrusive.h"
 #include "framework/net/http_server.h"
-#include "platform/types/vm.h"
 #include "standin/fake_worker.h"
 #include "standin/settings.h"
 #include "standin/target.h"
@@ -23,11 +23,11 @@
  public:
   // Listens at once. `vm` gets the worker's address.
   WorkerHost(boost::asio::any_io_executor executor,
-             const StandInSettings& settings, platform::Vm vm,
+             const StandInSettings& settings, contracts::Vm vm,
              Ref<RequestBook> book, std::uint64_t seed);
   ~WorkerHost();
 
-  const platform::Vm& vm() const { return vm_; }
+  const contracts::Vm& vm() const { return vm_; }
   FakeWorker& worker() { return worker_; }
 
   // Ends what has ended by the clock, and closes endpoints with it.
@@ -36,7 +36,7 @@
   void PowerOff(MonotonicTime now);
   // It comes back at the same address, with nothing running.
   void PowerOn();
-  void SetState(platform::VmState state) { vm_.state = state; }
+  void SetState(contracts::VmState state) { vm_.state = state; }
 
   // Calls `change` for each target whose task begins with `task` (empty for
   // all); targets opened later are not changed.
@@ -45,20 +45,20 @@
 
  private:
   FakeWorkerOptions MakeOptions(const StandInSettings& settings);
-  std::string OpenEndpoint(const platform::WorkerCommand& command);
-  void CloseEndpoint(const platform::AttemptId& id, bool graceful);
+  std::string OpenEndpoint(const contracts::WorkerCommand& command);
+  void CloseEndpoint(const contracts::AttemptId& id, bool graceful);
   void Listen();
   static boost::asio::awaitable<net::ServerAnswer> Serve(
       Ref<WorkerHost> self, net::ServerRequest request);
   boost::asio::awaitable<void> WaitWhilePaused();
 
   boost::asio::any_io_executor executor_;
-  platform::Vm vm_;
+  contracts::Vm vm_;
   net::Address address_;
   Duration target_mean_run_;
   Ref<RequestBook> book_;
   std::uint64_t seed_;
-  std::map<platform::AttemptId, Ref<Target>> targets_;
+  std::map<contracts::AttemptId, Ref<Target>> targets_;
   FakeWorker worker_;
   Ref<net::HttpServer> server_;
 };
