--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jobs/generated/jobs.pb.h"
+#include "jobs/interference_model.h"
 #include "jobs/internal/model.h"
 #include "jobs/shard_core.h"
 
@@ -104,6 +105,12 @@
 
   // shard_pacing.cc: standing tasks beside tasks that fill.
   void UpdatePressure(WorkerState& worker);
+  void LearnInterference(const WorkerState& worker);
+  // How much the fillers raise the log of the latency of the worst hit standing
+  // task, with one more of `image` that uses `milli_cpus`.
+  double PredictHarm(const WorkerState& worker, const std::string& image,
+                     std::uint64_t milli_cpus) const;
+  void PaceFillers(WorkerState& worker, const Run& standing, double ratio);
   void SetPace(Run& run, std::uint32_t percent);
   void SendPace(Run& run);
   void MoveIdleFills(WorkerState& worker);
@@ -127,6 +134,7 @@
   std::uint64_t batch_number = 0;
   std::uint64_t batch_changes = 0;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
+  InterferenceModel interference;
   bool schedule_wanted = false;
   bool restored = false;
 };
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -3,6 +3,7 @@
 // Reports lag by half a second: a target that is missed or nearly missed slows
 // all fillers of the worker at once, and they are let go again step by step.
 #include <algorithm>
+#include <cmath>
 
 #include "jobs/internal/shard_impl.h"
 
@@ -14,49 +15,125 @@
 
 // Ratios of latency to target at which fillers stand still, work at less speed,
 // and may work faster again.
-constexpr double kStopRatio = 0.92;
-constexpr double kSlowRatio = 0.75;
-constexpr double kFastRatio = 0.6;
-constexpr double kSlowFactor = 0.6;
-constexpr std::uint32_t kFasterBy = 25;
+constexpr double kStopRatio = 0.95;
+constexpr double kSlowRatio = 0.8;
+constexpr double kFastRatio = 0.65;
+constexpr double kSlowFactor = 0.5;
+constexpr std::uint32_t kFasterBy = 34;
+// A filler whose part in the log of the latency is below this is let be.
+constexpr double kNoPart = 0.06;
+// A standing task that is over its target for this long has all fillers stand
+// still, whatever is known of them; a third of the bound for harm.
+constexpr milliseconds kOverPatience{1300};
 // A filler that stands still this long is moved, if it keeps what it did.
 constexpr milliseconds kMoveAfter{1500};
 // Speed up to which it counts as standing still, in percent.
 constexpr std::uint32_t kIdlePace = 10;
+// Latencies are told in whole milliseconds: none is taken as less.
+constexpr double kLeastLatencyMs = 0.5;
 
 bool IsFiller(const Run& run) { return run.task->step->spec->fills; }
 
+bool HasTarget(const Run& run) {
+  return run.task->step->spec->latency_target > milliseconds::zero() &&
+         run.state == RunState::kRunning;
+}
+
+double Ratio(const Run& run) {
+  return std::max(kLeastLatencyMs, static_cast<double>(run.measured)) /
+         static_cast<double>(run.task->step->spec->latency_target.count());
+}
+
 }  // namespace
 
-void ShardCore::Impl::UpdatePressure(WorkerState& worker) {
-  double worst = 0;
+void ShardCore::Impl::LearnInterference(const WorkerState& worker) {
+  const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
+  std::vector<ImageShare> fillers;
   for (const Run& run : worker.runs) {
-    const StepSpec& spec = *run.task->step->spec;
+    if (IsFiller(run) && run.measured > 0) {
+      fillers.push_back({run.task->step->spec->image, run.measured / room});
+    }
+  }
+  for (const Run& run : worker.runs) {
+    if (!HasTarget(run) || run.measured == 0) continue;
+    interference.Observe(run.task->step->spec->image, std::log(Ratio(run)),
+                         fillers);
+  }
+}
+
+double ShardCore::Impl::PredictHarm(const WorkerState& worker,
+                                    const std::string& image,
+                                    std::uint64_t milli_cpus) const {
+  const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
+  double worst = 0;
+  std::set<std::string> seen;
+  for (const Run& standing : worker.runs) {
+    const StepSpec& spec = *standing.task->step->spec;
     if (spec.latency_target <= milliseconds::zero() ||
-        run.state != RunState::kRunning) {
+        !seen.insert(spec.image).second) {
       continue;
     }
-    worst = std::max(worst, static_cast<double>(run.measured) /
-                                static_cast<double>(
-                                    spec.latency_target.count()));
+    double harm = interference.Factor(spec.image, image) *
+                  static_cast<double>(milli_cpus) / room;
+    for (const Run& run : worker.runs) {
+      if (!IsFiller(run)) continue;
+      const StepSpec& filler = *run.task->step->spec;
+      harm += interference.Factor(spec.image, filler.image) *
+              static_cast<double>(filler.need.milli_cpus) / room;
+    }
+    worst = std::max(worst, harm);
   }
+  return worst;
+}
+
+void ShardCore::Impl::UpdatePressure(WorkerState& worker) {
+  LearnInterference(worker);
   const bool was_pressed = worker.pressure > kFastRatio;
-  worker.pressure = worst;
-  if (worst > kSlowRatio) worker.pressed_at = now.steady;
-  if (was_pressed && worst <= kFastRatio) WantSchedule();
+  worker.pressure = 0;
+  const Run* worst = nullptr;
+  for (Run& run : worker.runs) {
+    if (!HasTarget(run)) continue;
+    const double ratio = Ratio(run);
+    if (ratio <= 1) {
+      run.over_since.reset();
+    } else if (!run.over_since.has_value()) {
+      run.over_since = now.steady;
+    }
+    if (ratio > worker.pressure) worst = &run;
+    worker.pressure = std::max(worker.pressure, ratio);
+  }
+  if (was_pressed && worker.pressure <= kFastRatio) WantSchedule();
+  if (worst == nullptr) {
+    for (Run& run : worker.runs) {
+      if (IsFiller(run)) SetPace(run, 100);
+    }
+    return;
+  }
+  PaceFillers(worker, *worst, worker.pressure);
+  MoveIdleFills(worker);
+}
+
+void ShardCore::Impl::PaceFillers(WorkerState& worker, const Run& standing,
+                                  double ratio) {
+  const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
+  const bool over_long = standing.over_since.has_value() &&
+                         now.steady - *standing.over_since > kOverPatience;
   for (Run& run : worker.runs) {
     if (!IsFiller(run) || run.state != RunState::kRunning || run.stop_wanted) {
       continue;
     }
-    if (worst > kStopRatio) {
+    const StepSpec& spec = *run.task->step->spec;
+    const double part =
+        interference.Factor(standing.task->step->spec->image, spec.image) *
+        static_cast<double>(spec.need.milli_cpus) / room;
+    if (over_long || (ratio > kStopRatio && part > kNoPart)) {
       SetPace(run, 0);
-    } else if (worst > kSlowRatio) {
+    } else if (ratio > kSlowRatio && part > kNoPart) {
       SetPace(run, static_cast<std::uint32_t>(run.pace * kSlowFactor));
-    } else if (worst < kFastRatio) {
+    } else if (ratio < kFastRatio || part <= kNoPart) {
       SetPace(run, std::min(100U, run.pace + kFasterBy));
     }
   }
-  MoveIdleFills(worker);
 }
 
 void ShardCore::Impl::SetPace(Run& run, std::uint32_t percent) {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -16,10 +16,13 @@
 constexpr double kStandingLoad = 0.6;
 // A task that fills starts where it finds at least this share of its processors.
 constexpr double kMinFillShare = 0.6;
-// No task that fills starts beside a standing task nearer to its target.
-constexpr double kMaxFillPressure = 0.75;
-// How long no task that fills starts beside a standing task that was over.
-constexpr milliseconds kPressureMemory{2000};
+// Most by which fillers may raise the log of a standing task's latency.
+constexpr double kMaxHarm = 0.25;
+// Weight of the harm against free processors when a worker is chosen.
+constexpr double kHarmWeight = 4;
+// A standing task prefers a worker where others of its image are, which suffer
+// from the same fillers.
+constexpr double kSameImageBonus = 0.5;
 // A copy starts when a run has taken this many times the estimate, and at least
 // the time below.
 constexpr double kCopyAfterEstimates = 1.6;
@@ -179,8 +182,9 @@
            room.milli_cpus;
   }
   if (worker.standing_milli_cpus > 0 &&
-      (worker.pressure > kMaxFillPressure ||
-       now.steady - worker.pressed_at < kPressureMemory)) {
+      (worker.pressure > 1 ||
+       PredictHarm(worker, spec.image, copies * spec.need.milli_cpus) >
+           kMaxHarm)) {
     return false;
   }
   const double other =
@@ -206,11 +210,22 @@
   const double used = ToDouble(worker.used.milli_cpus);
   const double fills = ToDouble(worker.fill_milli_cpus);
   // Standing tasks are packed, so that other workers stay free of them.
-  if (spec.standing) return used / room;
+  if (spec.standing) {
+    const bool same_image =
+        std::any_of(worker.runs.begin(), worker.runs.end(),
+                    [&spec](const Run& run) {
+                      const StepSpec& other = *run.task->step->spec;
+                      return other.standing && other.image == spec.image;
+                    });
+    return used / room + (same_image ? kSameImageBonus : 0);
+  }
   const double standing = ToDouble(worker.standing_milli_cpus);
   if (spec.fills) {
+    const double harm =
+        standing > 0 ? PredictHarm(worker, spec.image, spec.need.milli_cpus)
+                     : 0;
     return (room - used + (1 - kStandingLoad) * standing - fills) / room -
-           standing / room - worker.pressure;
+           kHarmWeight * harm;
   }
   return (room - used - fills / 2) / room;
 }
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -55,6 +55,8 @@
   Duration hello_every = std::chrono::milliseconds(250);
   // An owner that was not heard for this long is suspected.
   Duration suspect_after = std::chrono::milliseconds(750);
+  // A new owner may be silent for this much longer while it restores the shard.
+  Duration new_owner_grace = std::chrono::milliseconds(750);
   // How long a probe's answers are awaited.
   Duration probe_wait = std::chrono::milliseconds(100);
   // Pause after a probe that did not lead to a claim.
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -54,7 +54,7 @@
   if (claim.token <= claim_.token) return;
   if (owns()) StopOwning("another node has claimed the shard");
   claim_ = claim;
-  heard_at_ = now;
+  heard_at_ = now + options_.new_owner_grace;
   yields_ = 0;
   pending_counts_.clear();
   if (state_ != State::kStarting) state_ = State::kFollowing;
