--- a/src/framework/telemetry/internal/log.cc
+++ b/src/framework/telemetry/internal/log.cc
@@ -86,6 +86,12 @@
   return quoted + "\"";
 }
 
+// Without the digits that nobody reads: microseconds, from a millisecond on.
+Duration Readable(Duration duration) {
+  if (duration < std::chrono::milliseconds(1)) return duration;
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration);
+}
+
 }  // namespace
 
 Field::Field(std::string field_key, const std::string& text)
@@ -104,7 +110,7 @@
 }
 
 Field::Field(std::string field_key, Duration duration)
-    : key(std::move(field_key)), value(FormatDuration(duration)) {}
+    : key(std::move(field_key)), value(FormatDuration(Readable(duration))) {}
 
 void StartLogs(const LogOptions& options) {
   const log4cxx::LoggerPtr root = RootLogger();
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -57,10 +57,14 @@
   heard_at_ = now + options_.new_owner_grace;
   yields_ = 0;
   pending_counts_.clear();
-  if (state_ != State::kStarting) state_ = State::kFollowing;
   hooks_.changed("owner", claim.node);
-  // A claim of our own that this life did not make is of an earlier life.
-  if (claim.node == options_.self.name) heard_at_ = MonotonicTime();
+  if (claim.node == options_.self.name) {
+    // The stream told it before the append was answered, or it is of an earlier
+    // life of this node.
+    heard_at_ = MonotonicTime();
+    if (state_ == State::kClaiming) return;
+  }
+  if (state_ != State::kStarting) state_ = State::kFollowing;
 }
 
 void ElectionCore::OnClaimsRead(MonotonicTime now) {
@@ -72,13 +76,13 @@
 }
 
 void ElectionCore::OnClaimed(const OwnerClaim& claim, MonotonicTime now) {
-  if (claim.token <= claim_.token) return;
+  if (claim.token < claim_.token) return;
+  if (claim.token > claim_.token) hooks_.changed("owner", claim.node);
   claim_ = claim;
   state_ = State::kOwning;
   heard_at_ = now;
   yields_ = 0;
   pending_counts_.clear();
-  hooks_.changed("owner", claim.node);
   for (const auto& [name, member] : members_) {
     hooks_.send(member.name.address, MakeMessage(MessageKind::kOwnerState, now));
   }
