--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -240,15 +240,18 @@
     impl_->SetSilent(worker, answer.error);
     return;
   }
-  if (worker.born_ms != answer.born_ms) {
-    if (worker.born_ms != 0) {
+  if (!worker.contact_at.has_value() || worker.born_ms != answer.born_ms) {
+    if (worker.contact_at.has_value()) {
       impl_->hooks.decided("worker reborn", {{"worker", worker_id},
                                              {"born_ms", answer.born_ms}});
     }
     worker.born_ms = answer.born_ms;
     worker.acknowledged_end = 0;
     worker.seen_end = 0;
-    worker.lease_end = contracts::WorkerClock(0);
+    // What an earlier owner started there may hold the longest lease.
+    worker.lease_end =
+        answer.clock.value_or(contracts::WorkerClock(0)) +
+        impl_->options.max_lease;
   }
   const bool regained =
       worker.silent_since.has_value() || !worker.contact_at.has_value();
--- a/src/node/stream_follower.h
+++ b/src/node/stream_follower.h
@@ -12,11 +12,12 @@
 
 struct StreamFollowerOptions {
   contracts::StreamId stream;
-  // How long one read waits for a record.
-  Duration read_wait = std::chrono::seconds(5);
+  // How long one read waits for a record. Bounds how late a connection that has
+  // gone silent is noticed.
+  Duration read_wait = std::chrono::seconds(1);
   // Least time between two reads.
   Duration read_every = std::chrono::milliseconds(20);
-  Duration timeout = std::chrono::seconds(1);
+  Duration timeout = std::chrono::milliseconds(600);
   // Pause after a failed call.
   Duration retry_pause = std::chrono::milliseconds(200);
 };
