Only a hold tells a new owner how long leases may last

Also: a claim is tried only against the claim that was known before the stream was read. The test AnswerBeforeTheFirstHoldTellsNothingOfLeases fails without the change.

--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -188,6 +188,8 @@
 
 void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
                                     const contracts::OrderAnswer& answer) {
+  // Only a hold tells how long the leases of earlier owners may still last.
+  if (!worker.contact_at.has_value()) return;
   if (answer.clock.has_value()) OnClock(worker, *answer.clock);
   if (answer.outcome != OrderOutcome::kUnknown &&
       answer.outcome != OrderOutcome::kNotSent) {
--- /dev/null
+++ b/src/jobs/tests/shard_bench.cc
@@ -0,0 +1,120 @@
+#include "shard_bench.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+constexpr std::uint64_t kMemory = std::uint64_t{1} << 30;
+
+ClusterConfig MakeConfig() {
+  return {.version = 1,
+          .queues = {{.name = "queue",
+                      .host = "host",
+                      .prefix = "/p/",
+                      .pool = "pool",
+                      .max_attempts = 2}},
+          .pools = {{.name = "pool"}}};
+}
+
+}  // namespace
+
+JobSpec MakeJob(std::uint32_t count) {
+  StepSpec step{.count = count,
+                .need = {.milli_cpus = 1000, .memory = {1}},
+                .estimate = std::chrono::milliseconds(500)};
+  return {.text = "work", .steps = {step}};
+}
+
+void ShardBench::Begin(contracts::FencingToken token) {
+  token_ = token;
+  starts.clear();
+  stops.clear();
+  core = std::make_unique<ShardCore>(
+      ShardOptions{.token = token},
+      ShardHooks{
+          .start =
+              [this](const contracts::WorkerTarget& worker,
+                     const contracts::StartOrder& order) {
+                starts.push_back({worker.id, order});
+              },
+          .stop =
+              [this](const contracts::WorkerTarget& worker,
+                     const contracts::StopOrder& order) {
+                stops.push_back({worker.id, order});
+              },
+          .pace = [](const contracts::WorkerTarget&,
+                     const contracts::PaceOrder&) {},
+          .fenced = [](const std::string&) {},
+          .changed = [] {},
+          .hold_now = [](const std::string&) {},
+          .decided = [](const std::string&,
+                        const std::vector<telemetry::Field>&) {}});
+  core->SetConfig(MakeConfig(), now);
+  for (const auto& [key, value] : stored) {
+    core->Restore({.key = key, .value = value});
+  }
+  core->FinishRestore(now);
+  std::vector<WorkerEntry> entries;
+  for (const auto& [id, entry] : entries_) entries.push_back(entry);
+  core->SetWorkers(entries, now);
+}
+
+void ShardBench::AddWorker(const std::string& id, std::uint64_t milli_cpus,
+                           const std::string& rack) {
+  entries_[id] = {.id = id,
+                  .address = {.ip = "127.0.0.1", .port = 1},
+                  .pool = "pool",
+                  .zone = "z",
+                  .rack = rack,
+                  .labels = {"a", rack},
+                  .capacity = {.milli_cpus = milli_cpus, .memory = {kMemory}}};
+  std::vector<WorkerEntry> entries;
+  for (const auto& [name, entry] : entries_) entries.push_back(entry);
+  core->SetWorkers(entries, now);
+}
+
+void ShardBench::Contact(const std::string& worker,
+                         std::vector<contracts::RunningTask> running,
+                         std::vector<contracts::EndedTask> ended) {
+  const HoldPlan plan = core->PlanHold(worker, now);
+  const MonotonicTime sent_at = now.steady;
+  now.steady += std::chrono::milliseconds(1);
+  core->OnHold(worker, plan.order,
+               {.outcome = contracts::OrderOutcome::kDone,
+                .clock = Clock(),
+                .born_ms = 1,
+                .running = std::move(running),
+                .ended = std::move(ended)},
+               sent_at, now);
+}
+
+void ShardBench::Silence(const std::string& worker) {
+  const HoldPlan plan = core->PlanHold(worker, now);
+  core->OnHold(worker, plan.order,
+               {.outcome = contracts::OrderOutcome::kUnknown}, now.steady, now);
+}
+
+void ShardBench::Store() {
+  while (core->HasChanges()) {
+    const Batch batch = core->TakeBatch(now);
+    for (const contracts::KeyedRecord& record : batch.records) {
+      if (record.value.has_value()) {
+        stored[record.key] = *record.value;
+      } else {
+        stored.erase(record.key);
+      }
+    }
+    core->OnStored(batch.number, now);
+  }
+}
+
+void ShardBench::Pass(std::chrono::milliseconds time) {
+  constexpr std::chrono::milliseconds kStep{50};
+  for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
+    now.steady += kStep;
+    now.wall += kStep;
+    core->Tick(now);
+  }
+}
+
+}  // namespace carobmast::jobs
--- /dev/null
+++ b/src/jobs/tests/shard_core_test.cc
@@ -0,0 +1,355 @@
+// The owner of a shard: what it starts, when, and what it believes of workers.
+#include "jobs/shard_core.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "shard_bench.h"
+
+namespace carobmast::jobs {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ShardCoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShardCoreTest);
+  CPPUNIT_TEST(StartsOnlyAfterTheIntentIsStored);
+  CPPUNIT_TEST(SameIdIsTheSameJob);
+  CPPUNIT_TEST(EndIsAcknowledgedAfterItIsStored);
+  CPPUNIT_TEST(CompletedIsToldAfterItIsStored);
+  CPPUNIT_TEST(NeverBeyondTheCapacity);
+  CPPUNIT_TEST(LaterStepWaitsForEarlierOnes);
+  CPPUNIT_TEST(TaskThatFailsTooOftenFailsItsJob);
+  CPPUNIT_TEST(CancelStopsWhatRuns);
+  CPPUNIT_TEST(UnansweredStartIsRepeatedUnderItsAttempt);
+  CPPUNIT_TEST(SilentWorkerKeepsItsTasksUntilTheLeaseIsOver);
+  CPPUNIT_TEST(SuccessorAdoptsWhatRuns);
+  CPPUNIT_TEST(SuccessorStartsAnewWhatNeverArrived);
+  CPPUNIT_TEST(SuccessorAssumesTheLongestLeaseAtFirstContact);
+  CPPUNIT_TEST(AnswerBeforeTheFirstHoldTellsNothingOfLeases);
+  CPPUNIT_TEST(SuccessorWaitsForAWorkerItNeverReached);
+  CPPUNIT_TEST(StaleListDoesNotEndARun);
+  CPPUNIT_TEST(RebornWorkerLosesItsTasks);
+  CPPUNIT_TEST(GangStartsWholeUnderOneAttempt);
+  CPPUNIT_TEST(NoMoreThanAllowedOnOneWorker);
+  CPPUNIT_TEST(DueOccurrencesOnly);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StartsOnlyAfterTheIntentIsStored() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    const Batch batch = bench.core->TakeBatch(bench.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, batch.records.size());
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.core->OnStored(batch.number, bench.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
+  void SameIdIsTheSameJob() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    CPPUNIT_ASSERT(SubmitOutcome::kTaken == bench.Submit("j", MakeJob(1)).outcome);
+    bench.Store();
+    CPPUNIT_ASSERT(SubmitOutcome::kKnown == bench.Submit("j", MakeJob(1)).outcome);
+    bench.TakeOver();
+    bench.Contact("w");
+    CPPUNIT_ASSERT(SubmitOutcome::kKnown == bench.Submit("j", MakeJob(1)).outcome);
+  }
+
+  void EndIsAcknowledgedAfterItIsStored() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.Contact("w", {}, {bench.Ended(1, start)});
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{0},
+        bench.core->PlanHold("w", bench.now).order.acknowledged_end);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{1},
+        bench.core->PlanHold("w", bench.now).order.acknowledged_end);
+  }
+
+  void CompletedIsToldAfterItIsStored() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.Contact("w", {}, {bench.Ended(1, start)});
+    CPPUNIT_ASSERT(JobState::kRunning == *bench.core->StoredState("j"));
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+  }
+
+  void NeverBeyondTheCapacity() {
+    ShardBench bench;
+    bench.AddWorker("w", 3000);
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(10));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.starts.size());
+    // What is being stopped still counts.
+    bench.core->Cancel("j", bench.now);
+    bench.Submit("k", MakeJob(1));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.starts.size());
+  }
+
+  void LaterStepWaitsForEarlierOnes() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    JobSpec spec = MakeJob(1);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().depends_on = {0};
+    bench.Submit("j", spec);
+    bench.Store();
+    const std::vector<SentStart> first = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+    bench.Confirm(first[0]);
+    bench.Contact("w", {}, {bench.Ended(1, first[0])});
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(1U, bench.starts[0].order.task.step);
+  }
+
+  void TaskThatFailsTooOftenFailsItsJob() {
+    ShardBench bench;
+    SentStart start = StartOne(bench);
+    bench.Contact("w", {},
+                  {bench.Ended(1, start, contracts::EndKind::kFailed)});
+    bench.Store();
+    start = bench.TakeStarts().at(0);
+    CPPUNIT_ASSERT_EQUAL(2U, start.order.attempt);
+    bench.Confirm(start);
+    bench.Contact("w", {},
+                  {bench.Ended(2, start, contracts::EndKind::kFailed)});
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    CPPUNIT_ASSERT(JobState::kFailed == *bench.core->StoredState("j"));
+  }
+
+  void CancelStopsWhatRuns() {
+    ShardBench bench;
+    StartOne(bench);
+    CPPUNIT_ASSERT(bench.core->Cancel("j", bench.now).known);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
+    CPPUNIT_ASSERT(JobState::kCancelled == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(!bench.core->Cancel("unknown", bench.now).known);
+  }
+
+  void UnansweredStartIsRepeatedUnderItsAttempt() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    bench.core->OnStart("w", start.order,
+                        {.outcome = contracts::OrderOutcome::kUnknown},
+                        bench.now);
+    bench.Contact("w");
+    bench.Pass(milliseconds(300));
+    const std::vector<SentStart> again = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+    CPPUNIT_ASSERT_EQUAL(start.order.attempt, again[0].order.attempt);
+    CPPUNIT_ASSERT_EQUAL(start.worker, again[0].worker);
+  }
+
+  void SilentWorkerKeepsItsTasksUntilTheLeaseIsOver() {
+    ShardBench bench;
+    StartOne(bench);
+    bench.AddWorker("v");
+    bench.Contact("v");
+    bench.Silence("w");
+    bench.Pass(seconds(5));
+    bench.Contact("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(seconds(3));
+    bench.Store();
+    const std::vector<SentStart> moved = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, moved.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), moved[0].worker);
+    CPPUNIT_ASSERT_EQUAL(2U, moved[0].order.attempt);
+  }
+
+  void SuccessorAdoptsWhatRuns() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.TakeOver();
+    bench.Contact("w", {bench.Running(start)});
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Contact("w", {}, {bench.Ended(1, start)});
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+  }
+
+  void SuccessorStartsAnewWhatNeverArrived() {
+    ShardBench bench;
+    StartOne(bench);
+    bench.TakeOver();
+    bench.Contact("w");
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(2U, bench.starts[0].order.attempt);
+  }
+
+  void SuccessorAssumesTheLongestLeaseAtFirstContact() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.AddWorker("v");
+    bench.TakeOver();
+    bench.Contact("v");
+    bench.Contact("w", {bench.Running(start)});
+    bench.core->OnHold("w", {}, {.outcome = contracts::OrderOutcome::kUnknown},
+                       bench.now.steady, bench.now);
+    bench.Pass(seconds(5));
+    bench.Contact("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void AnswerBeforeTheFirstHoldTellsNothingOfLeases() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.AddWorker("v");
+    bench.TakeOver();
+    bench.Contact("v");
+    bench.Silence("w");
+    // A stop of some other run is answered first.
+    bench.core->OnStop("w", {.task = start.order.task, .attempt = 1},
+                       {.outcome = contracts::OrderOutcome::kFenced,
+                        .clock = bench.Clock()},
+                       bench.now);
+    bench.Pass(seconds(2));
+    bench.Contact("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void SuccessorWaitsForAWorkerItNeverReached() {
+    ShardBench bench;
+    StartOne(bench);
+    bench.AddWorker("v");
+    bench.TakeOver();
+    bench.Contact("v");
+    bench.Silence("w");
+    bench.Pass(seconds(15));
+    bench.Contact("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(seconds(2));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
+  void StaleListDoesNotEndARun() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    const MonotonicTime sent_at = bench.now.steady;
+    bench.now.steady += milliseconds(5);
+    bench.Confirm(start);
+    bench.core->OnHold("w", {},
+                       {.outcome = contracts::OrderOutcome::kDone,
+                        .clock = bench.Clock(),
+                        .born_ms = 1},
+                       sent_at, bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void RebornWorkerLosesItsTasks() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.Contact("w", {bench.Running(start)});
+    const HoldPlan plan = bench.core->PlanHold("w", bench.now);
+    const MonotonicTime sent_at = bench.now.steady;
+    bench.now.steady += milliseconds(1);
+    bench.core->OnHold("w", plan.order,
+                       {.outcome = contracts::OrderOutcome::kDone,
+                        .clock = contracts::WorkerClock(3),
+                        .born_ms = 2},
+                       sent_at, bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(2U, bench.starts[0].order.attempt);
+  }
+
+  void GangStartsWholeUnderOneAttempt() {
+    ShardBench bench;
+    bench.AddWorker("v", 2000);
+    bench.Contact("v");
+    JobSpec spec = MakeJob(4);
+    spec.steps[0].gang = true;
+    bench.Submit("j", spec);
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.AddWorker("w", 2000);
+    bench.Contact("w");
+    bench.Store();
+    const std::vector<SentStart> members = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, members.size());
+    for (const SentStart& member : members) {
+      CPPUNIT_ASSERT_EQUAL(1U, member.order.attempt);
+      bench.Confirm(member);
+    }
+    // The end of one represents all.
+    bench.Contact(members[0].worker, {}, {bench.Ended(1, members[0])});
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+  }
+
+  void NoMoreThanAllowedOnOneWorker() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    JobSpec spec = MakeJob(3);
+    spec.steps[0].max_per_worker = 1;
+    bench.Submit("j", spec);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
+  void DueOccurrencesOnly() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    JobSpec spec = MakeJob(1);
+    spec.occurrences = 2;
+    spec.first_due = bench.now.wall + seconds(1);
+    spec.interval = seconds(10);
+    bench.Submit("j", spec);
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(milliseconds(1100));
+    bench.Contact("w");
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(0U, bench.starts[0].order.task.occurrence);
+  }
+
+ private:
+  // One worker "w" that runs the only task of job "j".
+  static SentStart StartOne(ShardBench& bench) {
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    bench.now.steady += milliseconds(1);
+    bench.Confirm(start);
+    bench.now.steady += milliseconds(1);
+    return start;
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShardCoreTest, "shard_core_test");
+
+}  // namespace carobmast::jobs
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -193,6 +193,7 @@
                       .address = settings_.peers,
                       .rank = settings_.rank};
   const contracts::StreamId stream{.name = kClaimStream};
+  const std::uint64_t known = election_.claim().token;
   const contracts::NewestAnswer newest =
       co_await store_->Newest(stream, "", kClaimTimeout);
   OnStoreCall(newest.ok, newest.error);
@@ -200,7 +201,6 @@
     election_.OnClaimFailed(LeaseNow());
     co_return;
   }
-  const std::uint64_t known = election_.claim().token;
   for (const contracts::KeyedRecord& record : newest.records) {
     OnClaimRecord(record);
   }
