--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -358,6 +358,7 @@
   }
   impl_->AddCopies();
   impl_->DropEndedJobs();
+  impl_->TellSummary();
 }
 
 const ShardCounters& ShardCore::counters() const { return impl_->counters; }
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -99,6 +99,7 @@
   void CountFailure(WorkerState& worker, const Task& task);
   void Quarantine(WorkerState& worker, const std::string& reason);
   void TickWorker(WorkerState& worker);
+  void TellSummary();
   bool LeaseIsOver(const WorkerState& worker) const;
   void RepeatOrders(WorkerState& worker);
   void StopStalled(WorkerState& worker);
@@ -137,6 +138,7 @@
   InterferenceModel interference;
   bool schedule_wanted = false;
   bool restored = false;
+  MonotonicTime summary_at;
 };
 
 // The key that names the task to workers.
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -33,6 +33,8 @@
 constexpr std::uint32_t kSlowPace = 60;
 // A start that stays unanswered by a worker in contact is given up after this.
 constexpr milliseconds kGiveUpStart{1500};
+// Between two lines with the state of the shard.
+constexpr milliseconds kSummaryEvery{1000};
 // Unanswered orders in a row after which a worker counts as silent.
 constexpr std::uint32_t kUnansweredToSilent = 2;
 
@@ -471,6 +473,46 @@
   }
 }
 
+void ShardCore::Impl::TellSummary() {
+  if (now.steady - summary_at < kSummaryEvery) return;
+  summary_at = now.steady;
+  std::uint64_t waiting = 0;
+  std::uint64_t waiting_fillers = 0;
+  for (const auto& [key, step] : ready) {
+    for (const Task& task : step->tasks) {
+      if (task.finished || !task.runs.empty()) continue;
+      ++(step->spec->fills ? waiting_fillers : waiting);
+    }
+  }
+  std::uint64_t in_contact = 0;
+  std::uint64_t standing = 0;
+  std::uint64_t fillers = 0;
+  std::uint64_t slowed = 0;
+  std::uint64_t over_target = 0;
+  for (const auto& [id, worker] : workers) {
+    const bool usable = worker->listed && worker->contact_at.has_value() &&
+                        !worker->silent_since.has_value();
+    in_contact += usable ? 1 : 0;
+    over_target += worker->pressure > 1 ? 1 : 0;
+    for (const Run& run : worker->runs) {
+      const StepSpec& spec = *run.task->step->spec;
+      standing += spec.standing ? 1 : 0;
+      fillers += spec.fills ? 1 : 0;
+      slowed += spec.fills && run.pace < 100 ? 1 : 0;
+    }
+  }
+  hooks.decided("shard", {{"jobs", jobs.size()},
+                          {"waiting", waiting},
+                          {"waiting_fillers", waiting_fillers},
+                          {"workers", workers.size()},
+                          {"in_contact", in_contact},
+                          {"over_target", over_target},
+                          {"standing", standing},
+                          {"fillers", fillers},
+                          {"slowed", slowed},
+                          {"changes_unstored", changes - stored_changes}});
+}
+
 ShardCore::Impl::Impl(ShardOptions shard_options, ShardHooks shard_hooks)
     : options(shard_options), hooks(std::move(shard_hooks)) {}
 
