Work that can still be on time goes first; waiting steps are looked at once

A backlog of fillers made every job late: steps of jobs that are past their objective now come after those that can still make it. A need that found no worker is not tried again in the same pass; the harm of a worker's fillers is kept until a run comes or goes.

--- a/src/contracts/task_workers.h
+++ b/src/contracts/task_workers.h
@@ -73,9 +73,9 @@
 
 enum class OrderOutcome {
   kDone,
-  kFenced,            // a higher token was seen
-  kSuperseded,        // this or a later attempt was there already and is over
-  kLeaseOver,         // the order came after the lease that it carries
+  kFenced,      // a higher token was seen
+  kSuperseded,  // this or a later attempt was there already and is over
+  kLeaseOver,   // the order came after the lease that it carries
   kNoRoom,
   kBadTicket,
   kUnhealthy,         // refused without doing anything
@@ -108,8 +108,8 @@
   kFailed,
   kStopped,
   kLeaseExpired,
-  kGangBroken,   // another member of its gang ended
-  kGangAlone,    // the other members of its gang did not come in time
+  kGangBroken,  // another member of its gang ended
+  kGangAlone,   // the other members of its gang did not come in time
 };
 
 struct EndedTask {
--- a/src/framework/telemetry/internal/line_log.cc
+++ b/src/framework/telemetry/internal/line_log.cc
@@ -63,8 +63,8 @@
   }
   ++lines_this_second_;
   ++lines_;
-  buffer_ += "time=" + FormatTime(now) + common_ + " event=" +
-             Field("event", event).value;
+  buffer_ += "time=" + FormatTime(now) + common_ +
+             " event=" + Field("event", event).value;
   for (const Field& field : fields) {
     buffer_ += " " + field.key + "=" + field.value;
   }
--- a/src/framework/telemetry/line_log.h
+++ b/src/framework/telemetry/line_log.h
@@ -1,6 +1,6 @@
 // Structured lines on standard output, one for each decision, in the form of
-// telemetry::Log. Never blocks: lines that the reader does not take in time, and
-// lines beyond the rate, are dropped and counted.
+// telemetry::Log. Never blocks: lines that the reader does not take in time,
+// and lines beyond the rate, are dropped and counted.
 #ifndef CAROBMAST_FRAMEWORK_TELEMETRY_LINE_LOG_H_
 #define CAROBMAST_FRAMEWORK_TELEMETRY_LINE_LOG_H_
 
--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -1,32 +1,36 @@
 // Learns how much tasks that fill raise the latency of standing tasks beside
-// them, by pairs of images: log(latency / target) of a standing image is taken as
-// a base and, for each image that fills, a factor times the share of the worker's
-// processors that it uses. Recursive least squares, forgetting slowly.
+// them, by pairs of images: log(latency / target) of a standing image is taken
+// as a base and, for each image that fills, a factor times the share of the
+// worker's processors that it uses. Recursive least squares, forgetting slowly.
 #ifndef CAROBMAST_JOBS_INTERFERENCE_MODEL_H_
 #define CAROBMAST_JOBS_INTERFERENCE_MODEL_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace carobmast::jobs {
 
+// Images are known by the order in which they were met.
+using ImageId = std::uint32_t;
+
 // An image with the share of the worker's processors that it uses, 0 to 1.
 struct ImageShare {
-  std::string image;
+  ImageId image = 0;
   double share = 0;
 };
 
 class InterferenceModel {
  public:
+  ImageId Intern(const std::string& image);
   // One report of a standing task beside the given users of processors.
-  void Observe(const std::string& standing, double log_ratio,
+  void Observe(ImageId standing, double log_ratio,
                const std::vector<ImageShare>& fillers);
   // By how much log(latency / target) rises for each unit of share; never
   // negative. A pair that was not seen has a cautious value.
-  double Factor(const std::string& standing, const std::string& filler) const;
-  std::size_t standing_images() const { return models_.size(); }
+  double Factor(ImageId standing, ImageId filler) const;
 
  private:
   struct Model {
@@ -36,12 +40,16 @@
   };
 
   // The position of the image among the inputs, or 0 when there are too many.
-  std::size_t IndexOf(const std::string& filler);
+  std::size_t IndexOf(ImageId filler);
   static void Grow(Model& model, std::size_t size);
 
-  // Input 0 is the base.
-  std::map<std::string, std::size_t> inputs_;
-  std::map<std::string, Model> models_;
+  std::map<std::string, ImageId> images_;
+  // By image: its input, or 0 while it was not seen filling. Input 0 is the
+  // base.
+  std::vector<std::size_t> inputs_;
+  std::size_t input_count_ = 1;
+  // By image; empty while it was not seen standing.
+  std::vector<Model> models_;
 };
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -22,13 +22,20 @@
 
 }  // namespace
 
-std::size_t InterferenceModel::IndexOf(const std::string& filler) {
-  const auto known = inputs_.find(filler);
-  if (known != inputs_.end()) return known->second;
-  if (inputs_.size() + 1 >= kMaxInputs) return 0;
-  const std::size_t index = inputs_.size() + 1;
-  inputs_[filler] = index;
-  return index;
+ImageId InterferenceModel::Intern(const std::string& image) {
+  const auto [entry, added] =
+      images_.emplace(image, static_cast<ImageId>(images_.size()));
+  if (added) {
+    inputs_.push_back(0);
+    models_.emplace_back();
+  }
+  return entry->second;
+}
+
+std::size_t InterferenceModel::IndexOf(ImageId filler) {
+  std::size_t& input = inputs_[filler];
+  if (input == 0 && input_count_ < kMaxInputs) input = input_count_++;
+  return input;
 }
 
 void InterferenceModel::Grow(Model& model, std::size_t size) {
@@ -49,7 +56,7 @@
   if (old == 0) model.weights[0] = kFirstBase;
 }
 
-void InterferenceModel::Observe(const std::string& standing, double log_ratio,
+void InterferenceModel::Observe(ImageId standing, double log_ratio,
                                 const std::vector<ImageShare>& fillers) {
   std::vector<double> input(kMaxInputs, 0.0);
   input[0] = 1;
@@ -58,7 +65,7 @@
     if (index > 0) input[index] += filler.share;
   }
   Model& model = models_[standing];
-  Grow(model, inputs_.size() + 1);
+  Grow(model, input_count_);
   const std::size_t size = model.weights.size();
   std::vector<double> gain(size, 0.0);
   double error = log_ratio;
@@ -69,7 +76,8 @@
     }
     error -= model.weights[row] * input[row];
   }
-  for (std::size_t row = 0; row < size; ++row) variance += gain[row] * input[row];
+  for (std::size_t row = 0; row < size; ++row)
+    variance += gain[row] * input[row];
   for (std::size_t row = 0; row < size; ++row) {
     model.weights[row] += gain[row] / variance * error;
     for (std::size_t column = 0; column < size; ++column) {
@@ -80,15 +88,11 @@
   }
 }
 
-double InterferenceModel::Factor(const std::string& standing,
-                                 const std::string& filler) const {
-  const auto input = inputs_.find(filler);
-  const auto model = models_.find(standing);
-  if (input == inputs_.end() || model == models_.end() ||
-      input->second >= model->second.weights.size()) {
-    return kFirstFactor;
-  }
-  return std::max(0.0, model->second.weights[input->second]);
+double InterferenceModel::Factor(ImageId standing, ImageId filler) const {
+  const std::size_t input = inputs_[filler];
+  const Model& model = models_[standing];
+  if (input == 0 || input >= model.weights.size()) return kFirstFactor;
+  return std::max(0.0, model.weights[input]);
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/job_record.cc
+++ b/src/jobs/internal/job_record.cc
@@ -4,7 +4,8 @@
 
 namespace {
 
-// A job of more tasks than this is refused: its progress would not fit a record.
+// A job of more tasks than this is refused: its progress would not fit a
+// record.
 constexpr std::uint64_t kMaxTasks = 20000;
 
 }  // namespace
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "contracts/task_workers.h"
+#include "jobs/interference_model.h"
 #include "jobs/types/job.h"
 
 namespace carobmast::jobs {
@@ -78,6 +79,7 @@
   Occurrence* occurrence = nullptr;
   const StepSpec* spec = nullptr;
   std::uint32_t number = 0;
+  ImageId image = 0;
   std::vector<Task> tasks;
   std::uint32_t finished = 0;
   bool ready = false;
@@ -152,6 +154,10 @@
   std::string last_failed_job;
   std::uint32_t quarantines = 0;
   MonotonicTime quarantined_until;
+  // By image of a standing task here: how much all that fills raises the log of
+  // its latency. Kept until a run comes or goes.
+  std::vector<std::pair<ImageId, double>> harm;
+  bool harm_known = false;
   // The worst ratio of latency to target on the last report.
   double pressure = 0;
 };
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -24,12 +24,11 @@
 constexpr milliseconds kUnstoredPause{1000};
 
 bool HasDoubt(const WorkerState& worker) {
-  return std::any_of(worker.runs.begin(), worker.runs.end(),
-                     [](const Run& run) {
-                       return run.stop_wanted ||
-                              (run.state == RunState::kSent &&
-                               !run.order_in_flight);
-                     });
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(), [](const Run& run) {
+        return run.stop_wanted ||
+               (run.state == RunState::kSent && !run.order_in_flight);
+      });
 }
 
 bool HasFillers(const WorkerState& worker) {
@@ -76,10 +75,10 @@
     const bool was_draining = worker.entry.draining;
     worker.entry = entry;
     if (!worker.listed || was_draining != entry.draining) {
-      impl_->hooks.decided("worker", {{"worker", entry.id},
-                                      {"state", entry.draining ? "draining"
-                                                               : "ready"},
-                                      {"pool", entry.pool}});
+      impl_->hooks.decided("worker",
+                           {{"worker", entry.id},
+                            {"state", entry.draining ? "draining" : "ready"},
+                            {"pool", entry.pool}});
       impl_->WantSchedule();
     }
     worker.listed = true;
@@ -91,8 +90,8 @@
       continue;
     }
     if (state.listed) {
-      impl_->hooks.decided("worker", {{"worker", state.id},
-                                      {"state", "not registered"}});
+      impl_->hooks.decided("worker",
+                           {{"worker", state.id}, {"state", "not registered"}});
     }
     state.listed = false;
     const bool forgotten = state.runs.empty();
@@ -207,7 +206,8 @@
   HoldPlan plan;
   plan.order.token = impl_->options.token;
   plan.order.acknowledged_end = worker.acknowledged_end;
-  if (worker.clock.has_value()) plan.order.lease_end = impl_->LeaseEndFor(worker);
+  if (worker.clock.has_value())
+    plan.order.lease_end = impl_->LeaseEndFor(worker);
   if (worker.silent_since.has_value()) {
     plan.pause = kSilentPause;
     // The life that answers next may be another one, with ends of its own.
@@ -249,9 +249,8 @@
     worker.acknowledged_end = 0;
     worker.seen_end = 0;
     // What an earlier owner started there may hold the longest lease.
-    worker.lease_end =
-        answer.clock.value_or(contracts::WorkerClock(0)) +
-        impl_->options.max_lease;
+    worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0)) +
+                       impl_->options.max_lease;
   }
   const bool regained =
       worker.silent_since.has_value() || !worker.contact_at.has_value();
@@ -263,8 +262,9 @@
   impl_->OnEndedList(worker, answer);
   impl_->UpdatePressure(worker);
   if (regained) {
-    impl_->hooks.decided("worker in contact", {{"worker", worker_id},
-                                               {"runs", answer.running.size()}});
+    impl_->hooks.decided(
+        "worker in contact",
+        {{"worker", worker_id}, {"runs", answer.running.size()}});
     impl_->WantSchedule();
   }
 }
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "jobs/generated/jobs.pb.h"
-#include "jobs/interference_model.h"
 #include "jobs/internal/model.h"
 #include "jobs/shard_core.h"
 
@@ -57,6 +56,9 @@
   using ReadyKey = std::tuple<std::uint32_t, std::int64_t, std::string,
                               std::uint32_t, std::uint32_t>;
   ReadyKey KeyOf(const Step& step) const;
+  // Waiting steps, those first whose turn it is.
+  std::vector<Step*> StepsInOrder() const;
+  std::int64_t ObjectiveOf(const Step& step) const;
   void MakeReady(Step& step);
   void MakeUnready(Step& step);
   void Schedule();
@@ -64,11 +66,13 @@
   void ScheduleStep(Step& step);
   void ScheduleGang(Step& step);
   bool IsUsable(const WorkerState& worker, const Step& step) const;
-  bool Fits(const WorkerState& worker, const StepSpec& spec,
+  bool Fits(WorkerState& worker, const Step& step,
             std::uint32_t copies = 1) const;
+  // Whether a step that needs no more than this one found no worker before.
+  bool IsHopeless(const Step& step) const;
   std::uint32_t CountOnWorker(const Step& step,
                               const WorkerState& worker) const;
-  double Score(const WorkerState& worker, const StepSpec& spec) const;
+  double Score(WorkerState& worker, const Step& step) const;
   WorkerState* Pick(const Task& task);
   std::string PoolOf(const Job& job) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
@@ -83,8 +87,7 @@
   void SendStop(Run& run);
   void WantStop(Run& run, const std::string& reason);
   contracts::WorkerClock LeaseEndFor(WorkerState& worker) const;
-  void OnOrderAnswer(WorkerState& worker,
-                     const contracts::OrderAnswer& answer);
+  void OnOrderAnswer(WorkerState& worker, const contracts::OrderAnswer& answer);
   void SetSilent(WorkerState& worker, const std::string& error);
   void OnStartRefused(Run& run, const contracts::OrderAnswer& answer);
   void OnClock(WorkerState& worker, contracts::WorkerClock clock);
@@ -107,9 +110,10 @@
   // shard_pacing.cc: standing tasks beside tasks that fill.
   void UpdatePressure(WorkerState& worker);
   void LearnInterference(const WorkerState& worker);
+  void UpdateHarm(WorkerState& worker) const;
   // How much the fillers raise the log of the latency of the worst hit standing
   // task, with one more of `image` that uses `milli_cpus`.
-  double PredictHarm(const WorkerState& worker, const std::string& image,
+  double PredictHarm(WorkerState& worker, ImageId image,
                      std::uint64_t milli_cpus) const;
   void PaceFillers(WorkerState& worker, const Run& standing, double ratio);
   void SetPace(Run& run, std::uint32_t percent);
@@ -125,6 +129,8 @@
   std::map<std::string, std::unique_ptr<Job>> jobs;
   std::map<std::string, std::unique_ptr<WorkerState>> workers;
   std::map<ReadyKey, Step*> ready;
+  // Steps that found no worker while room only shrank.
+  std::vector<const Step*> hopeless;
   // Jobs with changes that no batch holds, in the order of their changes.
   std::vector<Job*> changed_jobs;
   std::vector<std::string> dropped_keys;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -95,6 +95,7 @@
     step.occurrence = occurrence.get();
     step.spec = &job.spec.steps[s];
     step.number = s;
+    step.image = interference.Intern(step.spec->image);
     step.tasks.resize(step.spec->count);
     for (std::uint32_t t = 0; t < step.tasks.size(); ++t) {
       step.tasks[t].step = &step;
@@ -126,12 +127,12 @@
 void ShardCore::Impl::UpdateReadySteps(Occurrence& occurrence) {
   if (occurrence.job->IsOver() || occurrence.finished) return;
   for (Step& step : occurrence.steps) {
-    const bool waits_for_others = std::any_of(
-        step.spec->depends_on.begin(), step.spec->depends_on.end(),
-        [&occurrence](std::uint32_t before) {
-          const Step& other = occurrence.steps[before];
-          return other.finished < other.tasks.size();
-        });
+    const bool waits_for_others =
+        std::any_of(step.spec->depends_on.begin(), step.spec->depends_on.end(),
+                    [&occurrence](std::uint32_t before) {
+                      const Step& other = occurrence.steps[before];
+                      return other.finished < other.tasks.size();
+                    });
     if (!waits_for_others && HasWaiting(step)) MakeReady(step);
   }
 }
@@ -170,11 +171,11 @@
   if (state == JobState::kCompleted) ++counters.jobs_completed;
   if (state == JobState::kFailed) ++counters.jobs_failed;
   if (state == JobState::kCancelled) ++counters.jobs_cancelled;
-  hooks.decided("job over", {{"job", job.id},
-                             {"state", StateName(state)},
-                             {"after_ms", job.ended_at_ms - job.accepted_at_ms},
-                             {"objective_ms",
-                              job.objective_ms - job.accepted_at_ms}});
+  hooks.decided("job over",
+                {{"job", job.id},
+                 {"state", StateName(state)},
+                 {"after_ms", job.ended_at_ms - job.accepted_at_ms},
+                 {"objective_ms", job.objective_ms - job.accepted_at_ms}});
   StopAll(job, "job over");
   Mark(job);
 }
@@ -319,7 +320,8 @@
         if (step_record.step() >= occurrence.steps.size()) continue;
         Step& step = occurrence.steps[step_record.step()];
         for (const std::uint32_t index : step_record.finished()) {
-          if (index >= step.tasks.size() || step.tasks[index].finished) continue;
+          if (index >= step.tasks.size() || step.tasks[index].finished)
+            continue;
           step.tasks[index].finished = true;
           ++step.finished;
         }
@@ -327,11 +329,9 @@
           RestoreTask(step, task);
         }
       }
-      occurrence.finished =
-          std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
-                      [](const Step& step) {
-                        return step.finished == step.tasks.size();
-                      });
+      occurrence.finished = std::all_of(
+          occurrence.steps.begin(), occurrence.steps.end(),
+          [](const Step& step) { return step.finished == step.tasks.size(); });
     }
     job->stored_state = job->state;
     if (job->IsOver()) ended_jobs.emplace_back(job->ended_at_ms, id);
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -51,43 +51,57 @@
   std::vector<ImageShare> fillers;
   for (const Run& run : worker.runs) {
     if (IsFiller(run) && run.measured > 0) {
-      fillers.push_back({run.task->step->spec->image, run.measured / room});
+      fillers.push_back({run.task->step->image, run.measured / room});
     }
   }
   for (const Run& run : worker.runs) {
     if (!HasTarget(run) || run.measured == 0) continue;
-    interference.Observe(run.task->step->spec->image, std::log(Ratio(run)),
-                         fillers);
+    interference.Observe(run.task->step->image, std::log(Ratio(run)), fillers);
   }
 }
 
-double ShardCore::Impl::PredictHarm(const WorkerState& worker,
-                                    const std::string& image,
-                                    std::uint64_t milli_cpus) const {
+void ShardCore::Impl::UpdateHarm(WorkerState& worker) const {
+  if (worker.harm_known) return;
   const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
-  double worst = 0;
-  std::set<std::string> seen;
-  for (const Run& standing : worker.runs) {
-    const StepSpec& spec = *standing.task->step->spec;
-    if (spec.latency_target <= milliseconds::zero() ||
-        !seen.insert(spec.image).second) {
-      continue;
-    }
-    double harm = interference.Factor(spec.image, image) *
-                  static_cast<double>(milli_cpus) / room;
-    for (const Run& run : worker.runs) {
-      if (!IsFiller(run)) continue;
-      const StepSpec& filler = *run.task->step->spec;
-      harm += interference.Factor(spec.image, filler.image) *
-              static_cast<double>(filler.need.milli_cpus) / room;
+  worker.harm.clear();
+  for (const Run& run : worker.runs) {
+    if (run.task->step->spec->latency_target <= milliseconds::zero()) continue;
+    const ImageId image = run.task->step->image;
+    const bool known =
+        std::any_of(worker.harm.begin(), worker.harm.end(),
+                    [image](const std::pair<ImageId, double>& entry) {
+                      return entry.first == image;
+                    });
+    if (!known) worker.harm.emplace_back(image, 0);
+  }
+  for (const Run& run : worker.runs) {
+    if (!IsFiller(run)) continue;
+    const double share =
+        static_cast<double>(run.task->step->spec->need.milli_cpus) / room;
+    for (std::pair<ImageId, double>& entry : worker.harm) {
+      entry.second +=
+          interference.Factor(entry.first, run.task->step->image) * share;
     }
-    worst = std::max(worst, harm);
+  }
+  worker.harm_known = true;
+}
+
+double ShardCore::Impl::PredictHarm(WorkerState& worker, ImageId image,
+                                    std::uint64_t milli_cpus) const {
+  UpdateHarm(worker);
+  const double share = static_cast<double>(milli_cpus) /
+                       static_cast<double>(worker.entry.capacity.milli_cpus);
+  double worst = 0;
+  for (const std::pair<ImageId, double>& entry : worker.harm) {
+    worst = std::max(
+        worst, entry.second + interference.Factor(entry.first, image) * share);
   }
   return worst;
 }
 
 void ShardCore::Impl::UpdatePressure(WorkerState& worker) {
   LearnInterference(worker);
+  worker.harm_known = false;
   const bool was_pressed = worker.pressure > kFastRatio;
   worker.pressure = 0;
   const Run* worst = nullptr;
@@ -124,7 +138,7 @@
     }
     const StepSpec& spec = *run.task->step->spec;
     const double part =
-        interference.Factor(standing.task->step->spec->image, spec.image) *
+        interference.Factor(standing.task->step->image, run.task->step->image) *
         static_cast<double>(spec.need.milli_cpus) / room;
     if (over_long || (ratio > kStopRatio && part > kNoPart)) {
       SetPace(run, 0);
@@ -143,7 +157,8 @@
 }
 
 void ShardCore::Impl::SendPace(Run& run) {
-  if (run.pace == run.pace_sent || run.pace_in_flight || run.stop_wanted) return;
+  if (run.pace == run.pace_sent || run.pace_in_flight || run.stop_wanted)
+    return;
   run.pace_in_flight = true;
   run.pace_sent = run.pace;
   run.progress_at = now.steady;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -14,7 +14,8 @@
 // Share of their processors that standing tasks are taken to use; what is left
 // goes to tasks that fill. From the load of the sites' standing services.
 constexpr double kStandingLoad = 0.6;
-// A task that fills starts where it finds at least this share of its processors.
+// A task that fills starts where it finds at least this share of its
+// processors.
 constexpr double kMinFillShare = 0.6;
 // Most by which fillers may raise the log of a standing task's latency.
 constexpr double kMaxHarm = 0.25;
@@ -27,21 +28,71 @@
 // the time below.
 constexpr double kCopyAfterEstimates = 1.6;
 constexpr milliseconds kCopyAfterLeast{500};
+// Beyond this many times its objective a job's end counts for nothing.
+constexpr std::int64_t kLateObjectives = 3;
 
 double ToDouble(std::uint64_t value) { return static_cast<double>(value); }
 
 }  // namespace
 
+std::int64_t ShardCore::Impl::ObjectiveOf(const Step& step) const {
+  const Job& job = *step.occurrence->job;
+  if (job.spec.occurrences == 0) return job.objective_ms;
+  const std::int64_t due = job.spec.first_due.time_since_epoch().count() +
+                           step.occurrence->number * job.spec.interval.count();
+  return due + job.objective_ms - job.accepted_at_ms;
+}
+
 ShardCore::Impl::ReadyKey ShardCore::Impl::KeyOf(const Step& step) const {
   const Job& job = *step.occurrence->job;
-  std::int64_t objective = job.objective_ms;
-  if (job.spec.occurrences > 0) {
-    objective += step.occurrence->number * job.spec.interval.count();
-  }
-  return {job.priority, objective, job.id, step.occurrence->number,
+  return {job.priority, ObjectiveOf(step), job.id, step.occurrence->number,
           step.number};
 }
 
+// Work that can still be on time comes before work that can't, and that before
+// work which is too late to count; else a backlog would make everything late.
+std::vector<Step*> ShardCore::Impl::StepsInOrder() const {
+  const std::int64_t time = now.wall.time_since_epoch().count();
+  std::vector<std::tuple<std::uint32_t, int, std::size_t, Step*>> order;
+  order.reserve(ready.size());
+  for (const auto& [key, step] : ready) {
+    const Job& job = *step->occurrence->job;
+    const std::int64_t objective = ObjectiveOf(*step);
+    const std::int64_t begin =
+        job.spec.occurrences == 0
+            ? job.accepted_at_ms
+            : objective - (job.objective_ms - job.accepted_at_ms);
+    int lateness = 0;
+    if (!step->spec->standing) {
+      const std::int64_t end = time + step->spec->estimate.count();
+      if (end > objective) lateness = 1;
+      if (end > begin + kLateObjectives * (objective - begin)) lateness = 2;
+    }
+    order.emplace_back(job.priority, lateness, order.size(), step);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<Step*> steps;
+  steps.reserve(order.size());
+  for (const auto& entry : order) steps.push_back(std::get<3>(entry));
+  return steps;
+}
+
+bool ShardCore::Impl::IsHopeless(const Step& step) const {
+  const StepSpec& spec = *step.spec;
+  return std::any_of(
+      hopeless.begin(), hopeless.end(), [&step, &spec](const Step* other) {
+        const StepSpec& failed = *other->spec;
+        return other->image == step.image && failed.fills == spec.fills &&
+               failed.standing == spec.standing && failed.max_per_worker == 0 &&
+               failed.preferred_rack.empty() &&
+               failed.required_label == spec.required_label &&
+               failed.need.milli_cpus <= spec.need.milli_cpus &&
+               failed.need.memory.bytes <= spec.need.memory.bytes &&
+               failed.need.accelerators <= spec.need.accelerators &&
+               other->occurrence->job->queue == step.occurrence->job->queue;
+      });
+}
+
 void ShardCore::Impl::MakeReady(Step& step) {
   if (!step.ready) {
     step.ready = true;
@@ -74,15 +125,15 @@
 
 void ShardCore::Impl::Schedule() {
   schedule_wanted = false;
-  // A step may leave the list while it is handled.
-  for (auto entry = ready.begin(); entry != ready.end();) {
-    Step& step = *(entry++)->second;
-    if (step.spec->gang) {
-      ScheduleGang(step);
-    } else {
-      ScheduleStep(step);
+  hopeless.clear();
+  for (Step* step : StepsInOrder()) {
+    if (step->spec->gang) {
+      ScheduleGang(*step);
+    } else if (!IsHopeless(*step)) {
+      ScheduleStep(*step);
     }
   }
+  hopeless.clear();
 }
 
 void ShardCore::Impl::ScheduleStep(Step& step) {
@@ -92,6 +143,7 @@
     WorkerState* worker = Pick(task);
     if (worker == nullptr) {
       all_placed = false;
+      hopeless.push_back(&step);
       break;
     }
     Plan(task, *worker, task.attempt + 1);
@@ -125,12 +177,12 @@
         if (!rack.empty() && worker->entry.rack != rack) continue;
         if (!IsUsable(*worker, step)) continue;
         const std::uint32_t here = planned[worker.get()];
-        if (!Fits(*worker, *step.spec, here + 1)) continue;
+        if (!Fits(*worker, step, here + 1)) continue;
         if (step.spec->max_per_worker > 0 &&
             here + 1 > step.spec->max_per_worker) {
           continue;
         }
-        const double score = Score(*worker, *step.spec) - here;
+        const double score = Score(*worker, step) - here;
         if (score <= best_score) continue;
         best = worker.get();
         best_score = score;
@@ -168,8 +220,9 @@
                    label) != worker.entry.labels.end();
 }
 
-bool ShardCore::Impl::Fits(const WorkerState& worker, const StepSpec& spec,
+bool ShardCore::Impl::Fits(WorkerState& worker, const Step& step,
                            std::uint32_t copies) const {
+  const StepSpec& spec = *step.spec;
   const contracts::Resources& room = worker.entry.capacity;
   if (worker.used.memory.bytes + copies * spec.need.memory.bytes >
           room.memory.bytes ||
@@ -183,7 +236,7 @@
   }
   if (worker.standing_milli_cpus > 0 &&
       (worker.pressure > 1 ||
-       PredictHarm(worker, spec.image, copies * spec.need.milli_cpus) >
+       PredictHarm(worker, step.image, copies * spec.need.milli_cpus) >
            kMaxHarm)) {
     return false;
   }
@@ -204,25 +257,24 @@
   return count;
 }
 
-double ShardCore::Impl::Score(const WorkerState& worker,
-                              const StepSpec& spec) const {
+double ShardCore::Impl::Score(WorkerState& worker, const Step& step) const {
+  const StepSpec& spec = *step.spec;
   const double room = ToDouble(worker.entry.capacity.milli_cpus);
   const double used = ToDouble(worker.used.milli_cpus);
   const double fills = ToDouble(worker.fill_milli_cpus);
   // Standing tasks are packed, so that other workers stay free of them.
   if (spec.standing) {
-    const bool same_image =
-        std::any_of(worker.runs.begin(), worker.runs.end(),
-                    [&spec](const Run& run) {
-                      const StepSpec& other = *run.task->step->spec;
-                      return other.standing && other.image == spec.image;
-                    });
+    const bool same_image = std::any_of(
+        worker.runs.begin(), worker.runs.end(), [&spec](const Run& run) {
+          const StepSpec& other = *run.task->step->spec;
+          return other.standing && other.image == spec.image;
+        });
     return used / room + (same_image ? kSameImageBonus : 0);
   }
   const double standing = ToDouble(worker.standing_milli_cpus);
   if (spec.fills) {
     const double harm =
-        standing > 0 ? PredictHarm(worker, spec.image, spec.need.milli_cpus)
+        standing > 0 ? PredictHarm(worker, step.image, spec.need.milli_cpus)
                      : 0;
     return (room - used + (1 - kStandingLoad) * standing - fills) / room -
            kHarmWeight * harm;
@@ -237,13 +289,13 @@
   double best_score = -std::numeric_limits<double>::infinity();
   const milliseconds patience(static_cast<std::int64_t>(
       (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
-  const bool near_only = !spec.preferred_rack.empty() &&
-                         now.steady - step.ready_at < patience;
+  const bool near_only =
+      !spec.preferred_rack.empty() && now.steady - step.ready_at < patience;
   for (const auto& [id, worker] : workers) {
-    if (!IsUsable(*worker, step) || !Fits(*worker, spec)) continue;
+    if (!IsUsable(*worker, step) || !Fits(*worker, step)) continue;
     const bool is_near = worker->entry.rack == spec.preferred_rack;
     if (near_only && !is_near) continue;
-    double score = Score(*worker, spec);
+    double score = Score(*worker, step);
     if (is_near) score += 10;
     if (worker->id == task.failed_on) score -= 5;
     if (worker->failures_in_row > 0) score -= worker->failures_in_row;
@@ -278,6 +330,7 @@
 
 void ShardCore::Impl::TakeRoom(const Run& run) {
   const StepSpec& spec = *run.task->step->spec;
+  run.worker->harm_known = false;
   contracts::Resources& used = run.worker->used;
   used.memory.bytes += spec.need.memory.bytes;
   used.accelerators += spec.need.accelerators;
@@ -293,6 +346,7 @@
 
 void ShardCore::Impl::FreeRoom(const Run& run) {
   const StepSpec& spec = *run.task->step->spec;
+  run.worker->harm_known = false;
   contracts::Resources& used = run.worker->used;
   used.memory.bytes -= spec.need.memory.bytes;
   used.accelerators -= spec.need.accelerators;
@@ -318,10 +372,9 @@
         continue;
       }
       const milliseconds limit = std::max(
-          kCopyAfterLeast,
-          milliseconds(static_cast<std::int64_t>(
-              kCopyAfterEstimates *
-              static_cast<double>(spec.estimate.count()))));
+          kCopyAfterLeast, milliseconds(static_cast<std::int64_t>(
+                               kCopyAfterEstimates *
+                               static_cast<double>(spec.estimate.count()))));
       if (now.steady - run.sent_at > limit) late.push_back(&task);
     }
   }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -96,11 +96,10 @@
 WorkerClock ShardCore::Impl::LeaseEndFor(WorkerState& worker) const {
   // Without a reading the worker cuts the lease to its longest.
   const WorkerClock base = worker.clock.value_or(WorkerClock(0));
-  const milliseconds passed =
-      worker.clock.has_value()
-          ? std::chrono::duration_cast<milliseconds>(now.steady -
-                                                     worker.clock_at)
-          : milliseconds(0);
+  const milliseconds passed = worker.clock.has_value()
+                                  ? std::chrono::duration_cast<milliseconds>(
+                                        now.steady - worker.clock_at)
+                                  : milliseconds(0);
   const WorkerClock end = base + passed + options.max_lease - kLeaseMargin;
   worker.lease_end = std::max(worker.lease_end, end);
   return end;
@@ -209,10 +208,11 @@
 void ShardCore::Impl::SetSilent(WorkerState& worker, const std::string& error) {
   if (worker.silent_since.has_value()) return;
   worker.silent_since = now.steady;
-  hooks.decided("worker silent",
-                {{"worker", worker.id},
-                 {"runs", std::distance(worker.runs.begin(), worker.runs.end())},
-                 {"error", error}});
+  hooks.decided(
+      "worker silent",
+      {{"worker", worker.id},
+       {"runs", std::distance(worker.runs.begin(), worker.runs.end())},
+       {"error", error}});
 }
 
 void ShardCore::Impl::OnStartRefused(Run& run,
@@ -320,9 +320,9 @@
   worker.failures_in_row = kFailuresToQuarantine - 1;
   worker.last_failed_job.clear();
   ++counters.quarantines;
-  hooks.decided("worker set aside", {{"worker", worker.id},
-                                     {"reason", reason},
-                                     {"pause", Duration(pause)}});
+  hooks.decided(
+      "worker set aside",
+      {{"worker", worker.id}, {"reason", reason}, {"pause", Duration(pause)}});
 }
 
 void ShardCore::Impl::OnRunningList(WorkerState& worker,
@@ -337,10 +337,9 @@
                                     {"task", row.task.index},
                                     {"attempt", row.attempt},
                                     {"worker", worker.id}});
-      hooks.stop({.id = worker.id, .address = worker.entry.address},
-                 {.task = row.task,
-                  .attempt = row.attempt,
-                  .token = options.token});
+      hooks.stop(
+          {.id = worker.id, .address = worker.entry.address},
+          {.task = row.task, .attempt = row.attempt, .token = options.token});
       continue;
     }
     listed.insert(run);
@@ -373,8 +372,8 @@
   for (const RunName& name : gone) {
     Run* run = FindRun(worker, name.first, name.second);
     if (run == nullptr) continue;
-    EndRun(*run, run->state == RunState::kSent ? RunEnd::kNotRun : RunEnd::kLost,
-           "");
+    EndRun(*run,
+           run->state == RunState::kSent ? RunEnd::kNotRun : RunEnd::kLost, "");
   }
 }
 
@@ -396,9 +395,9 @@
 
 bool ShardCore::Impl::LeaseIsOver(const WorkerState& worker) const {
   if (!worker.clock.has_value()) return now.steady > worker.foreign_lease_over;
-  const std::int64_t passed = std::chrono::duration_cast<milliseconds>(
-                                  now.steady - worker.clock_at)
-                                  .count();
+  const std::int64_t passed =
+      std::chrono::duration_cast<milliseconds>(now.steady - worker.clock_at)
+          .count();
   const WorkerClock earliest =
       *worker.clock + WorkerClock(static_cast<std::int64_t>(
                           kSlowestClock * static_cast<double>(passed)));
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -1,5 +1,6 @@
-// The owner of a shard of jobs: keeps their state, chooses workers, orders starts
-// and stops, and follows what runs to its end. Sans-I/O and single-threaded.
+// The owner of a shard of jobs: keeps their state, chooses workers, orders
+// starts and stops, and follows what runs to its end. Sans-I/O and
+// single-threaded.
 //
 // The caller stores what TakeBatch returns, in order, and reports it with
 // OnStored; orders that depend on a stored intent go out from there.
@@ -56,7 +57,8 @@
   // Workers.
   std::vector<std::string> WorkersToHold() const;
   // Empty when the worker is unknown.
-  std::optional<contracts::WorkerTarget> Target(const std::string& worker) const;
+  std::optional<contracts::WorkerTarget> Target(
+      const std::string& worker) const;
   // The next hold of a worker; `pause` is how long to wait before it.
   HoldPlan PlanHold(const std::string& worker, ShardTime now);
   void OnHold(const std::string& worker, const contracts::HoldOrder& order,
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -31,24 +31,23 @@
   stops.clear();
   core = std::make_unique<ShardCore>(
       ShardOptions{.token = token},
-      ShardHooks{
-          .start =
-              [this](const contracts::WorkerTarget& worker,
-                     const contracts::StartOrder& order) {
-                starts.push_back({worker.id, order});
-              },
-          .stop =
-              [this](const contracts::WorkerTarget& worker,
-                     const contracts::StopOrder& order) {
-                stops.push_back({worker.id, order});
-              },
-          .pace = [](const contracts::WorkerTarget&,
-                     const contracts::PaceOrder&) {},
-          .fenced = [](const std::string&) {},
-          .changed = [] {},
-          .hold_now = [](const std::string&) {},
-          .decided = [](const std::string&,
-                        const std::vector<telemetry::Field>&) {}});
+      ShardHooks{.start =
+                     [this](const contracts::WorkerTarget& worker,
+                            const contracts::StartOrder& order) {
+                       starts.push_back({worker.id, order});
+                     },
+                 .stop =
+                     [this](const contracts::WorkerTarget& worker,
+                            const contracts::StopOrder& order) {
+                       stops.push_back({worker.id, order});
+                     },
+                 .pace = [](const contracts::WorkerTarget&,
+                            const contracts::PaceOrder&) {},
+                 .fenced = [](const std::string&) {},
+                 .changed = [] {},
+                 .hold_now = [](const std::string&) {},
+                 .decided = [](const std::string&,
+                               const std::vector<telemetry::Field>&) {}});
   core->SetConfig(MakeConfig(), now);
   for (const auto& [key, value] : stored) {
     core->Restore({.key = key, .value = value});
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -54,8 +54,7 @@
   }
   void Confirm(const SentStart& start) {
     core->OnStart(start.worker, start.order,
-                  {.outcome = contracts::OrderOutcome::kDone,
-                   .clock = Clock()},
+                  {.outcome = contracts::OrderOutcome::kDone, .clock = Clock()},
                   now);
   }
   contracts::WorkerClock Clock() const {
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -51,12 +51,15 @@
     ShardBench bench;
     bench.AddWorker("w");
     bench.Contact("w");
-    CPPUNIT_ASSERT(SubmitOutcome::kTaken == bench.Submit("j", MakeJob(1)).outcome);
+    CPPUNIT_ASSERT(SubmitOutcome::kTaken ==
+                   bench.Submit("j", MakeJob(1)).outcome);
     bench.Store();
-    CPPUNIT_ASSERT(SubmitOutcome::kKnown == bench.Submit("j", MakeJob(1)).outcome);
+    CPPUNIT_ASSERT(SubmitOutcome::kKnown ==
+                   bench.Submit("j", MakeJob(1)).outcome);
     bench.TakeOver();
     bench.Contact("w");
-    CPPUNIT_ASSERT(SubmitOutcome::kKnown == bench.Submit("j", MakeJob(1)).outcome);
+    CPPUNIT_ASSERT(SubmitOutcome::kKnown ==
+                   bench.Submit("j", MakeJob(1)).outcome);
   }
 
   void EndIsAcknowledgedAfterItIsStored() {
@@ -220,10 +223,10 @@
     bench.Contact("v");
     bench.Silence("w");
     // A stop of some other run is answered first.
-    bench.core->OnStop("w", {.task = start.order.task, .attempt = 1},
-                       {.outcome = contracts::OrderOutcome::kFenced,
-                        .clock = bench.Clock()},
-                       bench.now);
+    bench.core->OnStop(
+        "w", {.task = start.order.task, .attempt = 1},
+        {.outcome = contracts::OrderOutcome::kFenced, .clock = bench.Clock()},
+        bench.now);
     bench.Pass(seconds(2));
     bench.Contact("v");
     bench.Store();
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -43,7 +43,8 @@
   std::chrono::milliseconds latency_target{0};
   // Runs on processors that other tasks leave unused.
   bool fills = false;
-  // Standing tasks of the step that may be away at once by orders of the system.
+  // Standing tasks of the step that may be away at once by orders of the
+  // system.
   std::optional<std::uint32_t> max_away;
 };
 
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -1,8 +1,8 @@
-// Decides who owns the shard: follows the owner's heartbeats, and claims when the
-// owner is silent and no node that can be reached hears it. Sans-I/O.
+// Decides who owns the shard: follows the owner's heartbeats, and claims when
+// the owner is silent and no node that can be reached hears it. Sans-I/O.
 //
-// A claim that is stored is the truth; what is decided here only says when to try
-// one.
+// A claim that is stored is the truth; what is decided here only says when to
+// try one.
 #ifndef CAROBMAST_NODE_ELECTION_CORE_H_
 #define CAROBMAST_NODE_ELECTION_CORE_H_
 
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -84,7 +84,8 @@
   yields_ = 0;
   pending_counts_.clear();
   for (const auto& [name, member] : members_) {
-    hooks_.send(member.name.address, MakeMessage(MessageKind::kOwnerState, now));
+    hooks_.send(member.name.address,
+                MakeMessage(MessageKind::kOwnerState, now));
   }
 }
 
@@ -225,7 +226,8 @@
   if (now - handed_over_at_ < kHandOverEvery) return;
   const Member* best = nullptr;
   for (const auto& [name, member] : members_) {
-    if (!member.store_reached || now - member.seen_at > options_.suspect_after) {
+    if (!member.store_reached ||
+        now - member.seen_at > options_.suspect_after) {
       continue;
     }
     if (best == nullptr || ComesBefore(member.name, best->name)) best = &member;
--- a/src/node/internal/lease_clock.cc
+++ b/src/node/internal/lease_clock.cc
@@ -20,9 +20,10 @@
 jobs::ShardTime ShardNow() {
   static const Duration offset = Read(CLOCK_REALTIME) - Read(CLOCK_BOOTTIME);
   const MonotonicTime steady = LeaseNow();
-  return {.steady = steady,
-          .wall = WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
-              steady.time_since_epoch() + offset))};
+  return {
+      .steady = steady,
+      .wall = WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+          steady.time_since_epoch() + offset))};
 }
 
 }  // namespace carobmast::node
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -46,8 +46,8 @@
       signals_(context_, SIGTERM, SIGINT),
       reload_signal_(context_, SIGHUP),
       log_({.common = {{"node", settings_.name}}}),
-      submit_latency_(metrics_.AddHistogram(
-          "carobmast_submit_seconds", "Time until a job is accepted")),
+      submit_latency_(metrics_.AddHistogram("carobmast_submit_seconds",
+                                            "Time until a job is accepted")),
       state_latency_(metrics_.AddHistogram("carobmast_state_seconds",
                                            "Time until a state is told")),
       store_(services_.log(context_.get_executor())),
@@ -59,23 +59,18 @@
       datagrams_(context_) {}
 
 ElectionHooks NodeProcess::MakeElectionHooks() {
-  return {.send = [this](const net::Address& to,
-                         const NodeMessage& message) {
-            SendDatagram(to, message);
-          },
-          .claim =
-              [this] {
-                asio::co_spawn(context_, StoreClaim(), asio::detached);
-              },
-          .stop_owning = [this](const std::string& reason) {
-            StopOwning(reason);
-          },
-          .changed =
-              [this](const std::string& event, const std::string& detail) {
-                log_.Write(event, {{"to", detail},
-                                   {"token", election_.claim().token}});
-                WakeAsks();
-              }};
+  return {
+      .send = [this](const net::Address& to,
+                     const NodeMessage& message) { SendDatagram(to, message); },
+      .claim =
+          [this] { asio::co_spawn(context_, StoreClaim(), asio::detached); },
+      .stop_owning = [this](const std::string& reason) { StopOwning(reason); },
+      .changed =
+          [this](const std::string& event, const std::string& detail) {
+            log_.Write(event,
+                       {{"to", detail}, {"token", election_.claim().token}});
+            WakeAsks();
+          }};
 }
 
 int NodeProcess::Run() {
@@ -115,12 +110,12 @@
                                return ServeFront(std::move(request));
                              }});
   ready_server_ = MakeRef<net::HttpServer>(
-      executor, net::HttpServerOptions{
-                    .listen = settings_.ready,
-                    .handler = [this](net::ServerRequest request)
-                        -> asio::awaitable<net::ServerAnswer> {
-                      co_return ServeOperator(request);
-                    }});
+      executor,
+      net::HttpServerOptions{.listen = settings_.ready,
+                             .handler = [this](net::ServerRequest request)
+                                 -> asio::awaitable<net::ServerAnswer> {
+                               co_return ServeOperator(request);
+                             }});
 }
 
 void NodeProcess::StartFollowers() {
@@ -229,9 +224,10 @@
 void NodeProcess::BeginOwning() {
   owner_ = MakeRef<Owner>(
       context_.get_executor(), store_, workers_,
-      OwnerOptions{.shard = MakeShardOptions(settings_, election_.claim().token),
-                   .stream = {.name = kShardStream},
-                   .registry = settings_.registry_stream},
+      OwnerOptions{
+          .shard = MakeShardOptions(settings_, election_.claim().token),
+          .stream = {.name = kShardStream},
+          .registry = settings_.registry_stream},
       OwnerHooks{.decode_worker =
                      [this](const contracts::KeyedRecord& record) {
                        return DecodeWorker(record);
@@ -252,8 +248,8 @@
 
 void NodeProcess::StopOwning(const std::string& reason) {
   if (owner_ == nullptr) return;
-  log_.Write("ownership over", {{"token", election_.claim().token},
-                                {"reason", reason}});
+  log_.Write("ownership over",
+             {{"token", election_.claim().token}, {"reason", reason}});
   // The owner may be the caller: it goes once its calls have come back.
   asio::post(context_, [owner = owner_] { owner->Stop(); });
   owner_ = nullptr;
@@ -384,8 +380,7 @@
 }
 
 bool NodeProcess::IsReady() const {
-  return !stopping_ && config_.has_value() &&
-         election_.HearsOwner(LeaseNow());
+  return !stopping_ && config_.has_value() && election_.HearsOwner(LeaseNow());
 }
 
 net::ServerAnswer NodeProcess::ServeOperator(
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -49,41 +49,40 @@
 }
 
 jobs::ShardHooks Owner::MakeHooks() {
-  return {
-      .start =
-          [this](const contracts::WorkerTarget& worker,
-                 const contracts::StartOrder& order) {
-            if (stopped_) return;
-            asio::co_spawn(executor_, SendStart(this, worker, order),
-                           asio::detached);
-          },
-      .stop =
-          [this](const contracts::WorkerTarget& worker,
-                 const contracts::StopOrder& order) {
-            if (stopped_) return;
-            asio::co_spawn(executor_, SendStop(this, worker, order),
-                           asio::detached);
-          },
-      .pace =
-          [this](const contracts::WorkerTarget& worker,
-                 const contracts::PaceOrder& order) {
-            if (stopped_) return;
-            asio::co_spawn(executor_, SendPace(this, worker, order),
-                           asio::detached);
-          },
-      .fenced =
-          [this](const std::string& worker) {
-            hooks_.on_superseded("fenced by worker " + worker);
-          },
-      .changed = [this] { changes_timer_.cancel(); },
-      .hold_now =
-          [this](const std::string& worker) {
-            const auto hold = holds_.find(worker);
-            if (hold == holds_.end()) return;
-            hold->second->hurry = true;
-            hold->second->timer.cancel();
-          },
-      .decided = hooks_.decided};
+  return {.start =
+              [this](const contracts::WorkerTarget& worker,
+                     const contracts::StartOrder& order) {
+                if (stopped_) return;
+                asio::co_spawn(executor_, SendStart(this, worker, order),
+                               asio::detached);
+              },
+          .stop =
+              [this](const contracts::WorkerTarget& worker,
+                     const contracts::StopOrder& order) {
+                if (stopped_) return;
+                asio::co_spawn(executor_, SendStop(this, worker, order),
+                               asio::detached);
+              },
+          .pace =
+              [this](const contracts::WorkerTarget& worker,
+                     const contracts::PaceOrder& order) {
+                if (stopped_) return;
+                asio::co_spawn(executor_, SendPace(this, worker, order),
+                               asio::detached);
+              },
+          .fenced =
+              [this](const std::string& worker) {
+                hooks_.on_superseded("fenced by worker " + worker);
+              },
+          .changed = [this] { changes_timer_.cancel(); },
+          .hold_now =
+              [this](const std::string& worker) {
+                const auto hold = holds_.find(worker);
+                if (hold == holds_.end()) return;
+                hold->second->hurry = true;
+                hold->second->timer.cancel();
+              },
+          .decided = hooks_.decided};
 }
 
 void Owner::Start(const jobs::ClusterConfig& config) {
@@ -92,24 +91,23 @@
       executor_, log_,
       StreamFollowerOptions{.stream = options_.registry,
                             .read_every = kRegistryEvery},
-      StreamFollowerHooks{
-          .on_restart = [this] { entries_.clear(); },
-          .on_record =
-              [this](const contracts::KeyedRecord& record) {
-                std::optional<jobs::WorkerEntry> entry =
-                    hooks_.decode_worker(record);
-                if (entry.has_value()) {
-                  entries_[record.key] = std::move(*entry);
-                } else {
-                  entries_.erase(record.key);
-                }
-              },
-          .on_caught_up =
-              [this](std::uint64_t) {
-                registry_read_ = true;
-                if (ready_) ApplyRegistry();
-              },
-          .on_call = hooks_.on_store});
+      StreamFollowerHooks{.on_restart = [this] { entries_.clear(); },
+                          .on_record =
+                              [this](const contracts::KeyedRecord& record) {
+                                std::optional<jobs::WorkerEntry> entry =
+                                    hooks_.decode_worker(record);
+                                if (entry.has_value()) {
+                                  entries_[record.key] = std::move(*entry);
+                                } else {
+                                  entries_.erase(record.key);
+                                }
+                              },
+                          .on_caught_up =
+                              [this](std::uint64_t) {
+                                registry_read_ = true;
+                                if (ready_) ApplyRegistry();
+                              },
+                          .on_call = hooks_.on_store});
   registry_->Start();
   asio::co_spawn(executor_, Run(this), asio::detached);
 }
@@ -164,8 +162,8 @@
   std::string after;
   bool more = true;
   while (more) {
-    contracts::NewestAnswer page = co_await log_->Newest(
-        options_.stream, after, options_.append_timeout);
+    contracts::NewestAnswer page =
+        co_await log_->Newest(options_.stream, after, options_.append_timeout);
     hooks_.on_store(page.ok, page.error);
     if (!page.ok || stopped_) co_return false;
     if (!end.has_value()) end = page.end;
@@ -197,9 +195,8 @@
                                .records = records,
                                .writer = writer,
                                .timeout = options_.append_timeout});
-    const bool reached =
-        answer.outcome != contracts::AppendOutcome::kUnknown &&
-        answer.outcome != contracts::AppendOutcome::kNotStored;
+    const bool reached = answer.outcome != contracts::AppendOutcome::kUnknown &&
+                         answer.outcome != contracts::AppendOutcome::kNotStored;
     hooks_.on_store(reached, answer.error);
     if (reached) {
       store_failing_since_.reset();
@@ -252,8 +249,7 @@
       continue;
     }
     jobs::Batch batch = core_->TakeBatch(ShardNow());
-    if (!batch.records.empty() &&
-        !co_await Append(std::move(batch.records))) {
+    if (!batch.records.empty() && !co_await Append(std::move(batch.records))) {
       co_return;
     }
     if (stopped_) co_return;
@@ -363,8 +359,7 @@
       LeaseNow() - *store_failing_since_ > kRefuseAfter) {
     co_return MakeAnswer(JobAnswer::NOT_DONE, "the store does not answer");
   }
-  const jobs::SubmitAnswer taken =
-      core_->Submit(id, queue, spec, ShardNow());
+  const jobs::SubmitAnswer taken = core_->Submit(id, queue, spec, ShardNow());
   if (taken.outcome == jobs::SubmitOutcome::kNoQueue) {
     co_return MakeAnswer(JobAnswer::NOT_DONE, "the queue is not configured");
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,5 +1,5 @@
-// One process of an entry VM: takes callers' jobs, passes them to the owner of the
-// shard, and is that owner when it has claimed it.
+// One process of an entry VM: takes callers' jobs, passes them to the owner of
+// the shard, and is that owner when it has claimed it.
 #ifndef CAROBMAST_NODE_NODE_H_
 #define CAROBMAST_NODE_NODE_H_
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -32,8 +32,7 @@
 
 struct OwnerHooks {
   // Decodes an entry of the registry; empty when it names no worker to use.
-  std::function<std::optional<jobs::WorkerEntry>(
-      const contracts::KeyedRecord&)>
+  std::function<std::optional<jobs::WorkerEntry>(const contracts::KeyedRecord&)>
       decode_worker;
   std::function<void(bool reached, const std::string& error)> on_store;
   // Another owner is at work.
@@ -53,8 +52,10 @@
   void SetConfig(const jobs::ClusterConfig& config);
 
   // Callers' requests, from this node or another one.
-  boost::asio::awaitable<jobs::proto::JobAnswer> Submit(
-      std::string id, std::string queue, jobs::JobSpec spec, Duration timeout);
+  boost::asio::awaitable<jobs::proto::JobAnswer> Submit(std::string id,
+                                                        std::string queue,
+                                                        jobs::JobSpec spec,
+                                                        Duration timeout);
   boost::asio::awaitable<jobs::proto::JobAnswer> Cancel(std::string id,
                                                         Duration timeout);
   jobs::proto::JobAnswer State(const std::string& id) const;
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -11,7 +11,8 @@
 using std::chrono::milliseconds;
 
 NodeName Name(const std::string& name, std::uint32_t rank = 100) {
-  return {.name = name, .address = {.ip = "127.0.0.1", .port = 1}, .rank = rank};
+  return {
+      .name = name, .address = {.ip = "127.0.0.1", .port = 1}, .rank = rank};
 }
 
 OwnerClaim ClaimOf(const std::string& node, std::uint64_t token) {
@@ -22,10 +23,10 @@
 struct Bench {
   explicit Bench(const std::string& name = "b", std::uint32_t rank = 100)
       : core({.self = Name(name, rank)},
-             {.send = [this](const net::Address&,
-                             const NodeMessage& message) {
-                sent.push_back(message);
-              },
+             {.send =
+                  [this](const net::Address&, const NodeMessage& message) {
+                    sent.push_back(message);
+                  },
               .claim = [this] { ++claims; },
               .stop_owning =
                   [this](const std::string& reason) { stopped = reason; },
--- a/src/node/types/front.h
+++ b/src/node/types/front.h
@@ -30,9 +30,9 @@
   kPendingCount,
   kNoQueue,
   kUnknownJob,
-  kInvalid,   // the caller's mistake; `reason` says which
+  kInvalid,  // the caller's mistake; `reason` says which
   kTooLarge,
-  kNotNow,    // nothing was done; `retry_after` says when to come back
+  kNotNow,     // nothing was done; `retry_after` says when to come back
   kUndecided,  // it may have been done or not
 };
 
