A new owner waits no longer than the former one's leases; draining workers are emptied

A claim now names the earlier owners; each that shows by a message that it knows the claim has stopped, and then only the longest lease is waited for. Standing tasks and those with checkpoints leave a draining worker before it goes. A worker whose entry has lapsed is held while it runs something. Tests: FormerOwnerThatStoppedShortensTheWait, DrainingWorkerIsEmptiedOfStandingTasks, WorkerWithoutAnEntryIsHeldWhileItRunsSomething; each fails without its change.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -137,8 +137,7 @@
   std::int64_t born_ms = 0;
   // The latest lease end that was sent, on the worker's clock.
   contracts::WorkerClock lease_end{0};
-  // Runs of an earlier owner are certainly over by then.
-  MonotonicTime foreign_lease_over;
+  MonotonicTime known_since;
   contracts::Resources used;
   // Processors asked for by tasks that fill.
   std::uint64_t fill_milli_cpus = 0;
@@ -160,6 +159,11 @@
   bool harm_known = false;
   // The worst ratio of latency to target on the last report.
   double pressure = 0;
+
+  // An entry may lapse while its worker runs on: what it runs is followed.
+  bool IsToBeHeld() const {
+    return entry.address.port != 0 && (listed || !runs.empty());
+  }
 };
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -48,6 +48,11 @@
 
 void ShardCore::FinishRestore(ShardTime now) { impl_->FinishRestore(now); }
 
+void ShardCore::OnFormerOwnersStopped(ShardTime now) {
+  impl_->now = now;
+  impl_->former_stopped_at = now.steady;
+}
+
 void ShardCore::SetConfig(const ClusterConfig& config, ShardTime now) {
   impl_->now = now;
   impl_->queues.clear();
@@ -185,7 +190,7 @@
 std::vector<std::string> ShardCore::WorkersToHold() const {
   std::vector<std::string> ids;
   for (const auto& [id, worker] : impl_->workers) {
-    if (worker->listed) ids.push_back(id);
+    if (worker->IsToBeHeld()) ids.push_back(id);
   }
   return ids;
 }
@@ -193,7 +198,7 @@
 std::optional<contracts::WorkerTarget> ShardCore::Target(
     const std::string& worker) const {
   const auto found = impl_->workers.find(worker);
-  if (found == impl_->workers.end() || !found->second->listed) {
+  if (found == impl_->workers.end() || !found->second->IsToBeHeld()) {
     return std::nullopt;
   }
   return contracts::WorkerTarget{.id = worker,
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -106,6 +106,9 @@
   bool LeaseIsOver(const WorkerState& worker) const;
   void RepeatOrders(WorkerState& worker);
   void StopStalled(WorkerState& worker);
+  void Evacuate(WorkerState& worker);
+  // Tasks of the step that are not at work.
+  std::uint32_t CountAway(const Step& step) const;
 
   // shard_pacing.cc: standing tasks beside tasks that fill.
   void UpdatePressure(WorkerState& worker);
@@ -144,6 +147,7 @@
   InterferenceModel interference;
   bool schedule_wanted = false;
   bool restored = false;
+  std::optional<MonotonicTime> former_stopped_at;
   MonotonicTime summary_at;
 };
 
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -29,6 +29,8 @@
 // still.
 constexpr milliseconds kStalledAfter{2200};
 constexpr double kStalledEstimates = 0.25;
+// The percentage at which a standing task is at work.
+constexpr std::uint32_t kAtWork = 100;
 // Speed below which missing progress says nothing, in percent.
 constexpr std::uint32_t kSlowPace = 60;
 // A start that stays unanswered by a worker in contact is given up after this.
@@ -84,11 +86,7 @@
   if (worker == nullptr) {
     worker = std::make_unique<WorkerState>();
     worker->id = id;
-    worker->foreign_lease_over =
-        now.steady + options.foreign_ownership +
-        milliseconds(static_cast<std::int64_t>(
-            static_cast<double>(options.max_lease.count()) / kSlowestClock)) +
-        kLeaseSlack;
+    worker->known_since = now.steady;
   }
   return *worker;
 }
@@ -152,7 +150,7 @@
 }
 
 void ShardCore::Impl::SendStop(Run& run) {
-  if (run.stop_in_flight || !run.worker->listed) return;
+  if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
   run.stop_in_flight = true;
   hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
              {.task = KeyOfTask(*run.task),
@@ -394,7 +392,13 @@
 }
 
 bool ShardCore::Impl::LeaseIsOver(const WorkerState& worker) const {
-  if (!worker.clock.has_value()) return now.steady > worker.foreign_lease_over;
+  if (!worker.clock.has_value()) {
+    const MonotonicTime last_order = former_stopped_at.value_or(
+        worker.known_since + options.foreign_ownership);
+    const milliseconds lease(static_cast<std::int64_t>(
+        static_cast<double>(options.max_lease.count()) / kSlowestClock));
+    return now.steady > last_order + lease + kLeaseSlack;
+  }
   const std::int64_t passed =
       std::chrono::duration_cast<milliseconds>(now.steady - worker.clock_at)
           .count();
@@ -413,6 +417,7 @@
   const bool in_contact =
       worker.contact_at.has_value() && !worker.silent_since.has_value();
   if (in_contact) {
+    if (worker.entry.draining) Evacuate(worker);
     StopStalled(worker);
     RepeatOrders(worker);
     return;
@@ -451,6 +456,36 @@
   }
 }
 
+std::uint32_t ShardCore::Impl::CountAway(const Step& step) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
+        return std::none_of(task.runs.begin(), task.runs.end(),
+                            [](const Run& run) {
+                              return run.state == RunState::kRunning &&
+                                     !run.stop_wanted && run.percent >= kAtWork;
+                            });
+      }));
+}
+
+// All that runs on a worker ends when it leaves: what keeps its progress, or is
+// to run on, goes elsewhere before.
+void ShardCore::Impl::Evacuate(WorkerState& worker) {
+  for (Run& run : worker.runs) {
+    const Step& step = *run.task->step;
+    if (run.state != RunState::kRunning || run.stop_wanted || step.spec->gang ||
+        step.occurrence->job->IsOver()) {
+      continue;
+    }
+    if (!step.spec->standing && !step.spec->checkpoints) continue;
+    if (step.spec->max_away.has_value() &&
+        CountAway(step) >= *step.spec->max_away) {
+      continue;
+    }
+    if (step.spec->standing && Pick(*run.task) == nullptr) continue;
+    WantStop(run, "worker drains");
+  }
+}
+
 void ShardCore::Impl::StopStalled(WorkerState& worker) {
   std::vector<Run*> stalled;
   for (Run& run : worker.runs) {
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -31,6 +31,9 @@
   // FinishRestore. Throws Error when a record can't be decoded.
   void Restore(const contracts::KeyedRecord& record);
   void FinishRestore(ShardTime now);
+  // No earlier owner orders anything any more: leases that this owner did not
+  // give are over after the longest lease.
+  void OnFormerOwnersStopped(ShardTime now);
 
   // Configuration and registry, each as a whole.
   void SetConfig(const ClusterConfig& config, ShardTime now);
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -53,11 +53,20 @@
     core->Restore({.key = key, .value = value});
   }
   core->FinishRestore(now);
+  SetWorkers();
+}
+
+void ShardBench::SetWorkers() {
   std::vector<WorkerEntry> entries;
   for (const auto& [id, entry] : entries_) entries.push_back(entry);
   core->SetWorkers(entries, now);
 }
 
+void ShardBench::Drain(const std::string& worker) {
+  entries_[worker].draining = true;
+  SetWorkers();
+}
+
 void ShardBench::AddWorker(const std::string& id, std::uint64_t milli_cpus,
                            const std::string& rack) {
   entries_[id] = {.id = id,
@@ -67,9 +76,7 @@
                   .rack = rack,
                   .labels = {"a", rack},
                   .capacity = {.milli_cpus = milli_cpus, .memory = {kMemory}}};
-  std::vector<WorkerEntry> entries;
-  for (const auto& [name, entry] : entries_) entries.push_back(entry);
-  core->SetWorkers(entries, now);
+  SetWorkers();
 }
 
 void ShardBench::Contact(const std::string& worker,
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -33,6 +33,7 @@
   void Contact(const std::string& worker,
                std::vector<contracts::RunningTask> running = {},
                std::vector<contracts::EndedTask> ended = {});
+  void Drain(const std::string& worker);
   // The hold of the worker gets no answer.
   void Silence(const std::string& worker);
   SubmitAnswer Submit(const std::string& id, const JobSpec& spec) {
@@ -72,6 +73,7 @@
 
  private:
   void Begin(contracts::FencingToken token);
+  void SetWorkers();
 
   contracts::FencingToken token_ = 0;
   std::map<std::string, WorkerEntry> entries_;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -27,6 +27,9 @@
   CPPUNIT_TEST(SuccessorAssumesTheLongestLeaseAtFirstContact);
   CPPUNIT_TEST(AnswerBeforeTheFirstHoldTellsNothingOfLeases);
   CPPUNIT_TEST(SuccessorWaitsForAWorkerItNeverReached);
+  CPPUNIT_TEST(FormerOwnerThatStoppedShortensTheWait);
+  CPPUNIT_TEST(DrainingWorkerIsEmptiedOfStandingTasks);
+  CPPUNIT_TEST(WorkerWithoutAnEntryIsHeldWhileItRunsSomething);
   CPPUNIT_TEST(StaleListDoesNotEndARun);
   CPPUNIT_TEST(RebornWorkerLosesItsTasks);
   CPPUNIT_TEST(GangStartsWholeUnderOneAttempt);
@@ -249,6 +252,60 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  void FormerOwnerThatStoppedShortensTheWait() {
+    ShardBench bench;
+    StartOne(bench);
+    bench.AddWorker("v");
+    bench.TakeOver();
+    bench.core->OnFormerOwnersStopped(bench.now);
+    bench.Contact("v");
+    bench.Silence("w");
+    bench.Pass(seconds(6));
+    bench.Contact("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(milliseconds(500));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
+  void DrainingWorkerIsEmptiedOfStandingTasks() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    JobSpec spec = MakeJob(2);
+    spec.steps[0].standing = true;
+    spec.steps[0].max_away = 1;
+    bench.Submit("j", spec);
+    bench.Store();
+    const std::vector<SentStart> both = bench.TakeStarts();
+    std::vector<contracts::RunningTask> running;
+    for (const SentStart& start : both) {
+      bench.Confirm(start);
+      running.push_back(bench.Running(start));
+      running.back().percent = 100;
+    }
+    bench.Contact("w", running);
+    bench.AddWorker("v");
+    bench.Contact("v");
+    bench.Drain("w");
+    bench.Pass(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void WorkerWithoutAnEntryIsHeldWhileItRunsSomething() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.core->SetWorkers({}, bench.now);
+    CPPUNIT_ASSERT(bench.core->Target("w").has_value());
+    bench.Contact("w", {}, {bench.Ended(1, start)});
+    bench.Submit("k", MakeJob(1));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    CPPUNIT_ASSERT(!bench.core->Target("w").has_value());
+  }
+
   void StaleListDoesNotEndARun() {
     ShardBench bench;
     bench.AddWorker("w");
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -32,6 +32,10 @@
   std::uint64_t token = 0;
   std::string node;
   net::Address address;
+  // Only where it was read from the stream: earlier owners that may still take
+  // themselves for one, and when the claim was made.
+  std::vector<std::string> former;
+  WallTime claimed_at;
 };
 
 enum class MessageKind { kHello, kOwnerState, kProbe, kProbeAnswer, kTakeOver };
--- a/src/node/internal/message_codec.cc
+++ b/src/node/internal/message_codec.cc
@@ -75,9 +75,13 @@
   return message;
 }
 
-std::string EncodeClaim(const NodeName& node) {
+std::string EncodeClaim(const NodeName& node,
+                        const std::vector<std::string>& former,
+                        WallTime claimed_at) {
   proto::Claim record;
   Encode(node, *record.mutable_node());
+  for (const std::string& name : former) record.add_former(name);
+  record.set_claimed_at_ms(claimed_at.time_since_epoch().count());
   return record.SerializeAsString();
 }
 
@@ -88,7 +92,12 @@
   }
   const NodeName owner = Decode(record.node());
   // Workers take a missing token for 0, and offsets begin there.
-  return {.token = offset + 1, .node = owner.name, .address = owner.address};
+  return {.token = offset + 1,
+          .node = owner.name,
+          .address = owner.address,
+          .former = {record.former().begin(), record.former().end()},
+          .claimed_at =
+              WallTime(std::chrono::milliseconds(record.claimed_at_ms()))};
 }
 
 }  // namespace carobmast::node
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -28,6 +28,9 @@
 constexpr milliseconds kBalancerNotice{2600};
 // Left of the grace for the process to end.
 constexpr milliseconds kExitMargin{400};
+// Owners before an owner of this age have long run out of ownership; above the
+// time without proof, the longest lease and the jumps of wall clocks together.
+constexpr std::chrono::seconds kFormerMemory{30};
 constexpr std::size_t kMaxDatagramBytes = 65507;
 
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
@@ -189,6 +192,8 @@
                       .rank = settings_.rank};
   const contracts::StreamId stream{.name = kClaimStream};
   const std::uint64_t known = election_.claim().token;
+  const WallTime wall = ShardNow().wall;
+  OwnerClaim previous;
   const contracts::NewestAnswer newest =
       co_await store_->Newest(stream, "", kClaimTimeout);
   OnStoreCall(newest.ok, newest.error);
@@ -198,12 +203,24 @@
   }
   for (const contracts::KeyedRecord& record : newest.records) {
     OnClaimRecord(record);
+    if (record.key == kShardKey && record.value.has_value()) {
+      previous = DecodeClaim(*record.value, record.offset);
+    }
   }
   // Another node was faster.
   if (election_.claim().token != known) co_return;
+  std::set<std::string> former;
+  if (wall - previous.claimed_at < kFormerMemory) {
+    former.insert(previous.former.begin(), previous.former.end());
+  }
+  if (!previous.node.empty()) former.insert(previous.node);
+  // An earlier life of this node has certainly ended.
+  former.erase(self.name);
   const contracts::AppendAnswer answer = co_await store_->Append(
       {.stream = stream,
-       .records = {{.key = kShardKey, .value = EncodeClaim(self)}},
+       .records = {{.key = kShardKey,
+                    .value = EncodeClaim(self, {former.begin(), former.end()},
+                                         wall)}},
        .expected_end = newest.end,
        .timeout = kClaimTimeout});
   if (answer.outcome == contracts::AppendOutcome::kStored) {
@@ -212,6 +229,7 @@
                          .node = self.name,
                          .address = self.address},
                         LeaseNow());
+    former_owners_ = std::move(former);
     if (election_.owns()) BeginOwning();
     co_return;
   }
@@ -244,6 +262,17 @@
                        log_.Write(event, fields);
                      }});
   owner_->Start(config_.value_or(jobs::ClusterConfig{}));
+  if (former_owners_.empty()) owner_->OnFormerOwnersStopped();
+}
+
+// A former owner that knows of our claim orders nothing any more.
+void NodeProcess::OnFormerOwner(const NodeMessage& message) {
+  if (owner_ == nullptr || message.claim.token < election_.claim().token)
+    return;
+  if (former_owners_.erase(message.sender.name) == 0) return;
+  log_.Write("former owner stopped", {{"owner", message.sender.name},
+                                      {"others", former_owners_.size()}});
+  if (former_owners_.empty()) owner_->OnFormerOwnersStopped();
 }
 
 void NodeProcess::StopOwning(const std::string& reason) {
@@ -293,7 +322,9 @@
     if (error == asio::error::operation_aborted) co_return;
     if (error) continue;
     try {
-      election_.OnMessage(DecodeMessage(buffer.substr(0, size)), LeaseNow());
+      const NodeMessage message = DecodeMessage(buffer.substr(0, size));
+      election_.OnMessage(message, LeaseNow());
+      OnFormerOwner(message);
     } catch (const Error& bad) {
       log_.Write("datagram refused", {{"from", sender.address().to_string()},
                                       {"reason", bad.what()}});
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -38,6 +38,7 @@
   void OnStoreCall(bool reached, const std::string& error);
   boost::asio::awaitable<void> StoreClaim();
   void BeginOwning();
+  void OnFormerOwner(const NodeMessage& message);
   void StopOwning(const std::string& reason);
   std::optional<jobs::WorkerEntry> DecodeWorker(
       const contracts::KeyedRecord& record);
@@ -94,6 +95,8 @@
   Ref<StreamFollower> config_follower_;
   Ref<StreamFollower> claim_follower_;
   Ref<Owner> owner_;
+  // Earlier owners that have not shown yet that they know of our claim.
+  std::set<std::string> former_owners_;
   std::optional<jobs::ClusterConfig> config_;
   QueueTable queues_;
   std::set<std::string> bad_workers_;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -125,6 +125,10 @@
   core_->SetConfig(config, ShardNow());
 }
 
+void Owner::OnFormerOwnersStopped() {
+  core_->OnFormerOwnersStopped(ShardNow());
+}
+
 void Owner::WakeWaiters() {
   for (asio::steady_timer* waiter : waiters_) waiter->cancel();
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -50,6 +50,8 @@
   // Nothing is ordered or stored afterwards; calls in flight end undecided.
   void Stop();
   void SetConfig(const jobs::ClusterConfig& config);
+  // No earlier owner orders anything any more.
+  void OnFormerOwnersStopped();
 
   // Callers' requests, from this node or another one.
   boost::asio::awaitable<jobs::proto::JobAnswer> Submit(std::string id,
