--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -31,6 +31,8 @@
   // By how much log(latency / target) rises for each unit of share; never
   // negative. A pair that was not seen has a cautious value.
   double Factor(ImageId standing, ImageId filler) const;
+  // The mean factor of the image over all standing images that were met.
+  double MeanFactor(ImageId filler) const;
 
  private:
   struct Model {
--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -95,4 +95,15 @@
   return std::max(0.0, model.weights[input]);
 }
 
+double InterferenceModel::MeanFactor(ImageId filler) const {
+  double sum = 0;
+  std::size_t count = 0;
+  for (ImageId standing = 0; standing < models_.size(); ++standing) {
+    if (models_[standing].weights.empty()) continue;
+    sum += Factor(standing, filler);
+    ++count;
+  }
+  return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -21,6 +21,8 @@
 constexpr double kMaxHarm = 0.25;
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
+// What a filler that harms nobody pays for a worker without standing tasks.
+constexpr double kFreeWorkerPrice = 0.5;
 // A standing task prefers a worker where others of its image are, which suffer
 // from the same fillers.
 constexpr double kSameImageBonus = 0.5;
@@ -273,11 +275,15 @@
   }
   const double standing = ToDouble(worker.standing_milli_cpus);
   if (spec.fills) {
-    const double harm =
-        standing > 0 ? PredictHarm(worker, step.image, spec.need.milli_cpus)
-                     : 0;
-    return (room - used + (1 - kStandingLoad) * standing - fills) / room -
-           kHarmWeight * harm;
+    const double spare =
+        (room - used + (1 - kStandingLoad) * standing - fills) / room;
+    if (standing > 0) {
+      return spare - kHarmWeight * PredictHarm(worker, step.image,
+                                               spec.need.milli_cpus);
+    }
+    // Workers without standing tasks are for the fillers that would harm them.
+    const double heavy = std::min(1.0, interference.MeanFactor(step.image));
+    return spare - kFreeWorkerPrice * (1 - heavy);
   }
   return (room - used - fills / 2) / room;
 }
