Standing tasks of one image go together; less harm is allowed

Cause: most fillers disturb a third to a half of the standing images; with five images mixed on every worker hardly any worker was left to them, and 600 waited.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -73,6 +73,7 @@
   std::uint32_t CountOnWorker(const Step& step,
                               const WorkerState& worker) const;
   double Score(WorkerState& worker, const Step& step) const;
+  static double Likeness(const WorkerState& worker, const Step& step);
   WorkerState* Pick(const Task& task);
   std::string PoolOf(const Job& job) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -13,19 +13,19 @@
 
 // Share of their processors that standing tasks are taken to use; what is left
 // goes to tasks that fill. From the load of the sites' standing services.
-constexpr double kStandingLoad = 0.6;
+constexpr double kStandingLoad = 0.5;
 // A task that fills starts where it finds at least this share of its
 // processors.
 constexpr double kMinFillShare = 0.6;
 // Most by which fillers may raise the log of a standing task's latency.
-constexpr double kMaxHarm = 0.25;
+constexpr double kMaxHarm = 0.15;
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
 // What a filler that harms nobody pays for a worker without standing tasks.
 constexpr double kFreeWorkerPrice = 0.5;
-// A standing task prefers a worker where others of its image are, which suffer
-// from the same fillers.
-constexpr double kSameImageBonus = 0.5;
+// Standing tasks of one image suffer from the same fillers: they go together,
+// which leaves more workers to each filler.
+constexpr double kImageWeight = 1;
 // A copy starts when a run has taken this many times the estimate, and at least
 // the time below.
 constexpr double kCopyAfterEstimates = 1.6;
@@ -259,27 +259,33 @@
   return count;
 }
 
+// From -1, where all standing tasks of the worker have other images, to 1,
+// where all have the step's; 0 without any.
+double ShardCore::Impl::Likeness(const WorkerState& worker, const Step& step) {
+  int same = 0;
+  int all = 0;
+  for (const Run& run : worker.runs) {
+    if (!run.task->step->spec->standing) continue;
+    ++all;
+    same += run.task->step->image == step.image ? 1 : 0;
+  }
+  return all == 0 ? 0 : 2.0 * same / all - 1;
+}
+
 double ShardCore::Impl::Score(WorkerState& worker, const Step& step) const {
   const StepSpec& spec = *step.spec;
   const double room = ToDouble(worker.entry.capacity.milli_cpus);
   const double used = ToDouble(worker.used.milli_cpus);
   const double fills = ToDouble(worker.fill_milli_cpus);
   // Standing tasks are packed, so that other workers stay free of them.
-  if (spec.standing) {
-    const bool same_image = std::any_of(
-        worker.runs.begin(), worker.runs.end(), [&spec](const Run& run) {
-          const StepSpec& other = *run.task->step->spec;
-          return other.standing && other.image == spec.image;
-        });
-    return used / room + (same_image ? kSameImageBonus : 0);
-  }
+  if (spec.standing) return used / room + kImageWeight * Likeness(worker, step);
   const double standing = ToDouble(worker.standing_milli_cpus);
   if (spec.fills) {
     const double spare =
         (room - used + (1 - kStandingLoad) * standing - fills) / room;
     if (standing > 0) {
-      return spare - kHarmWeight * PredictHarm(worker, step.image,
-                                               spec.need.milli_cpus);
+      return spare - kHarmWeight *
+                         PredictHarm(worker, step.image, spec.need.milli_cpus);
     }
     // Workers without standing tasks are for the fillers that would harm them.
     const double heavy = std::min(1.0, interference.MeanFactor(step.image));
