--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -15,9 +15,9 @@
 
 // Ratios of latency to target at which fillers stand still, work at less speed,
 // and may work faster again.
-constexpr double kStopRatio = 0.95;
-constexpr double kSlowRatio = 0.8;
-constexpr double kFastRatio = 0.65;
+constexpr double kStopRatio = 0.85;
+constexpr double kSlowRatio = 0.7;
+constexpr double kFastRatio = 0.55;
 constexpr double kSlowFactor = 0.5;
 constexpr std::uint32_t kFasterBy = 34;
 // A filler whose part in the log of the latency is below this is let be.
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -19,6 +19,8 @@
 constexpr double kMinFillShare = 0.6;
 // Most by which fillers may raise the log of a standing task's latency.
 constexpr double kMaxHarm = 0.15;
+// Ratio of latency to target above which no filler is added.
+constexpr double kMaxPressure = 0.7;
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
 // What a filler that harms nobody pays for a worker without standing tasks.
@@ -237,7 +239,7 @@
            room.milli_cpus;
   }
   if (worker.standing_milli_cpus > 0 &&
-      (worker.pressure > 1 ||
+      (worker.pressure > kMaxPressure ||
        PredictHarm(worker, step.image, copies * spec.need.milli_cpus) >
            kMaxHarm)) {
     return false;
