--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -29,7 +29,7 @@
   void Observe(ImageId standing, double log_ratio,
                const std::vector<ImageShare>& fillers);
   // By how much log(latency / target) rises for each unit of share; never
-  // negative. A pair that was not seen has a cautious value.
+  // negative, and lower the less is known of the pair.
   double Factor(ImageId standing, ImageId filler) const;
   // The mean factor of the image over all standing images that were met.
   double MeanFactor(ImageId filler) const;
--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -1,6 +1,7 @@
 #include "jobs/interference_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace carobmast::jobs {
 
@@ -17,6 +18,9 @@
 constexpr double kFirstBase = -0.7;
 // Variance of a single report, from the residuals of the sites' standing tasks.
 constexpr double kNoise = 0.2;
+// Standard deviations by which a factor is taken lower than it seems: a pair
+// that was once thought harmful would else never be tried again.
+constexpr double kOptimism = 0.3;
 // Keeps the uncertainty of images that are away for long from growing on.
 constexpr double kMaxVariance = 20;
 
@@ -91,8 +95,12 @@
 double InterferenceModel::Factor(ImageId standing, ImageId filler) const {
   const std::size_t input = inputs_[filler];
   const Model& model = models_[standing];
-  if (input == 0 || input >= model.weights.size()) return kFirstFactor;
-  return std::max(0.0, model.weights[input]);
+  const std::size_t size = model.weights.size();
+  const bool seen = input > 0 && input < size;
+  const double weight = seen ? model.weights[input] : kFirstFactor;
+  const double variance =
+      seen ? model.covariance[input * size + input] : kFirstVariance;
+  return std::max(0.0, weight - kOptimism * std::sqrt(variance));
 }
 
 double InterferenceModel::MeanFactor(ImageId filler) const {
