--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -130,8 +130,9 @@
   // The last time that the worker answered an order of this owner.
   std::optional<MonotonicTime> contact_at;
   std::optional<MonotonicTime> silent_since;
-  // Orders in a row without an answer.
+  // Orders, and holds, in a row without an answer.
   std::uint32_t unanswered = 0;
+  std::uint32_t unanswered_holds = 0;
   std::optional<contracts::WorkerClock> clock;
   MonotonicTime clock_at;
   std::int64_t born_ms = 0;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kWatchWait{500};
 // While a task of the worker is being followed closely.
 constexpr milliseconds kDoubtWait{100};
+constexpr std::uint32_t kUnansweredHoldsToSilent = 2;
 // Pause between holds of a worker that does not answer.
 constexpr milliseconds kSilentPause{250};
 // Pause while ends wait to be stored; the store's answer ends it sooner.
@@ -219,7 +220,7 @@
     plan.order.acknowledged_end = 0;
   } else if (worker.seen_end > worker.acknowledged_end) {
     plan.pause = kUnstoredPause;
-  } else if (!worker.contact_at.has_value()) {
+  } else if (!worker.contact_at.has_value() || worker.unanswered_holds > 0) {
     plan.order.wait = milliseconds(0);
   } else if (HasDoubt(worker)) {
     plan.order.wait = kDoubtWait;
@@ -242,9 +243,14 @@
     return;
   }
   if (answer.outcome != OrderOutcome::kDone) {
-    impl_->SetSilent(worker, answer.error);
+    // A single answer may be lost; the next hold asks without waiting.
+    if (++worker.unanswered_holds >= kUnansweredHoldsToSilent ||
+        !worker.contact_at.has_value()) {
+      impl_->SetSilent(worker, answer.error);
+    }
     return;
   }
+  worker.unanswered_holds = 0;
   if (!worker.contact_at.has_value() || worker.born_ms != answer.born_ms) {
     if (worker.contact_at.has_value()) {
       impl_->hooks.decided("worker reborn", {{"worker", worker_id},
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -30,7 +30,7 @@
   // Over jobs stay known at least this long.
   std::chrono::milliseconds keep_ended{120000};
   // Time of an unanswered order until it is repeated.
-  std::chrono::milliseconds order_repeat{200};
+  std::chrono::milliseconds order_repeat{50};
   // A worker that has not answered for this long gets no new tasks.
   std::chrono::milliseconds silent_after{700};
   // Most bytes of one batch's records.
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -21,7 +21,7 @@
 // Pause after the store refused an append.
 constexpr milliseconds kRefusedPause{40};
 // Beyond the time that a hold may wait: until it counts as unanswered.
-constexpr milliseconds kHoldGrace{450};
+constexpr milliseconds kHoldGrace{300};
 // Least time between two readings of the registry.
 constexpr milliseconds kRegistryEvery{250};
 // With the store failing for this long, new jobs are refused at once.
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -26,7 +26,7 @@
   contracts::StreamId stream;
   contracts::StreamId registry;
   Duration append_timeout = std::chrono::milliseconds(700);
-  Duration order_timeout = std::chrono::milliseconds(400);
+  Duration order_timeout = std::chrono::milliseconds(250);
   Duration tick = std::chrono::milliseconds(50);
 };
 
