--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -75,6 +75,13 @@
   std::string failed_on;
 };
 
+// What the advice service said of a worker; no text: it may not run the step.
+struct Ticket {
+  std::string text;
+  std::int64_t born_ms = 0;
+  MonotonicTime valid_until;
+};
+
 struct Step {
   Occurrence* occurrence = nullptr;
   const StepSpec* spec = nullptr;
@@ -84,6 +91,8 @@
   std::uint32_t finished = 0;
   bool ready = false;
   MonotonicTime ready_at;
+  // By worker, where the queue asks for advice.
+  std::map<std::string, Ticket> tickets;
 };
 
 struct Occurrence {
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -361,6 +361,12 @@
   }
 }
 
+void ShardCore::OnAdvice(const contracts::AdviceCall& call,
+                         const contracts::AdviceAnswer& answer, ShardTime now) {
+  impl_->now = now;
+  impl_->OnAdvice(call, answer);
+}
+
 void ShardCore::Tick(ShardTime now) {
   impl_->now = now;
   for (const auto& [id, worker] : impl_->workers) impl_->TickWorker(*worker);
@@ -368,6 +374,7 @@
     if (job->spec.occurrences > 0) impl_->BeginDueOccurrences(*job, now);
   }
   impl_->AddCopies();
+  impl_->AskAdvice();
   impl_->DropEndedJobs();
   impl_->TellSummary();
 }
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -111,6 +111,14 @@
   // Tasks of the step that are not at work.
   std::uint32_t CountAway(const Step& step) const;
 
+  // shard_advice.cc: which workers may run a step.
+  bool NeedsTicket(const Step& step) const;
+  const std::string* FindTicket(const Step& step,
+                                const WorkerState& worker) const;
+  void AskAdvice();
+  void OnAdvice(const contracts::AdviceCall& call,
+                const contracts::AdviceAnswer& answer);
+
   // shard_pacing.cc: standing tasks beside tasks that fill.
   void UpdatePressure(WorkerState& worker);
   void LearnInterference(const WorkerState& worker);
@@ -146,6 +154,8 @@
   std::uint64_t batch_changes = 0;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
   InterferenceModel interference;
+  bool advice_in_flight = false;
+  MonotonicTime advice_retry_at;
   bool schedule_wanted = false;
   bool restored = false;
   std::optional<MonotonicTime> former_stopped_at;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -84,7 +84,8 @@
 bool ShardCore::Impl::IsHopeless(const Step& step) const {
   const StepSpec& spec = *step.spec;
   return std::any_of(
-      hopeless.begin(), hopeless.end(), [&step, &spec](const Step* other) {
+      hopeless.begin(), hopeless.end(),
+      [this, &step, &spec](const Step* other) {
         const StepSpec& failed = *other->spec;
         return other->image == step.image && failed.fills == spec.fills &&
                failed.standing == spec.standing && failed.max_per_worker == 0 &&
@@ -93,7 +94,8 @@
                failed.need.milli_cpus <= spec.need.milli_cpus &&
                failed.need.memory.bytes <= spec.need.memory.bytes &&
                failed.need.accelerators <= spec.need.accelerators &&
-               other->occurrence->job->queue == step.occurrence->job->queue;
+               other->occurrence->job->queue == step.occurrence->job->queue &&
+               !NeedsTicket(step);
       });
 }
 
@@ -180,6 +182,7 @@
       for (const auto& [id, worker] : workers) {
         if (!rack.empty() && worker->entry.rack != rack) continue;
         if (!IsUsable(*worker, step)) continue;
+        if (NeedsTicket(step) && FindTicket(step, *worker) == nullptr) continue;
         const std::uint32_t here = planned[worker.get()];
         if (!Fits(*worker, step, here + 1)) continue;
         if (step.spec->max_per_worker > 0 &&
@@ -305,8 +308,10 @@
       (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
   const bool near_only =
       !spec.preferred_rack.empty() && now.steady - step.ready_at < patience;
+  const bool needs_ticket = NeedsTicket(step);
   for (const auto& [id, worker] : workers) {
     if (!IsUsable(*worker, step) || !Fits(*worker, step)) continue;
+    if (needs_ticket && FindTicket(step, *worker) == nullptr) continue;
     const bool is_near = worker->entry.rack == spec.preferred_rack;
     if (near_only && !is_near) continue;
     double score = Score(*worker, step);
@@ -332,6 +337,10 @@
   run.attempt = attempt;
   run.progress_at = now.steady;
   run.idle_since = now.steady;
+  if (NeedsTicket(*task.step)) {
+    const std::string* ticket = FindTicket(*task.step, worker);
+    if (ticket != nullptr) run.ticket = *ticket;
+  }
   task.attempt = std::max(task.attempt, attempt);
   worker.runs.push_back(run);
   TakeRoom(run);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -225,6 +225,8 @@
                                   {"reason", answer.error}});
   if (answer.outcome == OrderOutcome::kUnhealthy) {
     Quarantine(worker, "unhealthy");
+  } else if (answer.outcome == OrderOutcome::kBadTicket) {
+    run.task->step->tickets.erase(worker.id);
   } else {
     worker.quarantined_until =
         std::max(worker.quarantined_until, now.steady + kRefusedPause);
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -74,6 +74,9 @@
   void OnPace(const std::string& worker, const contracts::PaceOrder& order,
               const contracts::OrderAnswer& answer, ShardTime now);
 
+  void OnAdvice(const contracts::AdviceCall& call,
+                const contracts::AdviceAnswer& answer, ShardTime now);
+
   // Repeats orders, ends runs whose lease is over, begins due occurrences.
   // To be called every few tens of milliseconds.
   void Tick(ShardTime now);
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -43,7 +43,11 @@
                      },
                  .pace = [](const contracts::WorkerTarget&,
                             const contracts::PaceOrder&) {},
-                 .fenced = [](const std::string&) {},
+                 .advise =
+              [this](const contracts::AdviceCall& call) {
+                advice_calls.push_back(call);
+              },
+          .fenced = [](const std::string&) {},
                  .changed = [] {},
                  .hold_now = [](const std::string&) {},
                  .decided = [](const std::string&,
@@ -62,6 +66,12 @@
   core->SetWorkers(entries, now);
 }
 
+void ShardBench::AskForAdvice() {
+  ClusterConfig config = MakeConfig();
+  config.queues.front().advice = AdvicePolicy{};
+  core->SetConfig(config, now);
+}
+
 void ShardBench::Drain(const std::string& worker) {
   entries_[worker].draining = true;
   SetWorkers();
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -25,6 +25,9 @@
  public:
   explicit ShardBench(contracts::FencingToken token = 5) { Begin(token); }
 
+  // From here on the queue asks for advice.
+  void AskForAdvice();
+
   // A new owner takes over from what is stored.
   void TakeOver() { Begin(token_ + 1); }
 
@@ -70,6 +73,7 @@
   std::map<std::string, std::string> stored;
   std::vector<SentStart> starts;
   std::vector<SentStop> stops;
+  std::vector<contracts::AdviceCall> advice_calls;
 
  private:
   void Begin(contracts::FencingToken token);
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(GangStartsWholeUnderOneAttempt);
   CPPUNIT_TEST(NoMoreThanAllowedOnOneWorker);
   CPPUNIT_TEST(DueOccurrencesOnly);
+  CPPUNIT_TEST(StartsWithATicketWhereAdviceIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -414,6 +415,30 @@
     CPPUNIT_ASSERT_EQUAL(0U, bench.starts[0].order.task.occurrence);
   }
 
+  void StartsWithATicketWhereAdviceIsAskedFor() {
+    ShardBench bench;
+    bench.AskForAdvice();
+    bench.AddWorker("v");
+    bench.AddWorker("w");
+    bench.Contact("v");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.advice_calls.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.advice_calls[0].workers.size());
+    bench.core->OnAdvice(bench.advice_calls[0],
+                         {.ok = true,
+                          .tickets = {{"v", "ticket"}},
+                          .valid = seconds(3)},
+                         bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), bench.starts[0].worker);
+    CPPUNIT_ASSERT_EQUAL(std::string("ticket"), bench.starts[0].order.ticket);
+  }
+
  private:
   // One worker "w" that runs the only task of job "j".
   static SentStart StartOne(ShardBench& bench) {
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "contracts/advice_service.h"
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
 #include "framework/telemetry/log.h"
@@ -50,6 +51,8 @@
   std::function<void(const contracts::WorkerTarget&,
                      const contracts::PaceOrder&)>
       pace;
+  // Empty where there is no advice service.
+  std::function<void(const contracts::AdviceCall&)> advise;
   // The worker has seen a higher token: another node owns the shard.
   std::function<void(const std::string& worker)> fenced;
   // There is something for TakeBatch.
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -55,6 +55,7 @@
                                            "Time until a state is told")),
       store_(services_.log(context_.get_executor())),
       workers_(services_.workers(context_.get_executor())),
+      advice_(services_.advice(context_.get_executor())),
       election_({.self = {.name = settings_.name,
                           .address = settings_.peers,
                           .rank = settings_.rank}},
@@ -241,7 +242,7 @@
 
 void NodeProcess::BeginOwning() {
   owner_ = MakeRef<Owner>(
-      context_.get_executor(), store_, workers_,
+      context_.get_executor(), store_, workers_, advice_,
       OwnerOptions{
           .shard = MakeShardOptions(settings_, election_.claim().token),
           .stream = {.name = kShardStream},
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -85,6 +85,7 @@
   Ref<telemetry::LatencyHistogram> state_latency_;
   Ref<contracts::KeyedLog> store_;
   Ref<contracts::TaskWorkers> workers_;
+  Ref<contracts::AdviceService> advice_;
   ElectionCore election_;
   boost::asio::ip::udp::socket datagrams_;
   Ref<net::HttpServer> front_server_;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -37,11 +37,13 @@
 }  // namespace
 
 Owner::Owner(asio::any_io_executor executor, Ref<contracts::KeyedLog> log,
-             Ref<contracts::TaskWorkers> workers, OwnerOptions options,
+             Ref<contracts::TaskWorkers> workers,
+             Ref<contracts::AdviceService> advice, OwnerOptions options,
              OwnerHooks hooks)
     : executor_(executor),
       log_(std::move(log)),
       workers_(std::move(workers)),
+      advice_(std::move(advice)),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
       changes_timer_(executor) {
@@ -70,6 +72,11 @@
                 asio::co_spawn(executor_, SendPace(this, worker, order),
                                asio::detached);
               },
+          .advise =
+              [this](const contracts::AdviceCall& call) {
+                if (stopped_) return;
+                asio::co_spawn(executor_, Advise(this, call), asio::detached);
+              },
           .fenced =
               [this](const std::string& worker) {
                 hooks_.on_superseded("fenced by worker " + worker);
@@ -338,6 +345,16 @@
   }
 }
 
+asio::awaitable<void> Owner::Advise(Ref<Owner> self,
+                                    contracts::AdviceCall call) {
+  contracts::AdviceAnswer answer{.error = "no advice service is configured"};
+  if (self->advice_ != nullptr) {
+    answer =
+        co_await self->advice_->Advise(call, self->options_.advice_timeout);
+  }
+  if (!self->stopped_) self->core_->OnAdvice(call, answer, ShardNow());
+}
+
 asio::awaitable<bool> Owner::WaitStored(std::uint64_t change,
                                         Duration timeout) {
   const Ref<Owner> self(this);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "contracts/advice_service.h"
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
 #include "framework/net/http_server.h"
@@ -42,6 +43,9 @@
   std::function<Ref<contracts::KeyedLog>(boost::asio::any_io_executor)> log;
   std::function<Ref<contracts::TaskWorkers>(boost::asio::any_io_executor)>
       workers;
+  // May give null: then queues that ask for advice can't be served.
+  std::function<Ref<contracts::AdviceService>(boost::asio::any_io_executor)>
+      advice;
   // Throw Error when the record can't be used.
   std::function<jobs::ClusterConfig(const std::string& value)> decode_config;
   std::function<std::optional<jobs::WorkerEntry>(const std::string& key,
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "contracts/advice_service.h"
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
 #include "jobs/generated/jobs.pb.h"
@@ -27,6 +28,7 @@
   contracts::StreamId registry;
   Duration append_timeout = std::chrono::milliseconds(700);
   Duration order_timeout = std::chrono::milliseconds(250);
+  Duration advice_timeout = std::chrono::seconds(3);
   Duration tick = std::chrono::milliseconds(50);
 };
 
@@ -44,7 +46,8 @@
 class Owner : public RefCounted<Owner> {
  public:
   Owner(boost::asio::any_io_executor executor, Ref<contracts::KeyedLog> log,
-        Ref<contracts::TaskWorkers> workers, OwnerOptions options,
+        Ref<contracts::TaskWorkers> workers,
+        Ref<contracts::AdviceService> advice, OwnerOptions options,
         OwnerHooks hooks);
   void Start(const jobs::ClusterConfig& config);
   // Nothing is ordered or stored afterwards; calls in flight end undecided.
@@ -92,6 +95,8 @@
   boost::asio::awaitable<void> SendPace(Ref<Owner> self,
                                         contracts::WorkerTarget worker,
                                         contracts::PaceOrder order);
+  boost::asio::awaitable<void> Advise(Ref<Owner> self,
+                                      contracts::AdviceCall call);
   // Waits until `change` is stored; false after `timeout` or a stop.
   boost::asio::awaitable<bool> WaitStored(std::uint64_t change,
                                           Duration timeout);
@@ -102,6 +107,8 @@
   boost::asio::any_io_executor executor_;
   Ref<contracts::KeyedLog> log_;
   Ref<contracts::TaskWorkers> workers_;
+  // Null where there is none.
+  Ref<contracts::AdviceService> advice_;
   OwnerOptions options_;
   OwnerHooks hooks_;
   std::unique_ptr<jobs::ShardCore> core_;
