--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -33,6 +33,10 @@
   double Factor(ImageId standing, ImageId filler) const;
   // The mean factor of the image over all standing images that were met.
   double MeanFactor(ImageId filler) const;
+  // For the successor of an owner.
+  std::string Encode() const;
+  // Replaces what is known; false, and nothing changes, when `record` is none.
+  bool Decode(const std::string& record);
 
  private:
   struct Model {
--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "jobs/generated/jobs.pb.h"
+
 namespace carobmast::jobs {
 
 namespace {
@@ -18,6 +20,8 @@
 constexpr double kFirstBase = -0.7;
 // Variance of a single report, from the residuals of the sites' standing tasks.
 constexpr double kNoise = 0.2;
+// How sure a new owner is of what the former one learned.
+constexpr double kInheritedVariance = 0.5;
 // Standard deviations by which a factor is taken lower than it seems: a pair
 // that was once thought harmful would else never be tried again.
 constexpr double kOptimism = 0.3;
@@ -103,6 +107,59 @@
   return std::max(0.0, weight - kOptimism * std::sqrt(variance));
 }
 
+std::string InterferenceModel::Encode() const {
+  proto::Interference record;
+  std::vector<const std::string*> names(images_.size());
+  for (const auto& [name, image] : images_) names[image] = &name;
+  for (const std::string* name : names) record.add_images(*name);
+  for (const std::size_t input : inputs_) {
+    record.add_inputs(static_cast<std::uint32_t>(input));
+  }
+  for (ImageId image = 0; image < models_.size(); ++image) {
+    if (models_[image].weights.empty()) continue;
+    proto::Interference::Standing& standing = *record.add_standing();
+    standing.set_image(image);
+    for (const double weight : models_[image].weights) {
+      standing.add_weights(static_cast<float>(weight));
+    }
+  }
+  return record.SerializeAsString();
+}
+
+bool InterferenceModel::Decode(const std::string& bytes) {
+  proto::Interference record;
+  if (!record.ParseFromString(bytes) ||
+      record.inputs_size() != record.images_size()) {
+    return false;
+  }
+  InterferenceModel fresh;
+  for (const std::string& name : record.images()) fresh.Intern(name);
+  if (fresh.images_.size() != static_cast<std::size_t>(record.images_size())) {
+    return false;
+  }
+  for (int image = 0; image < record.inputs_size(); ++image) {
+    const std::size_t input = record.inputs(image);
+    if (input >= kMaxInputs) return false;
+    fresh.inputs_[static_cast<std::size_t>(image)] = input;
+    fresh.input_count_ = std::max(fresh.input_count_, input + 1);
+  }
+  for (const proto::Interference::Standing& standing : record.standing()) {
+    const std::size_t size = static_cast<std::size_t>(standing.weights_size());
+    if (standing.image() >= fresh.models_.size() || size == 0 ||
+        size > fresh.input_count_) {
+      return false;
+    }
+    Model& model = fresh.models_[standing.image()];
+    model.weights.assign(standing.weights().begin(), standing.weights().end());
+    model.covariance.assign(size * size, 0.0);
+    for (std::size_t i = 0; i < size; ++i) {
+      model.covariance[i * size + i] = kInheritedVariance;
+    }
+  }
+  *this = std::move(fresh);
+  return true;
+}
+
 double InterferenceModel::MeanFactor(ImageId filler) const {
   double sum = 0;
   std::size_t count = 0;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -154,6 +154,7 @@
   std::uint64_t batch_changes = 0;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
   InterferenceModel interference;
+  MonotonicTime interference_stored_at;
   bool advice_in_flight = false;
   MonotonicTime advice_retry_at;
   bool schedule_wanted = false;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr char kRestoreStep[] = "restore";
+// What was learned is stored with the next batch after this.
+constexpr milliseconds kStoreInterferenceEvery{2000};
 
 std::int64_t ToMs(WallTime time) { return time.time_since_epoch().count(); }
 
@@ -240,6 +242,12 @@
 
 void ShardCore::Impl::Restore(const contracts::KeyedRecord& record) {
   const std::string_view key = record.key;
+  if (key == kInterferenceKey) {
+    if (record.value.has_value() && !interference.Decode(*record.value)) {
+      throw Error(kRestoreStep, record.key, "not a record of interference");
+    }
+    return;
+  }
   const bool is_job = key.starts_with(kJobPrefix);
   const bool is_progress = key.starts_with(kProgressPrefix);
   if (!is_job && !is_progress) {
@@ -310,6 +318,7 @@
 
 void ShardCore::Impl::FinishRestore(ShardTime time) {
   now = time;
+  interference_stored_at = now.steady;
   for (const auto& [id, job] : jobs) {
     proto::Progress progress;
     progress.ParseFromString(job->restored_progress);
@@ -410,6 +419,11 @@
     batch.records.push_back({std::move(key), std::nullopt});
   }
   dropped_keys.clear();
+  if (!batch.records.empty() &&
+      now.steady - interference_stored_at > kStoreInterferenceEvery) {
+    interference_stored_at = now.steady;
+    batch.records.push_back({kInterferenceKey, interference.Encode()});
+  }
   batch_changes =
       changed_jobs.empty() ? changes : changed_jobs.front()->change - 1;
   return batch;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -11,6 +11,7 @@
 
 inline constexpr char kJobPrefix[] = "j/";
 inline constexpr char kProgressPrefix[] = "p/";
+inline constexpr char kInterferenceKey[] = "m/interference";
 
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -44,10 +44,10 @@
                  .pace = [](const contracts::WorkerTarget&,
                             const contracts::PaceOrder&) {},
                  .advise =
-              [this](const contracts::AdviceCall& call) {
-                advice_calls.push_back(call);
-              },
-          .fenced = [](const std::string&) {},
+                     [this](const contracts::AdviceCall& call) {
+                       advice_calls.push_back(call);
+                     },
+                 .fenced = [](const std::string&) {},
                  .changed = [] {},
                  .hold_now = [](const std::string&) {},
                  .decided = [](const std::string&,
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -428,11 +428,10 @@
     bench.Pass(milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.advice_calls.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.advice_calls[0].workers.size());
-    bench.core->OnAdvice(bench.advice_calls[0],
-                         {.ok = true,
-                          .tickets = {{"v", "ticket"}},
-                          .valid = seconds(3)},
-                         bench.now);
+    bench.core->OnAdvice(
+        bench.advice_calls[0],
+        {.ok = true, .tickets = {{"v", "ticket"}}, .valid = seconds(3)},
+        bench.now);
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
     CPPUNIT_ASSERT_EQUAL(std::string("v"), bench.starts[0].worker);
