--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -136,6 +136,8 @@
   std::string id;
   WorkerEntry entry;
   bool listed = false;
+  // Emptied for its maintenance.
+  bool cordoned = false;
   // The last time that the worker answered an order of this owner.
   std::optional<MonotonicTime> contact_at;
   std::optional<MonotonicTime> silent_since;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -109,6 +109,23 @@
   }
 }
 
+void ShardCore::SetCordoned(const std::set<std::string>& ids, ShardTime now) {
+  impl_->now = now;
+  for (const auto& [id, worker] : impl_->workers) {
+    const bool cordoned = ids.contains(id);
+    if (worker->cordoned == cordoned) continue;
+    worker->cordoned = cordoned;
+    impl_->hooks.decided(
+        "worker", {{"worker", id}, {"state", cordoned ? "cordoned" : "ready"}});
+  }
+  impl_->WantSchedule();
+}
+
+bool ShardCore::IsEmpty(const std::string& worker) const {
+  const auto found = impl_->workers.find(worker);
+  return found == impl_->workers.end() || found->second->runs.empty();
+}
+
 SubmitAnswer ShardCore::Submit(const std::string& id, const std::string& queue,
                                const JobSpec& spec, ShardTime now) {
   impl_->now = now;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -215,7 +215,7 @@
 
 bool ShardCore::Impl::IsUsable(const WorkerState& worker,
                                const Step& step) const {
-  if (!worker.listed || worker.entry.draining) return false;
+  if (!worker.listed || worker.entry.draining || worker.cordoned) return false;
   if (!worker.contact_at.has_value() || worker.silent_since.has_value()) {
     return false;
   }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -419,7 +419,7 @@
   const bool in_contact =
       worker.contact_at.has_value() && !worker.silent_since.has_value();
   if (in_contact) {
-    if (worker.entry.draining) Evacuate(worker);
+    if (worker.entry.draining || worker.cordoned) Evacuate(worker);
     StopStalled(worker);
     RepeatOrders(worker);
     return;
@@ -484,7 +484,7 @@
       continue;
     }
     if (step.spec->standing && Pick(*run.task) == nullptr) continue;
-    WantStop(run, "worker drains");
+    WantStop(run, "worker leaves");
   }
 }
 
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
   // Configuration and registry, each as a whole.
   void SetConfig(const ClusterConfig& config, ShardTime now);
   void SetWorkers(const std::vector<WorkerEntry>& entries, ShardTime now);
+  // These workers get nothing new and are emptied, for their maintenance.
+  void SetCordoned(const std::set<std::string>& ids, ShardTime now);
+  // Nothing runs there, as far as is known.
+  bool IsEmpty(const std::string& worker) const;
 
   // Callers. A change takes effect for the caller once it is stored: once
   // stored_changes() has reached the number in the answer.
--- /dev/null
+++ b/src/maintenance/maintenance_core.h
@@ -0,0 +1,84 @@
+// Carries out waves of maintenance: empties each VM of a wave, orders its
+// maintenance, and tells when all have had theirs. Sans-I/O.
+#ifndef CAROBMAST_MAINTENANCE_MAINTENANCE_CORE_H_
+#define CAROBMAST_MAINTENANCE_MAINTENANCE_CORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "contracts/vm_service.h"
+#include "framework/base/time.h"
+
+namespace carobmast::maintenance {
+
+// What an operator asks for.
+struct Wave {
+  std::uint64_t number = 0;
+  std::vector<std::string> vms;
+  // Most VMs of the wave that may be down at once.
+  std::size_t max_parallel = 1;
+};
+
+struct MaintenanceHooks {
+  std::function<void()> list;
+  std::function<void(const std::string& vm, std::uint64_t wave)> maintain;
+  // These workers get nothing new and are emptied.
+  std::function<void(const std::set<std::string>& workers)> cordon;
+  // Whether nothing runs on the worker any more that should go elsewhere.
+  std::function<bool(const std::string& worker)> is_empty;
+  // Stores the progress of a wave; orders go out once it is stored.
+  std::function<void(std::uint64_t wave, const std::string& progress)> store;
+  std::function<void(std::uint64_t wave, bool completed)> tell;
+};
+
+class MaintenanceCore {
+ public:
+  explicit MaintenanceCore(MaintenanceHooks hooks);
+
+  void SetWave(const Wave& wave);
+  // Of an earlier owner, before the first Tick.
+  void Restore(std::uint64_t wave, const std::string& progress);
+  void OnStored();
+  void OnList(const contracts::VmList& list);
+  void OnOrdered(const std::string& vm, std::uint64_t wave,
+                 contracts::MaintainOutcome outcome);
+  void Tick(MonotonicTime now);
+
+ private:
+  enum class State { kWaiting, kEmptying, kIntended, kOrdered, kBegun, kDone };
+  struct VmState {
+    State state = State::kWaiting;
+    // The worker that the maintenance ends.
+    std::string worker;
+    bool order_in_flight = false;
+  };
+  struct WaveState {
+    Wave wave;
+    std::map<std::string, VmState> vms;
+    bool told_running = false;
+    bool completed = false;
+  };
+
+  void Advance(WaveState& wave);
+  void AdvanceVm(WaveState& wave, const std::string& name, VmState& vm,
+                 std::size_t& down, std::size_t& emptying);
+  void Store(const WaveState& wave);
+  void Cordon();
+
+  MaintenanceHooks hooks_;
+  std::map<std::uint64_t, WaveState> waves_;
+  std::map<std::uint64_t, std::string> restored_;
+  std::map<std::string, contracts::WorkerVm> listed_;
+  std::set<std::string> cordoned_;
+  MonotonicTime list_at_;
+  bool list_in_flight_ = false;
+  bool list_read_ = false;
+};
+
+}  // namespace carobmast::maintenance
+
+#endif  // CAROBMAST_MAINTENANCE_MAINTENANCE_CORE_H_
--- /dev/null
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -0,0 +1,127 @@
+// Waves of maintenance: how many VMs are down, and when a wave is completed.
+#include "maintenance/maintenance_core.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace carobmast::maintenance {
+namespace {
+
+struct Bench {
+  Bench()
+      : core({.list = [this] { ++lists; },
+              .maintain = [this](const std::string& vm,
+                                 std::uint64_t) { ordered.push_back(vm); },
+              .cordon =
+                  [this](const std::set<std::string>& workers) {
+                    cordoned = workers;
+                  },
+              .is_empty =
+                  [this](const std::string& worker) {
+                    return !busy.contains(worker);
+                  },
+              .store = [this](std::uint64_t,
+                              const std::string& text) { progress = text; },
+              .tell = [this](std::uint64_t, bool done) { completed = done; }}) {
+  }
+
+  void List(const std::string& a, const std::string& b) {
+    core.OnList({.ok = true,
+                 .vms = {{.name = "a", .up = true, .worker = a},
+                         {.name = "b", .up = true, .worker = b}}});
+  }
+  void Tick() {
+    now += std::chrono::seconds(1);
+    core.Tick(now);
+  }
+
+  MonotonicTime now{std::chrono::hours(1)};
+  int lists = 0;
+  std::vector<std::string> ordered;
+  std::set<std::string> cordoned;
+  std::set<std::string> busy;
+  std::string progress;
+  std::optional<bool> completed;
+  MaintenanceCore core;
+};
+
+constexpr contracts::MaintainOutcome kBegun =
+    contracts::MaintainOutcome::kBegun;
+
+}  // namespace
+
+class MaintenanceCoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MaintenanceCoreTest);
+  CPPUNIT_TEST(NoMoreThanAllowedAreDown);
+  CPPUNIT_TEST(WorkerIsEmptiedBefore);
+  CPPUNIT_TEST(OrderWaitsForTheStoredIntent);
+  CPPUNIT_TEST(SuccessorRepeatsWhatIsInDoubt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NoMoreThanAllowedAreDown() {
+    Bench bench;
+    bench.core.SetWave({.number = 1, .vms = {"a", "b"}});
+    bench.Tick();
+    bench.List("wa", "wb");
+    bench.Tick();
+    bench.core.OnStored();
+    bench.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
+    bench.core.OnOrdered("a", 1, kBegun);
+    bench.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
+    CPPUNIT_ASSERT(!*bench.completed);
+    bench.List("wa2", "wb");
+    bench.Tick();
+    bench.core.OnStored();
+    bench.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.ordered.size());
+    bench.core.OnOrdered("b", 1, kBegun);
+    bench.List("wa2", "wb2");
+    bench.Tick();
+    CPPUNIT_ASSERT(*bench.completed);
+  }
+
+  void WorkerIsEmptiedBefore() {
+    Bench bench;
+    bench.busy = {"wa"};
+    bench.core.SetWave({.number = 1, .vms = {"a"}});
+    bench.Tick();
+    bench.List("wa", "wb");
+    bench.Tick();
+    CPPUNIT_ASSERT(bench.cordoned.contains("wa"));
+    CPPUNIT_ASSERT(bench.progress.empty());
+    bench.busy.clear();
+    bench.Tick();
+    CPPUNIT_ASSERT(!bench.progress.empty());
+  }
+
+  void OrderWaitsForTheStoredIntent() {
+    Bench bench;
+    bench.core.SetWave({.number = 1, .vms = {"a"}});
+    bench.Tick();
+    bench.List("wa", "wb");
+    bench.Tick();
+    bench.Tick();
+    CPPUNIT_ASSERT(bench.ordered.empty());
+    bench.core.OnStored();
+    bench.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
+  }
+
+  void SuccessorRepeatsWhatIsInDoubt() {
+    Bench bench;
+    bench.core.Restore(1, "a wa 0\n");
+    bench.core.SetWave({.number = 1, .vms = {"a", "b"}});
+    bench.Tick();
+    bench.List("wa", "wb");
+    bench.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), bench.ordered[0]);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(MaintenanceCoreTest,
+                                      "maintenance_core_test");
+
+}  // namespace carobmast::maintenance
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -56,6 +56,7 @@
       store_(services_.log(context_.get_executor())),
       workers_(services_.workers(context_.get_executor())),
       advice_(services_.advice(context_.get_executor())),
+      vms_(services_.vms(context_.get_executor())),
       election_({.self = {.name = settings_.name,
                           .address = settings_.peers,
                           .rank = settings_.rank}},
@@ -132,7 +133,7 @@
       StreamFollowerHooks{.on_restart = [] {},
                           .on_record =
                               [this](const contracts::KeyedRecord& record) {
-                                OnConfigRecord(record);
+                                OnOperatorRecord(record);
                               },
                           .on_caught_up = [](std::uint64_t) {},
                           .on_call = on_call});
@@ -152,8 +153,31 @@
   claim_follower_->Start();
 }
 
+void NodeProcess::OnOperatorRecord(const contracts::KeyedRecord& record) {
+  if (!record.value.has_value()) return;
+  if (record.key == settings_.config_key) {
+    OnConfigRecord(record);
+  } else {
+    OnWaveRecord(record);
+  }
+}
+
+void NodeProcess::OnWaveRecord(const contracts::KeyedRecord& record) {
+  try {
+    const std::optional<maintenance::Wave> wave =
+        services_.decode_wave(record.key, *record.value);
+    if (!wave.has_value()) return;
+    if (!waves_.emplace(wave->number, *wave).second) return;
+    log_.Write("wave asked for", {{"wave", wave->number},
+                                  {"vms", wave->vms.size()},
+                                  {"max_parallel", wave->max_parallel}});
+    if (owner_ != nullptr) owner_->SetWave(*wave);
+  } catch (const Error& error) {
+    log_.Write("wave refused", {{"key", record.key}, {"reason", error.what()}});
+  }
+}
+
 void NodeProcess::OnConfigRecord(const contracts::KeyedRecord& record) {
-  if (record.key != settings_.config_key || !record.value.has_value()) return;
   try {
     jobs::ClusterConfig config = services_.decode_config(*record.value);
     if (config_.has_value() && config.version <= config_->version) return;
@@ -242,12 +266,15 @@
 
 void NodeProcess::BeginOwning() {
   owner_ = MakeRef<Owner>(
-      context_.get_executor(), store_, workers_, advice_,
+      context_.get_executor(), store_, workers_, advice_, vms_,
       OwnerOptions{
           .shard = MakeShardOptions(settings_, election_.claim().token),
           .stream = {.name = kShardStream},
-          .registry = settings_.registry_stream},
-      OwnerHooks{.decode_worker =
+          .registry = settings_.registry_stream,
+          .status = settings_.status_stream,
+          .holder = settings_.name},
+      OwnerHooks{.encode_wave = services_.encode_wave,
+                 .decode_worker =
                      [this](const contracts::KeyedRecord& record) {
                        return DecodeWorker(record);
                      },
@@ -263,6 +290,7 @@
                        log_.Write(event, fields);
                      }});
   owner_->Start(config_.value_or(jobs::ClusterConfig{}));
+  for (const auto& [number, wave] : waves_) owner_->SetWave(wave);
   if (former_owners_.empty()) owner_->OnFormerOwnersStopped();
 }
 
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -33,7 +33,9 @@
   ElectionHooks MakeElectionHooks();
   void StartServers();
   void StartFollowers();
+  void OnOperatorRecord(const contracts::KeyedRecord& record);
   void OnConfigRecord(const contracts::KeyedRecord& record);
+  void OnWaveRecord(const contracts::KeyedRecord& record);
   void OnClaimRecord(const contracts::KeyedRecord& record);
   void OnStoreCall(bool reached, const std::string& error);
   boost::asio::awaitable<void> StoreClaim();
@@ -86,6 +88,7 @@
   Ref<contracts::KeyedLog> store_;
   Ref<contracts::TaskWorkers> workers_;
   Ref<contracts::AdviceService> advice_;
+  Ref<contracts::VmService> vms_;
   ElectionCore election_;
   boost::asio::ip::udp::socket datagrams_;
   Ref<net::HttpServer> front_server_;
@@ -100,6 +103,7 @@
   std::set<std::string> former_owners_;
   std::optional<jobs::ClusterConfig> config_;
   QueueTable queues_;
+  std::map<std::uint64_t, maintenance::Wave> waves_;
   std::set<std::string> bad_workers_;
   std::list<boost::asio::steady_timer*> asks_;
   bool store_reached_ = true;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <string_view>
 
 #include "framework/base/error.h"
 #include "jobs/job_record.h"
@@ -18,6 +20,11 @@
 namespace {
 
 constexpr char kWriterName[] = "owner";
+// Progress of a wave of maintenance, in the shard's stream: "w/" and its
+// number.
+constexpr std::string_view kWavePrefix = "w/";
+// Pause before the state of a wave is told again.
+constexpr milliseconds kTellPause{300};
 // Pause after the store refused an append.
 constexpr milliseconds kRefusedPause{40};
 // Beyond the time that a hold may wait: until it counts as unanswered.
@@ -38,14 +45,17 @@
 
 Owner::Owner(asio::any_io_executor executor, Ref<contracts::KeyedLog> log,
              Ref<contracts::TaskWorkers> workers,
-             Ref<contracts::AdviceService> advice, OwnerOptions options,
+             Ref<contracts::AdviceService> advice,
+             Ref<contracts::VmService> vms, OwnerOptions options,
              OwnerHooks hooks)
     : executor_(executor),
       log_(std::move(log)),
       workers_(std::move(workers)),
       advice_(std::move(advice)),
+      vms_(std::move(vms)),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
+      maintenance_(MakeMaintenanceHooks()),
       changes_timer_(executor) {
   core_ = std::make_unique<jobs::ShardCore>(options_.shard, MakeHooks());
 }
@@ -92,6 +102,81 @@
           .decided = hooks_.decided};
 }
 
+maintenance::MaintenanceHooks Owner::MakeMaintenanceHooks() {
+  return {
+      .list =
+          [this] { asio::co_spawn(executor_, ListVms(this), asio::detached); },
+      .maintain =
+          [this](const std::string& vm, std::uint64_t wave) {
+            asio::co_spawn(executor_, Maintain(this, vm, wave), asio::detached);
+          },
+      .cordon =
+          [this](const std::set<std::string>& workers) {
+            core_->SetCordoned(workers, ShardNow());
+          },
+      .is_empty =
+          [this](const std::string& worker) { return core_->IsEmpty(worker); },
+      .store =
+          [this](std::uint64_t wave, const std::string& progress) {
+            wave_records_[std::string(kWavePrefix) + std::to_string(wave)] =
+                progress;
+            changes_timer_.cancel();
+          },
+      .tell =
+          [this](std::uint64_t wave, bool completed) {
+            hooks_.decided("wave", {{"wave", wave}, {"completed", completed}});
+            asio::co_spawn(executor_, TellWave(this, wave, completed),
+                           asio::detached);
+          }};
+}
+
+void Owner::SetWave(const maintenance::Wave& wave) {
+  if (vms_ != nullptr) maintenance_.SetWave(wave);
+}
+
+asio::awaitable<void> Owner::ListVms(Ref<Owner> self) {
+  const contracts::VmList list =
+      co_await self->vms_->List(self->options_.append_timeout);
+  if (!list.ok)
+    self->hooks_.decided("VM list failed", {{"reason", list.error}});
+  if (!self->stopped_) self->maintenance_.OnList(list);
+}
+
+asio::awaitable<void> Owner::Maintain(Ref<Owner> self, std::string vm,
+                                      std::uint64_t wave) {
+  const contracts::MaintainOutcome outcome =
+      co_await self->vms_->Maintain({.vm = vm,
+                                     .wave = wave,
+                                     .holder = self->options_.holder,
+                                     .token = self->options_.shard.token},
+                                    self->options_.append_timeout);
+  if (self->stopped_) co_return;
+  self->hooks_.decided(
+      "maintenance",
+      {{"vm", vm}, {"wave", wave}, {"outcome", static_cast<int>(outcome)}});
+  if (outcome == contracts::MaintainOutcome::kFenced) {
+    self->hooks_.on_superseded("fenced by the VM service");
+    co_return;
+  }
+  // Not at once again, where it was refused.
+  if (outcome != contracts::MaintainOutcome::kBegun) {
+    co_await self->Sleep(kRefusedPause);
+  }
+  if (!self->stopped_) self->maintenance_.OnOrdered(vm, wave, outcome);
+}
+
+asio::awaitable<void> Owner::TellWave(Ref<Owner> self, std::uint64_t wave,
+                                      bool completed) {
+  while (!self->stopped_) {
+    const contracts::AppendAnswer answer = co_await self->log_->Append(
+        {.stream = self->options_.status,
+         .records = {self->hooks_.encode_wave(wave, completed)},
+         .timeout = self->options_.append_timeout});
+    if (answer.outcome == contracts::AppendOutcome::kStored) co_return;
+    co_await self->Sleep(kTellPause);
+  }
+}
+
 void Owner::Start(const jobs::ClusterConfig& config) {
   core_->SetConfig(config, ShardNow());
   registry_ = MakeRef<StreamFollower>(
@@ -165,6 +250,17 @@
   co_await self->StoreChanges();
 }
 
+void Owner::RestoreWave(const contracts::KeyedRecord& record) {
+  std::uint64_t wave = 0;
+  const std::string number = record.key.substr(kWavePrefix.size());
+  const std::from_chars_result result =
+      std::from_chars(number.data(), number.data() + number.size(), wave);
+  if (result.ec != std::errc() || !record.value.has_value()) {
+    throw Error("restore", record.key, "not a record of a wave");
+  }
+  maintenance_.Restore(wave, *record.value);
+}
+
 // An append without records fences the writers before.
 asio::awaitable<bool> Owner::TakeEpoch() { co_return co_await Append({}); }
 
@@ -180,6 +276,10 @@
     if (!end.has_value()) end = page.end;
     for (const contracts::KeyedRecord& record : page.records) {
       try {
+        if (record.key.starts_with(kWavePrefix)) {
+          RestoreWave(record);
+          continue;
+        }
         core_->Restore(record);
       } catch (const Error& error) {
         hooks_.decided("record not read",
@@ -252,7 +352,7 @@
 
 asio::awaitable<void> Owner::StoreChanges() {
   while (!stopped_) {
-    if (!core_->HasChanges()) {
+    if (!core_->HasChanges() && wave_records_.empty()) {
       changes_timer_.expires_after(std::chrono::seconds(1));
       boost::system::error_code error;
       co_await changes_timer_.async_wait(
@@ -260,11 +360,17 @@
       continue;
     }
     jobs::Batch batch = core_->TakeBatch(ShardNow());
+    const bool with_waves = !wave_records_.empty();
+    for (auto& [key, progress] : wave_records_) {
+      batch.records.push_back({.key = key, .value = std::move(progress)});
+    }
+    wave_records_.clear();
     if (!batch.records.empty() && !co_await Append(std::move(batch.records))) {
       co_return;
     }
     if (stopped_) co_return;
     core_->OnStored(batch.number, ShardNow());
+    if (with_waves) maintenance_.OnStored();
     WakeWaiters();
   }
 }
@@ -272,6 +378,7 @@
 asio::awaitable<void> Owner::TickLoop(Ref<Owner> self) {
   while (!self->stopped_) {
     self->core_->Tick(ShardNow());
+    self->maintenance_.Tick(LeaseNow());
     co_await self->Sleep(self->options_.tick);
   }
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,8 +12,10 @@
 #include "contracts/advice_service.h"
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
+#include "contracts/vm_service.h"
 #include "framework/net/http_server.h"
 #include "jobs/types/job.h"
+#include "maintenance/maintenance_core.h"
 #include "node/types/front.h"
 
 namespace carobmast::node {
@@ -33,6 +35,7 @@
   contracts::StreamId config_stream;
   std::string config_key;
   contracts::StreamId registry_stream;
+  contracts::StreamId status_stream;
   std::chrono::milliseconds max_lease{6000};
   std::chrono::milliseconds keep_ended{120000};
   double far_factor = 1;
@@ -46,6 +49,14 @@
   // May give null: then queues that ask for advice can't be served.
   std::function<Ref<contracts::AdviceService>(boost::asio::any_io_executor)>
       advice;
+  // May give null: then no maintenance is carried out.
+  std::function<Ref<contracts::VmService>(boost::asio::any_io_executor)> vms;
+  // Empty when the record of the operators' stream is no wave.
+  std::function<std::optional<maintenance::Wave>(const std::string& key,
+                                                 const std::string& value)>
+      decode_wave;
+  std::function<contracts::KeyedRecord(std::uint64_t wave, bool completed)>
+      encode_wave;
   // Throw Error when the record can't be used.
   std::function<jobs::ClusterConfig(const std::string& value)> decode_config;
   std::function<std::optional<jobs::WorkerEntry>(const std::string& key,
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -16,8 +16,10 @@
 #include "contracts/advice_service.h"
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
+#include "contracts/vm_service.h"
 #include "jobs/generated/jobs.pb.h"
 #include "jobs/shard_core.h"
+#include "maintenance/maintenance_core.h"
 #include "node/stream_follower.h"
 
 namespace carobmast::node {
@@ -26,6 +28,9 @@
   jobs::ShardOptions shard;
   contracts::StreamId stream;
   contracts::StreamId registry;
+  contracts::StreamId status;
+  // The name under which maintenance is ordered.
+  std::string holder;
   Duration append_timeout = std::chrono::milliseconds(700);
   Duration order_timeout = std::chrono::milliseconds(250);
   Duration advice_timeout = std::chrono::seconds(3);
@@ -33,6 +38,9 @@
 };
 
 struct OwnerHooks {
+  // The record that tells operators of a wave.
+  std::function<contracts::KeyedRecord(std::uint64_t wave, bool completed)>
+      encode_wave;
   // Decodes an entry of the registry; empty when it names no worker to use.
   std::function<std::optional<jobs::WorkerEntry>(const contracts::KeyedRecord&)>
       decode_worker;
@@ -47,14 +55,15 @@
  public:
   Owner(boost::asio::any_io_executor executor, Ref<contracts::KeyedLog> log,
         Ref<contracts::TaskWorkers> workers,
-        Ref<contracts::AdviceService> advice, OwnerOptions options,
-        OwnerHooks hooks);
+        Ref<contracts::AdviceService> advice, Ref<contracts::VmService> vms,
+        OwnerOptions options, OwnerHooks hooks);
   void Start(const jobs::ClusterConfig& config);
   // Nothing is ordered or stored afterwards; calls in flight end undecided.
   void Stop();
   void SetConfig(const jobs::ClusterConfig& config);
   // No earlier owner orders anything any more.
   void OnFormerOwnersStopped();
+  void SetWave(const maintenance::Wave& wave);
 
   // Callers' requests, from this node or another one.
   boost::asio::awaitable<jobs::proto::JobAnswer> Submit(std::string id,
@@ -78,9 +87,16 @@
   };
 
   jobs::ShardHooks MakeHooks();
+  maintenance::MaintenanceHooks MakeMaintenanceHooks();
+  boost::asio::awaitable<void> ListVms(Ref<Owner> self);
+  boost::asio::awaitable<void> Maintain(Ref<Owner> self, std::string vm,
+                                        std::uint64_t wave);
+  boost::asio::awaitable<void> TellWave(Ref<Owner> self, std::uint64_t wave,
+                                        bool completed);
   boost::asio::awaitable<void> Run(Ref<Owner> self);
   boost::asio::awaitable<bool> TakeEpoch();
   boost::asio::awaitable<bool> Restore();
+  void RestoreWave(const contracts::KeyedRecord& record);
   boost::asio::awaitable<void> StoreChanges();
   boost::asio::awaitable<bool> Append(
       std::vector<contracts::KeyedRecord> records);
@@ -109,9 +125,13 @@
   Ref<contracts::TaskWorkers> workers_;
   // Null where there is none.
   Ref<contracts::AdviceService> advice_;
+  Ref<contracts::VmService> vms_;
   OwnerOptions options_;
   OwnerHooks hooks_;
   std::unique_ptr<jobs::ShardCore> core_;
+  maintenance::MaintenanceCore maintenance_;
+  // Progress of waves that is to be stored with the next batch.
+  std::map<std::string, std::string> wave_records_;
   Ref<StreamFollower> registry_;
   std::map<std::string, jobs::WorkerEntry> entries_;
   bool registry_read_ = false;
