A job of which nothing runs gets a task in while the pool has room

They were past three times their objective, so they came last, and the workers were kept from them for the sake of standing tasks, with half of the processors given to nobody. The test FillerIsNotStarvedWhileThereIsRoom fails without the change.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -121,6 +121,9 @@
   std::map<std::uint32_t, std::unique_ptr<Occurrence>> occurrences;
   std::uint32_t next_occurrence = 0;
   std::uint32_t finished_occurrences = 0;
+  // Runs of all its tasks, and since when there have been none.
+  std::uint32_t run_count = 0;
+  MonotonicTime idle_since;
   // The number of its first change that is not in a batch yet; 0 for none.
   std::uint64_t change = 0;
   bool spec_written = false;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kWatchWait{500};
 // While a task of the worker is being followed closely.
 constexpr milliseconds kDoubtWait{100};
+// What waits is looked at again at least this often.
+constexpr milliseconds kScheduleEvery{400};
 constexpr std::uint32_t kUnansweredHoldsToSilent = 2;
 // Pause between holds of a worker that does not answer.
 constexpr milliseconds kSilentPause{250};
@@ -140,6 +142,7 @@
   job.queue = queue;
   job.pool = policy->second.pool;
   job.spec = spec;
+  job.idle_since = now.steady;
   job.accepted_at_ms = now.wall.time_since_epoch().count();
   impl_->SetPolicy(job);
   impl_->Mark(job);
@@ -390,6 +393,10 @@
   for (const auto& [id, job] : impl_->jobs) {
     if (job->spec.occurrences > 0) impl_->BeginDueOccurrences(*job, now);
   }
+  if (now.steady - impl_->schedule_at > kScheduleEvery) {
+    impl_->schedule_at = now.steady;
+    impl_->WantSchedule();
+  }
   impl_->AddCopies();
   impl_->AskAdvice();
   impl_->DropEndedJobs();
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -80,6 +80,9 @@
   void TakeRoom(const Run& run);
   void FreeRoom(const Run& run);
   void AddCopies();
+  bool IsStarved(const Job& job) const;
+  // Share of its workers' processors that a pool has given to tasks.
+  double ShareInUse(const std::string& pool) const;
   void WantSchedule();
 
   // shard_workers.cc: orders and what workers tell.
@@ -155,6 +158,9 @@
   std::vector<std::pair<std::string, JobState>> batch_jobs;
   InterferenceModel interference;
   MonotonicTime interference_stored_at;
+  // Fillers may go anywhere: the job would wait for too long.
+  bool ignore_harm = false;
+  MonotonicTime schedule_at;
   bool advice_in_flight = false;
   MonotonicTime advice_retry_at;
   bool schedule_wanted = false;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -313,6 +313,7 @@
     run.progress_at = now.steady;
     run.worker->runs.push_back(run);
     TakeRoom(run);
+    ++step.occurrence->job->run_count;
   }
 }
 
@@ -347,6 +348,7 @@
   }
   std::sort(ended_jobs.begin(), ended_jobs.end());
   for (const auto& [id, job] : jobs) {
+    job->idle_since = now.steady;
     SetPolicy(*job);
     if (job->IsOver()) {
       StopAll(*job, "job over");
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -23,6 +23,11 @@
 constexpr double kMaxPressure = 0.7;
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
+// A job of which nothing has run for this long gets a task in, wherever it
+// fits, while no more than this share of the pool is given away. Half the time,
+// and a little more than the share, at which operators take it for forgotten.
+constexpr milliseconds kStarvedAfter{1500};
+constexpr double kFreeShare = 0.6;
 // What a filler that harms nobody pays for a worker without standing tasks.
 constexpr double kFreeWorkerPrice = 0.5;
 // Standing tasks of one image suffer from the same fillers: they go together,
@@ -135,18 +140,39 @@
   for (Step* step : StepsInOrder()) {
     if (step->spec->gang) {
       ScheduleGang(*step);
-    } else if (!IsHopeless(*step)) {
+    } else if (!IsHopeless(*step) || IsStarved(*step->occurrence->job)) {
       ScheduleStep(*step);
     }
   }
   hopeless.clear();
 }
 
+bool ShardCore::Impl::IsStarved(const Job& job) const {
+  return job.run_count == 0 && now.steady - job.idle_since > kStarvedAfter &&
+         ShareInUse(PoolOf(job)) < kFreeShare;
+}
+
+double ShardCore::Impl::ShareInUse(const std::string& pool) const {
+  double used = 0;
+  double room = 0;
+  for (const auto& [id, worker] : workers) {
+    if (!worker->listed || worker->entry.pool != pool) continue;
+    used += ToDouble(worker->used.milli_cpus);
+    room += ToDouble(worker->entry.capacity.milli_cpus);
+  }
+  return room == 0 ? 1 : used / room;
+}
+
 void ShardCore::Impl::ScheduleStep(Step& step) {
   bool all_placed = true;
   for (Task& task : step.tasks) {
     if (task.finished || !task.runs.empty()) continue;
     WorkerState* worker = Pick(task);
+    if (worker == nullptr && IsStarved(*step.occurrence->job)) {
+      ignore_harm = true;
+      worker = Pick(task);
+      ignore_harm = false;
+    }
     if (worker == nullptr) {
       all_placed = false;
       hopeless.push_back(&step);
@@ -241,6 +267,7 @@
     return worker.used.milli_cpus + copies * spec.need.milli_cpus <=
            room.milli_cpus;
   }
+  if (ignore_harm) return true;
   if (worker.standing_milli_cpus > 0 &&
       (worker.pressure > kMaxPressure ||
        PredictHarm(worker, step.image, copies * spec.need.milli_cpus) >
@@ -345,6 +372,7 @@
   worker.runs.push_back(run);
   TakeRoom(run);
   Job& job = *task.step->occurrence->job;
+  ++job.run_count;
   job.started = true;
   if (job.state == JobState::kQueued) job.state = JobState::kRunning;
   Mark(job);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -262,6 +262,7 @@
   }
   FreeRoom(run);
   const bool was_stalled = run.stop_wanted;
+  if (--job.run_count == 0) job.idle_since = now.steady;
   task.runs.remove_if([&run](const Run& each) { return &each == &run; });
   Mark(job);
   WantSchedule();
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(RebornWorkerLosesItsTasks);
   CPPUNIT_TEST(GangStartsWholeUnderOneAttempt);
   CPPUNIT_TEST(NoMoreThanAllowedOnOneWorker);
+  CPPUNIT_TEST(FillerIsNotStarvedWhileThereIsRoom);
   CPPUNIT_TEST(DueOccurrencesOnly);
   CPPUNIT_TEST(StartsWithATicketWhereAdviceIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
@@ -397,6 +398,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  void FillerIsNotStarvedWhileThereIsRoom() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    JobSpec standing = MakeJob(1);
+    standing.steps[0].standing = true;
+    standing.steps[0].image = "standing";
+    standing.steps[0].latency_target = milliseconds(10);
+    bench.Submit("s", standing);
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    bench.Confirm(start);
+    JobSpec filler = MakeJob(1);
+    filler.steps[0].fills = true;
+    filler.steps[0].image = "filler";
+    bench.Submit("f", filler);
+    // The standing task is near its target all the time.
+    for (int i = 0; i < 40; ++i) {
+      contracts::RunningTask row = bench.Running(start);
+      row.percent = 100;
+      row.measured = 9;
+      bench.now.steady += milliseconds(1);
+      bench.Contact("w", {row});
+      bench.Store();
+      if (!bench.starts.empty()) break;
+      bench.Pass(milliseconds(50));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
   void DueOccurrencesOnly() {
     ShardBench bench;
     bench.AddWorker("w");
