--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,157 @@
+#!/usr/bin/env python3
+"""Randomized fault soak: real nodes as processes, faults from outside them.
+
+Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
+Each seed plays one round: jobs are handed in through all nodes while nodes are
+killed, paused, stopped gracefully and restarted, and their connections to the store
+delayed, reset, cut one way or silenced. Then the faults end, and every accepted job
+must complete; no task may run twice at once or after an end that was noted.
+Prints a line a seed; exits with 1 when a promise was broken.
+"""
+
+import argparse
+import pathlib
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.dont_write_bytecode = True
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "platform" / "tests"))
+from node_cluster import Cluster, make_job  # noqa: E402
+from platform_standin import find_doubled, put_config  # noqa: E402
+
+# Until everything accepted must have completed after the faults: leases of the
+# stand-in, the longest ownership without proof, and a takeover, with room to spare.
+SETTLE_SECONDS = 45
+
+
+class Round:
+    def __init__(self, program, seed, seconds):
+        self.random = random.Random(seed)
+        self.cluster = Cluster(program, nodes=3, workers=4)
+        self.seconds = seconds
+        self.accepted, self.refused, self.open = set(), set(), set()
+        self.version = 1
+        self.faults = []
+
+    def hand_in(self, until):
+        number = 0
+        while time.monotonic() < until:
+            job = f"{number:016x}"
+            number += 1
+            body = make_job(self.random.randint(1, 2), self.random.randint(1, 4),
+                            self.random.choice((50, 300, 1500)))
+            node = self.random.choice(self.cluster.nodes)
+            answer = node.call("POST", self.cluster.path(job), body)
+            if answer is not None and answer[0] == 200:
+                self.accepted.add(job)
+            elif answer is not None and answer[0] in (429, 503):
+                self.refused.add(job)
+            else:
+                self.open.add(job)
+            time.sleep(self.random.uniform(0.02, 0.2))
+
+    def fault(self):
+        node = self.random.choice(self.cluster.nodes)
+        kind = self.random.choice(
+            ("kill", "kill_all", "pause", "stop", "reset", "silent", "silent_to",
+             "silent_from", "delay", "configuration", "reload"))
+        self.faults.append(kind)
+        length = self.random.uniform(0.2, 3)
+        if kind == "kill":
+            self.restart([node], signal.SIGKILL, length / 3)
+        elif kind == "kill_all":
+            self.restart(self.cluster.nodes, signal.SIGKILL, length / 3)
+        elif kind == "stop":
+            self.restart([node], signal.SIGTERM, 0)
+        elif kind == "pause":
+            node.signal(signal.SIGSTOP)
+            time.sleep(length)
+            node.signal(signal.SIGCONT)
+        elif kind == "reset":
+            node.proxy.reset()
+        elif kind == "delay":
+            node.proxy.delay = 0.1
+            time.sleep(length)
+            node.proxy.delay = 0.0
+        elif kind == "configuration":
+            self.version += 1
+            put_config(self.cluster.store, self.version)
+        elif kind == "reload":
+            node.signal(signal.SIGHUP)
+        else:
+            node.proxy.mode = kind
+            time.sleep(length)
+            node.proxy.mode = "ok"
+            node.proxy.reset()
+
+    def restart(self, nodes, number, pause):
+        for node in nodes:
+            node.signal(number)
+        for node in nodes:
+            node.process.wait()
+        time.sleep(pause)
+        for node in nodes:
+            node.start()
+
+    def play(self):
+        """Returns what was broken, one text each."""
+        self.cluster.wait_ready()
+        until = time.monotonic() + self.seconds
+        callers = threading.Thread(target=self.hand_in, args=(until,))
+        callers.start()
+        while time.monotonic() < until:
+            time.sleep(self.random.uniform(0.1, 1.0))
+            self.fault()
+        callers.join()
+        return self.judge()
+
+    def judge(self):
+        until = time.monotonic() + SETTLE_SECONDS
+        waiting = set(self.accepted)
+        while waiting and time.monotonic() < until:
+            for job in sorted(waiting):
+                node = self.random.choice(self.cluster.nodes)
+                if node.call("GET", self.cluster.path(job)) == (
+                        200, {"state": "completed"}):
+                    waiting.discard(job)
+            time.sleep(0.2)
+        broken = [f"accepted job {job} has not completed" for job in waiting]
+        for first, second in find_doubled(list(self.cluster.history)):
+            broken.append(f"{first['task']} ran twice: {first} {second}")
+        ran = {run["task"].split(".")[0] for run in self.cluster.history}
+        broken += [f"refused job {job} ran" for job in self.refused & ran]
+        return broken
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        game = Round(options.program, seed, options.seconds)
+        try:
+            broken = game.play()
+        finally:
+            game.cluster.close()
+        failed += bool(broken)
+        print(f"seed {seed}: {len(game.accepted)} accepted, {len(game.refused)} "
+              f"refused, {len(game.open)} open, {len(game.cluster.history)} runs, "
+              f"faults {' '.join(game.faults)}: "
+              f"{'BROKEN, logs in ' + game.cluster.folder if broken else 'ok'}",
+              flush=True)
+        for text in broken[:5]:
+            print(f"  {text}", flush=True)
+    print(f"{options.seeds - failed} seeds passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
