--- a/buildscripts/lint.sh
+++ b/buildscripts/lint.sh
@@ -7,7 +7,7 @@
 folder=${1:-build}
 
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-  'src/*.cc' 'src/*.h' 'standin/*.cc' 'standin/*.h' 'measure/*.cc' 'measure/*.h' |
+  'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' 'standin/*.cc' 'standin/*.h' 'measure/*.cc' 'measure/*.h' |
   grep -v '/generated/')
 if [ "${2:-}" = --fix ]; then
   clang-format-16 -i "${files[@]}"
--- a/buildscripts/tidy.py
+++ b/buildscripts/tidy.py
@@ -17,7 +17,7 @@
 
 def digest_of_project_headers():
     digest = hashlib.sha256(CONFIG.read_bytes())
-    for folder in ("src", "standin", "measure"):
+    for folder in ("src", "platform", "standin", "measure"):
         for header in sorted(pathlib.Path(folder).rglob("*.h")):
             digest.update(header.read_bytes())
     return digest.hexdigest()
--- a/src/framework/settings/internal/settings.cc
+++ b/src/framework/settings/internal/settings.cc
@@ -1,5 +1,9 @@
 #include "framework/settings/settings.h"
 
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/mark.h>
+#include <yaml-cpp/parser.h>
+
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -17,6 +21,49 @@
   return file + ":" + std::to_string(line + 1);
 }
 
+// Reads the parser's events before a tree is built: aliases that refer to
+// aliases would make a small file take hours, and depth a deep recursion.
+class BoundsCheck : public YAML::EventHandler {
+ public:
+  explicit BoundsCheck(const std::string& file) : file_(file) {}
+
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override {
+    throw Error("settings", Where(file_, mark.line), "aliases are not allowed");
+  }
+  void OnScalar(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                const std::string&) override {}
+  void OnSequenceStart(const YAML::Mark& mark, const std::string&,
+                       YAML::anchor_t, YAML::EmitterStyle::value) override {
+    Open(mark);
+  }
+  void OnSequenceEnd() override { --depth_; }
+  void OnMapStart(const YAML::Mark& mark, const std::string&, YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {
+    Open(mark);
+  }
+  void OnMapEnd() override { --depth_; }
+
+ private:
+  void Open(const YAML::Mark& mark) {
+    if (++depth_ <= kMaxDepth + 1) return;
+    throw Error("settings", Where(file_, mark.line),
+                "nested deeper than 16 levels");
+  }
+
+  std::string file_;
+  int depth_ = 0;
+};
+
+void CheckBounds(const std::string& yaml, const std::string& file) {
+  std::istringstream stream(yaml);
+  YAML::Parser parser(stream);
+  BoundsCheck check(file);
+  parser.HandleNextDocument(check);
+}
+
 // yaml-cpp keeps the last of two equal keys; settings refuse them, and depth.
 void CheckTree(const YAML::Node& node, const std::string& file, int depth) {
   if (depth > kMaxDepth) {
@@ -66,6 +113,7 @@
                                      const std::string& file) {
   YAML::Node root;
   try {
+    CheckBounds(yaml, file);
     root = YAML::Load(yaml);
   } catch (const YAML::Exception& error) {
     throw Error("settings", Where(file, error.mark.line), error.msg);
--- a/src/framework/settings/tests/settings_test.cc
+++ b/src/framework/settings/tests/settings_test.cc
@@ -28,9 +28,30 @@
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(ReadsEveryKind);
   CPPUNIT_TEST(RefusesWithFileLineAndKey);
+  CPPUNIT_TEST(RefusesAliasesBeforeTheyMultiply);
+  CPPUNIT_TEST(RefusesDepth);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void RefusesAliasesBeforeTheyMultiply() {
+    std::string yaml = "a0: &a0 x\n";
+    for (int level = 1; level <= 10; ++level) {
+      const std::string last = "*a" + std::to_string(level - 1);
+      const std::string name = "a" + std::to_string(level);
+      yaml += name + ": &" + name + " [" + last;
+      for (int i = 1; i < 9; ++i) yaml += ", " + last;
+      yaml += "]\n";
+    }
+    AssertRefused(yaml, "settings with s.yaml:2: aliases are not allowed",
+                  [](SettingsReader&) {});
+  }
+
+  void RefusesDepth() {
+    AssertRefused("a: " + std::string(100000, '['),
+                  "settings with s.yaml:1: nested deeper than 16 levels",
+                  [](SettingsReader&) {});
+  }
+
   void ReadsEveryKind() {
     SettingsReader reader = SettingsReader::Parse(
         "name: a\nport: 7\nwait: 250ms\nsize: 64KiB\non: true\n"
