--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -232,8 +232,12 @@
   HoldPlan plan;
   plan.order.token = impl_->options.token;
   plan.order.acknowledged_end = worker.acknowledged_end;
-  if (worker.clock.has_value())
+  // A hold that may get no answer renews nothing: what runs there would else
+  // never be over.
+  if (worker.clock.has_value() && !worker.silent_since.has_value() &&
+      worker.unanswered_holds == 0) {
     plan.order.lease_end = impl_->LeaseEndFor(worker);
+  }
   if (worker.silent_since.has_value()) {
     plan.pause = kSilentPause;
     // The life that answers next may be another one, with ends of its own.
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(UnansweredStartIsRepeatedUnderItsAttempt);
   CPPUNIT_TEST(SilentWorkerKeepsItsTasksUntilTheLeaseIsOver);
   CPPUNIT_TEST(OneLostAnswerDoesNotMakeAWorkerSilent);
+  CPPUNIT_TEST(HoldsWithoutAnAnswerRenewNoLease);
   CPPUNIT_TEST(SuccessorAdoptsWhatRuns);
   CPPUNIT_TEST(SuccessorStartsAnewWhatNeverArrived);
   CPPUNIT_TEST(SuccessorAssumesTheLongestLeaseAtFirstContact);
@@ -185,6 +186,20 @@
     CPPUNIT_ASSERT_EQUAL(2U, moved[0].order.attempt);
   }
 
+  void HoldsWithoutAnAnswerRenewNoLease() {
+    ShardBench bench;
+    StartOne(bench);
+    bench.AddWorker("v");
+    for (int i = 0; i < 40 && bench.starts.empty(); ++i) {
+      bench.Contact("v");
+      bench.Silence("w");
+      bench.Pass(milliseconds(250));
+      bench.Store();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), bench.starts[0].worker);
+  }
+
   void OneLostAnswerDoesNotMakeAWorkerSilent() {
     ShardBench bench;
     bench.AddWorker("w");
