--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -86,9 +86,9 @@
     ShardBench bench;
     const SentStart start = StartOne(bench);
     bench.Contact("w", {}, {bench.Ended(1, start)});
-    CPPUNIT_ASSERT(JobState::kRunning == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kRunning == StateOf(bench));
     bench.Store();
-    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kCompleted == StateOf(bench));
   }
 
   void NeverBeyondTheCapacity() {
@@ -136,7 +136,7 @@
                   {bench.Ended(2, start, contracts::EndKind::kFailed)});
     bench.Store();
     CPPUNIT_ASSERT(bench.starts.empty());
-    CPPUNIT_ASSERT(JobState::kFailed == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kFailed == StateOf(bench));
   }
 
   void CancelStopsWhatRuns() {
@@ -145,7 +145,7 @@
     CPPUNIT_ASSERT(bench.core->Cancel("j", bench.now).known);
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
-    CPPUNIT_ASSERT(JobState::kCancelled == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kCancelled == StateOf(bench));
     CPPUNIT_ASSERT(!bench.core->Cancel("unknown", bench.now).known);
   }
 
@@ -226,7 +226,7 @@
     CPPUNIT_ASSERT(bench.starts.empty());
     bench.Contact("w", {}, {bench.Ended(1, start)});
     bench.Store();
-    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kCompleted == StateOf(bench));
   }
 
   void SuccessorStartsAnewWhatNeverArrived() {
@@ -399,7 +399,7 @@
     // The end of one represents all.
     bench.Contact(members[0].worker, {}, {bench.Ended(1, members[0])});
     bench.Store();
-    CPPUNIT_ASSERT(JobState::kCompleted == *bench.core->StoredState("j"));
+    CPPUNIT_ASSERT(JobState::kCompleted == StateOf(bench));
   }
 
   void NoMoreThanAllowedOnOneWorker() {
@@ -485,6 +485,11 @@
   }
 
  private:
+  // Of job "j".
+  static JobState StateOf(const ShardBench& bench) {
+    return bench.core->StoredState("j").value_or(JobState::kQueued);
+  }
+
   // One worker "w" that runs the only task of job "j".
   static SentStart StartOne(ShardBench& bench) {
     bench.AddWorker("w");
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -40,7 +40,7 @@
   std::set<std::string> cordoned;
   std::set<std::string> busy;
   std::string progress;
-  std::optional<bool> completed;
+  bool completed = false;
   MaintenanceCore core;
 };
 
@@ -70,7 +70,7 @@
     bench.core.OnOrdered("a", 1, kBegun);
     bench.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
-    CPPUNIT_ASSERT(!*bench.completed);
+    CPPUNIT_ASSERT(!bench.completed);
     bench.List("wa2", "wb");
     bench.Tick();
     bench.core.OnStored();
@@ -79,7 +79,7 @@
     bench.core.OnOrdered("b", 1, kBegun);
     bench.List("wa2", "wb2");
     bench.Tick();
-    CPPUNIT_ASSERT(*bench.completed);
+    CPPUNIT_ASSERT(bench.completed);
   }
 
   void WorkerIsEmptiedBefore() {
--- a/src/node/tests/queue_table_test.cc
+++ b/src/node/tests/queue_table_test.cc
@@ -16,14 +16,20 @@
                             {.name = "long", .host = "h", .prefix = "/a/b/"},
                             {.name = "other", .host = "i", .prefix = "/a/"}});
     CPPUNIT_ASSERT_EQUAL(std::string("long"),
-                         table.Find("h:80", "/a/b/x")->queue);
-    CPPUNIT_ASSERT_EQUAL(std::string("x"), table.Find("h", "/a/b/x")->rest);
-    CPPUNIT_ASSERT_EQUAL(std::string("short"), table.Find("h", "/a/c")->queue);
+                         Find(table, "h:80", "/a/b/x").queue);
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), Find(table, "h", "/a/b/x").rest);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Find(table, "h", "/a/c").queue);
     CPPUNIT_ASSERT_EQUAL(std::string("other"),
-                         table.Find("i", "/a/b/x")->queue);
+                         Find(table, "i", "/a/b/x").queue);
     CPPUNIT_ASSERT(!table.Find("j", "/a/").has_value());
     CPPUNIT_ASSERT(!table.Find("h", "/b/").has_value());
   }
+
+ private:
+  static QueueMatch Find(const QueueTable& table, const std::string& host,
+                         const std::string& path) {
+    return table.Find(host, path).value_or(QueueMatch{});
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(QueueTableTest, "queue_table_test");
