--- a/src/framework/settings/tests/settings_test.cc
+++ b/src/framework/settings/tests/settings_test.cc
@@ -38,8 +38,8 @@
     for (int level = 1; level <= 10; ++level) {
       const std::string last = "*a" + std::to_string(level - 1);
       const std::string name = "a" + std::to_string(level);
-      yaml += name + ": &" + name + " [" + last;
-      for (int i = 1; i < 9; ++i) yaml += ", " + last;
+      yaml.append(name).append(": &").append(name).append(" [").append(last);
+      for (int i = 1; i < 9; ++i) yaml.append(", ").append(last);
       yaml += "]\n";
     }
     AssertRefused(yaml, "settings with s.yaml:2: aliases are not allowed",
