--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -84,8 +84,9 @@
     }
     error -= model.weights[row] * input[row];
   }
-  for (std::size_t row = 0; row < size; ++row)
+  for (std::size_t row = 0; row < size; ++row) {
     variance += gain[row] * input[row];
+  }
   for (std::size_t row = 0; row < size; ++row) {
     model.weights[row] += gain[row] / variance * error;
     for (std::size_t column = 0; column < size; ++column) {
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -330,8 +330,9 @@
         if (step_record.step() >= occurrence.steps.size()) continue;
         Step& step = occurrence.steps[step_record.step()];
         for (const std::uint32_t index : step_record.finished()) {
-          if (index >= step.tasks.size() || step.tasks[index].finished)
+          if (index >= step.tasks.size() || step.tasks[index].finished) {
             continue;
+          }
           step.tasks[index].finished = true;
           ++step.finished;
         }
@@ -395,12 +396,14 @@
        ++taken) {
     Job& job = *changed_jobs[taken];
     if (!job.spec_written) {
-      batch.records.push_back({kJobPrefix + job.id, EncodeJob(job)});
-      bytes += batch.records.back().value->size();
+      std::string spec = EncodeJob(job);
+      bytes += spec.size();
+      batch.records.push_back({kJobPrefix + job.id, std::move(spec)});
       job.spec_written = true;
     }
-    batch.records.push_back({kProgressPrefix + job.id, EncodeProgress(job)});
-    bytes += batch.records.back().value->size();
+    std::string progress = EncodeProgress(job);
+    bytes += progress.size();
+    batch.records.push_back({kProgressPrefix + job.id, std::move(progress)});
     job.change = 0;
     batch_jobs.emplace_back(job.id, job.state);
     for (const auto& [number, occurrence] : job.occurrences) {
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -157,8 +157,9 @@
 }
 
 void ShardCore::Impl::SendPace(Run& run) {
-  if (run.pace == run.pace_sent || run.pace_in_flight || run.stop_wanted)
+  if (run.pace == run.pace_sent || run.pace_in_flight || run.stop_wanted) {
     return;
+  }
   run.pace_in_flight = true;
   run.pace_sent = run.pace;
   run.progress_at = now.steady;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -480,10 +480,9 @@
       continue;
     }
     if (!step.spec->standing && !step.spec->checkpoints) continue;
-    if (step.spec->max_away.has_value() &&
-        CountAway(step) >= *step.spec->max_away) {
-      continue;
-    }
+    const std::uint32_t allowed =
+        step.spec->max_away.value_or(step.spec->count + 1);
+    if (CountAway(step) >= allowed) continue;
     if (step.spec->standing && Pick(*run.task) == nullptr) continue;
     WantStop(run, "worker leaves");
   }
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -62,6 +62,7 @@
 
 void ShardBench::SetWorkers() {
   std::vector<WorkerEntry> entries;
+  entries.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) entries.push_back(entry);
   core->SetWorkers(entries, now);
 }
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -496,7 +496,7 @@
     bench.Contact("w");
     bench.Submit("j", MakeJob(1));
     bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
+    SentStart start = bench.TakeStarts().at(0);
     bench.now.steady += milliseconds(1);
     bench.Confirm(start);
     bench.now.steady += milliseconds(1);
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -296,8 +296,9 @@
 
 // A former owner that knows of our claim orders nothing any more.
 void NodeProcess::OnFormerOwner(const NodeMessage& message) {
-  if (owner_ == nullptr || message.claim.token < election_.claim().token)
+  if (owner_ == nullptr || message.claim.token < election_.claim().token) {
     return;
+  }
   if (former_owners_.erase(message.sender.name) == 0) return;
   log_.Write("former owner stopped", {{"owner", message.sender.name},
                                       {"others", former_owners_.size()}});
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -137,8 +137,9 @@
 asio::awaitable<void> Owner::ListVms(Ref<Owner> self) {
   const contracts::VmList list =
       co_await self->vms_->List(self->options_.append_timeout);
-  if (!list.ok)
+  if (!list.ok) {
     self->hooks_.decided("VM list failed", {{"reason", list.error}});
+  }
   if (!self->stopped_) self->maintenance_.OnList(list);
 }
 
