--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -1,5 +1,6 @@
 #include "node/internal/node_process.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -22,6 +23,9 @@
 constexpr char kShardStream[] = "keyed.shard";
 constexpr char kShardKey[] = "s/0";
 constexpr milliseconds kTick{50};
+// Longer leases would outlive a change of owner by more than standing tasks may
+// be missed: operators allow 6 s and 3 calm ones on top.
+constexpr milliseconds kLongestLease{5000};
 constexpr milliseconds kClaimTimeout{700};
 // After SIGTERM the balancer goes on sending connections until it has seen two
 // failed readiness checks, a second apart.
@@ -36,7 +40,7 @@
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
                                     contracts::FencingToken token) {
   return {.token = token,
-          .max_lease = settings.max_lease,
+          .max_lease = std::min(settings.max_lease, kLongestLease),
           .keep_ended = settings.keep_ended,
           .far_factor = settings.far_factor};
 }
