--- a/buildscripts/cmake/CarobmastModule.cmake
+++ b/buildscripts/cmake/CarobmastModule.cmake
@@ -19,6 +19,26 @@
   endif()
 endfunction()
 
+# carobmast_process_tests(FILE <file>)
+#
+# Registers each method test_NAME of a Python unittest file as the CTest test
+# e2e.NAME; the programs are found through CAROBMAST_PROGRAMS.
+function(carobmast_process_tests)
+  cmake_parse_arguments(ARG "" "FILE" "" ${ARGN})
+  find_package(Python3 REQUIRED COMPONENTS Interpreter)
+  get_filename_component(file ${ARG_FILE} ABSOLUTE)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${file})
+  file(STRINGS ${file} methods REGEX "^    def test_")
+  foreach(method IN LISTS methods)
+    string(REGEX REPLACE "^    def test_([a-z0-9_]+).*" "\\1" name ${method})
+    add_test(NAME e2e.${name}
+      COMMAND ${Python3_EXECUTABLE} ${file} -k "*.test_${name}")
+    set_tests_properties(e2e.${name} PROPERTIES
+      LABELS e2e TIMEOUT 300
+      ENVIRONMENT CAROBMAST_PROGRAMS=${CMAKE_BINARY_DIR}/bin)
+  endforeach()
+endfunction()
+
 # carobmast_tests(NAME <name> TESTS ... DEPS ... LABEL ...)
 #
 # Builds one program from the test files and registers each file with CTest.
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -12,7 +12,6 @@
 
 namespace asio = boost::asio;
 using jobs::proto::JobAnswer;
-using jobs::proto::JobCall;
 using std::chrono::milliseconds;
 
 namespace {
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -169,7 +169,7 @@
 void NodeProcess::OnWaveRecord(const contracts::KeyedRecord& record) {
   try {
     const std::optional<maintenance::Wave> wave =
-        services_.decode_wave(record.key, *record.value);
+        services_.decode_wave(record.key, record.value.value_or(""));
     if (!wave.has_value()) return;
     if (!waves_.emplace(wave->number, *wave).second) return;
     log_.Write("wave asked for", {{"wave", wave->number},
@@ -183,7 +183,8 @@
 
 void NodeProcess::OnConfigRecord(const contracts::KeyedRecord& record) {
   try {
-    jobs::ClusterConfig config = services_.decode_config(*record.value);
+    jobs::ClusterConfig config =
+        services_.decode_config(record.value.value_or(""));
     if (config_.has_value() && config.version <= config_->version) return;
     config_ = std::move(config);
   } catch (const Error& error) {
