--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -386,6 +386,7 @@
 
 void Owner::ApplyRegistry() {
   std::vector<jobs::WorkerEntry> entries;
+  entries.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) entries.push_back(entry);
   core_->SetWorkers(entries, ShardNow());
   for (const std::string& worker : core_->WorkersToHold()) {
