--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -145,7 +145,6 @@
   MonotonicTime hello_at_;
   MonotonicTime probe_at_;
   MonotonicTime handed_over_at_;
-  MonotonicTime store_reached_at_;
   std::optional<MonotonicTime> store_failing_since_;
   std::uint32_t round_ = 0;
   std::uint32_t yields_ = 0;
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -106,7 +106,6 @@
 
 void ElectionCore::OnStore(bool reached, MonotonicTime now) {
   if (reached) {
-    store_reached_at_ = now;
     store_failing_since_.reset();
   } else if (!store_failing_since_.has_value()) {
     store_failing_since_ = now;
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -24,7 +24,6 @@
 constexpr milliseconds kLeastCallTime{50};
 // Pause before the owner is asked again.
 constexpr milliseconds kAskPause{30};
-// A pending count is told while it is not older than this.
 constexpr char kSubmitCall[] = "job.submit";
 constexpr char kCancelCall[] = "job.cancel";
 constexpr char kStateCall[] = "job.state";
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -96,7 +96,6 @@
               [this](const std::string& worker) {
                 const auto hold = holds_.find(worker);
                 if (hold == holds_.end()) return;
-                hold->second->hurry = true;
                 hold->second->timer.cancel();
               },
           .decided = hooks_.decided};
@@ -402,7 +401,6 @@
     const std::optional<contracts::WorkerTarget> target =
         self->core_->Target(worker);
     if (!target.has_value()) break;
-    loop.hurry = false;
     jobs::HoldPlan plan = self->core_->PlanHold(worker, ShardNow());
     if (plan.pause > milliseconds::zero()) {
       loop.timer.expires_after(plan.pause);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -83,7 +83,6 @@
     explicit HoldLoop(const boost::asio::any_io_executor& executor)
         : timer(executor) {}
     boost::asio::steady_timer timer;
-    bool hurry = false;
   };
 
   jobs::ShardHooks MakeHooks();
