Standing tasks: load told apart from interference, speeds and places from a forecast

The model took the swing for noise (variance 0.2, now 0.02), so factors took ten times as many reports, the reactive speeds followed the swing late, and where a load was at its peak not even harmless fillers were let in. Ruled out: tasks of queries beside standing ones, one standing image on another (fitted, no effect), and saturated processors.

Now each standing step has a filtered level and trend; factors are learned from what is left; fillers get the speed, and the place, at which no task is forecast over its target; a filler that does not touch a task may join it at any level; standing tasks that suffer from other fillers than their neighbours are moved, one of a step at a time and within its budget.

--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -19,9 +19,16 @@
 // The base at first: half the target.
 constexpr double kFirstBase = -0.7;
 // Variance of a single report, from the residuals of the sites' standing tasks.
-constexpr double kNoise = 0.2;
+constexpr double kNoise = 0.02;
+// Standard deviations beyond which a report is taken for less: its worker may
+// be slow for reasons of its own.
+constexpr double kMaxDeviations = 3;
+// Weight of a report in the usual level of an image.
+constexpr double kBaseGain = 0.003;
 // How sure a new owner is of what the former one learned.
 constexpr double kInheritedVariance = 0.5;
+// Variance up to which a factor counts as known.
+constexpr double kKnownVariance = 1.0;
 // Standard deviations by which a factor is taken lower than it seems: a pair
 // that was once thought harmful would else never be tried again.
 constexpr double kOptimism = 0.3;
@@ -64,10 +71,11 @@
   if (old == 0) model.weights[0] = kFirstBase;
 }
 
-void InterferenceModel::Observe(ImageId standing, double log_ratio,
-                                const std::vector<ImageShare>& fillers) {
+double InterferenceModel::Observe(ImageId standing, double log_ratio,
+                                  const std::vector<ImageShare>& fillers,
+                                  LoadEstimate& load, MonotonicTime now) {
+  if (!load.begun()) load.Begin(Base(standing), now);
   std::vector<double> input(kMaxInputs, 0.0);
-  input[0] = 1;
   for (const ImageShare& filler : fillers) {
     const std::size_t index = IndexOf(filler.image);
     if (index > 0) input[index] += filler.share;
@@ -75,37 +83,81 @@
   Model& model = models_[standing];
   Grow(model, input_count_);
   const std::size_t size = model.weights.size();
+  const LoadEstimate::Level level = load.At(now);
   std::vector<double> gain(size, 0.0);
-  double error = log_ratio;
-  double variance = kNoise;
-  for (std::size_t row = 0; row < size; ++row) {
-    for (std::size_t column = 0; column < size; ++column) {
-      gain[row] += model.covariance[row * size + column] * input[column];
-    }
+  double error = log_ratio - level.mean;
+  double factors_variance = 0;
+  for (std::size_t row = 1; row < size; ++row) {
+    if (input[row] == 0) continue;
     error -= model.weights[row] * input[row];
+    for (std::size_t column = 1; column < size; ++column) {
+      gain[column] += model.covariance[row * size + column] * input[row];
+    }
   }
-  for (std::size_t row = 0; row < size; ++row) {
-    variance += gain[row] * input[row];
+  for (std::size_t row = 1; row < size; ++row) {
+    factors_variance += gain[row] * input[row];
   }
-  for (std::size_t row = 0; row < size; ++row) {
-    model.weights[row] += gain[row] / variance * error;
-    for (std::size_t column = 0; column < size; ++column) {
-      double& entry = model.covariance[row * size + column];
-      entry = (entry - gain[row] * gain[column] / variance) / kForget;
-      if (row == column) entry = std::min(entry, kMaxVariance);
+  const double variance = kNoise + level.variance + factors_variance;
+  const double most = kMaxDeviations * std::sqrt(variance);
+  const double taken = std::clamp(error, -most, most);
+  load.Correct(now, taken, kNoise + factors_variance);
+  if (factors_variance > 0) {
+    for (std::size_t row = 1; row < size; ++row) {
+      model.weights[row] += gain[row] / variance * taken;
+      for (std::size_t column = 1; column < size; ++column) {
+        double& entry = model.covariance[row * size + column];
+        entry = (entry - gain[row] * gain[column] / variance) / kForget;
+        if (row == column) entry = std::min(entry, kMaxVariance);
+      }
     }
   }
+  model.weights[0] += kBaseGain * (load.At(now).mean - model.weights[0]);
+  return error;
 }
 
-double InterferenceModel::Factor(ImageId standing, ImageId filler) const {
+double InterferenceModel::Base(ImageId standing) const {
+  const Model& model = models_[standing];
+  return model.weights.empty() ? kFirstBase : model.weights[0];
+}
+
+std::pair<double, double> InterferenceModel::Estimate(ImageId standing,
+                                                      ImageId filler) const {
   const std::size_t input = inputs_[filler];
   const Model& model = models_[standing];
   const std::size_t size = model.weights.size();
-  const bool seen = input > 0 && input < size;
-  const double weight = seen ? model.weights[input] : kFirstFactor;
-  const double variance =
-      seen ? model.covariance[input * size + input] : kFirstVariance;
-  return std::max(0.0, weight - kOptimism * std::sqrt(variance));
+  if (input == 0 || input >= size) return {kFirstFactor, kFirstVariance};
+  return {model.weights[input], model.covariance[input * size + input]};
+}
+
+double InterferenceModel::Factor(ImageId standing, ImageId filler) const {
+  return std::max(0.0, Estimate(standing, filler).first);
+}
+
+double InterferenceModel::HopefulFactor(ImageId standing,
+                                        ImageId filler) const {
+  const std::pair<double, double> estimate = Estimate(standing, filler);
+  return std::max(0.0, estimate.first - kOptimism * std::sqrt(estimate.second));
+}
+
+double InterferenceModel::Likeness(ImageId first, ImageId second) const {
+  if (first == second) return 1;
+  const Model& one = models_[first];
+  const Model& other = models_[second];
+  const std::size_t size = std::min(one.weights.size(), other.weights.size());
+  double difference = 0;
+  double sum = 0;
+  for (std::size_t input = 1; input < size; ++input) {
+    if (one.covariance[input * one.weights.size() + input] > kKnownVariance ||
+        other.covariance[input * other.weights.size() + input] >
+            kKnownVariance) {
+      continue;
+    }
+    const double factor = std::max(0.0, one.weights[input]);
+    const double other_factor = std::max(0.0, other.weights[input]);
+    difference += std::abs(factor - other_factor);
+    sum += std::max(factor, other_factor);
+  }
+  return sum == 0 ? -1 : 1 - 2 * difference / sum;
 }
 
 std::string InterferenceModel::Encode() const {
--- /dev/null
+++ b/src/jobs/internal/load_estimate.cc
@@ -0,0 +1,61 @@
+#include "jobs/load_estimate.h"
+
+#include <algorithm>
+
+namespace carobmast::jobs {
+
+namespace {
+
+// Variance of the level of a step of which nothing was heard yet: users' loads
+// swing by a factor of two to three.
+constexpr double kFirstLevelVariance = 0.15;
+// Variance of its trend, per second squared, from the same swings in 10 s.
+constexpr double kFirstTrendVariance = 0.1;
+// How fast the trend changes: variance per second, from the same swings.
+constexpr double kTrendNoise = 0.05;
+// A trend says nothing of times further ahead, in seconds.
+constexpr double kLongestTrend = 1.0;
+
+}  // namespace
+
+void LoadEstimate::Begin(double mean, MonotonicTime now) {
+  begun_ = true;
+  at_ = now;
+  level_ = mean;
+  trend_ = 0;
+  level_variance_ = kFirstLevelVariance;
+  covariance_ = 0;
+  trend_variance_ = kFirstTrendVariance;
+}
+
+double LoadEstimate::SecondsTo(MonotonicTime time) const {
+  const double seconds = std::chrono::duration<double>(time - at_).count();
+  return std::clamp(seconds, 0.0, kLongestTrend);
+}
+
+LoadEstimate::Level LoadEstimate::At(MonotonicTime time) const {
+  const double dt = SecondsTo(time);
+  return {.mean = level_ + dt * trend_,
+          .variance = level_variance_ + 2 * dt * covariance_ +
+                      dt * dt * trend_variance_ +
+                      kTrendNoise * dt * dt * dt / 3};
+}
+
+void LoadEstimate::Correct(MonotonicTime now, double error, double noise) {
+  const double dt = SecondsTo(now);
+  const Level level = At(now);
+  const double covariance =
+      covariance_ + dt * trend_variance_ + kTrendNoise * dt * dt / 2;
+  const double trend_variance = trend_variance_ + kTrendNoise * dt;
+  const double sum = level.variance + noise;
+  const double level_gain = level.variance / sum;
+  const double trend_gain = covariance / sum;
+  at_ = std::max(at_, now);
+  level_ = level.mean + level_gain * error;
+  trend_ += trend_gain * error;
+  level_variance_ = level.variance * (1 - level_gain);
+  covariance_ = covariance * (1 - level_gain);
+  trend_variance_ = trend_variance - trend_gain * covariance;
+}
+
+}  // namespace carobmast::jobs
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -58,8 +58,13 @@
   std::uint32_t pace_sent = 100;
   bool pace_in_flight = false;
   MonotonicTime idle_since;
-  // Of a standing task with a latency target: since when it has been over it.
+  // Its use of processors at full speed, once it was seen.
+  std::uint64_t full_milli_cpus = 0;
+  MonotonicTime pace_changed_at;
+  // Of a standing task with a latency target: since when it has been over it,
+  // and by how much the logs of its latencies are above what was expected.
   std::optional<MonotonicTime> over_since;
+  double excess = 0;
 };
 
 struct Task {
@@ -71,8 +76,8 @@
   std::string checkpoint;
   bool finished = false;
   std::list<Run> runs;
-  // The worker on which it failed last.
-  std::string failed_on;
+  // The worker on which it failed last, or that it was moved from.
+  std::string avoided_worker;
 };
 
 // What the advice service said of a worker; no text: it may not run the step.
@@ -93,6 +98,17 @@
   MonotonicTime ready_at;
   // By worker, where the queue asks for advice.
   std::map<std::string, Ticket> tickets;
+  // Of a standing step with a latency target: how its users load all its tasks.
+  LoadEstimate load;
+};
+
+// The tasks of a standing step on one worker, in logs of latency to target.
+struct StandingLevel {
+  const Step* step = nullptr;
+  // Without the tasks that fill, a little ahead of now.
+  double own = 0;
+  // What the tasks that fill add at full speed.
+  double harm = 0;
 };
 
 struct Occurrence {
@@ -168,10 +184,10 @@
   std::string last_failed_job;
   std::uint32_t quarantines = 0;
   MonotonicTime quarantined_until;
-  // By image of a standing task here: how much all that fills raises the log of
-  // its latency. Kept until a run comes or goes.
-  std::vector<std::pair<ImageId, double>> harm;
-  bool harm_known = false;
+  // By standing step with a latency target. Kept until a report, or until a run
+  // comes or goes.
+  std::vector<StandingLevel> standing_levels;
+  bool levels_known = false;
   // The worst ratio of latency to target on the last report.
   double pressure = 0;
 
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -402,6 +402,7 @@
     impl_->WantSchedule();
   }
   impl_->AddCopies();
+  impl_->Rebalance();
   impl_->AskAdvice();
   impl_->DropEndedJobs();
   impl_->TellSummary();
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -73,7 +73,8 @@
   std::uint32_t CountOnWorker(const Step& step,
                               const WorkerState& worker) const;
   double Score(WorkerState& worker, const Step& step) const;
-  static double Likeness(const WorkerState& worker, const Step& step);
+  double Likeness(const WorkerState& worker, const Step& step) const;
+  bool IsEligible(WorkerState& worker, const Step& step) const;
   WorkerState* Pick(const Task& task);
   std::string PoolOf(const Job& job) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
@@ -124,17 +125,32 @@
 
   // shard_pacing.cc: standing tasks beside tasks that fill.
   void UpdatePressure(WorkerState& worker);
-  void LearnInterference(const WorkerState& worker);
-  void UpdateHarm(WorkerState& worker) const;
-  // How much the fillers raise the log of the latency of the worst hit standing
-  // task, with one more of `image` that uses `milli_cpus`.
-  double PredictHarm(WorkerState& worker, ImageId image,
-                     std::uint64_t milli_cpus) const;
-  void PaceFillers(WorkerState& worker, const Run& standing, double ratio);
+  void LearnInterference(WorkerState& worker);
+  void UpdateLevels(WorkerState& worker) const;
+  // What the worst hit standing task of the worker would come to, and what
+  // fillers would add there, with one more of `image` that uses `milli_cpus`.
+  // Tasks that this one does not touch don't count for the level.
+  struct Forecast {
+    double level = 0;
+    double harm = 0;
+  };
+  Forecast Predict(WorkerState& worker, ImageId image,
+                   std::uint64_t milli_cpus) const;
+  // How much the fillers of the worker would add to a standing task of `image`.
+  double HarmTo(const WorkerState& worker, ImageId image) const;
+  void PaceFillers(WorkerState& worker);
+  std::map<Run*, double> SpeedsOf(WorkerState& worker) const;
   void SetPace(Run& run, std::uint32_t percent);
   void SendPace(Run& run);
   void MoveIdleFills(WorkerState& worker);
 
+  // shard_rebalance.cc: which standing tasks share a worker.
+  double Company(const Run& run) const;
+  bool MayMove(const Run& run) const;
+  // Whether a worker has clearly better company for the task.
+  bool HasBetterPlace(const Run& run, double company) const;
+  void Rebalance();
+
   ShardOptions options;
   ShardHooks hooks;
   ShardCounters counters;
@@ -161,6 +177,8 @@
   // Fillers may go anywhere: the job would wait for too long.
   bool ignore_harm = false;
   MonotonicTime schedule_at;
+  MonotonicTime rebalance_at;
+  MonotonicTime restored_at;
   bool advice_in_flight = false;
   MonotonicTime advice_retry_at;
   bool schedule_wanted = false;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -320,6 +320,7 @@
 void ShardCore::Impl::FinishRestore(ShardTime time) {
   now = time;
   interference_stored_at = now.steady;
+  restored_at = now.steady;
   for (const auto& [id, job] : jobs) {
     proto::Progress progress;
     progress.ParseFromString(job->restored_progress);
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -1,9 +1,11 @@
 // Keeps tasks that fill from slowing down standing tasks beyond their targets.
 //
-// Reports lag by half a second: a target that is missed or nearly missed slows
-// all fillers of the worker at once, and they are let go again step by step.
+// Reports lag by half a second and swing with the users' load. The model of the
+// interference tells what standing tasks will come to, and fillers get the
+// speed at which that stays below the targets.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "jobs/internal/shard_impl.h"
 
@@ -13,15 +15,25 @@
 
 using std::chrono::milliseconds;
 
-// Ratios of latency to target at which fillers stand still, work at less speed,
-// and may work faster again.
-constexpr double kStopRatio = 0.85;
-constexpr double kSlowRatio = 0.7;
-constexpr double kFastRatio = 0.55;
-constexpr double kSlowFactor = 0.5;
-constexpr std::uint32_t kFasterBy = 34;
+// Log of latency to target that fillers may bring a standing task to.
+constexpr double kPaceLevel = -0.2;
+// How far ahead levels are told: half the time that a report covers, the time
+// until a new speed acts, and half the time until the next report.
+constexpr milliseconds kLead{600};
+// Speeds go in steps of this many percent; below the least they are none.
+constexpr std::uint32_t kPaceStep = 10;
+constexpr std::uint32_t kLeastPace = 20;
 // A filler whose part in the log of the latency is below this is let be.
 constexpr double kNoPart = 0.06;
+// A filler whose part would be below this may join also a task that is over its
+// target: it is not the cause.
+constexpr double kNegligible = 0.03;
+// Reports cover half a second: a filler's use is taken for its speed once that
+// was the same for longer.
+constexpr milliseconds kSteadyAfter{700};
+// Weight of a report in a task's excess over what was expected, and its most.
+constexpr double kExcessGain = 0.4;
+constexpr double kMaxExcess = 1.5;
 // A standing task that is over its target for this long has all fillers stand
 // still, whatever is known of them; a third of the bound for harm.
 constexpr milliseconds kOverPatience{1300};
@@ -35,8 +47,11 @@
 bool IsFiller(const Run& run) { return run.task->step->spec->fills; }
 
 bool HasTarget(const Run& run) {
-  return run.task->step->spec->latency_target > milliseconds::zero() &&
-         run.state == RunState::kRunning;
+  return run.task->step->spec->latency_target > milliseconds::zero();
+}
+
+bool IsReporting(const Run& run) {
+  return HasTarget(run) && run.state == RunState::kRunning && run.measured > 0;
 }
 
 double Ratio(const Run& run) {
@@ -44,114 +59,161 @@
          static_cast<double>(run.task->step->spec->latency_target.count());
 }
 
+// The share of the worker's processors that a filler uses at full speed.
+double FullShare(const Run& run) {
+  const std::uint64_t use = run.full_milli_cpus > 0
+                                ? run.full_milli_cpus
+                                : run.task->step->spec->need.milli_cpus;
+  return static_cast<double>(use) /
+         static_cast<double>(run.worker->entry.capacity.milli_cpus);
+}
+
 }  // namespace
 
-void ShardCore::Impl::LearnInterference(const WorkerState& worker) {
+void ShardCore::Impl::LearnInterference(WorkerState& worker) {
   const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
   std::vector<ImageShare> fillers;
-  for (const Run& run : worker.runs) {
-    if (IsFiller(run) && run.measured > 0) {
-      fillers.push_back({run.task->step->image, run.measured / room});
+  for (Run& run : worker.runs) {
+    if (!IsFiller(run) || run.measured == 0) continue;
+    fillers.push_back({run.task->step->image, run.measured / room});
+    if (run.pace > kIdlePace &&
+        now.steady - run.pace_changed_at > kSteadyAfter) {
+      run.full_milli_cpus = std::uint64_t{100} * run.measured / run.pace;
     }
   }
-  for (const Run& run : worker.runs) {
-    if (!HasTarget(run) || run.measured == 0) continue;
-    interference.Observe(run.task->step->image, std::log(Ratio(run)), fillers);
+  for (Run& run : worker.runs) {
+    if (!IsReporting(run)) continue;
+    Step& step = *run.task->step;
+    const double error = interference.Observe(step.image, std::log(Ratio(run)),
+                                              fillers, step.load, now.steady);
+    run.excess += kExcessGain * (error - run.excess);
+    run.excess = std::clamp(run.excess, -kMaxExcess, kMaxExcess);
   }
 }
 
-void ShardCore::Impl::UpdateHarm(WorkerState& worker) const {
-  if (worker.harm_known) return;
-  const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
-  worker.harm.clear();
+void ShardCore::Impl::UpdateLevels(WorkerState& worker) const {
+  if (worker.levels_known) return;
+  worker.standing_levels.clear();
   for (const Run& run : worker.runs) {
-    if (run.task->step->spec->latency_target <= milliseconds::zero()) continue;
-    const ImageId image = run.task->step->image;
-    const bool known =
-        std::any_of(worker.harm.begin(), worker.harm.end(),
-                    [image](const std::pair<ImageId, double>& entry) {
-                      return entry.first == image;
-                    });
-    if (!known) worker.harm.emplace_back(image, 0);
+    if (!HasTarget(run)) continue;
+    const Step& step = *run.task->step;
+    const double own =
+        (step.load.begun() ? step.load.At(now.steady + kLead).mean
+                           : interference.Base(step.image)) +
+        std::max(0.0, run.excess);
+    const auto known = std::find_if(
+        worker.standing_levels.begin(), worker.standing_levels.end(),
+        [&step](const StandingLevel& level) { return level.step == &step; });
+    if (known == worker.standing_levels.end()) {
+      worker.standing_levels.push_back({.step = &step, .own = own});
+    } else {
+      known->own = std::max(known->own, own);
+    }
   }
   for (const Run& run : worker.runs) {
     if (!IsFiller(run)) continue;
-    const double share =
-        static_cast<double>(run.task->step->spec->need.milli_cpus) / room;
-    for (std::pair<ImageId, double>& entry : worker.harm) {
-      entry.second +=
-          interference.Factor(entry.first, run.task->step->image) * share;
+    for (StandingLevel& level : worker.standing_levels) {
+      level.harm +=
+          interference.HopefulFactor(level.step->image, run.task->step->image) *
+          FullShare(run);
     }
   }
-  worker.harm_known = true;
+  worker.levels_known = true;
 }
 
-double ShardCore::Impl::PredictHarm(WorkerState& worker, ImageId image,
-                                    std::uint64_t milli_cpus) const {
-  UpdateHarm(worker);
+ShardCore::Impl::Forecast ShardCore::Impl::Predict(
+    WorkerState& worker, ImageId image, std::uint64_t milli_cpus) const {
+  UpdateLevels(worker);
   const double share = static_cast<double>(milli_cpus) /
                        static_cast<double>(worker.entry.capacity.milli_cpus);
-  double worst = 0;
-  for (const std::pair<ImageId, double>& entry : worker.harm) {
-    worst = std::max(
-        worst, entry.second + interference.Factor(entry.first, image) * share);
+  Forecast forecast{.level = -std::numeric_limits<double>::infinity()};
+  for (const StandingLevel& level : worker.standing_levels) {
+    const double part =
+        interference.HopefulFactor(level.step->image, image) * share;
+    const double harm = level.harm + part;
+    forecast.harm = std::max(forecast.harm, harm);
+    if (part > kNegligible) {
+      forecast.level = std::max(forecast.level, level.own + harm);
+    }
+  }
+  return forecast;
+}
+
+double ShardCore::Impl::HarmTo(const WorkerState& worker, ImageId image) const {
+  double harm = 0;
+  for (const Run& run : worker.runs) {
+    if (!IsFiller(run)) continue;
+    harm += interference.Factor(image, run.task->step->image) * FullShare(run);
   }
-  return worst;
+  return harm;
 }
 
 void ShardCore::Impl::UpdatePressure(WorkerState& worker) {
   LearnInterference(worker);
-  worker.harm_known = false;
-  const bool was_pressed = worker.pressure > kFastRatio;
+  worker.levels_known = false;
   worker.pressure = 0;
-  const Run* worst = nullptr;
   for (Run& run : worker.runs) {
-    if (!HasTarget(run)) continue;
+    if (!HasTarget(run) || run.state != RunState::kRunning) continue;
     const double ratio = Ratio(run);
     if (ratio <= 1) {
       run.over_since.reset();
     } else if (!run.over_since.has_value()) {
       run.over_since = now.steady;
     }
-    if (ratio > worker.pressure) worst = &run;
     worker.pressure = std::max(worker.pressure, ratio);
   }
-  if (was_pressed && worker.pressure <= kFastRatio) WantSchedule();
-  if (worst == nullptr) {
-    for (Run& run : worker.runs) {
-      if (IsFiller(run)) SetPace(run, 100);
-    }
-    return;
-  }
-  PaceFillers(worker, *worst, worker.pressure);
+  PaceFillers(worker);
   MoveIdleFills(worker);
 }
 
-void ShardCore::Impl::PaceFillers(WorkerState& worker, const Run& standing,
-                                  double ratio) {
-  const double room = static_cast<double>(worker.entry.capacity.milli_cpus);
-  const bool over_long = standing.over_since.has_value() &&
-                         now.steady - *standing.over_since > kOverPatience;
+// The speeds, from 0 to 1, at which no standing task is expected above its
+// level. Fillers that harm a task share what it can bear.
+std::map<Run*, double> ShardCore::Impl::SpeedsOf(WorkerState& worker) const {
+  std::map<Run*, double> speeds;
   for (Run& run : worker.runs) {
-    if (!IsFiller(run) || run.state != RunState::kRunning || run.stop_wanted) {
-      continue;
-    }
-    const StepSpec& spec = *run.task->step->spec;
-    const double part =
-        interference.Factor(standing.task->step->image, run.task->step->image) *
-        static_cast<double>(spec.need.milli_cpus) / room;
-    if (over_long || (ratio > kStopRatio && part > kNoPart)) {
-      SetPace(run, 0);
-    } else if (ratio > kSlowRatio && part > kNoPart) {
-      SetPace(run, static_cast<std::uint32_t>(run.pace * kSlowFactor));
-    } else if (ratio < kFastRatio || part <= kNoPart) {
-      SetPace(run, std::min(100U, run.pace + kFasterBy));
+    if (IsFiller(run)) speeds[&run] = 1;
+  }
+  UpdateLevels(worker);
+  for (const StandingLevel& level : worker.standing_levels) {
+    double bearable = kPaceLevel - level.own;
+    double harm = 0;
+    std::vector<Run*> harmful;
+    for (const auto& [run, speed] : speeds) {
+      const double part =
+          interference.Factor(level.step->image, run->task->step->image) *
+          FullShare(*run);
+      if (part > kNoPart) {
+        harm += part;
+        harmful.push_back(run);
+      } else {
+        bearable -= part;
+      }
     }
+    if (harm <= bearable) continue;
+    const double most = std::max(0.0, bearable / harm);
+    for (Run* run : harmful) speeds[run] = std::min(speeds[run], most);
+  }
+  return speeds;
+}
+
+void ShardCore::Impl::PaceFillers(WorkerState& worker) {
+  const bool over_long = std::any_of(
+      worker.runs.begin(), worker.runs.end(), [this](const Run& run) {
+        return run.over_since.has_value() &&
+               now.steady - *run.over_since > kOverPatience;
+      });
+  for (const auto& [run, speed] : SpeedsOf(worker)) {
+    if (run->state != RunState::kRunning || run->stop_wanted) continue;
+    std::uint32_t percent = static_cast<std::uint32_t>(100 * speed);
+    percent -= percent % kPaceStep;
+    if (over_long || percent < kLeastPace) percent = 0;
+    SetPace(*run, percent);
   }
 }
 
 void ShardCore::Impl::SetPace(Run& run, std::uint32_t percent) {
   if (percent > kIdlePace || run.pace > kIdlePace) run.idle_since = now.steady;
+  if (percent != run.pace) run.pace_changed_at = now.steady;
   run.pace = percent;
   SendPace(run);
 }
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -17,10 +17,8 @@
 // A task that fills starts where it finds at least this share of its
 // processors.
 constexpr double kMinFillShare = 0.6;
-// Most by which fillers may raise the log of a standing task's latency.
-constexpr double kMaxHarm = 0.15;
-// Ratio of latency to target above which no filler is added.
-constexpr double kMaxPressure = 0.7;
+// Log of a standing task's latency to its target up to which fillers are added.
+constexpr double kMaxLevel = -0.45;
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
 // A job of which nothing has run for this long gets a task in, wherever it
@@ -30,8 +28,8 @@
 constexpr double kFreeShare = 0.6;
 // What a filler that harms nobody pays for a worker without standing tasks.
 constexpr double kFreeWorkerPrice = 0.5;
-// Standing tasks of one image suffer from the same fillers: they go together,
-// which leaves more workers to each filler.
+// Standing tasks that suffer from the same fillers go together, which leaves
+// more workers to each filler.
 constexpr double kImageWeight = 1;
 // A copy starts when a run has taken this many times the estimate, and at least
 // the time below.
@@ -269,9 +267,8 @@
   }
   if (ignore_harm) return true;
   if (worker.standing_milli_cpus > 0 &&
-      (worker.pressure > kMaxPressure ||
-       PredictHarm(worker, step.image, copies * spec.need.milli_cpus) >
-           kMaxHarm)) {
+      Predict(worker, step.image, copies * spec.need.milli_cpus).level >
+          kMaxLevel) {
     return false;
   }
   const double other =
@@ -291,17 +288,18 @@
   return count;
 }
 
-// From -1, where all standing tasks of the worker have other images, to 1,
-// where all have the step's; 0 without any.
-double ShardCore::Impl::Likeness(const WorkerState& worker, const Step& step) {
-  int same = 0;
+// From -1, where all standing tasks of the worker suffer from other fillers
+// than the step's, to 1, where all suffer from the same; 0 without any.
+double ShardCore::Impl::Likeness(const WorkerState& worker,
+                                 const Step& step) const {
+  double sum = 0;
   int all = 0;
   for (const Run& run : worker.runs) {
     if (!run.task->step->spec->standing) continue;
     ++all;
-    same += run.task->step->image == step.image ? 1 : 0;
+    sum += interference.Likeness(run.task->step->image, step.image);
   }
-  return all == 0 ? 0 : 2.0 * same / all - 1;
+  return all == 0 ? 0 : sum / all;
 }
 
 double ShardCore::Impl::Score(WorkerState& worker, const Step& step) const {
@@ -310,14 +308,17 @@
   const double used = ToDouble(worker.used.milli_cpus);
   const double fills = ToDouble(worker.fill_milli_cpus);
   // Standing tasks are packed, so that other workers stay free of them.
-  if (spec.standing) return used / room + kImageWeight * Likeness(worker, step);
+  if (spec.standing) {
+    return used / room + kImageWeight * Likeness(worker, step) -
+           HarmTo(worker, step.image);
+  }
   const double standing = ToDouble(worker.standing_milli_cpus);
   if (spec.fills) {
     const double spare =
         (room - used + (1 - kStandingLoad) * standing - fills) / room;
     if (standing > 0) {
       return spare - kHarmWeight *
-                         PredictHarm(worker, step.image, spec.need.milli_cpus);
+                         Predict(worker, step.image, spec.need.milli_cpus).harm;
     }
     // Workers without standing tasks are for the fillers that would harm them.
     const double heavy = std::min(1.0, interference.MeanFactor(step.image));
@@ -326,6 +327,13 @@
   return (room - used - fills / 2) / room;
 }
 
+bool ShardCore::Impl::IsEligible(WorkerState& worker, const Step& step) const {
+  if (!IsUsable(worker, step) || !Fits(worker, step)) return false;
+  if (NeedsTicket(step) && FindTicket(step, worker) == nullptr) return false;
+  const std::uint32_t most = step.spec->max_per_worker;
+  return most == 0 || CountOnWorker(step, worker) < most;
+}
+
 WorkerState* ShardCore::Impl::Pick(const Task& task) {
   const Step& step = *task.step;
   const StepSpec& spec = *step.spec;
@@ -335,21 +343,15 @@
       (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
   const bool near_only =
       !spec.preferred_rack.empty() && now.steady - step.ready_at < patience;
-  const bool needs_ticket = NeedsTicket(step);
   for (const auto& [id, worker] : workers) {
-    if (!IsUsable(*worker, step) || !Fits(*worker, step)) continue;
-    if (needs_ticket && FindTicket(step, *worker) == nullptr) continue;
+    if (!IsEligible(*worker, step)) continue;
     const bool is_near = worker->entry.rack == spec.preferred_rack;
     if (near_only && !is_near) continue;
     double score = Score(*worker, step);
     if (is_near) score += 10;
-    if (worker->id == task.failed_on) score -= 5;
+    if (worker->id == task.avoided_worker) score -= 5;
     if (worker->failures_in_row > 0) score -= worker->failures_in_row;
     if (score <= best_score) continue;
-    if (spec.max_per_worker > 0 &&
-        CountOnWorker(step, *worker) >= spec.max_per_worker) {
-      continue;
-    }
     best = worker.get();
     best_score = score;
   }
@@ -381,7 +383,7 @@
 
 void ShardCore::Impl::TakeRoom(const Run& run) {
   const StepSpec& spec = *run.task->step->spec;
-  run.worker->harm_known = false;
+  run.worker->levels_known = false;
   contracts::Resources& used = run.worker->used;
   used.memory.bytes += spec.need.memory.bytes;
   used.accelerators += spec.need.accelerators;
@@ -397,7 +399,7 @@
 
 void ShardCore::Impl::FreeRoom(const Run& run) {
   const StepSpec& spec = *run.task->step->spec;
-  run.worker->harm_known = false;
+  run.worker->levels_known = false;
   contracts::Resources& used = run.worker->used;
   used.memory.bytes -= spec.need.memory.bytes;
   used.accelerators -= spec.need.accelerators;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -278,7 +278,7 @@
   }
   if (task.finished || job.IsOver()) return;
   if (end == RunEnd::kFailed) {
-    task.failed_on = worker.id;
+    task.avoided_worker = worker.id;
     if (!was_stalled) CountFailure(worker, task);
     if (!step.spec->standing) {
       Task& counted = step.spec->gang ? step.tasks.front() : task;
@@ -504,7 +504,7 @@
   }
   for (Run* run : stalled) {
     CountFailure(worker, *run->task);
-    run->task->failed_on = worker.id;
+    run->task->avoided_worker = worker.id;
     WantStop(*run, "no progress");
   }
 }
--- /dev/null
+++ b/src/jobs/tests/colocation_test.cc
@@ -0,0 +1,279 @@
+// Standing tasks beside tasks that fill, on workers whose tasks disturb each
+// other by rules that the owner has to learn.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <numbers>
+#include <random>
+#include <set>
+
+#include "shard_bench.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTarget{100};
+constexpr milliseconds kHoldEvery{250};
+// Operators' bound for harm on end.
+constexpr milliseconds kHarmBound{4000};
+
+// Workers that carry out each order at once and tell latencies of
+// target x exp(load + sum of factor x share x pace).
+class SharedWorkers {
+ public:
+  // The factor of a filler's image on a standing image, by job.
+  std::function<double(const std::string& standing, const std::string& filler)>
+      factor;
+  // The load of a standing job at a time in seconds.
+  std::function<double(const std::string& standing, double time)> load;
+
+  void Add(const std::string& id) {
+    bench.AddWorker(id, 16000);
+    ids_.push_back(id);
+    bench.Contact(id);
+  }
+
+  void SubmitStanding(const std::string& job, std::uint32_t count,
+                      std::uint32_t max_away) {
+    JobSpec spec = MakeJob(count);
+    spec.steps[0].standing = true;
+    spec.steps[0].image = job;
+    spec.steps[0].latency_target = kTarget;
+    spec.steps[0].max_away = max_away;
+    standing_.insert(job);
+    bench.Submit(job, spec);
+  }
+
+  void SubmitFiller(const std::string& job, std::uint32_t count,
+                    const std::string& image) {
+    JobSpec spec = MakeJob(count);
+    spec.steps[0].fills = true;
+    spec.steps[0].image = image;
+    bench.Submit(job, spec);
+  }
+
+  void Run(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kHoldEvery) {
+      CarryOut();
+      for (const std::string& id : ids_) Hold(id);
+      bench.Pass(kHoldEvery);
+      time_ += kHoldEvery.count() / 1000.0;
+    }
+    CarryOut();
+  }
+
+  std::vector<std::string> WorkersOf(const std::string& job) const {
+    std::vector<std::string> workers;
+    for (const auto& [key, run] : runs_) {
+      if (key.job == job) workers.push_back(run.worker);
+    }
+    std::sort(workers.begin(), workers.end());
+    return workers;
+  }
+
+  // Mean speed of the job's tasks, in percent.
+  double SpeedOf(const std::string& job) const {
+    double sum = 0;
+    int count = 0;
+    for (const auto& [key, run] : runs_) {
+      if (key.job != job) continue;
+      sum += run.pace;
+      ++count;
+    }
+    return count == 0 ? 0 : sum / count;
+  }
+
+  ShardBench bench;
+  // Of standing tasks.
+  milliseconds longest_over{0};
+  std::uint32_t most_stopped_at_once = 0;
+  std::size_t stops = 0;
+
+ private:
+  struct ActiveRun {
+    SentStart start;
+    std::string worker;
+    std::uint32_t pace = 100;
+    milliseconds over{0};
+  };
+
+  void CarryOut() {
+    bench.Store();
+    for (const SentStart& start : bench.TakeStarts()) {
+      runs_[start.order.task] = {.start = start, .worker = start.worker};
+      bench.now.steady += milliseconds(1);
+      bench.Confirm(start);
+    }
+    std::map<std::string, std::uint32_t> stopped;
+    for (const SentStop& stop : std::exchange(bench.stops, {})) {
+      const std::string& job = stop.order.task.job;
+      if (standing_.contains(job)) {
+        ++stops;
+        most_stopped_at_once = std::max(most_stopped_at_once, ++stopped[job]);
+      }
+      ended_[stop.worker].push_back(runs_.at(stop.order.task).start);
+      runs_.erase(stop.order.task);
+    }
+    for (const SentPace& pace : std::exchange(bench.paces, {})) {
+      const auto run = runs_.find(pace.order.task);
+      if (run != runs_.end()) run->second.pace = pace.order.percent;
+      bench.core->OnPace(pace.worker, pace.order,
+                         {.outcome = contracts::OrderOutcome::kDone},
+                         bench.now);
+    }
+    bench.Store();
+  }
+
+  double LatencyOf(const ActiveRun& standing) const {
+    const std::string& job = standing.start.order.task.job;
+    double level = load(job, time_);
+    for (const auto& [key, run] : runs_) {
+      if (run.worker != standing.worker || standing_.contains(key.job)) {
+        continue;
+      }
+      level += factor(job, key.job) * run.pace / 100 / 16;
+    }
+    return static_cast<double>(kTarget.count()) * std::exp(level);
+  }
+
+  void Hold(const std::string& id) {
+    std::vector<contracts::RunningTask> rows;
+    for (auto& [key, run] : runs_) {
+      if (run.worker != id) continue;
+      contracts::RunningTask row = bench.Running(run.start);
+      row.percent = 100;
+      row.measured = run.pace * 10;
+      if (standing_.contains(key.job)) {
+        const double latency = LatencyOf(run);
+        run.over = latency > static_cast<double>(kTarget.count())
+                       ? run.over + kHoldEvery
+                       : milliseconds(0);
+        longest_over = std::max(longest_over, run.over);
+        row.measured =
+            static_cast<std::uint32_t>(latency * std::exp(noise_(random_)));
+      }
+      rows.push_back(row);
+    }
+    std::vector<contracts::EndedTask> ended;
+    for (const SentStart& start : std::exchange(ended_[id], {})) {
+      ended.push_back(
+          bench.Ended(++last_end_[id], start, contracts::EndKind::kStopped));
+    }
+    bench.Contact(id, std::move(rows), std::move(ended));
+  }
+
+  std::mt19937 random_{3};
+  std::normal_distribution<double> noise_{0, 0.1};
+  double time_ = 0;
+  std::vector<std::string> ids_;
+  std::set<std::string> standing_;
+  std::map<contracts::TaskKey, ActiveRun> runs_;
+  std::map<std::string, std::vector<SentStart>> ended_;
+  std::map<std::string, std::uint64_t> last_end_;
+};
+
+}  // namespace
+
+class ColocationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColocationTest);
+  CPPUNIT_TEST(HarmlessFillerJoinsATaskOverItsTarget);
+  CPPUNIT_TEST(FillersGiveWayToASwingAndGoOnAfterIt);
+  CPPUNIT_TEST(UnlikeStandingTasksArePartedWithinTheirBudget);
+  CPPUNIT_TEST(StandingTasksWithoutABudgetStay);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void HarmlessFillerJoinsATaskOverItsTarget() {
+    SharedWorkers shared;
+    bool over = false;
+    shared.load = [&over](const std::string&, double) {
+      return over ? 0.3 : -0.7;
+    };
+    shared.factor = [](const std::string&, const std::string&) { return 0.0; };
+    shared.Add("w");
+    shared.SubmitStanding("s", 2, 1);
+    shared.SubmitFiller("light", 2, "light");
+    shared.Run(milliseconds(6000));
+    shared.bench.core->Cancel("light", shared.bench.now);
+    over = true;
+    shared.Run(milliseconds(3000));
+    shared.SubmitFiller("more", 1, "light");
+    shared.Run(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, shared.WorkersOf("more").size());
+  }
+
+  // Three fillers that raise the latency by a factor of 2.5 together, beside a
+  // load that swings from a quarter to three quarters of the target.
+  void FillersGiveWayToASwingAndGoOnAfterIt() {
+    SharedWorkers shared;
+    shared.load = [](const std::string&, double time) {
+      return -0.85 + 0.5 * std::sin(2 * std::numbers::pi * time / 10);
+    };
+    shared.factor = [](const std::string&, const std::string&) { return 5.0; };
+    shared.Add("w");
+    shared.SubmitStanding("s", 1, 1);
+    shared.SubmitFiller("heavy", 3, "heavy");
+    // Where the load is low at 27.5 s, and high at 32.5 s.
+    shared.Run(milliseconds(27500));
+    CPPUNIT_ASSERT(shared.SpeedOf("heavy") > 50);
+    shared.Run(milliseconds(5000));
+    CPPUNIT_ASSERT(shared.SpeedOf("heavy") < 50);
+    CPPUNIT_ASSERT(shared.longest_over < kHarmBound);
+  }
+
+  void UnlikeStandingTasksArePartedWithinTheirBudget() {
+    SharedWorkers shared;
+    PlayTwoKinds(shared, 1);
+    CPPUNIT_ASSERT(shared.stops > 0);
+    CPPUNIT_ASSERT_EQUAL(1U, shared.most_stopped_at_once);
+    const std::vector<std::string> first = shared.WorkersOf("a");
+    const std::vector<std::string> second = shared.WorkersOf("b");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, first.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, second.size());
+    std::vector<std::string> shared_by_both;
+    std::set_intersection(first.begin(), first.end(), second.begin(),
+                          second.end(), std::back_inserter(shared_by_both));
+    CPPUNIT_ASSERT(shared_by_both.empty());
+  }
+
+  void StandingTasksWithoutABudgetStay() {
+    SharedWorkers shared;
+    PlayTwoKinds(shared, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, shared.stops);
+  }
+
+ private:
+  // Two standing jobs that begin on one worker, more of the second; each
+  // suffers from one of two fillers. A second worker comes later.
+  static void PlayTwoKinds(SharedWorkers& shared, std::uint32_t max_away) {
+    shared.load = [](const std::string&, double) { return -0.7; };
+    shared.factor = [](const std::string& standing, const std::string& filler) {
+      return (standing == "a") == (filler == "x") ? 5.0 : 0.0;
+    };
+    shared.Add("w");
+    shared.SubmitStanding("a", 4, max_away);
+    shared.SubmitStanding("b", 10, max_away);
+    shared.Run(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, shared.WorkersOf("a").size());
+    // One after the other, which tells their effects apart.
+    for (const std::string filler : {"x", "y"}) {
+      shared.SubmitFiller(filler, 2, filler);
+      shared.Run(milliseconds(6000));
+      shared.bench.core->Cancel(filler, shared.bench.now);
+      shared.Run(milliseconds(1000));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, shared.WorkersOf("b").size());
+    shared.Add("v");
+    shared.Run(milliseconds(12000));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ColocationTest, "colocation_test");
+
+}  // namespace carobmast::jobs
--- a/src/jobs/tests/interference_model_test.cc
+++ b/src/jobs/tests/interference_model_test.cc
@@ -3,6 +3,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
+#include <map>
+#include <numbers>
 #include <random>
 
 namespace carobmast::jobs {
@@ -10,6 +13,8 @@
 class InterferenceModelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InterferenceModelTest);
   CPPUNIT_TEST(TellsThePairThatDisturbsFromTheOneThatDoesNot);
+  CPPUNIT_TEST(SwingOfTheLoadIsNotPutOnAFiller);
+  CPPUNIT_TEST(LikenessTellsWhoSuffersFromTheSame);
   CPPUNIT_TEST(SuccessorKnowsWhatWasLearned);
   CPPUNIT_TEST(MalformedRecordChangesNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -23,6 +28,53 @@
     CPPUNIT_ASSERT(model.MeanFactor(heavy_) > model.MeanFactor(light_));
   }
 
+  // The filler is there while the load is high, on one of two tasks of the
+  // step.
+  void SwingOfTheLoadIsNotPutOnAFiller() {
+    InterferenceModel model;
+    standing_ = model.Intern("standing");
+    light_ = model.Intern("light");
+    std::mt19937 random(7);
+    std::normal_distribution<double> noise(0, 0.13);
+    LoadEstimate load;
+    MonotonicTime now;
+    for (int i = 0; i < 400; ++i) {
+      now += std::chrono::milliseconds(100);
+      const double swing = std::sin(2 * std::numbers::pi * i / 100);
+      const double level = -0.85 + 0.5 * swing;
+      model.Observe(standing_, level + noise(random), {}, load, now);
+      if (swing < 0) continue;
+      model.Observe(standing_, level + noise(random), {{light_, 0.2}}, load,
+                    now);
+    }
+    CPPUNIT_ASSERT(model.Factor(standing_, light_) < 0.5);
+  }
+
+  void LikenessTellsWhoSuffersFromTheSame() {
+    InterferenceModel model;
+    const ImageId one = model.Intern("one");
+    const ImageId twin = model.Intern("twin");
+    const ImageId other = model.Intern("other");
+    const ImageId first = model.Intern("first");
+    const ImageId second = model.Intern("second");
+    CPPUNIT_ASSERT(model.Likeness(one, one) > 0);
+    CPPUNIT_ASSERT(model.Likeness(one, twin) < 0);
+    MonotonicTime now;
+    std::map<ImageId, LoadEstimate> loads;
+    for (int i = 0; i < 200; ++i) {
+      now += std::chrono::milliseconds(100);
+      const ImageId filler = i % 2 == 0 ? first : second;
+      for (const ImageId standing : {one, twin, other}) {
+        const bool harmed = (standing == other) == (filler == second);
+        model.Observe(standing, -0.7 + (harmed ? 1.0 : 0.0), {{filler, 0.2}},
+                      loads[standing], now);
+        model.Observe(standing, -0.7, {}, loads[standing], now);
+      }
+    }
+    CPPUNIT_ASSERT(model.Likeness(one, twin) > 0.5);
+    CPPUNIT_ASSERT(model.Likeness(one, other) < 0);
+  }
+
   void SuccessorKnowsWhatWasLearned() {
     InterferenceModel model;
     Teach(model);
@@ -50,10 +102,13 @@
     std::mt19937 random(7);
     std::normal_distribution<double> noise(0, 0.3);
     std::uniform_real_distribution<double> share(0, 0.2);
+    LoadEstimate load;
+    MonotonicTime now;
     for (int i = 0; i < 500; ++i) {
+      now += std::chrono::milliseconds(100);
       const double heavy = share(random);
       model.Observe(standing_, -0.7 + 5 * heavy + noise(random),
-                    {{heavy_, heavy}, {light_, share(random)}});
+                    {{heavy_, heavy}, {light_, share(random)}}, load, now);
     }
   }
 
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -29,6 +29,7 @@
   token_ = token;
   starts.clear();
   stops.clear();
+  paces.clear();
   core = std::make_unique<ShardCore>(
       ShardOptions{.token = token},
       ShardHooks{.start =
@@ -41,8 +42,11 @@
                             const contracts::StopOrder& order) {
                        stops.push_back({worker.id, order});
                      },
-                 .pace = [](const contracts::WorkerTarget&,
-                            const contracts::PaceOrder&) {},
+                 .pace =
+                     [this](const contracts::WorkerTarget& worker,
+                            const contracts::PaceOrder& order) {
+                       paces.push_back({worker.id, order});
+                     },
                  .advise =
                      [this](const contracts::AdviceCall& call) {
                        advice_calls.push_back(call);
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -21,6 +21,11 @@
   contracts::StopOrder order;
 };
 
+struct SentPace {
+  std::string worker;
+  contracts::PaceOrder order;
+};
+
 class ShardBench {
  public:
   explicit ShardBench(contracts::FencingToken token = 5) { Begin(token); }
@@ -73,6 +78,7 @@
   std::map<std::string, std::string> stored;
   std::vector<SentStart> starts;
   std::vector<SentStop> stops;
+  std::vector<SentPace> paces;
   std::vector<contracts::AdviceCall> advice_calls;
 
  private:
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -105,6 +105,8 @@
   std::uint64_t runs_lost = 0;
   std::uint64_t copies = 0;
   std::uint64_t quarantines = 0;
+  // Standing tasks stopped to run beside others like them.
+  std::uint64_t moves = 0;
   std::uint64_t jobs_completed = 0;
   std::uint64_t jobs_failed = 0;
   std::uint64_t jobs_cancelled = 0;
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -491,6 +491,8 @@
       counters.runs_lost);
   set("carobmast_copies", "Copies of slow tasks", counters.copies);
   set("carobmast_quarantines", "Workers set aside", counters.quarantines);
+  set("carobmast_moves", "Standing tasks moved to others like them",
+      counters.moves);
   set("carobmast_open_jobs", "Jobs that are not over",
       owner_->core().open_jobs());
 }
