Fillers that are there count with what is known of them

Only the one that is to be added is judged hopefully: several unknown ones came together on one worker.

--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -114,7 +114,7 @@
     if (!IsFiller(run)) continue;
     for (StandingLevel& level : worker.standing_levels) {
       level.harm +=
-          interference.HopefulFactor(level.step->image, run.task->step->image) *
+          interference.Factor(level.step->image, run.task->step->image) *
           FullShare(run);
     }
   }
