A worker that fails one task after the other is set aside by the scheduler

Cause: first fit chose the same worker again and again; a task lost all its attempts there, so its job was held. Ruled out: lost results (the fold had each failure) and the back-off (1 to 4 s). Two failures in a row of different tasks now set the worker aside for 10 s, doubling; a success ends that.

--- a/src/scheduler/internal/status_json.cc
+++ b/src/scheduler/internal/status_json.cc
@@ -93,6 +93,7 @@
           {"workers_gone", counters.workers_gone},
           {"leases_expired", counters.leases_expired},
           {"takes_lost", counters.takes_lost},
+          {"workers_set_aside", counters.workers_set_aside},
           {"snapshots", counters.snapshots}};
 }
 
--- a/src/work/internal/scheduler_impl.h
+++ b/src/work/internal/scheduler_impl.h
@@ -177,6 +177,9 @@
                       std::set<contracts::AttemptId>& strays);
   void ProcessEnded(MonotonicTime now, WorkerSession& session,
                     const contracts::TaskReport& report);
+  // Sets a worker aside that fails one task after the other.
+  void CountEnd(MonotonicTime now, WorkerSession& session,
+                const contracts::TaskReport& report);
   void FindVanished(MonotonicTime now, std::uint64_t sent_id,
                     WorkerSession& session,
                     const std::set<contracts::AttemptId>& named);
--- a/src/work/internal/scheduler_ownership.cc
+++ b/src/work/internal/scheduler_ownership.cc
@@ -385,7 +385,8 @@
                                        WorkerSession& session) {
   const bool usable = session.contact == Contact::kFenced && !session.leaving &&
                       !session.absent_since.has_value() &&
-                      now >= session.refused_until;
+                      now >= session.refused_until &&
+                      now >= session.set_aside_until;
   table_.SetUsable(session.worker, usable);
 }
 
--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -10,6 +10,12 @@
 // A worker that refused a start gets none for this long.
 constexpr std::chrono::seconds kAfterRefusal{2};
 
+// Tasks that fail in a row before their worker is set aside, for how long, and
+// how often that doubles. One failing task is not the worker's fault.
+constexpr std::uint32_t kFailuresToSetAside = 2;
+constexpr std::chrono::seconds kFirstSetAside{10};
+constexpr std::uint32_t kMaxSetAsideShift = 4;
+
 // Attempts that a worker must remember; beyond these the cell is claimed anew,
 // which rules out the late starts.
 constexpr std::size_t kMaxRemembered = 16;
@@ -269,6 +275,7 @@
     }
     task->ending = ending;
     if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
+    CountEnd(now, session, report);
     Fire(now, *task, LocalEvent::kFoundEnded);
     to_advance_.insert(task->id);
     return;
@@ -287,6 +294,28 @@
   }
 }
 
+void SchedulerCore::Impl::CountEnd(MonotonicTime now, WorkerSession& session,
+                                   const contracts::TaskReport& report) {
+  if (report.state == contracts::TaskState::kFinished) {
+    session.failures_in_row = 0;
+    session.last_failed_task.clear();
+    session.set_asides = 0;
+    return;
+  }
+  if (report.state != contracts::TaskState::kFailed ||
+      session.last_failed_task == report.id.task) {
+    return;
+  }
+  session.last_failed_task = report.id.task;
+  if (++session.failures_in_row < kFailuresToSetAside) return;
+  // After the pause one more failure is enough.
+  session.failures_in_row = kFailuresToSetAside - 1;
+  session.set_aside_until = now + kFirstSetAside * (1U << session.set_asides);
+  session.set_asides = std::min(session.set_asides + 1, kMaxSetAsideShift);
+  ++counters_.workers_set_aside;
+  UpdateUsable(now, session);
+}
+
 void SchedulerCore::Impl::FindVanished(
     MonotonicTime now, std::uint64_t sent_id, WorkerSession& session,
     const std::set<contracts::AttemptId>& named) {
--- a/src/work/internal/worker_session.h
+++ b/src/work/internal/worker_session.h
@@ -47,6 +47,12 @@
   std::optional<MonotonicTime> absent_since;
   // No starts before this, after a refusal.
   MonotonicTime refused_until;
+  // Failures in a row, each of another task than the one before.
+  std::uint32_t failures_in_row = 0;
+  std::string last_failed_task;
+  // Set aside for its failures: until when, and how often in a row.
+  MonotonicTime set_aside_until;
+  std::uint32_t set_asides = 0;
   // Running attempts that must not run.
   std::set<contracts::AttemptId> strays;
   MonotonicTime next_stray_stop;
--- a/src/work/scheduler_core.h
+++ b/src/work/scheduler_core.h
@@ -95,6 +95,7 @@
   std::uint64_t workers_gone = 0;
   std::uint64_t leases_expired = 0;
   std::uint64_t takes_lost = 0;
+  std::uint64_t workers_set_aside = 0;
   std::uint64_t snapshots = 0;
 };
 
--- a/src/work/tests/recovery_test.cc
+++ b/src/work/tests/recovery_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(CancelledStaysCancelled);
   CPPUNIT_TEST(SurvivesRetention);
   CPPUNIT_TEST(FailingTaskIsHeld);
+  CPPUNIT_TEST(WorkerThatFailsEverythingHoldsNoJob);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -430,7 +431,40 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Starts(world));
   }
 
+  // Whichever of the workers it is.
+  void WorkerThatFailsEverythingHoldsNoJob() {
+    for (const std::string failing : {"w0", "w1", "w2"}) {
+      FakeWorld world({});
+      AddZone(world, "zg-a");
+      world.worker("zg-a-r0-" + failing).set_fails_everything(true);
+      for (const std::string submission : {"sub1", "sub2", "sub3"}) {
+        world.Submit(submission, Job(4, "run 1s"));
+      }
+      CPPUNIT_ASSERT_MESSAGE(
+          failing, world.RunUntil(
+                       [&world] {
+                         return AllFinished(world, {"sub1", "sub2", "sub3"});
+                       },
+                       minutes(1)));
+      AssertNoViolation(world);
+    }
+  }
+
  private:
+  // Of jobs of four tasks.
+  static bool AllFinished(FakeWorld& world,
+                          const std::vector<std::string>& submissions) {
+    for (const std::string& submission : submissions) {
+      for (int i = 0; i < 4; ++i) {
+        if (StageOf(world, BatchTaskId(submission, i)) !=
+            TaskStage::kFinished) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
   static bool Settles(FakeWorld& world, std::size_t running) {
     return world.RunUntil([&] { return world.Running() == running; },
                           minutes(1));
