--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -261,6 +261,19 @@
   maintenance_.Restore(wave, *record.value);
 }
 
+void Owner::RestoreRecord(const contracts::KeyedRecord& record) {
+  try {
+    if (record.key.starts_with(kWavePrefix)) {
+      RestoreWave(record);
+    } else {
+      core_->Restore(record);
+    }
+  } catch (const Error& error) {
+    hooks_.decided("record not read",
+                   {{"key", record.key}, {"reason", error.what()}});
+  }
+}
+
 // An append without records fences the writers before.
 asio::awaitable<bool> Owner::TakeEpoch() { co_return co_await Append({}); }
 
@@ -273,16 +286,7 @@
     hooks_.on_store(page.ok, page.error);
     if (!page.ok || stopped_) co_return false;
     for (const contracts::KeyedRecord& record : page.records) {
-      try {
-        if (record.key.starts_with(kWavePrefix)) {
-          RestoreWave(record);
-          continue;
-        }
-        core_->Restore(record);
-      } catch (const Error& error) {
-        hooks_.decided("record not read",
-                       {{"key", record.key}, {"reason", error.what()}});
-      }
+      RestoreRecord(record);
     }
     more = page.has_more && !page.records.empty();
     if (more) after = page.records.back().key;
@@ -293,7 +297,6 @@
 
 asio::awaitable<bool> Owner::Append(
     std::vector<contracts::KeyedRecord> records) {
-  const bool only_epoch = records.empty();
   bool unanswered = false;
   while (!stopped_) {
     const contracts::Writer writer{.name = kWriterName,
@@ -304,50 +307,64 @@
                                .records = records,
                                .writer = writer,
                                .timeout = options_.append_timeout});
-    const bool reached = answer.outcome != contracts::AppendOutcome::kUnknown &&
-                         answer.outcome != contracts::AppendOutcome::kNotStored;
-    hooks_.on_store(reached, answer.error);
-    if (reached) {
-      store_failing_since_.reset();
-    } else if (!store_failing_since_.has_value()) {
-      store_failing_since_ = LeaseNow();
-    }
-    switch (answer.outcome) {
-      case contracts::AppendOutcome::kStored:
-        if (!only_epoch) {
-          ++sequence_;
-          first_append_done_ = true;
-        }
+    switch (OnAppendAnswer(answer, records.empty(), unanswered)) {
+      case AppendStep::kStored:
         co_return true;
-      case contracts::AppendOutcome::kUnknown:
-        unanswered = true;
-        break;
-      case contracts::AppendOutcome::kNotStored:
+      case AppendStep::kSuperseded:
+        co_return false;
+      case AppendStep::kAgainLater:
         co_await Sleep(kRefusedPause);
         break;
-      case contracts::AppendOutcome::kOutOfSequence:
-        // The append that was not answered is long stored.
-        if (unanswered && answer.expected_sequence == sequence_ + 1) {
-          ++sequence_;
-          co_return true;
-        }
-        // An append without records may count or not.
-        if (!first_append_done_ && answer.expected_sequence.has_value()) {
-          first_append_done_ = true;
-          sequence_ = *answer.expected_sequence;
-          break;
-        }
-        hooks_.on_superseded(answer.error);
-        co_return false;
-      case contracts::AppendOutcome::kFenced:
-      case contracts::AppendOutcome::kEndMoved:
-        hooks_.on_superseded(answer.error);
-        co_return false;
+      case AppendStep::kAgain:
+        break;
     }
+    if (answer.outcome == contracts::AppendOutcome::kUnknown) unanswered = true;
   }
   co_return false;
 }
 
+Owner::AppendStep Owner::OnAppendAnswer(const contracts::AppendAnswer& answer,
+                                        bool only_epoch, bool unanswered) {
+  const bool reached = answer.outcome != contracts::AppendOutcome::kUnknown &&
+                       answer.outcome != contracts::AppendOutcome::kNotStored;
+  hooks_.on_store(reached, answer.error);
+  if (reached) {
+    store_failing_since_.reset();
+  } else if (!store_failing_since_.has_value()) {
+    store_failing_since_ = LeaseNow();
+  }
+  switch (answer.outcome) {
+    case contracts::AppendOutcome::kStored:
+      if (!only_epoch) {
+        ++sequence_;
+        first_append_done_ = true;
+      }
+      return AppendStep::kStored;
+    case contracts::AppendOutcome::kUnknown:
+      return AppendStep::kAgain;
+    case contracts::AppendOutcome::kNotStored:
+      return AppendStep::kAgainLater;
+    case contracts::AppendOutcome::kOutOfSequence:
+      // The append that was not answered is long stored.
+      if (unanswered && answer.expected_sequence == sequence_ + 1) {
+        ++sequence_;
+        return AppendStep::kStored;
+      }
+      // An append without records may count or not.
+      if (!first_append_done_ && answer.expected_sequence.has_value()) {
+        first_append_done_ = true;
+        sequence_ = *answer.expected_sequence;
+        return AppendStep::kAgain;
+      }
+      break;
+    case contracts::AppendOutcome::kFenced:
+    case contracts::AppendOutcome::kEndMoved:
+      break;
+  }
+  hooks_.on_superseded(answer.error);
+  return AppendStep::kSuperseded;
+}
+
 asio::awaitable<void> Owner::StoreChanges() {
   while (!stopped_) {
     if (!core_->HasChanges() && wave_records_.empty()) {
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -85,6 +85,9 @@
     boost::asio::steady_timer timer;
   };
 
+  // What follows from the answer to an append.
+  enum class AppendStep { kStored, kAgain, kAgainLater, kSuperseded };
+
   jobs::ShardHooks MakeHooks();
   maintenance::MaintenanceHooks MakeMaintenanceHooks();
   boost::asio::awaitable<void> ListVms(Ref<Owner> self);
@@ -95,10 +98,15 @@
   boost::asio::awaitable<void> Run(Ref<Owner> self);
   boost::asio::awaitable<bool> TakeEpoch();
   boost::asio::awaitable<bool> Restore();
+  // One of the stream's records; one that can't be read is told and left out.
+  void RestoreRecord(const contracts::KeyedRecord& record);
   void RestoreWave(const contracts::KeyedRecord& record);
   boost::asio::awaitable<void> StoreChanges();
   boost::asio::awaitable<bool> Append(
       std::vector<contracts::KeyedRecord> records);
+  // `unanswered`: an earlier try of the same append got no answer.
+  AppendStep OnAppendAnswer(const contracts::AppendAnswer& answer,
+                            bool only_epoch, bool unanswered);
   boost::asio::awaitable<void> TickLoop(Ref<Owner> self);
   boost::asio::awaitable<void> Hold(Ref<Owner> self, std::string worker);
   boost::asio::awaitable<void> SendStart(Ref<Owner> self,
