--- a/src/work/internal/scheduler_reports.cc
+++ b/src/work/internal/scheduler_reports.cc
@@ -10,11 +10,14 @@
 // A worker that refused a start gets none for this long.
 constexpr std::chrono::seconds kAfterRefusal{2};
 
-// Tasks that fail in a row before their worker is set aside, for how long, and
-// how often that doubles. One failing task is not the worker's fault.
+// Jobs that fail in a row before their worker is set aside, for how long, and
+// how often that doubles. One failing job is not the worker's fault.
 constexpr std::uint32_t kFailuresToSetAside = 2;
 constexpr std::chrono::seconds kFirstSetAside{10};
 constexpr std::uint32_t kMaxSetAsideShift = 4;
+// At most one worker in this many, and one at least, is set aside at once: a
+// job that fails wherever it runs must not take all of them.
+constexpr std::size_t kSetAsideOneIn = 4;
 
 // Attempts that a worker must remember; beyond these the cell is claimed anew,
 // which rules out the late starts.
@@ -308,6 +311,12 @@
   }
   session.last_failed_task = report.id.task;
   if (++session.failures_in_row < kFailuresToSetAside) return;
+  const std::ptrdiff_t aside = std::count_if(
+      sessions_.begin(), sessions_.end(),
+      [now](const auto& entry) { return entry.second.set_aside_until > now; });
+  const std::size_t most =
+      std::max<std::size_t>(1, sessions_.size() / kSetAsideOneIn);
+  if (static_cast<std::size_t>(aside) >= most) return;
   // After the pause one more failure is enough.
   session.failures_in_row = kFailuresToSetAside - 1;
   session.set_aside_until = now + kFirstSetAside * (1U << session.set_asides);
--- a/src/work/tests/recovery_test.cc
+++ b/src/work/tests/recovery_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(SurvivesRetention);
   CPPUNIT_TEST(FailingTaskIsHeld);
   CPPUNIT_TEST(WorkerThatFailsEverythingHoldsNoJob);
+  CPPUNIT_TEST(BrokenJobDoesNotTakeAllWorkers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -450,6 +451,17 @@
     }
   }
 
+  // Other work goes on where it fails.
+  void BrokenJobDoesNotTakeAllWorkers() {
+    FakeWorld world({});
+    AddZone(world, "zg-a", 1);
+    world.Submit("broken", Job(12, "fail"));
+    world.RunFor(seconds(2));
+    world.Submit("sub1", Job(4, "run 1s"));
+    CPPUNIT_ASSERT(world.RunUntil(
+        [&world] { return AllFinished(world, {"sub1"}); }, seconds(8)));
+  }
+
  private:
   // Of jobs of four tasks.
   static bool AllFinished(FakeWorld& world,
