Random faults over a shard's owners, judged by what the workers ran

RapidCheck over the real core: take-overs with the former owner still at work, pauses, the store out and its answers lost, workers cut, reborn, orders late, lost and overtaking. Judged: one place at a time, nothing after a noted end, steps in order, attempts, nothing accepted lost, all ends when the faults are over.

--- /dev/null
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -0,0 +1,185 @@
+#include "fuzz_worker.h"
+
+#include <algorithm>
+
+namespace carobmast::jobs {
+
+namespace {
+
+using contracts::EndKind;
+using contracts::OrderOutcome;
+using std::chrono::milliseconds;
+
+constexpr contracts::WorkerClock kLongestLease{6000};
+constexpr std::size_t kSlots = 4;
+
+std::string Describe(const contracts::TaskKey& task) {
+  return task.job + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
+}  // namespace
+
+void RunRecord::OnStart(const contracts::TaskKey& task,
+                        const std::string& worker) {
+  const std::string name = Describe(task);
+  if (running_.contains(task)) {
+    violations.push_back(name + " started on " + worker + " while it ran on " +
+                         running_[task]);
+  }
+  if (acknowledged_.contains(task)) {
+    violations.push_back(name + " started after an end that was noted");
+  }
+  if (acknowledged_failures_[task] >= max_attempts) {
+    violations.push_back(name + " started after all its attempts");
+  }
+  if (task.step > 0) {
+    const std::uint32_t first = first_step_tasks[task.job];
+    for (std::uint32_t index = 0; index < first; ++index) {
+      if (!finished_.contains({.job = task.job, .index = index})) {
+        violations.push_back(name + " started before the step it needs");
+        break;
+      }
+    }
+  }
+  running_[task] = worker;
+}
+
+void RunRecord::OnLost(const contracts::TaskKey& task) { running_.erase(task); }
+
+void RunRecord::OnEnd(const contracts::TaskKey& task, EndKind kind) {
+  running_.erase(task);
+  if (kind == EndKind::kFinished) finished_.insert(task);
+  if (kind == EndKind::kFailed) ++failures_[task];
+}
+
+void RunRecord::OnAcknowledged(const contracts::EndedTask& end) {
+  if (end.kind == EndKind::kFailed) ++acknowledged_failures_[end.task];
+  if (end.kind != EndKind::kFinished) return;
+  if (!acknowledged_.insert(end.task).second) {
+    violations.push_back(Describe(end.task) + " was noted as finished twice");
+  }
+}
+
+std::uint32_t RunRecord::Failures(const std::string& job) const {
+  std::uint32_t most = 0;
+  for (const auto& [task, failures] : failures_) {
+    if (task.job == job) most = std::max(most, failures);
+  }
+  return most;
+}
+
+bool RunRecord::IsRunning(const std::string& job) const {
+  return std::any_of(
+      running_.begin(), running_.end(),
+      [&job](const auto& entry) { return entry.first.job == job; });
+}
+
+FuzzWorker::FuzzWorker(std::string id, RunRecord& record)
+    : id_(std::move(id)), record_(record) {}
+
+void FuzzWorker::Pass(milliseconds time) {
+  clock_ += time;
+  if (clock_ > lease_end_) lapsed_end_ = last_end_;
+  std::vector<std::pair<Name, EndKind>> over;
+  for (auto& [name, work] : runs_) {
+    work.left -= time;
+    if (clock_ > lease_end_) {
+      over.emplace_back(name, EndKind::kLeaseExpired);
+    } else if (work.left <= milliseconds(0)) {
+      over.emplace_back(name,
+                        work.fails ? EndKind::kFailed : EndKind::kFinished);
+    }
+  }
+  for (const auto& [name, kind] : over) End(name, kind);
+}
+
+void FuzzWorker::Crash() {
+  for (const auto& [name, work] : runs_) record_.OnLost(name.first);
+  runs_.clear();
+  over_.clear();
+  ends_.clear();
+  last_end_ = 0;
+  lapsed_end_ = 0;
+  token_ = 0;
+  clock_ = contracts::WorkerClock(0);
+  lease_end_ = contracts::WorkerClock(0);
+  ++born_ms_;
+}
+
+contracts::OrderAnswer FuzzWorker::Answer(OrderOutcome outcome) const {
+  return {.outcome = outcome, .clock = clock_};
+}
+
+void FuzzWorker::Extend(contracts::WorkerClock lease_end) {
+  lease_end_ =
+      std::max(lease_end_, std::min(lease_end, clock_ + kLongestLease));
+}
+
+void FuzzWorker::End(const Name& name, EndKind kind) {
+  runs_.erase(name);
+  over_[name.first] = std::max(over_[name.first], name.second);
+  record_.OnEnd(name.first, kind);
+  ends_.push_back({.number = ++last_end_,
+                   .task = name.first,
+                   .attempt = name.second,
+                   .kind = kind});
+}
+
+contracts::OrderAnswer FuzzWorker::Start(const contracts::StartOrder& order) {
+  if (order.token < token_) return Answer(OrderOutcome::kFenced);
+  token_ = order.token;
+  const Name name{order.task, order.attempt};
+  if (order.lease_end <= clock_) return Answer(OrderOutcome::kLeaseOver);
+  if (runs_.contains(name)) return Answer(OrderOutcome::kDone);
+  const auto over = over_.find(order.task);
+  if (over != over_.end() && order.attempt <= over->second) {
+    return Answer(OrderOutcome::kSuperseded);
+  }
+  Extend(order.lease_end);
+  if (runs_.size() >= kSlots) return Answer(OrderOutcome::kNoRoom);
+  // "fails 700": the time that it takes, and how it ends.
+  const std::size_t space = order.spec.find(' ');
+  runs_[name] = {.left = milliseconds(std::stoi(order.spec.substr(space + 1))),
+                 .fails = order.spec.substr(0, space) == "fails"};
+  record_.OnStart(order.task, id_);
+  return Answer(OrderOutcome::kDone);
+}
+
+contracts::OrderAnswer FuzzWorker::Stop(const contracts::StopOrder& order) {
+  if (order.token < token_) return Answer(OrderOutcome::kFenced);
+  token_ = order.token;
+  const Name name{order.task, order.attempt};
+  if (runs_.contains(name)) End(name, EndKind::kStopped);
+  over_[order.task] = std::max(over_[order.task], order.attempt);
+  return Answer(OrderOutcome::kDone);
+}
+
+contracts::HoldAnswer FuzzWorker::Hold(const contracts::HoldOrder& order) {
+  contracts::HoldAnswer answer;
+  answer.clock = clock_;
+  answer.born_ms = born_ms_;
+  if (order.token < token_) {
+    answer.outcome = OrderOutcome::kFenced;
+    return answer;
+  }
+  token_ = order.token;
+  if (order.lease_end.has_value()) Extend(*order.lease_end);
+  while (!ends_.empty() && ends_.front().number <= order.acknowledged_end) {
+    if (ends_.front().number > lapsed_end_) {
+      record_.OnAcknowledged(ends_.front());
+    }
+    ends_.erase(ends_.begin());
+  }
+  answer.outcome = OrderOutcome::kDone;
+  for (const auto& [name, work] : runs_) {
+    answer.running.push_back(
+        {.task = name.first,
+         .attempt = name.second,
+         .percent = 100 - static_cast<std::uint32_t>(work.left.count() % 100)});
+  }
+  answer.ended = ends_;
+  return answer;
+}
+
+}  // namespace carobmast::jobs
--- /dev/null
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -0,0 +1,518 @@
+// Random faults over a shard's owners, its store, the network and the workers.
+// The oracle looks at what the workers ran and at what callers were told: a
+// task in one place at a time, not after a noted end, not before the step it
+// needs, not beyond its attempts; nothing accepted is lost. When the faults are
+// over, all of it ends.
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "fuzz_worker.h"
+#include "jobs/shard_core.h"
+
+namespace carobmast::jobs {
+namespace {
+
+using contracts::OrderOutcome;
+using std::chrono::milliseconds;
+
+constexpr char kDefaultSeed[] = "20261204";
+constexpr char kDefaultRuns[] = "150";
+constexpr std::uint32_t kMaxAttempts = 2;
+constexpr milliseconds kTick{25};
+// An owner without proof of its claim stops after this.
+constexpr milliseconds kOwnershipWithoutProof{10000};
+constexpr milliseconds kOrderTimeout{250};
+constexpr milliseconds kLongestPause{100};
+// Until everything accepted has ended: ownership without proof, the longest
+// lease, and the work, one after the other.
+constexpr milliseconds kSettle{60000};
+// Longer than a run: ended jobs stay known.
+constexpr milliseconds kKeepEnded{3600000};
+constexpr int kWorkers = 4;
+
+enum class Fault {
+  kSubmit,
+  kSubmitFailing,
+  kCancel,
+  kTakeOver,    // the owner before goes on until it learns of it
+  kKillOwner,   // the next one begins at once
+  kPauseOwner,  // it wakes as a zombie if it was replaced meanwhile
+  kStoreOut,
+  kLoseAppendAnswers,
+  kCutWorker,
+  kLoseMessages,
+  kLateOrders,
+  kCrashWorker,
+  kCount,
+};
+
+constexpr const char* kFaultNames[] = {
+    "submit",     "submit failing", "cancel",      "take over",
+    "kill owner", "pause owner",    "store out",   "lose append answers",
+    "cut worker", "lose messages",  "late orders", "crash worker"};
+
+// One fault, where it strikes, for how long, and how long until the next.
+struct FaultStep {
+  Fault fault = Fault::kSubmit;
+  int target = 0;
+  int length_ms = 0;
+  int wait_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const FaultStep& step) {
+  return out << kFaultNames[static_cast<int>(step.fault)] << "(" << step.target
+             << ", " << step.length_ms << " ms), " << step.wait_ms << " ms";
+}
+
+rc::Gen<FaultStep> AnyStep() {
+  return rc::gen::resize(
+      rc::kNominalSize,
+      rc::gen::build<FaultStep>(
+          rc::gen::set(
+              &FaultStep::fault,
+              rc::gen::map(
+                  rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
+                  [](int fault) { return static_cast<Fault>(fault); })),
+          rc::gen::set(&FaultStep::target, rc::gen::inRange(0, 100)),
+          rc::gen::set(&FaultStep::length_ms, rc::gen::inRange(100, 9000)),
+          rc::gen::set(&FaultStep::wait_ms, rc::gen::inRange(0, 4000))));
+}
+
+class FuzzWorld {
+ public:
+  explicit FuzzWorld(std::uint32_t seed) : random_(seed) {
+    record_.max_attempts = kMaxAttempts;
+    for (int i = 0; i < kWorkers; ++i) {
+      workers_.push_back(
+          std::make_unique<FuzzWorker>("w" + std::to_string(i), record_));
+    }
+    TakeOver();
+  }
+
+  void Apply(const FaultStep& step) {
+    const ShardTime until = In(milliseconds(step.length_ms));
+    const std::size_t target = static_cast<std::size_t>(step.target);
+    switch (step.fault) {
+      case Fault::kSubmit:
+      case Fault::kSubmitFailing:
+        Submit(step);
+        break;
+      case Fault::kCancel:
+        Cancel(target);
+        break;
+      case Fault::kTakeOver:
+        TakeOver();
+        break;
+      case Fault::kKillOwner:
+        owners_.back()->dead = true;
+        TakeOver();
+        break;
+      case Fault::kPauseOwner:
+        owners_.back()->paused_until = until.steady;
+        break;
+      case Fault::kStoreOut:
+        store_out_until_ = until.steady;
+        break;
+      case Fault::kLoseAppendAnswers:
+        append_answers_lost_until_ = until.steady;
+        break;
+      case Fault::kCutWorker:
+        cut_until_[target % kWorkers] = until.steady;
+        break;
+      case Fault::kLoseMessages:
+        lossy_until_ = until.steady;
+        break;
+      case Fault::kLateOrders:
+        late_until_ = until.steady;
+        break;
+      case Fault::kCrashWorker:
+        workers_[target % kWorkers]->Crash();
+        break;
+      case Fault::kCount:
+        break;
+    }
+    Run(milliseconds(step.wait_ms));
+  }
+
+  void Run(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kTick) Tick();
+  }
+
+  // Faults end; what was told as accepted must end.
+  void Settle() {
+    store_out_until_ = append_answers_lost_until_ = lossy_until_ = late_until_ =
+        now_.steady;
+    cut_until_.clear();
+    owners_.back()->paused_until = now_.steady;
+    Run(kSettle);
+  }
+
+  void AssertPromises() const {
+    for (const std::string& violation : record_.violations) RC_FAIL(violation);
+  }
+
+  void AssertSettled() const {
+    const ShardCore& core = *owners_.back()->core;
+    for (const auto& [id, job] : accepted_) {
+      const std::optional<JobState> state = core.StoredState(id);
+      if (!state.has_value()) RC_FAIL("accepted job " + id + " is not known");
+      if (record_.IsRunning(id)) RC_FAIL("job " + id + " runs on");
+      if (*state == JobState::kCompleted || *state == JobState::kCancelled) {
+        if (*state == JobState::kCancelled && !cancelled_.contains(id)) {
+          RC_FAIL("job " + id + " was cancelled by nobody");
+        }
+        continue;
+      }
+      if (*state != JobState::kFailed) RC_FAIL("job " + id + " has not ended");
+      if (record_.Failures(id) < kMaxAttempts) {
+        RC_FAIL("job " + id + " failed without cause");
+      }
+    }
+  }
+
+ private:
+  struct OwnerLife {
+    contracts::FencingToken token = 0;
+    std::unique_ptr<ShardCore> core;
+    bool dead = false;
+    MonotonicTime paused_until;
+    MonotonicTime proved_at;
+    // By worker, whether a hold is under way.
+    std::map<std::string, bool> holds;
+    // The batch that was stored without an answer.
+    std::optional<Batch> unanswered;
+    // Changes that callers wait for.
+    std::vector<std::pair<std::string, std::uint64_t>> submissions;
+  };
+
+  // Something that happens at a time.
+  struct Event {
+    MonotonicTime at;
+    std::function<void()> act;
+  };
+
+  ShardTime In(milliseconds time) const {
+    return {.steady = now_.steady + time, .wall = now_.wall + time};
+  }
+
+  bool Chance(double chance) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < chance;
+  }
+
+  milliseconds Delay(int least, int most) {
+    return milliseconds(
+        std::uniform_int_distribution<int>(least, most)(random_));
+  }
+
+  void After(milliseconds time, std::function<void()> act) {
+    events_.push_back({now_.steady + time, std::move(act)});
+  }
+
+  void TakeOver() {
+    std::unique_ptr<OwnerLife> life = std::make_unique<OwnerLife>();
+    OwnerLife* owner = life.get();
+    owner->token = ++last_token_;
+    owner->proved_at = now_.steady;
+    store_epoch_ = owner->token;
+    owner->core = std::make_unique<ShardCore>(
+        ShardOptions{.token = owner->token, .keep_ended = kKeepEnded},
+        MakeHooks(owner));
+    owner->core->SetConfig({.version = 1,
+                            .queues = {{.name = "queue",
+                                        .host = "host",
+                                        .prefix = "/p/",
+                                        .pool = "pool",
+                                        .max_attempts = kMaxAttempts}},
+                            .pools = {{.name = "pool"}}},
+                           now_);
+    for (const auto& [key, value] : stored_) {
+      owner->core->Restore({.key = key, .value = value});
+    }
+    owner->core->FinishRestore(now_);
+    std::vector<WorkerEntry> entries;
+    for (const std::unique_ptr<FuzzWorker>& worker : workers_) {
+      entries.push_back({.id = worker->id(),
+                         .address = {.ip = "127.0.0.1", .port = 1},
+                         .pool = "pool",
+                         .zone = "z",
+                         .rack = "r",
+                         .capacity = {.milli_cpus = 4000,
+                                      .memory = {std::uint64_t{1} << 30}}});
+    }
+    owner->core->SetWorkers(entries, now_);
+    owners_.push_back(std::move(life));
+  }
+
+  ShardHooks MakeHooks(OwnerLife* owner) {
+    return {
+        .start =
+            [this, owner](const contracts::WorkerTarget& target,
+                          const contracts::StartOrder& order) {
+              Send(
+                  owner, target.id,
+                  [order](FuzzWorker& worker) { return worker.Start(order); },
+                  [this, owner, target,
+                   order](const contracts::OrderAnswer& answer) {
+                    owner->core->OnStart(target.id, order, answer, now_);
+                  });
+            },
+        .stop =
+            [this, owner](const contracts::WorkerTarget& target,
+                          const contracts::StopOrder& order) {
+              Send(
+                  owner, target.id,
+                  [order](FuzzWorker& worker) { return worker.Stop(order); },
+                  [this, owner, target,
+                   order](const contracts::OrderAnswer& answer) {
+                    owner->core->OnStop(target.id, order, answer, now_);
+                  });
+            },
+        .pace = [](const contracts::WorkerTarget&,
+                   const contracts::PaceOrder&) {},
+        .advise = nullptr,
+        .fenced = [owner](const std::string&) { owner->dead = true; },
+        .changed = [] {},
+        .hold_now = [](const std::string&) {},
+        .decided = [](const std::string&,
+                      const std::vector<telemetry::Field>&) {}};
+  }
+
+  std::size_t IndexOf(const std::string& worker) const {
+    return static_cast<std::size_t>(std::stoi(worker.substr(1)));
+  }
+
+  bool IsCut(std::size_t worker) const {
+    const auto cut = cut_until_.find(worker);
+    return cut != cut_until_.end() && cut->second > now_.steady;
+  }
+
+  // An order on its way to a worker, and its answer back. What is lost is never
+  // answered; what is late is carried out seconds later, unanswered.
+  void Send(OwnerLife* owner, const std::string& id,
+            std::function<contracts::OrderAnswer(FuzzWorker&)> carry_out,
+            std::function<void(const contracts::OrderAnswer&)> on_answer) {
+    const std::size_t index = IndexOf(id);
+    const bool lossy = lossy_until_ > now_.steady;
+    const bool late = late_until_ > now_.steady && Chance(0.4);
+    const bool lost = IsCut(index) || (lossy && Chance(0.3));
+    const bool answer_lost = lost || late || (lossy && Chance(0.3));
+    if (!lost) {
+      After(late ? Delay(2000, 9000) : Delay(0, 30),
+            [this, owner, index, carry_out, on_answer, answer_lost,
+             life = workers_[index]->life()] {
+              contracts::OrderAnswer answer;
+              if (workers_[index]->life() == life) {
+                answer = carry_out(*workers_[index]);
+              }
+              if (answer_lost) return;
+              After(Delay(0, 30), [owner, on_answer, answer] {
+                if (!owner->dead) on_answer(answer);
+              });
+            });
+    }
+    if (answer_lost) {
+      After(kOrderTimeout, [owner, on_answer] {
+        if (!owner->dead) on_answer({.outcome = OrderOutcome::kUnknown});
+      });
+    }
+  }
+
+  void HoldWorkers(OwnerLife& owner) {
+    for (const std::string& id : owner.core->WorkersToHold()) {
+      bool& in_flight = owner.holds[id];
+      if (in_flight) continue;
+      in_flight = true;
+      const milliseconds pause = owner.core->PlanHold(id, now_).pause;
+      After(std::min(pause, kLongestPause),
+            [this, &owner, id] { SendHold(owner, id); });
+    }
+  }
+
+  void SendHold(OwnerLife& owner, const std::string& id) {
+    if (owner.dead) return;
+    const std::size_t index = IndexOf(id);
+    const contracts::HoldOrder order = owner.core->PlanHold(id, now_).order;
+    const MonotonicTime sent_at = now_.steady;
+    const bool lossy = lossy_until_ > now_.steady;
+    const bool lost = IsCut(index) || (lossy && Chance(0.3));
+    const bool answer_lost = lost || (lossy && Chance(0.3));
+    const std::function<void(const contracts::HoldAnswer&)> on_answer =
+        [this, &owner, id, order,
+         sent_at](const contracts::HoldAnswer& answer) {
+          if (owner.dead) return;
+          owner.holds[id] = false;
+          owner.core->OnHold(id, order, answer, sent_at, now_);
+        };
+    if (!lost) {
+      After(Delay(0, 100), [this, index, order, answer_lost, on_answer] {
+        const contracts::HoldAnswer answer = workers_[index]->Hold(order);
+        if (answer_lost) return;
+        After(Delay(0, 30), [on_answer, answer] { on_answer(answer); });
+      });
+    }
+    if (answer_lost) {
+      After(kOrderTimeout,
+            [on_answer] { on_answer({.outcome = OrderOutcome::kUnknown}); });
+    }
+  }
+
+  void Store(OwnerLife& owner) {
+    if (store_out_until_ > now_.steady) return;
+    if (owner.token < store_epoch_) {
+      owner.dead = true;
+      return;
+    }
+    owner.proved_at = now_.steady;
+    if (owner.unanswered.has_value()) {
+      // Told again, the store answers as it did the first time.
+      OnStored(owner, *owner.unanswered);
+      owner.unanswered.reset();
+    }
+    if (!owner.core->HasChanges()) return;
+    Batch batch = owner.core->TakeBatch(now_);
+    for (const contracts::KeyedRecord& record : batch.records) {
+      if (record.value.has_value()) {
+        stored_[record.key] = *record.value;
+      } else {
+        stored_.erase(record.key);
+      }
+    }
+    if (append_answers_lost_until_ > now_.steady && Chance(0.5)) {
+      owner.unanswered = std::move(batch);
+      return;
+    }
+    OnStored(owner, batch);
+  }
+
+  void OnStored(OwnerLife& owner, const Batch& batch) {
+    owner.core->OnStored(batch.number, now_);
+    std::erase_if(owner.submissions, [this, &owner](const auto& waiting) {
+      if (owner.core->stored_changes() < waiting.second) return false;
+      accepted_[waiting.first] = true;
+      return true;
+    });
+  }
+
+  void Tick() {
+    now_.steady += kTick;
+    now_.wall += kTick;
+    for (const std::unique_ptr<FuzzWorker>& worker : workers_) {
+      worker->Pass(kTick);
+    }
+    for (std::size_t i = 0; i < events_.size();) {
+      if (events_[i].at > now_.steady) {
+        ++i;
+        continue;
+      }
+      const std::function<void()> act = std::move(events_[i].act);
+      events_.erase(events_.begin() + static_cast<std::ptrdiff_t>(i));
+      act();
+    }
+    for (const std::unique_ptr<OwnerLife>& owner : owners_) {
+      if (owner->dead || owner->paused_until > now_.steady) continue;
+      // Checked first after each pause.
+      if (owner.get() != owners_.back().get() &&
+          now_.steady - owner->proved_at > kOwnershipWithoutProof) {
+        owner->dead = true;
+        continue;
+      }
+      owner->core->Tick(now_);
+      Store(*owner);
+      if (!owner->dead) HoldWorkers(*owner);
+    }
+  }
+
+  void Submit(const FaultStep& step) {
+    OwnerLife& owner = *owners_.back();
+    const std::string id = "j" + std::to_string(submitted_++);
+    const std::uint32_t count = 1 + static_cast<std::uint32_t>(step.target % 3);
+    StepSpec spec{.count = count,
+                  .need = {.milli_cpus = 1000, .memory = {1}},
+                  .estimate = milliseconds(step.length_ms / 4)};
+    JobSpec job{
+        .text = (step.fault == Fault::kSubmitFailing ? "fails " : "runs ") +
+                std::to_string(step.length_ms / 4),
+        .steps = {spec}};
+    if (step.target % 2 == 0) {
+      spec.depends_on = {0};
+      job.steps.push_back(spec);
+    }
+    record_.first_step_tasks[id] = count;
+    const SubmitAnswer answer = owner.core->Submit(id, "queue", job, now_);
+    owner.submissions.emplace_back(id, answer.change);
+  }
+
+  void Cancel(std::size_t target) {
+    if (accepted_.empty()) return;
+    const auto job =
+        std::next(accepted_.begin(),
+                  static_cast<std::ptrdiff_t>(target % accepted_.size()));
+    owners_.back()->core->Cancel(job->first, now_);
+    cancelled_.insert(job->first);
+  }
+
+  std::mt19937 random_;
+  ShardTime now_{.steady = MonotonicTime(std::chrono::seconds(1000)),
+                 .wall = WallTime(std::chrono::seconds(1700000000))};
+  RunRecord record_;
+  std::vector<std::unique_ptr<FuzzWorker>> workers_;
+  std::vector<std::unique_ptr<OwnerLife>> owners_;
+  std::deque<Event> events_;
+  contracts::FencingToken last_token_ = 0;
+  contracts::FencingToken store_epoch_ = 0;
+  std::map<std::string, std::string> stored_;
+  MonotonicTime store_out_until_;
+  MonotonicTime append_answers_lost_until_;
+  MonotonicTime lossy_until_;
+  MonotonicTime late_until_;
+  std::map<std::size_t, MonotonicTime> cut_until_;
+  std::uint32_t submitted_ = 0;
+  std::map<std::string, bool> accepted_;
+  std::set<std::string> cancelled_;
+};
+
+std::string FromEnvironment(const char* name, const char* fallback) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? fallback : value;
+}
+
+}  // namespace
+
+class JobsFuzzTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobsFuzzTest);
+  CPPUNIT_TEST(PromisesHold);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PromisesHold() {
+    const std::string seed = FromEnvironment("CAROBMAST_SEED", kDefaultSeed);
+    const std::string runs = FromEnvironment("CAROBMAST_RUNS", kDefaultRuns);
+    std::cout << "\nseed " << seed << ", runs " << runs << std::endl;
+    const std::string parameters =
+        "seed=" + seed + " max_success=" + runs + " max_size=30";
+    setenv("RC_PARAMS", parameters.c_str(), 1);
+    const bool holds = rc::check("promises of jobs hold", [] {
+      FuzzWorld world(*rc::gen::arbitrary<std::uint32_t>());
+      const std::vector<FaultStep> steps =
+          *rc::gen::container<std::vector<FaultStep>>(AnyStep());
+      for (const FaultStep& step : steps) {
+        world.Apply(step);
+        world.AssertPromises();
+      }
+      world.Settle();
+      world.AssertPromises();
+      world.AssertSettled();
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+};
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(JobsFuzzTest, "jobs_fuzz_test");
+
+}  // namespace carobmast::jobs
