--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -401,6 +401,7 @@
     impl_->schedule_at = now.steady;
     impl_->WantSchedule();
   }
+  impl_->RetryHopeless();
   impl_->AddCopies();
   impl_->Rebalance();
   impl_->AskAdvice();
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -68,8 +68,11 @@
   bool IsUsable(const WorkerState& worker, const Step& step) const;
   bool Fits(WorkerState& worker, const Step& step,
             std::uint32_t copies = 1) const;
-  // Whether a step that needs no more than this one found no worker before.
+  // Whether a step that needs no more than this one found no worker a short
+  // while ago.
   bool IsHopeless(const Step& step) const;
+  void NoteHopeless(const Step& step);
+  void RetryHopeless();
   std::uint32_t CountOnWorker(const Step& step,
                               const WorkerState& worker) const;
   double Score(WorkerState& worker, const Step& step) const;
@@ -160,8 +163,17 @@
   std::map<std::string, std::unique_ptr<Job>> jobs;
   std::map<std::string, std::unique_ptr<WorkerState>> workers;
   std::map<ReadyKey, Step*> ready;
-  // Steps that found no worker while room only shrank.
-  std::vector<const Step*> hopeless;
+  // What found no worker since `hopeless_since`.
+  struct HopelessNeed {
+    ImageId image = 0;
+    bool fills = false;
+    bool standing = false;
+    std::string required_label;
+    std::string queue;
+    contracts::Resources need;
+  };
+  std::vector<HopelessNeed> hopeless;
+  MonotonicTime hopeless_since;
   // Jobs with changes that no batch holds, in the order of their changes.
   std::vector<Job*> changed_jobs;
   std::vector<std::string> dropped_keys;
--- a/src/jobs/internal/shard_rebalance.cc
+++ b/src/jobs/internal/shard_rebalance.cc
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRebalanceEvery{200};
+constexpr milliseconds kRebalanceEvery{400};
 // Tasks that may be on the move at once.
 constexpr std::size_t kMaxMoves = 6;
 // A new owner learns where everything is before it moves anything.
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -35,6 +35,11 @@
 // the time below.
 constexpr double kCopyAfterEstimates = 1.6;
 constexpr milliseconds kCopyAfterLeast{500};
+// What found no worker is looked at again after this much for each worker: a
+// look at all of them takes an owner a tenth of that.
+constexpr std::chrono::microseconds kRetryPerWorker{200};
+// Below this it is looked at again at once.
+constexpr milliseconds kShortRetry{25};
 // Beyond this many times its objective a job's end counts for nothing.
 constexpr std::int64_t kLateObjectives = 3;
 
@@ -88,20 +93,32 @@
   const StepSpec& spec = *step.spec;
   return std::any_of(
       hopeless.begin(), hopeless.end(),
-      [this, &step, &spec](const Step* other) {
-        const StepSpec& failed = *other->spec;
-        return other->image == step.image && failed.fills == spec.fills &&
-               failed.standing == spec.standing && failed.max_per_worker == 0 &&
-               failed.preferred_rack.empty() &&
-               failed.required_label == spec.required_label &&
-               failed.need.milli_cpus <= spec.need.milli_cpus &&
-               failed.need.memory.bytes <= spec.need.memory.bytes &&
-               failed.need.accelerators <= spec.need.accelerators &&
-               other->occurrence->job->queue == step.occurrence->job->queue &&
-               !NeedsTicket(step);
+      [&step, &spec](const HopelessNeed& other) {
+        return other.image == step.image && other.fills == spec.fills &&
+               other.standing == spec.standing &&
+               other.required_label == spec.required_label &&
+               other.need.milli_cpus <= spec.need.milli_cpus &&
+               other.need.memory.bytes <= spec.need.memory.bytes &&
+               other.need.accelerators <= spec.need.accelerators &&
+               other.queue == step.occurrence->job->queue;
       });
 }
 
+// Only what every worker was open to says something of others.
+void ShardCore::Impl::NoteHopeless(const Step& step) {
+  const StepSpec& spec = *step.spec;
+  if (spec.max_per_worker > 0 || !spec.preferred_rack.empty() ||
+      NeedsTicket(step)) {
+    return;
+  }
+  hopeless.push_back({.image = step.image,
+                      .fills = spec.fills,
+                      .standing = spec.standing,
+                      .required_label = spec.required_label,
+                      .queue = step.occurrence->job->queue,
+                      .need = spec.need});
+}
+
 void ShardCore::Impl::MakeReady(Step& step) {
   if (!step.ready) {
     step.ready = true;
@@ -134,7 +151,11 @@
 
 void ShardCore::Impl::Schedule() {
   schedule_wanted = false;
-  hopeless.clear();
+  const Duration retry = workers.size() * kRetryPerWorker;
+  if (retry < kShortRetry || now.steady - hopeless_since >= retry) {
+    hopeless.clear();
+    hopeless_since = now.steady;
+  }
   for (Step* step : StepsInOrder()) {
     if (step->spec->gang) {
       ScheduleGang(*step);
@@ -142,7 +163,13 @@
       ScheduleStep(*step);
     }
   }
-  hopeless.clear();
+}
+
+void ShardCore::Impl::RetryHopeless() {
+  if (!hopeless.empty() &&
+      now.steady - hopeless_since >= workers.size() * kRetryPerWorker) {
+    WantSchedule();
+  }
 }
 
 bool ShardCore::Impl::IsStarved(const Job& job) const {
@@ -173,7 +200,7 @@
     }
     if (worker == nullptr) {
       all_placed = false;
-      hopeless.push_back(&step);
+      NoteHopeless(step);
       break;
     }
     Plan(task, *worker, task.attempt + 1);
@@ -432,8 +459,10 @@
     }
   }
   for (Task* task : late) {
+    if (IsHopeless(*task->step)) continue;
     const WorkerState* first = task->runs.front().worker;
     WorkerState* second = Pick(*task);
+    if (second == nullptr) NoteHopeless(*task->step);
     if (second == nullptr || second == first) continue;
     ++counters.copies;
     Plan(*task, *second, task->attempt + 1);
