Nothing is acknowledged after a hold without an answer

Only silent workers got none before; now one unanswered hold is enough.

Before: NothingIsAcknowledgedAfterAnUnansweredHold failed.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -231,7 +231,11 @@
   WorkerState& worker = impl_->GetWorker(worker_id);
   HoldPlan plan;
   plan.order.token = impl_->options.token;
-  plan.order.acknowledged_end = worker.acknowledged_end;
+  // After a hold without an answer the next life may be at work, with ends of its
+  // own: none of those may be acknowledged unseen.
+  if (!worker.silent_since.has_value() && worker.unanswered_holds == 0) {
+    plan.order.acknowledged_end = worker.acknowledged_end;
+  }
   // A hold that may get no answer renews nothing: what runs there would else
   // never be over.
   if (worker.clock.has_value() && !worker.silent_since.has_value() &&
@@ -240,8 +244,6 @@
   }
   if (worker.silent_since.has_value()) {
     plan.pause = kSilentPause;
-    // The life that answers next may be another one, with ends of its own.
-    plan.order.acknowledged_end = 0;
   } else if (worker.seen_end > worker.acknowledged_end) {
     plan.pause = kUnstoredPause;
   } else if (!worker.contact_at.has_value() || worker.unanswered_holds > 0) {
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(GangStartsWholeUnderOneAttempt);
   CPPUNIT_TEST(NoMoreThanAllowedOnOneWorker);
   CPPUNIT_TEST(FillerIsNotStarvedWhileThereIsRoom);
+  CPPUNIT_TEST(NothingIsAcknowledgedAfterAnUnansweredHold);
   CPPUNIT_TEST(DueOccurrencesOnly);
   CPPUNIT_TEST(StartsWithATicketWhereAdviceIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
@@ -413,6 +414,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  // The next life of the worker may answer, with ends that nobody has seen.
+  void NothingIsAcknowledgedAfterAnUnansweredHold() {
+    ShardBench bench;
+    const SentStart start = StartOne(bench);
+    bench.Contact("w", {}, {bench.Ended(1, start)});
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{1},
+        bench.core->PlanHold("w", bench.now).order.acknowledged_end);
+    bench.Silence("w");
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{0},
+        bench.core->PlanHold("w", bench.now).order.acknowledged_end);
+  }
+
   void FillerIsNotStarvedWhileThereIsRoom() {
     ShardBench bench;
     bench.AddWorker("w");
