Beside a task that stays over its target no filler starts

Ruled out: a lost order of pace (the fillers that lasted were slowed and moved).

Whether a task is over its target follows a smoothed level, and after 1 s of that no filler starts on its worker. HarmlessFillerJoinsATaskOverItsTarget looks within that second now. Before: NoFillerStartsBesideATaskThatStaysOverItsTarget failed.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -65,6 +65,8 @@
   // and by how much the logs of its latencies are above what was expected.
   std::optional<MonotonicTime> over_since;
   double excess = 0;
+  // The log of its latency to its target, smoothed; empty before a report.
+  std::optional<double> level;
 };
 
 struct Task {
@@ -188,8 +190,10 @@
   // comes or goes.
   std::vector<StandingLevel> standing_levels;
   bool levels_known = false;
-  // The worst ratio of latency to target on the last report.
+  // The worst ratio of latency to target on the last report, and since when a
+  // standing task here has been over its target.
   double pressure = 0;
+  std::optional<MonotonicTime> over_since;
 
   // An entry may lapse while its worker runs on: what it runs is followed.
   bool IsToBeHeld() const {
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -231,8 +231,8 @@
   WorkerState& worker = impl_->GetWorker(worker_id);
   HoldPlan plan;
   plan.order.token = impl_->options.token;
-  // After a hold without an answer the next life may be at work, with ends of its
-  // own: none of those may be acknowledged unseen.
+  // After a hold without an answer the next life may be at work, with ends of
+  // its own: none of those may be acknowledged unseen.
   if (!worker.silent_since.has_value() && worker.unanswered_holds == 0) {
     plan.order.acknowledged_end = worker.acknowledged_end;
   }
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -37,6 +37,11 @@
 // A standing task that is over its target for this long has all fillers stand
 // still, whatever is known of them; a third of the bound for harm.
 constexpr milliseconds kOverPatience{1300};
+// Weight of a report in the smoothed level, which still swings by 0.07, and the
+// levels at which a task counts as over its target and as under it again.
+constexpr double kLevelGain = 0.5;
+constexpr double kOverLevel = -0.03;
+constexpr double kUnderLevel = -0.12;
 // A filler that stands still this long is moved, if it keeps what it did.
 constexpr milliseconds kMoveAfter{1500};
 // Speed up to which it counts as standing still, in percent.
@@ -152,14 +157,22 @@
   LearnInterference(worker);
   worker.levels_known = false;
   worker.pressure = 0;
+  worker.over_since.reset();
   for (Run& run : worker.runs) {
     if (!HasTarget(run) || run.state != RunState::kRunning) continue;
     const double ratio = Ratio(run);
-    if (ratio <= 1) {
+    const double level = run.level.value_or(std::log(ratio));
+    run.level = level + kLevelGain * (std::log(ratio) - level);
+    if (*run.level < kUnderLevel) {
       run.over_since.reset();
-    } else if (!run.over_since.has_value()) {
+    } else if (*run.level > kOverLevel && !run.over_since.has_value()) {
       run.over_since = now.steady;
     }
+    if (run.over_since.has_value()) {
+      worker.over_since = worker.over_since.has_value()
+                              ? std::min(*worker.over_since, *run.over_since)
+                              : run.over_since;
+    }
     worker.pressure = std::max(worker.pressure, ratio);
   }
   PaceFillers(worker);
@@ -197,11 +210,8 @@
 }
 
 void ShardCore::Impl::PaceFillers(WorkerState& worker) {
-  const bool over_long = std::any_of(
-      worker.runs.begin(), worker.runs.end(), [this](const Run& run) {
-        return run.over_since.has_value() &&
-               now.steady - *run.over_since > kOverPatience;
-      });
+  const bool over_long = worker.over_since.has_value() &&
+                         now.steady - *worker.over_since > kOverPatience;
   for (const auto& [run, speed] : SpeedsOf(worker)) {
     if (run->state != RunState::kRunning || run->stop_wanted) continue;
     std::uint32_t percent = static_cast<std::uint32_t>(100 * speed);
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -19,6 +19,9 @@
 constexpr double kMinFillShare = 0.6;
 // Log of a standing task's latency to its target up to which fillers are added.
 constexpr double kMaxLevel = -0.45;
+// Beside a task that has been over its target for this long no filler starts,
+// whatever is known of it: a quarter of the bound for harm.
+constexpr milliseconds kOpenWhileOver{1000};
 // Weight of the harm against free processors when a worker is chosen.
 constexpr double kHarmWeight = 4;
 // A job of which nothing has run for this long gets a task in, wherever it
@@ -293,6 +296,10 @@
            room.milli_cpus;
   }
   if (ignore_harm) return true;
+  if (worker.over_since.has_value() &&
+      now.steady - *worker.over_since > kOpenWhileOver) {
+    return false;
+  }
   if (worker.standing_milli_cpus > 0 &&
       Predict(worker, step.image, copies * spec.need.milli_cpus).level >
           kMaxLevel) {
