--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -243,6 +243,7 @@
     }
     owner->core->FinishRestore(now_);
     std::vector<WorkerEntry> entries;
+    entries.reserve(workers_.size());
     for (const std::unique_ptr<FuzzWorker>& worker : workers_) {
       entries.push_back({.id = worker->id(),
                          .address = {.ip = "127.0.0.1", .port = 1},
