--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -155,31 +155,37 @@
   return Answer(OrderOutcome::kDone);
 }
 
-contracts::HoldAnswer FuzzWorker::Hold(const contracts::HoldOrder& order) {
-  contracts::HoldAnswer answer;
-  answer.clock = clock_;
-  answer.born_ms = born_ms_;
-  if (order.token < token_) {
-    answer.outcome = OrderOutcome::kFenced;
-    return answer;
-  }
-  token_ = order.token;
-  if (order.lease_end.has_value()) Extend(*order.lease_end);
-  while (!ends_.empty() && ends_.front().number <= order.acknowledged_end) {
+void FuzzWorker::Acknowledge(std::uint64_t number) {
+  while (!ends_.empty() && ends_.front().number <= number) {
     if (ends_.front().number > lapsed_end_) {
       record_.OnAcknowledged(ends_.front());
     }
     ends_.erase(ends_.begin());
   }
-  answer.outcome = OrderOutcome::kDone;
+}
+
+std::vector<contracts::RunningTask> FuzzWorker::ListRunning() const {
+  std::vector<contracts::RunningTask> running;
+  running.reserve(runs_.size());
   for (const auto& [name, work] : runs_) {
-    answer.running.push_back(
+    running.push_back(
         {.task = name.first,
          .attempt = name.second,
          .percent = 100 - static_cast<std::uint32_t>(work.left.count() % 100)});
   }
-  answer.ended = ends_;
-  return answer;
+  return running;
+}
+
+contracts::HoldAnswer FuzzWorker::Hold(const contracts::HoldOrder& order) {
+  if (order.token < token_) return {.outcome = OrderOutcome::kFenced};
+  token_ = order.token;
+  Extend(order.lease_end.value_or(contracts::WorkerClock(0)));
+  Acknowledge(order.acknowledged_end);
+  return {.outcome = OrderOutcome::kDone,
+          .clock = clock_,
+          .born_ms = born_ms_,
+          .running = ListRunning(),
+          .ended = ends_};
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -64,6 +64,8 @@
 
   contracts::OrderAnswer Answer(contracts::OrderOutcome outcome) const;
   void Extend(contracts::WorkerClock lease_end);
+  void Acknowledge(std::uint64_t number);
+  std::vector<contracts::RunningTask> ListRunning() const;
   void End(const Name& name, contracts::EndKind kind);
 
   std::string id_;
