--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(NoMoreThanAllowedOnOneWorker);
   CPPUNIT_TEST(FillerIsNotStarvedWhileThereIsRoom);
   CPPUNIT_TEST(NothingIsAcknowledgedAfterAnUnansweredHold);
+  CPPUNIT_TEST(FullLargePoolIsNotLookedAtForEachEnd);
   CPPUNIT_TEST(DueOccurrencesOnly);
   CPPUNIT_TEST(StartsWithATicketWhereAdviceIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
@@ -414,6 +415,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  // A look at all workers for each end would take a large pool's owner whole.
+  void FullLargePoolIsNotLookedAtForEachEnd() {
+    ShardBench bench;
+    for (int i = 0; i < 200; ++i) {
+      const std::string id = "w" + std::to_string(i);
+      bench.AddWorker(id, 1000);
+      bench.Contact(id);
+    }
+    bench.Submit("j", MakeJob(200));
+    bench.Store();
+    const std::vector<SentStart> starts = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{200}, starts.size());
+    for (const SentStart& start : starts) bench.Confirm(start);
+    bench.Submit("k", MakeJob(1));
+    bench.Store();
+    bench.Contact(starts[0].worker, {}, {bench.Ended(1, starts[0])});
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.Pass(milliseconds(50));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
   // The next life of the worker may answer, with ends that nobody has seen.
   void NothingIsAcknowledgedAfterAnUnansweredHold() {
     ShardBench bench;
