One sum of the fillers' harm; room is compared before likeness

UpdateLevels summed what HarmTo sums. Both conditions must hold as before, so the choice is the same. Tests of jobs and the fuzz pass; nothing else was rerun.

--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -115,13 +115,8 @@
       known->own = std::max(known->own, own);
     }
   }
-  for (const Run& run : worker.runs) {
-    if (!IsFiller(run)) continue;
-    for (StandingLevel& level : worker.standing_levels) {
-      level.harm +=
-          interference.Factor(level.step->image, run.task->step->image) *
-          FullShare(run);
-    }
+  for (StandingLevel& level : worker.standing_levels) {
+    level.harm = HarmTo(worker, level.step->image);
   }
   worker.levels_known = true;
 }
--- a/src/jobs/internal/shard_rebalance.cc
+++ b/src/jobs/internal/shard_rebalance.cc
@@ -82,12 +82,13 @@
   return std::any_of(workers.begin(), workers.end(),
                      [this, &run, &step, company](const auto& entry) {
                        WorkerState& worker = *entry.second;
-                       if (&worker == run.worker) return false;
+                       if (&worker == run.worker || !IsEligible(worker, step)) {
+                         return false;
+                       }
                        const double likeness = worker.standing_milli_cpus == 0
                                                    ? kEmptyLikeness
                                                    : Likeness(worker, step);
-                       return likeness >= company + kMinGain &&
-                              IsEligible(worker, step);
+                       return likeness >= company + kMinGain;
                      });
 }
 
