One line for the starts of a step; no event takes more than half of the log

Ruled out: the buffer for a slow reader (128 KiB, emptied every tick). A line now names the tasks whose starts were stored together, 32 at most, and one event gets half of the rate at most.

--- a/src/framework/telemetry/internal/line_log.cc
+++ b/src/framework/telemetry/internal/line_log.cc
@@ -17,12 +17,6 @@
 constexpr std::size_t kChunkBytes = 4096;
 constexpr std::int64_t kMsPerSecond = 1000;
 
-std::int64_t NowMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::string FormatTime(std::int64_t ms) {
   const std::time_t seconds = ms / kMsPerSecond;
   std::tm parts{};
@@ -44,24 +38,44 @@
 }  // namespace
 
 LineLog::LineLog(LineLogOptions options) : options_(std::move(options)) {
+  if (!options_.now) {
+    options_.now = [] {
+      return std::chrono::time_point_cast<WallTime::duration>(
+          std::chrono::system_clock::now());
+    };
+  }
   for (const Field& field : options_.common) {
     common_ += " " + field.key + "=" + field.value;
   }
 }
 
-void LineLog::Write(const std::string& event,
-                    const std::vector<Field>& fields) {
-  const std::int64_t now = NowMs();
-  if (now / kMsPerSecond != second_) {
-    second_ = now / kMsPerSecond;
+bool LineLog::TakeRoom(const std::string& event, std::int64_t second) {
+  if (second != second_) {
+    second_ = second;
     lines_this_second_ = 0;
+    lines_by_event_.clear();
   }
+  std::size_t& of_event = lines_by_event_[event];
   if (lines_this_second_ >= options_.max_lines_per_second ||
+      of_event >= options_.max_lines_per_second / 2 ||
       buffer_.size() >= options_.max_buffered_bytes) {
+    return false;
+  }
+  ++lines_this_second_;
+  ++of_event;
+  return true;
+}
+
+void LineLog::Write(const std::string& event,
+                    const std::vector<Field>& fields) {
+  const std::int64_t now =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          options_.now().time_since_epoch())
+          .count();
+  if (!TakeRoom(event, now / kMsPerSecond)) {
     ++dropped_;
     return;
   }
-  ++lines_this_second_;
   ++lines_;
   buffer_ += "time=" + FormatTime(now) + common_ +
              " event=" + Field("event", event).value;
--- a/src/framework/telemetry/line_log.h
+++ b/src/framework/telemetry/line_log.h
@@ -1,10 +1,13 @@
 // Structured lines on standard output, one for each decision, in the form of
 // telemetry::Log. Never blocks: lines that the reader does not take in time,
-// and lines beyond the rate, are dropped and counted.
+// and lines beyond the rate, are dropped and counted. No event gets more than
+// half of the rate, so that a frequent one never hides the others.
 #ifndef CAROBMAST_FRAMEWORK_TELEMETRY_LINE_LOG_H_
 #define CAROBMAST_FRAMEWORK_TELEMETRY_LINE_LOG_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +22,8 @@
   std::vector<Field> common;
   std::size_t max_lines_per_second = 500;
   std::size_t max_buffered_bytes = std::size_t{128} * 1024;
+  // The system's clock where it is empty.
+  std::function<WallTime()> now;
 };
 
 class LineLog {
@@ -34,11 +39,15 @@
   std::uint64_t dropped() const { return dropped_; }
 
  private:
+  // Whether there is room for one more line of the event.
+  bool TakeRoom(const std::string& event, std::int64_t second);
+
   LineLogOptions options_;
   std::string common_;
   std::string buffer_;
   std::int64_t second_ = 0;
   std::size_t lines_this_second_ = 0;
+  std::map<std::string, std::size_t> lines_by_event_;
   std::uint64_t lines_ = 0;
   std::uint64_t dropped_ = 0;
   std::uint64_t dropped_told_ = 0;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -106,6 +106,8 @@
   // shard_workers.cc: orders and what workers tell.
   WorkerState& GetWorker(const std::string& id);
   void SendStart(Run& run);
+  // Queues the starts of a step whose intents were stored with this batch.
+  void QueueStarts(Step& step, std::uint64_t batch);
   // Sends starts whose intents are stored, as far as answers are not awaited.
   void SendQueuedStarts();
   void SendStop(Run& run);
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -445,15 +445,7 @@
     job.stored_state = stored.second;
     for (const auto& [index, occurrence] : job.occurrences) {
       for (Step& step : occurrence->steps) {
-        for (Task& task : step.tasks) {
-          for (Run& run : task.runs) {
-            if (run.state == RunState::kPlanned && run.intent_batch == number) {
-              queued_starts.push_back({.worker = run.worker->id,
-                                       .task = KeyOfTask(task),
-                                       .attempt = run.attempt});
-            }
-          }
-        }
+        QueueStarts(step, number);
       }
     }
   }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -35,6 +35,8 @@
 constexpr std::uint32_t kSlowPace = 60;
 // A start that stays unanswered by a worker in contact is given up after this.
 constexpr milliseconds kGiveUpStart{1500};
+// Tasks that one line about starts names.
+constexpr std::size_t kTasksPerLine = 32;
 // Between two lines with the state of the shard.
 constexpr milliseconds kSummaryEvery{1000};
 // Unanswered orders in a row after which a worker counts as silent.
@@ -111,12 +113,6 @@
     run.sent_at = now.steady;
     run.progress_at = now.steady;
     ++counters.starts;
-    hooks.decided("start", {{"job", task.step->occurrence->job->id},
-                            {"step", task.step->number},
-                            {"task", task.index},
-                            {"attempt", run.attempt},
-                            {"worker", worker.id},
-                            {"waited", now.steady - task.step->ready_at}});
   } else {
     ++counters.starts_repeated;
   }
@@ -132,6 +128,35 @@
                .ticket = run.ticket});
 }
 
+void ShardCore::Impl::QueueStarts(Step& step, std::uint64_t batch) {
+  std::string tasks;
+  std::size_t named = 0;
+  const auto tell = [this, &step, &tasks, &named] {
+    if (named == 0) return;
+    hooks.decided("start", {{"job", step.occurrence->job->id},
+                            {"step", step.number},
+                            {"occurrence", step.occurrence->number},
+                            {"waited", now.steady - step.ready_at},
+                            {"tasks", tasks}});
+    tasks.clear();
+    named = 0;
+  };
+  for (Task& task : step.tasks) {
+    for (const Run& run : task.runs) {
+      if (run.state != RunState::kPlanned || run.intent_batch != batch) {
+        continue;
+      }
+      queued_starts.push_back({.worker = run.worker->id,
+                               .task = KeyOfTask(task),
+                               .attempt = run.attempt});
+      tasks += (tasks.empty() ? "" : ",") + std::to_string(task.index) + "." +
+               std::to_string(run.attempt) + "@" + run.worker->id;
+      if (++named == kTasksPerLine) tell();
+    }
+  }
+  tell();
+}
+
 void ShardCore::Impl::SendQueuedStarts() {
   while (!queued_starts.empty() &&
          starts_in_flight < options.max_starts_in_flight) {
