Refused callers are told to come back after as long as the outage has lasted

Cause: every refusal said one second. Ruled out: refusals for want of room (none). Alternative not taken: a fixed longer time, which makes callers miss the end of a short outage. RefusedCallersWaitLongerTheLongerTheOutage.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -72,6 +72,10 @@
   // An owner makes way for a much larger node once it has owned the shard, and
   // heard that node, for this long.
   Duration settle = std::chrono::seconds(3);
+  // Bounds of what refused callers are told: the time that a new owner takes,
+  // and a time after which few still want their answer.
+  Duration least_retry_after = std::chrono::seconds(1);
+  Duration most_retry_after = std::chrono::seconds(4);
   // An owner without any proof of its claim stops after this.
   Duration ownership_without_proof = std::chrono::seconds(10);
 };
@@ -112,6 +116,10 @@
   bool owns() const;
   bool HearsOwner(MonotonicTime now) const;
   bool StoreReached(MonotonicTime now) const;
+  // When a caller that nothing could be done for should come back: after as
+  // long as the owner, or the store, has been away, within bounds. Most callers
+  // then miss neither a short outage's end nor, with a few tries, a long one's.
+  Duration RetryAfter(MonotonicTime now) const;
   // As the owner told; empty while the owner is not heard.
   const std::map<std::string, std::uint32_t>& pending_counts() const {
     return pending_counts_;
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -27,6 +27,16 @@
                     now - heard_at_ < options_.suspect_after);
 }
 
+Duration ElectionCore::RetryAfter(MonotonicTime now) const {
+  MonotonicTime since = now;
+  if (store_failing_since_.has_value()) since = *store_failing_since_;
+  if (!HearsOwner(now) && silent_since_ != MonotonicTime()) {
+    since = std::min(since, silent_since_);
+  }
+  return std::clamp(Duration(now - since), options_.least_retry_after,
+                    options_.most_retry_after);
+}
+
 bool ElectionCore::StoreReached(MonotonicTime now) const {
   return !store_failing_since_.has_value() ||
          now - *store_failing_since_ < options_.store_patience;
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -101,7 +101,8 @@
   FrontRequest decoded = services_.decode_request(std::move(request));
   const FrontKind kind = decoded.kind;
   const std::string path = decoded.path;
-  const FrontAnswer answer = co_await Answer(std::move(decoded));
+  FrontAnswer answer = co_await Answer(std::move(decoded));
+  answer.retry_after = election_.RetryAfter(LeaseNow());
   const Duration took = LeaseNow() - began;
   (kind == FrontKind::kSubmit ? submit_latency_ : state_latency_)->Record(took);
   const bool plain = answer.outcome == FrontOutcome::kState ||
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(NewerClaimEndsOwnership);
   CPPUNIT_TEST(OwnerWithoutTheStoreHandsOver);
   CPPUNIT_TEST(OwnerWithoutProofStops);
+  CPPUNIT_TEST(RefusedCallersWaitLongerTheLongerTheOutage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -219,6 +220,28 @@
                          return message.kind == MessageKind::kTakeOver;
                        });
   }
+
+  void RefusedCallersWaitLongerTheLongerTheOutage() {
+    Bench bench;
+    // Not yet told of any owner.
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) == std::chrono::seconds(1));
+    bench.core.OnClaim(ClaimOf("a", 1), bench.now);
+    bench.core.OnClaimsRead(bench.now);
+    bench.Hear("a", 1);
+    bench.Pass(milliseconds(100));
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) == std::chrono::seconds(1));
+    bench.core.OnStore(false, bench.now);
+    bench.now += milliseconds(2500);
+    bench.Hear("a", 1);
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) == milliseconds(2500));
+    bench.core.OnStore(true, bench.now);
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) == std::chrono::seconds(1));
+    // The owner falls silent, for long.
+    bench.Pass(std::chrono::seconds(4));
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) > std::chrono::seconds(2));
+    bench.Pass(std::chrono::seconds(9));
+    CPPUNIT_ASSERT(bench.core.RetryAfter(bench.now) == std::chrono::seconds(4));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ElectionCoreTest, "election_core_test");
