Fillers keep further from the targets of standing tasks

All time over target (1,345 s) was beside working fillers. Speeds now aim at 0.74 of the target instead of 0.82, places at 0.55 instead of 0.64, and a part above 0.03 instead of 0.06 counts.

--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -16,17 +16,15 @@
 using std::chrono::milliseconds;
 
 // Log of latency to target that fillers may bring a standing task to.
-constexpr double kPaceLevel = -0.2;
+constexpr double kPaceLevel = -0.3;
 // How far ahead levels are told: half the time that a report covers, the time
 // until a new speed acts, and half the time until the next report.
 constexpr milliseconds kLead{600};
 // Speeds go in steps of this many percent; below the least they are none.
 constexpr std::uint32_t kPaceStep = 10;
 constexpr std::uint32_t kLeastPace = 20;
-// A filler whose part in the log of the latency is below this is let be.
-constexpr double kNoPart = 0.06;
-// A filler whose part would be below this may join also a task that is over its
-// target: it is not the cause.
+// A filler whose part in the log of the latency is below this is let be, and
+// may join also a task that is over its target: it is not the cause.
 constexpr double kNegligible = 0.03;
 // Reports cover half a second: a filler's use is taken for its speed once that
 // was the same for longer.
@@ -190,7 +188,7 @@
       const double part =
           interference.Factor(level.step->image, run->task->step->image) *
           FullShare(*run);
-      if (part > kNoPart) {
+      if (part > kNegligible) {
         harm += part;
         harmful.push_back(run);
       } else {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -18,7 +18,7 @@
 // processors.
 constexpr double kMinFillShare = 0.6;
 // Log of a standing task's latency to its target up to which fillers are added.
-constexpr double kMaxLevel = -0.45;
+constexpr double kMaxLevel = -0.6;
 // Beside a task that has been over its target for this long no filler starts,
 // whatever is known of it: a quarter of the bound for harm.
 constexpr milliseconds kOpenWhileOver{1000};
