--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -79,7 +79,10 @@
   std::uint32_t CountOnWorker(const Step& step,
                               const WorkerState& worker) const;
   double Score(WorkerState& worker, const Step& step) const;
-  double Likeness(const WorkerState& worker, const Step& step) const;
+  // How alike the worker's standing tasks, but for one, are to those of a step;
+  // empty where there are none.
+  std::optional<double> Likeness(const WorkerState& worker, const Step& step,
+                                 const Run* left_out = nullptr) const;
   bool IsEligible(WorkerState& worker, const Step& step) const;
   // A worker for a step; no score once it isn't eligible any more.
   struct Candidate {
@@ -168,7 +171,6 @@
   void MoveIdleFills(WorkerState& worker);
 
   // shard_rebalance.cc: which standing tasks share a worker.
-  double Company(const Run& run) const;
   bool MayMove(const Run& run) const;
   // Whether a worker has clearly better company for the task.
   bool HasBetterPlace(const Run& run, double company) const;
--- a/src/jobs/internal/shard_rebalance.cc
+++ b/src/jobs/internal/shard_rebalance.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kLearnFirst{600};
 // Gain in likeness, of 2 at most, that is worth the pause of a move.
 constexpr double kMinGain = 0.6;
+// What a task without others beside it counts for: it has no reason to move.
+constexpr double kAlone = 1;
 // What a worker without standing tasks counts for: others will join.
 constexpr double kEmptyLikeness = 0.4;
 // A task that has begun this recently stays.
@@ -24,19 +26,6 @@
 
 }  // namespace
 
-// The mean likeness of a standing task with the others of its worker.
-double ShardCore::Impl::Company(const Run& run) const {
-  double sum = 0;
-  int others = 0;
-  for (const Run& other : run.worker->runs) {
-    if (&other == &run || !other.task->step->spec->standing) continue;
-    sum +=
-        interference.Likeness(other.task->step->image, run.task->step->image);
-    ++others;
-  }
-  return others == 0 ? 1 : sum / others;
-}
-
 bool ShardCore::Impl::MayMove(const Run& run) const {
   const Step& step = *run.task->step;
   return step.spec->standing && !step.spec->gang &&
@@ -59,7 +48,8 @@
     for (Run& run : worker->runs) {
       if (run.stop_wanted && run.task->step->spec->standing) ++moving;
       if (!MayMove(run)) continue;
-      const double company = Company(run);
+      const double company =
+          Likeness(*worker, *run.task->step, &run).value_or(kAlone);
       if (company < 1 - kMinGain) misplaced.emplace_back(company, &run);
     }
   }
@@ -85,9 +75,10 @@
                        if (&worker == run.worker || !IsEligible(worker, step)) {
                          return false;
                        }
-                       const double likeness = worker.standing_milli_cpus == 0
-                                                   ? kEmptyLikeness
-                                                   : Likeness(worker, step);
+                       const double likeness =
+                           worker.standing_milli_cpus == 0
+                               ? kEmptyLikeness
+                               : Likeness(worker, step).value_or(0);
                        return likeness >= company + kMinGain;
                      });
 }
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -338,17 +338,19 @@
 }
 
 // From -1, where all standing tasks of the worker suffer from other fillers
-// than the step's, to 1, where all suffer from the same; 0 without any.
-double ShardCore::Impl::Likeness(const WorkerState& worker,
-                                 const Step& step) const {
+// than the step's, to 1, where all suffer from the same.
+std::optional<double> ShardCore::Impl::Likeness(const WorkerState& worker,
+                                                const Step& step,
+                                                const Run* left_out) const {
   double sum = 0;
-  int all = 0;
+  int others = 0;
   for (const Run& run : worker.runs) {
-    if (!run.task->step->spec->standing) continue;
-    ++all;
+    if (&run == left_out || !run.task->step->spec->standing) continue;
     sum += interference.Likeness(run.task->step->image, step.image);
+    ++others;
   }
-  return all == 0 ? 0 : sum / all;
+  if (others == 0) return std::nullopt;
+  return sum / others;
 }
 
 double ShardCore::Impl::Score(WorkerState& worker, const Step& step) const {
@@ -358,7 +360,7 @@
   const double fills = ToDouble(worker.fill_milli_cpus);
   // Standing tasks are packed, so that other workers stay free of them.
   if (spec.standing) {
-    return used / room + kImageWeight * Likeness(worker, step) -
+    return used / room + kImageWeight * Likeness(worker, step).value_or(0) -
            HarmTo(worker, step.image);
   }
   const double standing = ToDouble(worker.standing_milli_cpus);
