--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,15 +1,19 @@
 #!/usr/bin/env python3
 """Randomized fault soak: real nodes as processes, faults from outside them.
 
-Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
+Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S] [--overlap]
+               [--nodes N] [--workers N]
 Each seed plays one round: jobs are handed in through all nodes while nodes are
 killed, paused, stopped gracefully and restarted, and their connections to the store
 delayed, reset, cut one way or silenced. Then the faults end, and every accepted job
 must complete; no task may run twice at once or after an end that was noted.
+With --overlap two faults go on at a time, and the store misbehaves too: it refuses
+calls, carries appends out without an answer, or does so late.
 Prints a line a seed; exits with 1 when a promise was broken.
 """
 
 import argparse
+import contextlib
 import pathlib
 import random
 import signal
@@ -28,11 +32,18 @@
 SETTLE_SECONDS = 45
 
 
+KINDS = ("kill", "kill_all", "pause", "stop", "reset", "silent", "silent_to",
+         "silent_from", "delay", "configuration", "reload")
+STORE_KINDS = ("busy", "lost", "late")
+
+
 class Round:
-    def __init__(self, program, seed, seconds):
+    def __init__(self, program, seed, options):
         self.random = random.Random(seed)
-        self.cluster = Cluster(program, nodes=3, workers=4)
-        self.seconds = seconds
+        self.cluster = Cluster(program, nodes=options.nodes, workers=options.workers)
+        self.seconds = options.seconds
+        self.overlap = options.overlap
+        self.locks = {node.name: threading.Lock() for node in self.cluster.nodes}
         self.accepted, self.refused, self.open = set(), set(), set()
         self.version = 1
         self.faults = []
@@ -54,13 +65,11 @@
                 self.open.add(job)
             time.sleep(self.random.uniform(0.02, 0.2))
 
-    def fault(self):
-        node = self.random.choice(self.cluster.nodes)
-        kind = self.random.choice(
-            ("kill", "kill_all", "pause", "stop", "reset", "silent", "silent_to",
-             "silent_from", "delay", "configuration", "reload"))
+    def fault(self, chance):
+        node = chance.choice(self.cluster.nodes)
+        kind = chance.choice(KINDS + STORE_KINDS if self.overlap else KINDS)
         self.faults.append(kind)
-        length = self.random.uniform(0.2, 3)
+        length = chance.uniform(0.2, 3)
         if kind == "kill":
             self.restart([node], signal.SIGKILL, length / 3)
         elif kind == "kill_all":
@@ -82,6 +91,10 @@
             put_config(self.cluster.store, self.version)
         elif kind == "reload":
             node.signal(signal.SIGHUP)
+        elif kind in STORE_KINDS:
+            self.cluster.store.trouble = kind
+            time.sleep(length)
+            self.cluster.store.trouble = ""
         else:
             node.proxy.mode = kind
             time.sleep(length)
@@ -89,13 +102,23 @@
             node.proxy.reset()
 
     def restart(self, nodes, number, pause):
-        for node in nodes:
-            node.signal(number)
-        for node in nodes:
-            node.process.wait()
-        time.sleep(pause)
-        for node in nodes:
-            node.start()
+        with contextlib.ExitStack() as held:
+            for node in nodes:
+                held.enter_context(self.locks[node.name])
+            for node in nodes:
+                node.signal(number)
+                # A node that another fault has paused would never stop.
+                node.signal(signal.SIGCONT)
+            for node in nodes:
+                node.process.wait()
+            time.sleep(pause)
+            for node in nodes:
+                node.start()
+
+    def inject(self, until, chance):
+        while time.monotonic() < until:
+            time.sleep(chance.uniform(0.1, 1.0))
+            self.fault(chance)
 
     def play(self):
         """Returns what was broken, one text each."""
@@ -103,10 +126,16 @@
         until = time.monotonic() + self.seconds
         callers = threading.Thread(target=self.hand_in, args=(until,))
         callers.start()
-        while time.monotonic() < until:
-            time.sleep(self.random.uniform(0.1, 1.0))
-            self.fault()
-        callers.join()
+        chances = [self.random]
+        if self.overlap:
+            chances.append(random.Random(self.random.random()))
+        others = [threading.Thread(target=self.inject, args=(until, chance))
+                  for chance in chances[1:]]
+        for other in others:
+            other.start()
+        self.inject(until, chances[0])
+        for thread in [callers, *others]:
+            thread.join()
         return self.judge()
 
     def judge(self):
@@ -133,10 +162,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--overlap", action="store_true")
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=4)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        game = Round(options.program, seed, options.seconds)
+        game = Round(options.program, seed, options)
         try:
             broken = game.play()
         finally:
