--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -315,49 +315,6 @@
   impl_->SendQueuedStarts();
 }
 
-void ShardCore::Impl::OnStart(const std::string& worker_id,
-                              const contracts::StartOrder& order,
-                              const contracts::OrderAnswer& answer) {
-  const auto found = workers.find(worker_id);
-  if (found == workers.end()) return;
-  WorkerState& worker = *found->second;
-  Run* run = FindRun(worker, order.task, order.attempt);
-  if (run == nullptr) return;
-  run->order_in_flight = false;
-  run->retry_at = now.steady;
-  OnOrderAnswer(worker, answer);
-  if (run->state != RunState::kSent) return;
-  switch (answer.outcome) {
-    case OrderOutcome::kDone:
-      run->may_have_arrived = true;
-      run->state = RunState::kRunning;
-      run->confirmed_at = now.steady;
-      run->progress_at = now.steady;
-      return;
-    case OrderOutcome::kSuperseded:
-    case OrderOutcome::kLeaseOver:
-    case OrderOutcome::kUnknown:
-      // It was there, or may be: a hold tells.
-      run->may_have_arrived = true;
-      run->retry_at = now.steady + options.order_repeat;
-      hooks.hold_now(worker_id);
-      return;
-    case OrderOutcome::kNotSent:
-      run->retry_at = now.steady + options.order_repeat;
-      return;
-    case OrderOutcome::kFenced:
-      hooks.fenced(worker_id);
-      return;
-    case OrderOutcome::kInvalid:
-    case OrderOutcome::kOtherIncarnation:
-    case OrderOutcome::kNoRoom:
-    case OrderOutcome::kBadTicket:
-    case OrderOutcome::kUnhealthy:
-      OnStartRefused(*run, answer);
-      return;
-  }
-}
-
 void ShardCore::OnStop(const std::string& worker_id,
                        const contracts::StopOrder& order,
                        const contracts::OrderAnswer& answer, ShardTime now) {
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -106,8 +106,7 @@
   double ShareInUse(const std::string& pool) const;
   void WantSchedule();
 
-  // shard_workers.cc: orders and what workers tell.
-  WorkerState& GetWorker(const std::string& id);
+  // shard_orders.cc: orders to workers and their answers.
   void SendStart(Run& run);
   // Queues the starts of a step whose intents were stored with this batch.
   void QueueStarts(Step& step, std::uint64_t batch);
@@ -119,12 +118,16 @@
   void OnStart(const std::string& worker_id, const contracts::StartOrder& order,
                const contracts::OrderAnswer& answer);
   void OnOrderAnswer(WorkerState& worker, const contracts::OrderAnswer& answer);
-  void SetSilent(WorkerState& worker, const std::string& error);
   void OnStartRefused(Run& run, const contracts::OrderAnswer& answer);
-  void OnClock(WorkerState& worker, contracts::WorkerClock clock);
+  void RepeatOrders(WorkerState& worker);
+
+  // shard_workers.cc: what workers tell.
+  WorkerState& GetWorker(const std::string& id);
   Run* FindRun(WorkerState& worker, const contracts::TaskKey& key,
                std::uint32_t attempt);
   Task* FindTask(const contracts::TaskKey& key);
+  void OnClock(WorkerState& worker, contracts::WorkerClock clock);
+  void SetSilent(WorkerState& worker, const std::string& error);
   void OnRunningList(WorkerState& worker, const contracts::HoldAnswer& answer,
                      MonotonicTime sent_at);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
@@ -135,7 +138,6 @@
   void TickWorker(WorkerState& worker);
   void TellSummary();
   bool LeaseIsOver(const WorkerState& worker) const;
-  void RepeatOrders(WorkerState& worker);
   void StopStalled(WorkerState& worker);
   void Evacuate(WorkerState& worker);
   // Tasks of the step that are not at work.
--- /dev/null
+++ b/src/jobs/internal/shard_orders.cc
@@ -0,0 +1,242 @@
+// Orders to workers, from the stored intent to the answer.
+#include <algorithm>
+
+#include "jobs/internal/shard_impl.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+using contracts::OrderOutcome;
+using contracts::WorkerClock;
+using std::chrono::milliseconds;
+
+// Leases are asked for a little short of the longest, which workers cut.
+constexpr milliseconds kLeaseMargin{150};
+// A start that was refused for want of room is tried elsewhere; the worker gets
+// no other for this long, since it holds something that we don't know of.
+constexpr milliseconds kRefusedPause{300};
+// A start that stays unanswered by a worker in contact is given up after this.
+constexpr milliseconds kGiveUpStart{1500};
+// Tasks that one line about starts names.
+constexpr std::size_t kTasksPerLine = 32;
+// Unanswered orders in a row after which a worker counts as silent.
+constexpr std::uint32_t kUnansweredToSilent = 2;
+
+}  // namespace
+
+WorkerClock ShardCore::Impl::LeaseEndFor(WorkerState& worker) const {
+  // Without a reading the worker cuts the lease to its longest.
+  const WorkerClock base = worker.clock.value_or(WorkerClock(0));
+  const milliseconds passed = worker.clock.has_value()
+                                  ? std::chrono::duration_cast<milliseconds>(
+                                        now.steady - worker.clock_at)
+                                  : milliseconds(0);
+  const WorkerClock end = base + passed + options.max_lease - kLeaseMargin;
+  worker.lease_end = std::max(worker.lease_end, end);
+  return end;
+}
+
+void ShardCore::Impl::SendStart(Run& run) {
+  const Task& task = *run.task;
+  WorkerState& worker = *run.worker;
+  if (run.state == RunState::kPlanned) {
+    run.state = RunState::kSent;
+    run.sent_at = now.steady;
+    run.progress_at = now.steady;
+    ++counters.starts;
+  } else {
+    ++counters.starts_repeated;
+  }
+  run.order_in_flight = true;
+  ++starts_in_flight;
+  hooks.start({.id = worker.id, .address = worker.entry.address},
+              {.task = KeyOfTask(task),
+               .attempt = run.attempt,
+               .spec = task.step->occurrence->job->spec.text,
+               .lease_end = LeaseEndFor(worker),
+               .token = options.token,
+               .checkpoint = task.checkpoint,
+               .ticket = run.ticket});
+}
+
+void ShardCore::Impl::QueueStarts(Step& step, std::uint64_t batch) {
+  std::string tasks;
+  std::size_t named = 0;
+  const auto tell = [this, &step, &tasks, &named] {
+    if (named == 0) return;
+    hooks.decided("start", {{"job", step.occurrence->job->id},
+                            {"step", step.number},
+                            {"occurrence", step.occurrence->number},
+                            {"waited", now.steady - step.ready_at},
+                            {"tasks", tasks}});
+    tasks.clear();
+    named = 0;
+  };
+  for (Task& task : step.tasks) {
+    for (const Run& run : task.runs) {
+      if (run.state != RunState::kPlanned || run.intent_batch != batch) {
+        continue;
+      }
+      queued_starts.push_back({.worker = run.worker->id,
+                               .task = KeyOfTask(task),
+                               .attempt = run.attempt});
+      tasks += (tasks.empty() ? "" : ",") + std::to_string(task.index) + "." +
+               std::to_string(run.attempt) + "@" + run.worker->id;
+      if (++named == kTasksPerLine) tell();
+    }
+  }
+  tell();
+}
+
+void ShardCore::Impl::SendQueuedStarts() {
+  while (!queued_starts.empty() &&
+         starts_in_flight < options.max_starts_in_flight) {
+    const QueuedStart next = std::move(queued_starts.front());
+    queued_starts.pop_front();
+    const auto worker = workers.find(next.worker);
+    if (worker == workers.end()) continue;
+    Run* run = FindRun(*worker->second, next.task, next.attempt);
+    if (run == nullptr || run->state != RunState::kPlanned) continue;
+    // Much may have been heard of the worker since it was chosen.
+    if (IsOpen(*worker->second)) {
+      SendStart(*run);
+    } else {
+      EndRun(*run, RunEnd::kNotRun, "");
+    }
+  }
+}
+
+void ShardCore::Impl::WantStop(Run& run, const std::string& reason) {
+  if (run.state == RunState::kPlanned) {
+    EndRun(run, RunEnd::kNotRun, "");
+    return;
+  }
+  if (run.stop_wanted) return;
+  run.stop_wanted = true;
+  run.stop_reason = reason;
+  ++counters.stops;
+  hooks.decided("stop", {{"job", run.task->step->occurrence->job->id},
+                         {"step", run.task->step->number},
+                         {"task", run.task->index},
+                         {"attempt", run.attempt},
+                         {"worker", run.worker->id},
+                         {"reason", reason}});
+  SendStop(run);
+}
+
+void ShardCore::Impl::SendStop(Run& run) {
+  if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
+  run.stop_in_flight = true;
+  hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
+             {.task = KeyOfTask(*run.task),
+              .attempt = run.attempt,
+              .token = options.token});
+}
+
+void ShardCore::Impl::OnStart(const std::string& worker_id,
+                              const contracts::StartOrder& order,
+                              const contracts::OrderAnswer& answer) {
+  const auto found = workers.find(worker_id);
+  if (found == workers.end()) return;
+  WorkerState& worker = *found->second;
+  Run* run = FindRun(worker, order.task, order.attempt);
+  if (run == nullptr) return;
+  run->order_in_flight = false;
+  run->retry_at = now.steady;
+  OnOrderAnswer(worker, answer);
+  if (run->state != RunState::kSent) return;
+  switch (answer.outcome) {
+    case OrderOutcome::kDone:
+      run->may_have_arrived = true;
+      run->state = RunState::kRunning;
+      run->confirmed_at = now.steady;
+      run->progress_at = now.steady;
+      return;
+    case OrderOutcome::kSuperseded:
+    case OrderOutcome::kLeaseOver:
+    case OrderOutcome::kUnknown:
+      // It was there, or may be: a hold tells.
+      run->may_have_arrived = true;
+      run->retry_at = now.steady + options.order_repeat;
+      hooks.hold_now(worker_id);
+      return;
+    case OrderOutcome::kNotSent:
+      run->retry_at = now.steady + options.order_repeat;
+      return;
+    case OrderOutcome::kFenced:
+      hooks.fenced(worker_id);
+      return;
+    case OrderOutcome::kInvalid:
+    case OrderOutcome::kOtherIncarnation:
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kBadTicket:
+    case OrderOutcome::kUnhealthy:
+      OnStartRefused(*run, answer);
+      return;
+  }
+}
+
+void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
+                                    const contracts::OrderAnswer& answer) {
+  // Only a hold tells how long the leases of earlier owners may still last.
+  if (!worker.contact_at.has_value()) return;
+  if (answer.clock.has_value()) OnClock(worker, *answer.clock);
+  if (answer.outcome != OrderOutcome::kUnknown &&
+      answer.outcome != OrderOutcome::kNotSent) {
+    worker.unanswered = 0;
+    if (!worker.silent_since.has_value()) worker.contact_at = now.steady;
+    return;
+  }
+  if (++worker.unanswered >= kUnansweredToSilent &&
+      worker.contact_at.has_value() &&
+      now.steady - *worker.contact_at > options.silent_after) {
+    SetSilent(worker, answer.error);
+  }
+}
+
+void ShardCore::Impl::OnStartRefused(Run& run,
+                                     const contracts::OrderAnswer& answer) {
+  WorkerState& worker = *run.worker;
+  ++counters.starts_refused;
+  hooks.decided("start refused", {{"job", run.task->step->occurrence->job->id},
+                                  {"step", run.task->step->number},
+                                  {"task", run.task->index},
+                                  {"attempt", run.attempt},
+                                  {"worker", worker.id},
+                                  {"reason", answer.error}});
+  if (answer.outcome == OrderOutcome::kUnhealthy) {
+    Quarantine(worker, "unhealthy");
+  } else if (answer.outcome == OrderOutcome::kBadTicket) {
+    run.task->step->tickets.erase(worker.id);
+  } else {
+    worker.quarantined_until =
+        std::max(worker.quarantined_until, now.steady + kRefusedPause);
+  }
+  // An earlier copy of the order may still be carried out.
+  if (run.may_have_arrived) {
+    WantStop(run, "start refused");
+  } else {
+    EndRun(run, RunEnd::kNotRun, "");
+  }
+}
+
+void ShardCore::Impl::RepeatOrders(WorkerState& worker) {
+  for (Run& run : worker.runs) {
+    if (run.retry_at > now.steady) continue;
+    if (run.stop_wanted) {
+      if (!run.stop_confirmed_at.has_value()) SendStop(run);
+      continue;
+    }
+    if (run.state == RunState::kSent && !run.order_in_flight) {
+      if (now.steady - run.sent_at > kGiveUpStart) {
+        WantStop(run, "start not answered");
+      } else {
+        SendStart(run);
+      }
+    }
+    SendPace(run);
+  }
+}
+
+}  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -1,6 +1,5 @@
-// Orders to workers and what they tell of their tasks.
+// What workers tell of their tasks, and what is believed of workers.
 #include <algorithm>
-#include <string_view>
 
 #include "jobs/internal/shard_impl.h"
 
@@ -8,7 +7,6 @@
 
 namespace {
 
-using contracts::OrderOutcome;
 using contracts::WorkerClock;
 using std::chrono::milliseconds;
 
@@ -16,11 +14,6 @@
 constexpr double kSlowestClock = 0.98;
 // Time between the end of a lease and the end of all that ran under it.
 constexpr milliseconds kLeaseSlack{100};
-// Leases are asked for a little short of the longest, which workers cut.
-constexpr milliseconds kLeaseMargin{150};
-// A start that was refused for want of room is tried elsewhere; the worker gets
-// no other for this long, since it holds something that we don't know of.
-constexpr milliseconds kRefusedPause{300};
 // Failures in a row, of more than one job, after which a worker is set aside.
 constexpr std::uint32_t kFailuresToQuarantine = 3;
 constexpr milliseconds kFirstQuarantine{2500};
@@ -33,14 +26,8 @@
 constexpr std::uint32_t kAtWork = 100;
 // Speed below which missing progress says nothing, in percent.
 constexpr std::uint32_t kSlowPace = 60;
-// A start that stays unanswered by a worker in contact is given up after this.
-constexpr milliseconds kGiveUpStart{1500};
-// Tasks that one line about starts names.
-constexpr std::size_t kTasksPerLine = 32;
 // Between two lines with the state of the shard.
 constexpr milliseconds kSummaryEvery{1000};
-// Unanswered orders in a row after which a worker counts as silent.
-constexpr std::uint32_t kUnansweredToSilent = 2;
 
 using RunName = std::pair<contracts::TaskKey, std::uint32_t>;
 
@@ -93,115 +80,6 @@
   return *worker;
 }
 
-WorkerClock ShardCore::Impl::LeaseEndFor(WorkerState& worker) const {
-  // Without a reading the worker cuts the lease to its longest.
-  const WorkerClock base = worker.clock.value_or(WorkerClock(0));
-  const milliseconds passed = worker.clock.has_value()
-                                  ? std::chrono::duration_cast<milliseconds>(
-                                        now.steady - worker.clock_at)
-                                  : milliseconds(0);
-  const WorkerClock end = base + passed + options.max_lease - kLeaseMargin;
-  worker.lease_end = std::max(worker.lease_end, end);
-  return end;
-}
-
-void ShardCore::Impl::SendStart(Run& run) {
-  const Task& task = *run.task;
-  WorkerState& worker = *run.worker;
-  if (run.state == RunState::kPlanned) {
-    run.state = RunState::kSent;
-    run.sent_at = now.steady;
-    run.progress_at = now.steady;
-    ++counters.starts;
-  } else {
-    ++counters.starts_repeated;
-  }
-  run.order_in_flight = true;
-  ++starts_in_flight;
-  hooks.start({.id = worker.id, .address = worker.entry.address},
-              {.task = KeyOfTask(task),
-               .attempt = run.attempt,
-               .spec = task.step->occurrence->job->spec.text,
-               .lease_end = LeaseEndFor(worker),
-               .token = options.token,
-               .checkpoint = task.checkpoint,
-               .ticket = run.ticket});
-}
-
-void ShardCore::Impl::QueueStarts(Step& step, std::uint64_t batch) {
-  std::string tasks;
-  std::size_t named = 0;
-  const auto tell = [this, &step, &tasks, &named] {
-    if (named == 0) return;
-    hooks.decided("start", {{"job", step.occurrence->job->id},
-                            {"step", step.number},
-                            {"occurrence", step.occurrence->number},
-                            {"waited", now.steady - step.ready_at},
-                            {"tasks", tasks}});
-    tasks.clear();
-    named = 0;
-  };
-  for (Task& task : step.tasks) {
-    for (const Run& run : task.runs) {
-      if (run.state != RunState::kPlanned || run.intent_batch != batch) {
-        continue;
-      }
-      queued_starts.push_back({.worker = run.worker->id,
-                               .task = KeyOfTask(task),
-                               .attempt = run.attempt});
-      tasks += (tasks.empty() ? "" : ",") + std::to_string(task.index) + "." +
-               std::to_string(run.attempt) + "@" + run.worker->id;
-      if (++named == kTasksPerLine) tell();
-    }
-  }
-  tell();
-}
-
-void ShardCore::Impl::SendQueuedStarts() {
-  while (!queued_starts.empty() &&
-         starts_in_flight < options.max_starts_in_flight) {
-    const QueuedStart next = std::move(queued_starts.front());
-    queued_starts.pop_front();
-    const auto worker = workers.find(next.worker);
-    if (worker == workers.end()) continue;
-    Run* run = FindRun(*worker->second, next.task, next.attempt);
-    if (run == nullptr || run->state != RunState::kPlanned) continue;
-    // Much may have been heard of the worker since it was chosen.
-    if (IsOpen(*worker->second)) {
-      SendStart(*run);
-    } else {
-      EndRun(*run, RunEnd::kNotRun, "");
-    }
-  }
-}
-
-void ShardCore::Impl::WantStop(Run& run, const std::string& reason) {
-  if (run.state == RunState::kPlanned) {
-    EndRun(run, RunEnd::kNotRun, "");
-    return;
-  }
-  if (run.stop_wanted) return;
-  run.stop_wanted = true;
-  run.stop_reason = reason;
-  ++counters.stops;
-  hooks.decided("stop", {{"job", run.task->step->occurrence->job->id},
-                         {"step", run.task->step->number},
-                         {"task", run.task->index},
-                         {"attempt", run.attempt},
-                         {"worker", run.worker->id},
-                         {"reason", reason}});
-  SendStop(run);
-}
-
-void ShardCore::Impl::SendStop(Run& run) {
-  if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
-  run.stop_in_flight = true;
-  hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
-             {.task = KeyOfTask(*run.task),
-              .attempt = run.attempt,
-              .token = options.token});
-}
-
 Run* ShardCore::Impl::FindRun(WorkerState& worker,
                               const contracts::TaskKey& key,
                               std::uint32_t attempt) {
@@ -229,24 +107,6 @@
   worker.clock_at = now.steady;
 }
 
-void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
-                                    const contracts::OrderAnswer& answer) {
-  // Only a hold tells how long the leases of earlier owners may still last.
-  if (!worker.contact_at.has_value()) return;
-  if (answer.clock.has_value()) OnClock(worker, *answer.clock);
-  if (answer.outcome != OrderOutcome::kUnknown &&
-      answer.outcome != OrderOutcome::kNotSent) {
-    worker.unanswered = 0;
-    if (!worker.silent_since.has_value()) worker.contact_at = now.steady;
-    return;
-  }
-  if (++worker.unanswered >= kUnansweredToSilent &&
-      worker.contact_at.has_value() &&
-      now.steady - *worker.contact_at > options.silent_after) {
-    SetSilent(worker, answer.error);
-  }
-}
-
 void ShardCore::Impl::SetSilent(WorkerState& worker, const std::string& error) {
   if (worker.silent_since.has_value()) return;
   worker.silent_since = now.steady;
@@ -257,32 +117,6 @@
        {"error", error}});
 }
 
-void ShardCore::Impl::OnStartRefused(Run& run,
-                                     const contracts::OrderAnswer& answer) {
-  WorkerState& worker = *run.worker;
-  ++counters.starts_refused;
-  hooks.decided("start refused", {{"job", run.task->step->occurrence->job->id},
-                                  {"step", run.task->step->number},
-                                  {"task", run.task->index},
-                                  {"attempt", run.attempt},
-                                  {"worker", worker.id},
-                                  {"reason", answer.error}});
-  if (answer.outcome == OrderOutcome::kUnhealthy) {
-    Quarantine(worker, "unhealthy");
-  } else if (answer.outcome == OrderOutcome::kBadTicket) {
-    run.task->step->tickets.erase(worker.id);
-  } else {
-    worker.quarantined_until =
-        std::max(worker.quarantined_until, now.steady + kRefusedPause);
-  }
-  // An earlier copy of the order may still be carried out.
-  if (run.may_have_arrived) {
-    WantStop(run, "start refused");
-  } else {
-    EndRun(run, RunEnd::kNotRun, "");
-  }
-}
-
 void ShardCore::Impl::EndRun(Run& run, RunEnd end,
                              const std::string& checkpoint) {
   Task& task = *run.task;
@@ -485,24 +319,6 @@
   }
 }
 
-void ShardCore::Impl::RepeatOrders(WorkerState& worker) {
-  for (Run& run : worker.runs) {
-    if (run.retry_at > now.steady) continue;
-    if (run.stop_wanted) {
-      if (!run.stop_confirmed_at.has_value()) SendStop(run);
-      continue;
-    }
-    if (run.state == RunState::kSent && !run.order_in_flight) {
-      if (now.steady - run.sent_at > kGiveUpStart) {
-        WantStop(run, "start not answered");
-      } else {
-        SendStart(run);
-      }
-    }
-    SendPace(run);
-  }
-}
-
 std::uint32_t ShardCore::Impl::CountAway(const Step& step) const {
   return static_cast<std::uint32_t>(
       std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
