--- a/src/jobs/tests/interference_model_test.cc
+++ b/src/jobs/tests/interference_model_test.cc
@@ -60,6 +60,7 @@
     InterferenceModel model;
     standing_ = model.Intern("standing");
     std::vector<ImageId> fillers;
+    fillers.reserve(kFillers);
     for (int i = 0; i < kFillers; ++i) {
       fillers.push_back(model.Intern("filler-" + std::to_string(i)));
     }
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -33,7 +33,8 @@
   if (!HearsOwner(now) && silent_since_ != MonotonicTime()) {
     since = std::min(since, silent_since_);
   }
-  return std::clamp(Duration(now - since), options_.least_retry_after,
+  const Duration away = now - since;
+  return std::clamp(away, options_.least_retry_after,
                     options_.most_retry_after);
 }
 
