--- a/soak/soak.py
+++ b/soak/soak.py
@@ -105,15 +105,7 @@
         with contextlib.ExitStack() as held:
             for node in nodes:
                 held.enter_context(self.locks[node.name])
-            for node in nodes:
-                node.signal(number)
-                # A node that another fault has paused would never stop.
-                node.signal(signal.SIGCONT)
-            for node in nodes:
-                node.process.wait()
-            time.sleep(pause)
-            for node in nodes:
-                node.start()
+            self.cluster.restart(nodes, number, pause)
 
     def inject(self, until, chance):
         while time.monotonic() < until:
@@ -126,15 +118,13 @@
         until = time.monotonic() + self.seconds
         callers = threading.Thread(target=self.hand_in, args=(until,))
         callers.start()
-        chances = [self.random]
+        threads = [callers]
         if self.overlap:
-            chances.append(random.Random(self.random.random()))
-        others = [threading.Thread(target=self.inject, args=(until, chance))
-                  for chance in chances[1:]]
-        for other in others:
-            other.start()
-        self.inject(until, chances[0])
-        for thread in [callers, *others]:
+            chance = random.Random(self.random.random())
+            threads.append(threading.Thread(target=self.inject, args=(until, chance)))
+            threads[-1].start()
+        self.inject(until, self.random)
+        for thread in threads:
             thread.join()
         return self.judge()
 
--- a/src/jobs/tests/colocation_test.cc
+++ b/src/jobs/tests/colocation_test.cc
@@ -191,43 +191,17 @@
 
  public:
   void HarmlessFillerJoinsATaskOverItsTarget() {
-    SharedWorkers shared;
-    bool over = false;
-    shared.load = [&over](const std::string&, double) {
-      return over ? 0.3 : -0.7;
-    };
-    shared.factor = [](const std::string&, const std::string&) { return 0.0; };
-    shared.Add("w");
-    shared.SubmitStanding("s", 2, 1);
-    shared.SubmitFiller("light", 2, "light");
-    shared.Run(milliseconds(6000));
-    shared.bench.core->Cancel("light", shared.bench.now);
-    over = true;
-    shared.Run(milliseconds(500));
-    shared.SubmitFiller("more", 1, "light");
-    shared.Run(milliseconds(250));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, shared.WorkersOf("more").size());
+    const std::vector<std::string> workers =
+        StartedBesideATaskOver(0.3, milliseconds(500), milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, workers.size());
   }
 
   // Short fillers that come one after the other may be gone before they are
   // slowed.
   void NoFillerStartsBesideATaskThatStaysOverItsTarget() {
-    SharedWorkers shared;
-    bool over = false;
-    shared.load = [&over](const std::string&, double) {
-      return over ? 0.02 : -0.7;
-    };
-    shared.factor = [](const std::string&, const std::string&) { return 0.0; };
-    shared.Add("w");
-    shared.SubmitStanding("s", 2, 1);
-    shared.SubmitFiller("light", 2, "light");
-    shared.Run(milliseconds(6000));
-    shared.bench.core->Cancel("light", shared.bench.now);
-    over = true;
-    shared.Run(milliseconds(2500));
-    shared.SubmitFiller("more", 1, "light");
-    shared.Run(milliseconds(500));
-    CPPUNIT_ASSERT(shared.WorkersOf("more").empty());
+    const std::vector<std::string> workers =
+        StartedBesideATaskOver(0.02, milliseconds(2500), milliseconds(500));
+    CPPUNIT_ASSERT(workers.empty());
   }
 
   // Three fillers that raise the latency by a factor of 2.5 together, beside a
@@ -294,6 +268,29 @@
     shared.Add("v");
     shared.Run(milliseconds(12000));
   }
+
+  // Where a filler that harms nobody runs `wait` after it came, beside standing
+  // tasks whose log of latency to target has been at `level` for `over_for`.
+  static std::vector<std::string> StartedBesideATaskOver(double level,
+                                                         milliseconds over_for,
+                                                         milliseconds wait) {
+    SharedWorkers shared;
+    bool over = false;
+    shared.load = [&over, level](const std::string&, double) {
+      return over ? level : -0.7;
+    };
+    shared.factor = [](const std::string&, const std::string&) { return 0.0; };
+    shared.Add("w");
+    shared.SubmitStanding("s", 2, 1);
+    shared.SubmitFiller("light", 2, "light");
+    shared.Run(milliseconds(6000));
+    shared.bench.core->Cancel("light", shared.bench.now);
+    over = true;
+    shared.Run(over_for);
+    shared.SubmitFiller("more", 1, "light");
+    shared.Run(wait);
+    return shared.WorkersOf("more");
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ColocationTest, "colocation_test");
