Nodes tell how far the registry is known, and how late their timers are

Callers: none hurt; the incident's lines could not tell a read that hangs from a follower that falls behind or a busy processor. The owner now writes a line each second with offset, end and age of its view, the slowest call and the lateness of its timers. No logic changes.

--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -31,6 +31,8 @@
 constexpr milliseconds kHoldGrace{300};
 // Least time between two readings of the registry.
 constexpr milliseconds kRegistryEvery{250};
+// Between two lines on the registry.
+constexpr milliseconds kRegistryLineEvery{1000};
 // With the store failing for this long, new jobs are refused at once.
 constexpr milliseconds kRefuseAfter{300};
 
@@ -393,13 +395,33 @@
 }
 
 asio::awaitable<void> Owner::TickLoop(Ref<Owner> self) {
+  MonotonicTime due = LeaseNow();
   while (!self->stopped_) {
+    self->TellRegistry(LeaseNow() - due);
     self->core_->Tick(ShardNow());
     self->maintenance_.Tick(LeaseNow());
+    due = LeaseNow() + self->options_.tick;
     co_await self->Sleep(self->options_.tick);
   }
 }
 
+void Owner::TellRegistry(Duration tick_late) {
+  worst_tick_ = std::max(worst_tick_, tick_late);
+  const MonotonicTime now = LeaseNow();
+  if (now - registry_told_at_ < kRegistryLineEvery) return;
+  registry_told_at_ = now;
+  const StreamPosition& position = registry_->position();
+  hooks_.decided("registry",
+                 {{"next", position.next},
+                  {"end", position.end},
+                  {"age", now - position.current_at.value_or(MonotonicTime())},
+                  {"reads", position.reads},
+                  {"slowest_read", position.slowest_read},
+                  {"tick_late", worst_tick_}});
+  registry_->ResetSlowestRead();
+  worst_tick_ = Duration::zero();
+}
+
 void Owner::ApplyRegistry() {
   std::vector<jobs::WorkerEntry> entries;
   entries.reserve(entries_.size());
--- a/src/node/internal/stream_follower.cc
+++ b/src/node/internal/stream_follower.cc
@@ -1,10 +1,13 @@
 #include "node/stream_follower.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "node/lease_clock.h"
+
 namespace carobmast::node {
 
 namespace asio = boost::asio;
@@ -47,14 +50,23 @@
   }
 }
 
+void StreamFollower::CountRead(MonotonicTime sent_at) {
+  ++position_.reads;
+  position_.slowest_read =
+      std::max(position_.slowest_read, LeaseNow() - sent_at);
+}
+
 asio::awaitable<bool> StreamFollower::ReadNewest() {
+  const MonotonicTime began = LeaseNow();
   std::vector<contracts::KeyedRecord> records;
   std::uint64_t end = 0;
   std::string after;
   bool more = true;
   while (more) {
+    const MonotonicTime sent_at = LeaseNow();
     contracts::NewestAnswer page =
         co_await log_->Newest(options_.stream, after, options_.timeout);
+    CountRead(sent_at);
     if (stopped_) co_return false;
     hooks_.on_call(page.ok, page.error);
     if (!page.ok) co_return false;
@@ -68,17 +80,21 @@
   }
   hooks_.on_restart();
   for (const contracts::KeyedRecord& record : records) hooks_.on_record(record);
-  next_ = end;
-  hooks_.on_caught_up(next_);
+  position_.next = end;
+  position_.end = end;
+  position_.current_at = began;
+  hooks_.on_caught_up(position_.next);
   co_return true;
 }
 
 asio::awaitable<bool> StreamFollower::ReadOn() {
+  const MonotonicTime sent_at = LeaseNow();
   const contracts::KeyedReadAnswer answer =
       co_await log_->Read({.stream = options_.stream,
-                           .from = next_,
+                           .from = position_.next,
                            .wait = options_.read_wait,
                            .timeout = options_.read_wait + options_.timeout});
+  CountRead(sent_at);
   if (stopped_) co_return false;
   hooks_.on_call(answer.outcome != contracts::ReadOutcome::kFailed,
                  answer.error);
@@ -89,9 +105,11 @@
   }
   for (const contracts::KeyedRecord& record : answer.records) {
     hooks_.on_record(record);
-    next_ = record.offset + 1;
+    position_.next = record.offset + 1;
   }
-  hooks_.on_caught_up(next_);
+  position_.end = answer.end;
+  if (position_.next >= position_.end) position_.current_at = sent_at;
+  hooks_.on_caught_up(position_.next);
   co_return true;
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -128,6 +128,8 @@
                                           Duration timeout);
   boost::asio::awaitable<void> Sleep(Duration pause);
   void ApplyRegistry();
+  // One line a second on how far the registry is known.
+  void TellRegistry(Duration tick_late);
   void WakeWaiters();
 
   boost::asio::any_io_executor executor_;
@@ -145,6 +147,8 @@
   Ref<StreamFollower> registry_;
   std::map<std::string, jobs::WorkerEntry> entries_;
   bool registry_read_ = false;
+  MonotonicTime registry_told_at_;
+  Duration worst_tick_{0};
   std::map<std::string, std::unique_ptr<HoldLoop>> holds_;
   boost::asio::steady_timer changes_timer_;
   std::list<boost::asio::steady_timer*> waiters_;
--- a/src/node/stream_follower.h
+++ b/src/node/stream_follower.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 #include "contracts/keyed_log.h"
 
@@ -22,6 +23,18 @@
   Duration retry_pause = std::chrono::milliseconds(200);
 };
 
+// How far a stream is known.
+struct StreamPosition {
+  // Offset of the next record to read, and the stream's end as last told.
+  std::uint64_t next = 0;
+  std::uint64_t end = 0;
+  // All that was stored before this time has been read; unset before that.
+  std::optional<MonotonicTime> current_at;
+  std::uint64_t reads = 0;
+  // The longest time of one call.
+  Duration slowest_read{0};
+};
+
 struct StreamFollowerHooks {
   // All newest records are about to come; keys that don't are gone.
   std::function<void()> on_restart;
@@ -40,19 +53,23 @@
   void Start();
   // No hook runs afterwards.
   void Stop();
+  const StreamPosition& position() const { return position_; }
+  // Forgets the longest call so far.
+  void ResetSlowestRead() { position_.slowest_read = Duration::zero(); }
 
  private:
   boost::asio::awaitable<void> Run(Ref<StreamFollower> self);
   boost::asio::awaitable<bool> ReadNewest();
   boost::asio::awaitable<bool> ReadOn();
   boost::asio::awaitable<void> Pause(Duration pause);
+  void CountRead(MonotonicTime sent_at);
 
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
   Ref<contracts::KeyedLog> log_;
   StreamFollowerOptions options_;
   StreamFollowerHooks hooks_;
-  std::uint64_t next_ = 0;
+  StreamPosition position_;
   bool stopped_ = false;
 };
 
