No start goes out on an old view of the registry

Cause: an order rested on a view that its follower keeps, and nobody asked how old the view was; a read that took 5.3 s left it 7 s old while starts went on. Repeated starts did not even look at what was known of the worker.

The view now carries the time at which it was known to be current. Starts that a leaving worker has not confirmed are withdrawn, by a stop where one may have arrived.

Ruled out: the processor alone (timers at most 54 ms late).

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -74,8 +74,10 @@
 }
 
 void ShardCore::SetWorkers(const std::vector<WorkerEntry>& entries,
-                           ShardTime now) {
+                           MonotonicTime current_at, ShardTime now) {
   impl_->now = now;
+  impl_->registry_current_at = current_at;
+  impl_->WatchRegistryAge();
   std::set<std::string> listed;
   for (const WorkerEntry& entry : entries) {
     listed.insert(entry.id);
@@ -360,6 +362,7 @@
 
 void ShardCore::Tick(ShardTime now) {
   impl_->now = now;
+  impl_->WatchRegistryAge();
   for (const auto& [id, worker] : impl_->workers) impl_->TickWorker(*worker);
   for (const auto& [id, job] : impl_->jobs) {
     if (job->spec.occurrences > 0) impl_->BeginDueOccurrences(*job, now);
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -66,6 +66,12 @@
   bool HasWaiting(const Step& step) const;
   void ScheduleStep(Step& step);
   void ScheduleGang(Step& step);
+  // Whether any worker may have said that it leaves without being heard.
+  bool IsRegistryOld() const;
+  // Tells when starts stop, and go on, for the age of the registry.
+  void WatchRegistryAge();
+  // Whether the worker is about to go, or is no longer registered.
+  static bool IsLeaving(const WorkerState& worker);
   // Whether the worker may get new tasks at all.
   bool IsOpen(const WorkerState& worker) const;
   bool IsUsable(const WorkerState& worker, const Step& step) const;
@@ -120,6 +126,8 @@
   void OnOrderAnswer(WorkerState& worker, const contracts::OrderAnswer& answer);
   void OnStartRefused(Run& run, const contracts::OrderAnswer& answer);
   void RepeatOrders(WorkerState& worker);
+  // Ends what a worker that leaves has not confirmed.
+  void WithdrawStarts(WorkerState& worker);
 
   // shard_workers.cc: what workers tell.
   WorkerState& GetWorker(const std::string& id);
@@ -226,6 +234,9 @@
   bool advice_in_flight = false;
   MonotonicTime advice_retry_at;
   bool schedule_wanted = false;
+  MonotonicTime registry_current_at;
+  // Since when starts wait for a younger view of the registry.
+  std::optional<MonotonicTime> registry_old_since;
   bool restored = false;
   std::optional<MonotonicTime> former_stopped_at;
   MonotonicTime summary_at;
@@ -234,6 +245,10 @@
 // The key that names the task to workers.
 contracts::TaskKey KeyOfTask(const Task& task);
 
+// Task and attempt: finds a run again after others have ended.
+using RunName = std::pair<contracts::TaskKey, std::uint32_t>;
+RunName NameOf(const Run& run);
+
 }  // namespace carobmast::jobs
 
 #endif  // CAROBMAST_JOBS_INTERNAL_SHARD_IMPL_H_
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -231,7 +231,7 @@
     if (run.state == RunState::kSent && !run.order_in_flight) {
       if (now.steady - run.sent_at > kGiveUpStart) {
         WantStop(run, "start not answered");
-      } else {
+      } else if (!IsRegistryOld()) {
         SendStart(run);
       }
     }
@@ -239,4 +239,21 @@
   }
 }
 
+void ShardCore::Impl::WithdrawStarts(WorkerState& worker) {
+  std::vector<RunName> not_run;
+  for (Run& run : worker.runs) {
+    if (run.state != RunState::kSent || run.order_in_flight) continue;
+    if (run.may_have_arrived) {
+      WantStop(run, "worker leaves");
+    } else {
+      not_run.push_back(NameOf(run));
+    }
+  }
+  // The end of one run may end others.
+  for (const RunName& name : not_run) {
+    Run* run = FindRun(worker, name.first, name.second);
+    if (run != nullptr) EndRun(*run, RunEnd::kNotRun, "");
+  }
+}
+
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -159,6 +159,8 @@
 
 void ShardCore::Impl::Schedule() {
   schedule_wanted = false;
+  // No worker is open; what waits is looked at once the registry is current.
+  if (IsRegistryOld()) return;
   const Duration retry = workers.size() * kRetryPerWorker;
   if (retry < kShortRetry || now.steady - hopeless_since >= retry) {
     hopeless.clear();
@@ -280,8 +282,31 @@
   return queue == queues.end() ? job.pool : queue->second.pool;
 }
 
+bool ShardCore::Impl::IsRegistryOld() const {
+  return now.steady - registry_current_at > options.max_registry_age;
+}
+
+void ShardCore::Impl::WatchRegistryAge() {
+  const bool is_old = IsRegistryOld();
+  if (is_old == registry_old_since.has_value()) return;
+  if (is_old) {
+    registry_old_since = now.steady;
+    hooks.decided("starts held", {{"reason", "the registry is not current"},
+                                  {"age", now.steady - registry_current_at}});
+    return;
+  }
+  hooks.decided("starts go on", {{"after", now.steady - *registry_old_since},
+                                 {"age", now.steady - registry_current_at}});
+  registry_old_since.reset();
+  WantSchedule();
+}
+
+bool ShardCore::Impl::IsLeaving(const WorkerState& worker) {
+  return !worker.listed || worker.entry.draining || worker.cordoned;
+}
+
 bool ShardCore::Impl::IsOpen(const WorkerState& worker) const {
-  return worker.listed && !worker.entry.draining && !worker.cordoned &&
+  return !IsRegistryOld() && !IsLeaving(worker) &&
          worker.contact_at.has_value() && !worker.silent_since.has_value() &&
          worker.quarantined_until <= now.steady;
 }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -29,10 +29,6 @@
 // Between two lines with the state of the shard.
 constexpr milliseconds kSummaryEvery{1000};
 
-using RunName = std::pair<contracts::TaskKey, std::uint32_t>;
-
-RunName NameOf(const Run& run) { return {KeyOfTask(*run.task), run.attempt}; }
-
 RunEnd ToRunEnd(contracts::EndKind kind) {
   switch (kind) {
     case contracts::EndKind::kFinished:
@@ -70,6 +66,8 @@
 
 }  // namespace
 
+RunName NameOf(const Run& run) { return {KeyOfTask(*run.task), run.attempt}; }
+
 WorkerState& ShardCore::Impl::GetWorker(const std::string& id) {
   std::unique_ptr<WorkerState>& worker = workers[id];
   if (worker == nullptr) {
@@ -299,6 +297,7 @@
       worker.contact_at.has_value() && !worker.silent_since.has_value();
   if (in_contact) {
     if (worker.entry.draining || worker.cordoned) Evacuate(worker);
+    if (IsLeaving(worker)) WithdrawStarts(worker);
     StopStalled(worker);
     RepeatOrders(worker);
     return;
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -36,9 +36,11 @@
   // give are over after the longest lease.
   void OnFormerOwnersStopped(ShardTime now);
 
-  // Configuration and registry, each as a whole.
+  // Configuration and registry, each as a whole. `entries` hold all that was
+  // registered before `current_at`.
   void SetConfig(const ClusterConfig& config, ShardTime now);
-  void SetWorkers(const std::vector<WorkerEntry>& entries, ShardTime now);
+  void SetWorkers(const std::vector<WorkerEntry>& entries,
+                  MonotonicTime current_at, ShardTime now);
   // These workers get nothing new and are emptied, for their maintenance.
   void SetCordoned(const std::set<std::string>& ids, ShardTime now);
   // Nothing runs there, as far as is known.
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -1,7 +1,8 @@
 // Random faults over a shard's owners, its store, the network and the workers.
 // The oracle looks at what the workers ran and at what callers were told: a
 // task in one place at a time, not after a noted end, not before the step it
-// needs, not beyond its attempts; nothing accepted is lost. When the faults are
+// needs, not beyond its attempts, not on a worker that has long said that it
+// leaves; nothing accepted is lost. When the faults are
 // over, all of it ends.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -37,6 +38,8 @@
 // between two holds, and the next one then acknowledges ends of the new life:
 // the protocol has no word for the life that an acknowledgement is for.
 constexpr milliseconds kLeastDown{1000};
+// A worker that has said that it leaves gets starts for no longer than this.
+constexpr milliseconds kDrainBound{2000};
 // Longer than a run: ended jobs stay known.
 constexpr milliseconds kKeepEnded{3600000};
 constexpr int kWorkers = 4;
@@ -54,13 +57,16 @@
   kLoseMessages,
   kLateOrders,
   kCrashWorker,
+  kDrainWorker,     // it says that it leaves, and is replaced after a while
+  kRegistrySilent,  // no owner reads the registry
   kCount,
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",     "submit failing", "cancel",      "take over",
-    "kill owner", "pause owner",    "store out",   "lose append answers",
-    "cut worker", "lose messages",  "late orders", "crash worker"};
+    "submit",       "submit failing", "cancel",      "take over",
+    "kill owner",   "pause owner",    "store out",   "lose append answers",
+    "cut worker",   "lose messages",  "late orders", "crash worker",
+    "drain worker", "registry silent"};
 
 // One fault, where it strikes, for how long, and how long until the next.
 struct FaultStep {
@@ -141,6 +147,12 @@
         cut_until_[target % kWorkers] =
             now_.steady + std::max(milliseconds(step.length_ms), kLeastDown);
         break;
+      case Fault::kDrainWorker:
+        Drain(target % kWorkers, milliseconds(step.length_ms));
+        break;
+      case Fault::kRegistrySilent:
+        registry_silent_until_ = until.steady;
+        break;
       case Fault::kCount:
         break;
     }
@@ -154,7 +166,7 @@
   // Faults end; what was told as accepted must end.
   void Settle() {
     store_out_until_ = append_answers_lost_until_ = lossy_until_ = late_until_ =
-        now_.steady;
+        registry_silent_until_ = now_.steady;
     cut_until_.clear();
     owners_.back()->paused_until = now_.steady;
     Run(kSettle);
@@ -242,53 +254,81 @@
       owner->core->Restore({.key = key, .value = value});
     }
     owner->core->FinishRestore(now_);
+    ReadRegistry(*owner);
+    owners_.push_back(std::move(life));
+  }
+
+  void ReadRegistry(OwnerLife& owner) {
+    if (registry_silent_until_ > now_.steady) return;
     std::vector<WorkerEntry> entries;
     entries.reserve(workers_.size());
-    for (const std::unique_ptr<FuzzWorker>& worker : workers_) {
-      entries.push_back({.id = worker->id(),
-                         .address = {.ip = "127.0.0.1", .port = 1},
-                         .pool = "pool",
-                         .zone = "z",
-                         .rack = "r",
-                         .capacity = {.milli_cpus = 4000,
-                                      .memory = {std::uint64_t{1} << 30}}});
+    for (std::size_t i = 0; i < workers_.size(); ++i) {
+      entries.push_back(
+          {.id = workers_[i]->id(),
+           .address = {.ip = "127.0.0.1", .port = 1},
+           .pool = "pool",
+           .zone = "z",
+           .rack = "r",
+           .capacity = {.milli_cpus = 4000, .memory = {std::uint64_t{1} << 30}},
+           .draining = drains_since_.contains(i)});
     }
-    owner->core->SetWorkers(entries, now_);
-    owners_.push_back(std::move(life));
+    owner.core->SetWorkers(entries, now_.steady, now_);
+  }
+
+  // Its successor has the same name and knows nothing of before.
+  void Drain(std::size_t worker, milliseconds time) {
+    if (!drains_since_.emplace(worker, now_.steady).second) return;
+    After(time, [this, worker] {
+      drains_since_.erase(worker);
+      workers_[worker]->Crash();
+      cut_until_[worker] = now_.steady + kLeastDown;
+    });
+  }
+
+  void JudgeStart(std::size_t worker, const contracts::StartOrder& order) {
+    const auto drains = drains_since_.find(worker);
+    if (drains == drains_since_.end()) return;
+    if (now_.steady - drains->second <= kDrainBound) return;
+    record_.violations.push_back(order.task.job +
+                                 " was started on a worker that leaves");
   }
 
   ShardHooks MakeHooks(OwnerLife* owner) {
-    return {
-        .start =
-            [this, owner](const contracts::WorkerTarget& target,
-                          const contracts::StartOrder& order) {
-              Send(
-                  owner, target.id,
-                  [order](FuzzWorker& worker) { return worker.Start(order); },
-                  [this, owner, target,
-                   order](const contracts::OrderAnswer& answer) {
-                    owner->core->OnStart(target.id, order, answer, now_);
-                  });
-            },
-        .stop =
-            [this, owner](const contracts::WorkerTarget& target,
-                          const contracts::StopOrder& order) {
-              Send(
-                  owner, target.id,
-                  [order](FuzzWorker& worker) { return worker.Stop(order); },
-                  [this, owner, target,
-                   order](const contracts::OrderAnswer& answer) {
-                    owner->core->OnStop(target.id, order, answer, now_);
-                  });
-            },
-        .pace = [](const contracts::WorkerTarget&,
-                   const contracts::PaceOrder&) {},
-        .advise = nullptr,
-        .fenced = [owner](const std::string&) { owner->dead = true; },
-        .changed = [] {},
-        .hold_now = [](const std::string&) {},
-        .decided = [](const std::string&,
-                      const std::vector<telemetry::Field>&) {}};
+    return {.start =
+                [this, owner](const contracts::WorkerTarget& target,
+                              const contracts::StartOrder& order) {
+                  Send(
+                      owner, target.id,
+                      [this, order](FuzzWorker& worker, bool late) {
+                        if (!late) JudgeStart(IndexOf(worker.id()), order);
+                        return worker.Start(order);
+                      },
+                      [this, owner, target,
+                       order](const contracts::OrderAnswer& answer) {
+                        owner->core->OnStart(target.id, order, answer, now_);
+                      });
+                },
+            .stop =
+                [this, owner](const contracts::WorkerTarget& target,
+                              const contracts::StopOrder& order) {
+                  Send(
+                      owner, target.id,
+                      [order](FuzzWorker& worker, bool) {
+                        return worker.Stop(order);
+                      },
+                      [this, owner, target,
+                       order](const contracts::OrderAnswer& answer) {
+                        owner->core->OnStop(target.id, order, answer, now_);
+                      });
+                },
+            .pace = [](const contracts::WorkerTarget&,
+                       const contracts::PaceOrder&) {},
+            .advise = nullptr,
+            .fenced = [owner](const std::string&) { owner->dead = true; },
+            .changed = [] {},
+            .hold_now = [](const std::string&) {},
+            .decided = [](const std::string&,
+                          const std::vector<telemetry::Field>&) {}};
   }
 
   std::size_t IndexOf(const std::string& worker) const {
@@ -302,9 +342,10 @@
 
   // An order on its way to a worker, and its answer back. What is lost is never
   // answered; what is late is carried out seconds later, unanswered.
-  void Send(OwnerLife* owner, const std::string& id,
-            std::function<contracts::OrderAnswer(FuzzWorker&)> carry_out,
-            std::function<void(const contracts::OrderAnswer&)> on_answer) {
+  void Send(
+      OwnerLife* owner, const std::string& id,
+      std::function<contracts::OrderAnswer(FuzzWorker&, bool late)> carry_out,
+      std::function<void(const contracts::OrderAnswer&)> on_answer) {
     const std::size_t index = IndexOf(id);
     const bool lossy = lossy_until_ > now_.steady;
     const bool late = late_until_ > now_.steady && Chance(0.4);
@@ -312,11 +353,11 @@
     const bool answer_lost = lost || late || (lossy && Chance(0.3));
     if (!lost) {
       After(late ? Delay(2000, 9000) : Delay(0, 30),
-            [this, owner, index, carry_out, on_answer, answer_lost,
+            [this, owner, index, carry_out, on_answer, answer_lost, late,
              life = workers_[index]->life()] {
               contracts::OrderAnswer answer;
               if (workers_[index]->life() == life) {
-                answer = carry_out(*workers_[index]);
+                answer = carry_out(*workers_[index], late);
               }
               if (answer_lost) return;
               After(Delay(0, 30), [owner, on_answer, answer] {
@@ -435,6 +476,7 @@
         continue;
       }
       owner->core->Tick(now_);
+      ReadRegistry(*owner);
       Store(*owner);
       if (!owner->dead) HoldWorkers(*owner);
     }
@@ -483,6 +525,9 @@
   MonotonicTime append_answers_lost_until_;
   MonotonicTime lossy_until_;
   MonotonicTime late_until_;
+  MonotonicTime registry_silent_until_;
+  // Since when a worker says that it leaves.
+  std::map<std::size_t, MonotonicTime> drains_since_;
   std::map<std::size_t, MonotonicTime> cut_until_;
   std::uint32_t submitted_ = 0;
   std::map<std::string, bool> accepted_;
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -69,7 +69,7 @@
   std::vector<WorkerEntry> entries;
   entries.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) entries.push_back(entry);
-  core->SetWorkers(entries, now);
+  core->SetWorkers(entries, now.steady, now);
 }
 
 void ShardBench::AskForAdvice() {
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -337,7 +337,7 @@
   void WorkerWithoutAnEntryIsHeldWhileItRunsSomething() {
     ShardBench bench;
     const SentStart start = StartOne(bench);
-    bench.core->SetWorkers({}, bench.now);
+    bench.core->SetWorkers({}, bench.now.steady, bench.now);
     CPPUNIT_ASSERT(bench.core->Target("w").has_value());
     bench.Contact("w", {}, {bench.Ended(1, start)});
     bench.Submit("k", MakeJob(1));
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -34,6 +34,10 @@
   std::chrono::milliseconds order_repeat{50};
   // A worker that has not answered for this long gets no new tasks.
   std::chrono::milliseconds silent_after{700};
+  // No start goes out on a view of the registry older than this. Below the time
+  // for which operators let a leaving worker get starts (2 s at least), by what
+  // an order may take to arrive.
+  std::chrono::milliseconds max_registry_age{1600};
   // Starts that may be without an answer at once; more wait. A thousand at once
   // would keep a small owner from hearing of workers that leave.
   std::size_t max_starts_in_flight = 64;
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -36,12 +36,23 @@
 // time without proof, the longest lease and the jumps of wall clocks together.
 constexpr std::chrono::seconds kFormerMemory{30};
 constexpr std::size_t kMaxDatagramBytes = 65507;
+// Orders that workers did not answer by then are given up.
+constexpr milliseconds kOrderTimeout{250};
+// From the decision to start a task until the order has left: some turns of a
+// busy event loop.
+constexpr milliseconds kOrderMargin{150};
+// Workers that leave sooner than this after their word can't be spared starts:
+// the registry is read every 250 ms.
+constexpr milliseconds kLeastRegistryAge{400};
 
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
                                     contracts::FencingToken token) {
   return {.token = token,
           .max_lease = std::min(settings.max_lease, kLongestLease),
           .keep_ended = settings.keep_ended,
+          .max_registry_age =
+              std::max(kLeastRegistryAge,
+                       settings.drain_bound - kOrderTimeout - kOrderMargin),
           .far_factor = settings.far_factor};
 }
 
@@ -280,7 +291,8 @@
           .stream = {.name = kShardStream},
           .registry = settings_.registry_stream,
           .status = settings_.status_stream,
-          .holder = settings_.name},
+          .holder = settings_.name,
+          .order_timeout = kOrderTimeout},
       OwnerHooks{.encode_wave = services_.encode_wave,
                  .decode_worker =
                      [this](const contracts::KeyedRecord& record) {
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -426,7 +426,9 @@
   std::vector<jobs::WorkerEntry> entries;
   entries.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) entries.push_back(entry);
-  core_->SetWorkers(entries, ShardNow());
+  core_->SetWorkers(entries,
+                    registry_->position().current_at.value_or(MonotonicTime()),
+                    ShardNow());
   for (const std::string& worker : core_->WorkersToHold()) {
     if (holds_.contains(worker)) continue;
     holds_[worker] = std::make_unique<HoldLoop>(executor_);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,6 +39,8 @@
   std::chrono::milliseconds max_lease{6000};
   std::chrono::milliseconds keep_ended{120000};
   double far_factor = 1;
+  // A worker that has said that it leaves gets starts for no longer than this.
+  std::chrono::milliseconds drain_bound{2000};
 };
 
 // What the node needs of the platform.
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -31,11 +31,11 @@
   contracts::StreamId status;
   // The name under which maintenance is ordered.
   std::string holder;
+  Duration order_timeout;
   Duration append_timeout = std::chrono::milliseconds(700);
   // Of a page of the stream: the platform sends up to 1 MB, which takes 0.9 s
   // on the slowest link of the sites (10 Mbit/s).
   Duration page_timeout = std::chrono::milliseconds(2500);
-  Duration order_timeout = std::chrono::milliseconds(250);
   Duration advice_timeout = std::chrono::seconds(3);
   Duration tick = std::chrono::milliseconds(50);
 };
