--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 
+#include "framework/net/internal/message_reader.h"
+
 namespace carobmast::net {
 
 namespace asio = boost::asio;
@@ -128,8 +130,7 @@
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(impl->options.max_answer_bytes);
-  co_await http::async_read(connection->stream, connection->buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  co_await ReadMessage(connection->stream, connection->buffer, parser, error);
   if (error) {
     co_return Failure(CallOutcome::kUnknown, "receive", address, error);
   }
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "framework/base/error.h"
+#include "framework/net/internal/message_reader.h"
 #include "framework/net/listener.h"
 
 namespace carobmast::net {
@@ -161,9 +162,9 @@
       parser.header_limit(
           static_cast<std::uint32_t>(self->options.max_header_bytes));
       parser.body_limit(self->options.max_body_bytes);
-      co_await http::async_read(
-          session.stream, buffer, parser,
-          asio::redirect_error(asio::use_awaitable, error));
+      co_await ReadMessage(session.stream, buffer, parser,
+
+                           error);
       if (error) break;
       session.busy = true;
       session.stream.expires_never();
