A call's deadline ends it also while its bytes are always there

A read of the store took 5.3 s and succeeded, where 1.6 s are its limit: the timer of a connection is looked at only when a read has to wait, and one whose bytes are there never waits.

--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -130,7 +130,8 @@
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(impl->options.max_answer_bytes);
-  co_await ReadMessage(connection->stream, connection->buffer, parser, error);
+  co_await ReadMessage(connection->stream, connection->buffer, parser, deadline,
+                       error);
   if (error) {
     co_return Failure(CallOutcome::kUnknown, "receive", address, error);
   }
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -163,7 +163,7 @@
           static_cast<std::uint32_t>(self->options.max_header_bytes));
       parser.body_limit(self->options.max_body_bytes);
       co_await ReadMessage(session.stream, buffer, parser,
-
+                           MonotonicClock::now() + self->options.idle_timeout,
                            error);
       if (error) break;
       session.busy = true;
--- a/src/framework/net/internal/message_reader.h
+++ b/src/framework/net/internal/message_reader.h
@@ -1,4 +1,4 @@
-// Reads whole HTTP messages in few turns of the event loop.
+// Reads whole HTTP messages within a deadline, in few turns of the event loop.
 #ifndef CAROBMAST_FRAMEWORK_NET_INTERNAL_MESSAGE_READER_H_
 #define CAROBMAST_FRAMEWORK_NET_INTERNAL_MESSAGE_READER_H_
 
@@ -9,6 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "framework/base/time.h"
+
 namespace carobmast::net {
 
 // Of a connection's buffer between messages. Most messages are smaller.
@@ -25,7 +27,7 @@
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
     boost::beast::http::parser<is_request, boost::beast::http::string_body>&
         parser,
-    boost::system::error_code& error) {
+    MonotonicTime deadline, boost::system::error_code& error) {
   namespace asio = boost::asio;
   namespace http = boost::beast::http;
   buffer.reserve(kKeptBufferBytes);
@@ -36,6 +38,10 @@
       parser.content_length_remaining().value_or(kReadBytes);
   buffer.reserve(buffer.size() + std::min<std::uint64_t>(left, kReadBytes));
   while (!parser.is_done() && !error) {
+    if (MonotonicClock::now() >= deadline) {
+      error = boost::beast::error::timeout;
+      break;
+    }
     co_await http::async_read_some(
         stream, buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
