--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -321,11 +321,13 @@
 std::uint32_t ShardCore::Impl::CountAway(const Step& step) const {
   return static_cast<std::uint32_t>(
       std::count_if(step.tasks.begin(), step.tasks.end(), [](const Task& task) {
-        return std::none_of(task.runs.begin(), task.runs.end(),
-                            [](const Run& run) {
-                              return run.state == RunState::kRunning &&
-                                     !run.stop_wanted && run.percent >= kAtWork;
-                            });
+        return std::none_of(
+            task.runs.begin(), task.runs.end(), [](const Run& run) {
+              // What a silent worker runs may be over.
+              return run.state == RunState::kRunning && !run.stop_wanted &&
+                     run.percent >= kAtWork &&
+                     !run.worker->silent_since.has_value();
+            });
       }));
 }
 
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(SuccessorWaitsForAWorkerItNeverReached);
   CPPUNIT_TEST(FormerOwnerThatStoppedShortensTheWait);
   CPPUNIT_TEST(DrainingWorkerIsEmptiedOfStandingTasks);
+  CPPUNIT_TEST(TasksOnSilentWorkersCountAsAtWork);
   CPPUNIT_TEST(WorkerWithoutAnEntryIsHeldWhileItRunsSomething);
   CPPUNIT_TEST(StaleListDoesNotEndARun);
   CPPUNIT_TEST(RebornWorkerLosesItsTasks);
@@ -334,6 +335,34 @@
     CPPUNIT_ASSERT(bench.starts.empty());
   }
 
+  void TasksOnSilentWorkersCountAsAtWork() {
+    ShardBench bench;
+    for (const char* id : {"v", "w"}) {
+      bench.AddWorker(id);
+      bench.Contact(id);
+    }
+    JobSpec spec = MakeJob(2);
+    spec.steps[0].standing = true;
+    spec.steps[0].max_away = 1;
+    spec.steps[0].max_per_worker = 1;
+    bench.Submit("j", spec);
+    bench.Store();
+    for (const SentStart& start : bench.TakeStarts()) {
+      bench.Confirm(start);
+      contracts::RunningTask running = bench.Running(start);
+      running.percent = 100;
+      bench.Contact(start.worker, {running});
+    }
+    bench.AddWorker("x");
+    bench.Contact("x");
+    bench.Silence("v");
+    bench.Silence("v");
+    // The task on "v" may be over: no other may be taken away.
+    bench.Drain("w");
+    bench.Pass(milliseconds(100));
+    CPPUNIT_ASSERT(bench.stops.empty());
+  }
+
   void WorkerWithoutAnEntryIsHeldWhileItRunsSomething() {
     ShardBench bench;
     const SentStart start = StartOne(bench);
