No VM is taken down on an old list of VMs

In NoMoreThanAllowedAreDown an answer came 3 s after its question; it is asked for once more there, and all its checks stay.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -8,6 +8,9 @@
 
 // Between two readings of the list while a wave is under way.
 constexpr Duration kListEvery = std::chrono::milliseconds(700);
+// No VM is taken down on an older list: two readings, the second of which takes
+// its whole time-out (700 ms).
+constexpr Duration kMaxListAge = std::chrono::milliseconds(2000);
 // VMs that are emptied ahead, as a multiple of those that may be down.
 constexpr std::size_t kEmptyingAhead = 2;
 
@@ -62,6 +65,7 @@
   list_in_flight_ = false;
   if (!list.ok) return;
   list_read_ = true;
+  listed_at_ = list_at_;
   listed_.clear();
   for (const contracts::WorkerVm& vm : list.vms) listed_[vm.name] = vm;
 }
@@ -100,7 +104,7 @@
   }
   if (vm.state == State::kEmptying) {
     vm.worker = entry.worker;
-    if (entry.up && down < wave.wave.max_parallel &&
+    if (entry.up && !list_is_old_ && down < wave.wave.max_parallel &&
         (entry.worker.empty() || hooks_.is_empty(entry.worker))) {
       vm.state = State::kIntended;
       ++down;
@@ -169,6 +173,7 @@
     hooks_.list();
   }
   if (!list_read_) return;
+  list_is_old_ = now - listed_at_ > kMaxListAge;
   for (auto& [number, wave] : waves_) {
     if (!wave.completed) Advance(wave);
   }
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -74,7 +74,11 @@
   std::map<std::uint64_t, std::string> restored_;
   std::map<std::string, contracts::WorkerVm> listed_;
   std::set<std::string> cordoned_;
+  // When the list was last asked for, and when that which is known was.
   MonotonicTime list_at_;
+  MonotonicTime listed_at_;
+  // Whether `listed_` is too old to take VMs down.
+  bool list_is_old_ = true;
   bool list_in_flight_ = false;
   bool list_read_ = false;
 };
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(WorkerIsEmptiedBefore);
   CPPUNIT_TEST(OrderWaitsForTheStoredIntent);
   CPPUNIT_TEST(SuccessorRepeatsWhatIsInDoubt);
+  CPPUNIT_TEST(VmIsTakenDownOnAnOldList);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +74,9 @@
     CPPUNIT_ASSERT(!bench.completed);
     bench.List("wa2", "wb");
     bench.Tick();
+    // That answer came 3 s after it was asked for; this one is in time.
+    bench.List("wa2", "wb");
+    bench.Tick();
     bench.core.OnStored();
     bench.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.ordered.size());
@@ -96,6 +100,25 @@
     CPPUNIT_ASSERT(!bench.progress.empty());
   }
 
+  void VmIsTakenDownOnAnOldList() {
+    Bench bench;
+    bench.busy = {"wa"};
+    bench.core.SetWave({.number = 1, .vms = {"a"}});
+    bench.Tick();
+    bench.List("wa", "wb");
+    bench.Tick();
+    // The list fails for a while; meanwhile another worker may be at work on
+    // the VM, which no entry names and nobody empties.
+    bench.busy.clear();
+    bench.now += std::chrono::seconds(3);
+    bench.core.OnList({.ok = false});
+    bench.Tick();
+    CPPUNIT_ASSERT(bench.progress.empty());
+    bench.List("wa", "wb");
+    bench.Tick();
+    CPPUNIT_ASSERT(!bench.progress.empty());
+  }
+
   void OrderWaitsForTheStoredIntent() {
     Bench bench;
     bench.core.SetWave({.number = 1, .vms = {"a"}});
