A queue is denied only on a current configuration

The incident's cause elsewhere: a node whose follower of the configuration was blind answered 404 for a queue that a newer version may hold, for as long as the store stayed away. Beyond the operators' bound for a configuration to be in force it now says 503 and when to come back; the line 'answered' tells the age. e2e.node_new_queue_is_denied_on_an_old_configuration failed before (404 for 20 s).

--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -114,6 +114,7 @@
                             {"owner", election_.claim().node},
                             {"token", election_.claim().token},
                             {"config", config_ ? config_->version : 0},
+                            {"config_age", ConfigAge()},
                             {"took", took}});
   }
   co_return services_.encode_answer(answer);
@@ -128,6 +129,10 @@
     co_return FrontAnswer{.outcome = FrontOutcome::kTooLarge};
   }
   std::optional<QueueMatch> match = queues_.Find(request.host, request.path);
+  if (!match.has_value() && ConfigAge() > settings_.config_bound) {
+    co_return FrontAnswer{.outcome = FrontOutcome::kNotNow,
+                          .reason = "the configuration is not current"};
+  }
   if (!match.has_value()) {
     co_return FrontAnswer{.outcome = FrontOutcome::kNoQueue};
   }
@@ -141,6 +146,12 @@
   co_return co_await AnswerJob(std::move(request), std::move(*match));
 }
 
+Duration NodeProcess::ConfigAge() const {
+  const std::optional<MonotonicTime> current_at =
+      config_follower_->position().current_at;
+  return LeaseNow() - current_at.value_or(MonotonicTime());
+}
+
 FrontAnswer NodeProcess::AnswerCount(const std::string& queue) const {
   const std::map<std::string, std::uint32_t>& counts =
       election_.pending_counts();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -41,6 +41,8 @@
   double far_factor = 1;
   // A worker that has said that it leaves gets starts for no longer than this.
   std::chrono::milliseconds drain_bound{2000};
+  // From the operator's word until each node goes by a configuration.
+  std::chrono::milliseconds config_bound{2000};
 };
 
 // What the node needs of the platform.
