--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,7 +6,8 @@
 Each seed plays one round: jobs are handed in through all nodes while nodes are
 killed, paused, stopped gracefully and restarted, and their connections to the store
 delayed, reset, cut one way or silenced. Then the faults end, and every accepted job
-must complete; no task may run twice at once or after an end that was noted.
+must complete; no task may run twice at once or after an end that was noted, nor be
+started on a worker that has long said that it leaves.
 With --overlap two faults go on at a time, and the store misbehaves too: it refuses
 calls, carries appends out without an answer, or does so late.
 Prints a line a seed; exits with 1 when a promise was broken.
@@ -25,7 +26,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 from node_cluster import Cluster, make_job  # noqa: E402
-from platform_standin import find_doubled, put_config  # noqa: E402
+from platform_standin import (  # noqa: E402
+    DRAIN_SECONDS, REGISTRY, find_doubled, find_starts_while_leaving, put_config)
 
 # Until everything accepted must have completed after the faults: leases of the
 # stand-in, the longest ownership without proof, and a takeover, with room to spare.
@@ -33,8 +35,10 @@
 
 
 KINDS = ("kill", "kill_all", "pause", "stop", "reset", "silent", "silent_to",
-         "silent_from", "delay", "configuration", "reload")
+         "silent_from", "delay", "configuration", "reload", "drain", "unread")
 STORE_KINDS = ("busy", "lost", "late")
+# Of a drain beyond the bound, in which a start is a fault.
+DRAIN_EXTRA_SECONDS = 2.0
 
 
 class Round:
@@ -47,6 +51,7 @@
         self.accepted, self.refused, self.open = set(), set(), set()
         self.version = 1
         self.faults = []
+        self.draining, self.drains = set(), []
 
     def hand_in(self, until):
         number = 0
@@ -91,6 +96,12 @@
             put_config(self.cluster.store, self.version)
         elif kind == "reload":
             node.signal(signal.SIGHUP)
+        elif kind == "drain":
+            self.drain(chance, DRAIN_SECONDS + DRAIN_EXTRA_SECONDS + length)
+        elif kind == "unread":
+            self.cluster.store.unread.add(REGISTRY)
+            time.sleep(2 * length)
+            self.cluster.store.unread.discard(REGISTRY)
         elif kind in STORE_KINDS:
             self.cluster.store.trouble = kind
             time.sleep(length)
@@ -101,6 +112,20 @@
             node.proxy.mode = "ok"
             node.proxy.reset()
 
+    def drain(self, chance, seconds):
+        """A worker says that it leaves, while other faults go on."""
+        worker = chance.choice(self.cluster.workers)
+        if worker.name in self.draining:
+            return
+        self.draining.add(worker.name)
+
+        def run():
+            worker.drain(seconds)
+            self.draining.discard(worker.name)
+
+        self.drains.append(threading.Thread(target=run))
+        self.drains[-1].start()
+
     def restart(self, nodes, number, pause):
         with contextlib.ExitStack() as held:
             for node in nodes:
@@ -124,7 +149,7 @@
             threads.append(threading.Thread(target=self.inject, args=(until, chance)))
             threads[-1].start()
         self.inject(until, self.random)
-        for thread in threads:
+        for thread in threads + self.drains:
             thread.join()
         return self.judge()
 
@@ -141,6 +166,9 @@
         broken = [f"accepted job {job} has not completed" for job in waiting]
         for first, second in find_doubled(list(self.cluster.history)):
             broken.append(f"{first['task']} ran twice: {first} {second}")
+        for run in find_starts_while_leaving(self.cluster.workers,
+                                             list(self.cluster.history)):
+            broken.append(f"{run['task']} was started on a worker that leaves: {run}")
         ran = {run["task"].split(".")[0] for run in self.cluster.history}
         broken += [f"refused job {job} ran" for job in self.refused & ran]
         return broken
