--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -35,6 +35,7 @@
 // Owners before an owner of this age have long run out of ownership; above the
 // time without proof, the longest lease and the jumps of wall clocks together.
 constexpr std::chrono::seconds kFormerMemory{30};
+constexpr std::size_t kMaxDatagramBytes = 65507;
 // Orders that workers did not answer by then are given up.
 constexpr milliseconds kOrderTimeout{250};
 // From the decision to start a task until the order has left: some turns of a
@@ -74,7 +75,8 @@
       election_({.self = {.name = settings_.name,
                           .address = settings_.peers,
                           .rank = settings_.rank}},
-                MakeElectionHooks()) {}
+                MakeElectionHooks()),
+      datagrams_(context_) {}
 
 ElectionHooks NodeProcess::MakeElectionHooks() {
   return {
@@ -100,6 +102,7 @@
   WaitForSignals();
   WaitForReload();
   StartFollowers();
+  asio::co_spawn(context_, ReceiveDatagrams(), asio::detached);
   asio::co_spawn(context_, WatchOwner(), asio::detached);
   asio::co_spawn(context_, TickLoop(), asio::detached);
   context_.run();
@@ -115,11 +118,11 @@
                                         .handlers = MakeCalls(),
                                         .max_calls_per_link = 1000});
   settings_.peers = link_server_->address();
-  datagrams_ = MakeRef<net::DatagramSocket>(
-      executor, settings_.peers,
-      [this](const std::string& bytes, const net::Address& sender) {
-        OnDatagram(bytes, sender);
-      });
+  const asio::ip::udp::endpoint endpoint(
+      asio::ip::make_address(settings_.peers.ip), settings_.peers.port);
+  datagrams_.open(endpoint.protocol());
+  datagrams_.bind(endpoint);
+  datagrams_.non_blocking(true);
   front_server_ = MakeRef<net::HttpServer>(
       executor,
       net::HttpServerOptions{.listen = settings_.front,
@@ -351,18 +354,31 @@
 
 void NodeProcess::SendDatagram(const net::Address& to,
                                const NodeMessage& message) {
-  datagrams_->Send(to, EncodeMessage(message));
+  const std::string bytes = EncodeMessage(message);
+  error_code error;
+  // A datagram that can't be sent is as good as lost.
+  datagrams_.send_to(asio::buffer(bytes),
+                     {asio::ip::make_address(to.ip), to.port}, 0, error);
 }
 
-void NodeProcess::OnDatagram(const std::string& bytes,
-                             const net::Address& sender) {
-  try {
-    const NodeMessage message = DecodeMessage(bytes);
-    election_.OnMessage(message, LeaseNow());
-    OnFormerOwner(message);
-  } catch (const Error& bad) {
-    log_.Write("datagram refused",
-               {{"from", sender.ip}, {"reason", bad.what()}});
+asio::awaitable<void> NodeProcess::ReceiveDatagrams() {
+  std::string buffer(kMaxDatagramBytes, '\0');
+  while (datagrams_.is_open()) {
+    asio::ip::udp::endpoint sender;
+    error_code error;
+    const std::size_t size = co_await datagrams_.async_receive_from(
+        asio::buffer(buffer), sender,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    try {
+      const NodeMessage message = DecodeMessage(buffer.substr(0, size));
+      election_.OnMessage(message, LeaseNow());
+      OnFormerOwner(message);
+    } catch (const Error& bad) {
+      log_.Write("datagram refused", {{"from", sender.address().to_string()},
+                                      {"reason", bad.what()}});
+    }
   }
 }
 
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -3,13 +3,13 @@
 #define CAROBMAST_NODE_INTERNAL_NODE_PROCESS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "framework/link/link.h"
-#include "framework/net/datagram_socket.h"
 #include "framework/telemetry/line_log.h"
 #include "framework/telemetry/metrics.h"
 #include "node/election_core.h"
@@ -45,7 +45,7 @@
   std::optional<jobs::WorkerEntry> DecodeWorker(
       const contracts::KeyedRecord& record);
   boost::asio::awaitable<void> TickLoop();
-  void OnDatagram(const std::string& bytes, const net::Address& sender);
+  boost::asio::awaitable<void> ReceiveDatagrams();
   boost::asio::awaitable<void> WatchOwner();
   void SendDatagram(const net::Address& to, const NodeMessage& message);
   void WaitForSignals();
@@ -92,7 +92,7 @@
   Ref<contracts::AdviceService> advice_;
   Ref<contracts::VmService> vms_;
   ElectionCore election_;
-  Ref<net::DatagramSocket> datagrams_;
+  boost::asio::ip::udp::socket datagrams_;
   Ref<net::HttpServer> front_server_;
   Ref<net::HttpServer> ready_server_;
   Ref<link::LinkServer> link_server_;
