--- a/src/framework/net/tests/busy_loop_test.cc
+++ b/src/framework/net/tests/busy_loop_test.cc
@@ -2,16 +2,11 @@
 // more than one piece of an answer is read in a turn.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <exception>
-#include <functional>
 #include <memory>
 #include <thread>
 
-#include "framework/net/http_client.h"
-#include "framework/net/http_server.h"
+#include "loopback.h"
 
 namespace carobmast::net {
 
@@ -30,6 +25,7 @@
 
 // More than two turns: the request is read in one, its answer in another.
 constexpr std::size_t kMaxSmallTurns = 3;
+
 // Posts itself again and again; each turn of the loop takes a millisecond.
 class Busy {
  public:
@@ -82,22 +78,22 @@
  public:
   // Whatever is read at once is there already, so the reader never waits.
   void AnswerThatNeverPausesOutlivesTheDeadline() {
-    Ref<HttpServer> server = Serve(Huge);
-    Run([&]() -> asio::awaitable<void> {
-      const Busy busy(context_.get_executor());
-      const HttpAnswer answer =
-          co_await client_->Call(server->address(), {.timeout = kShortTimeout});
+    Ref<HttpServer> server = loopback_.Serve(Huge);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      const Busy busy(loopback_.context.get_executor());
+      const HttpAnswer answer = co_await loopback_.client->Call(
+          server->address(), {.timeout = kShortTimeout});
       CPPUNIT_ASSERT(answer.outcome == CallOutcome::kUnknown);
     });
   }
 
   void SmallAnswerTakesATurnForHeadAndBodyEach() {
-    Ref<HttpServer> server = Serve(Size);
-    Run([&]() -> asio::awaitable<void> {
+    Ref<HttpServer> server = loopback_.Serve(Size);
+    loopback_.Run([&]() -> asio::awaitable<void> {
       // The first call connects.
-      co_await client_->Call(server->address(), {.method = "POST"});
-      const Busy busy(context_.get_executor());
-      const HttpAnswer answer = co_await client_->Call(
+      co_await loopback_.client->Call(server->address(), {.method = "POST"});
+      const Busy busy(loopback_.context.get_executor());
+      const HttpAnswer answer = co_await loopback_.client->Call(
           server->address(), {.method = "POST", .body = "order"});
       CPPUNIT_ASSERT_EQUAL(std::string("5"), answer.body);
       CPPUNIT_ASSERT_LESS(kMaxSmallTurns, busy.turns());
@@ -105,20 +101,21 @@
   }
 
   void LargeAnswerTakesATurnForEachSmallPiece() {
-    Ref<HttpServer> server = Serve(Large);
-    Run([&]() -> asio::awaitable<void> {
-      const Busy busy(context_.get_executor());
-      const HttpAnswer answer = co_await client_->Call(server->address(), {});
+    Ref<HttpServer> server = loopback_.Serve(Large);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      const Busy busy(loopback_.context.get_executor());
+      const HttpAnswer answer =
+          co_await loopback_.client->Call(server->address(), {});
       CPPUNIT_ASSERT_EQUAL(kLargeBytes, answer.body.size());
       CPPUNIT_ASSERT_LESS(kMaxTurns, busy.turns());
     });
   }
 
   void LargeRequestTakesATurnForEachSmallPiece() {
-    Ref<HttpServer> server = Serve(Size);
-    Run([&]() -> asio::awaitable<void> {
-      const Busy busy(context_.get_executor());
-      const HttpAnswer answer = co_await client_->Call(
+    Ref<HttpServer> server = loopback_.Serve(Size);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      const Busy busy(loopback_.context.get_executor());
+      const HttpAnswer answer = co_await loopback_.client->Call(
           server->address(),
           {.method = "POST", .body = std::string(kLargeBytes, 'x')});
       CPPUNIT_ASSERT_EQUAL(std::to_string(kLargeBytes), answer.body);
@@ -127,28 +124,7 @@
   }
 
  private:
-  Ref<HttpServer> Serve(ServerHandler handler) {
-    return MakeRef<HttpServer>(
-        context_.get_executor(),
-        HttpServerOptions{.listen = {.ip = "127.0.0.1", .port = 0},
-                          .handler = std::move(handler)});
-  }
-
-  // Runs `body` to its end; rethrows what it throws.
-  void Run(const std::function<asio::awaitable<void>()>& body) {
-    std::exception_ptr failure;
-    bool done = false;
-    asio::co_spawn(context_, body(), [&](std::exception_ptr error) {
-      failure = std::move(error);
-      done = true;
-    });
-    while (!done) context_.run_one();
-    if (failure) std::rethrow_exception(failure);
-  }
-
-  asio::io_context context_;
-  Ref<HttpClient> client_ =
-      MakeRef<HttpClient>(context_.get_executor(), HttpClientOptions{});
+  Loopback loopback_;
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(BusyLoopTest, "busy_loop_test");
--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -2,14 +2,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <exception>
 
 #include "framework/base/error.h"
-#include "framework/net/http_client.h"
-#include "framework/net/http_server.h"
+#include "loopback.h"
 
 namespace carobmast::net {
 
@@ -33,11 +30,11 @@
   }
 
   void AnswersAndReusesConnections() {
-    Ref<HttpServer> server =
-        Serve([](ServerRequest request) { return Echo(std::move(request)); });
-    Run([&]() -> asio::awaitable<void> {
+    Ref<HttpServer> server = loopback_.Serve(
+        [](ServerRequest request) { return Echo(std::move(request)); });
+    loopback_.Run([&]() -> asio::awaitable<void> {
       for (int i = 0; i < 3; ++i) {
-        const HttpAnswer answer = co_await client_->Call(
+        const HttpAnswer answer = co_await loopback_.client->Call(
             server->address(),
             {.method = "POST", .target = "/a?x=1%202", .body = "hello"});
         CPPUNIT_ASSERT(answer.outcome == CallOutcome::kAnswered);
@@ -48,30 +45,32 @@
   }
 
   void TellsNotSentFromUnknown() {
-    Ref<HttpServer> server = Serve([](ServerRequest) { return Cut(); });
+    Ref<HttpServer> server =
+        loopback_.Serve([](ServerRequest) { return Cut(); });
     const Address address = server->address();
-    Run([&]() -> asio::awaitable<void> {
-      HttpAnswer answer = co_await client_->Call(address, {});
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      HttpAnswer answer = co_await loopback_.client->Call(address, {});
       CPPUNIT_ASSERT(answer.outcome == CallOutcome::kUnknown);
       co_await server->Stop(Duration::zero());
-      answer = co_await client_->Call(address, {});
+      answer = co_await loopback_.client->Call(address, {});
       CPPUNIT_ASSERT(answer.outcome == CallOutcome::kNotSent);
     });
   }
 
   void StopLetsRequestsInFlightEnd() {
-    Ref<HttpServer> server = Serve([](ServerRequest) { return Slow(); });
+    Ref<HttpServer> server =
+        loopback_.Serve([](ServerRequest) { return Slow(); });
     bool answered = false;
     asio::co_spawn(
-        context_,
+        loopback_.context,
         [&]() -> asio::awaitable<void> {
           const HttpAnswer answer =
-              co_await client_->Call(server->address(), {});
+              co_await loopback_.client->Call(server->address(), {});
           CPPUNIT_ASSERT_EQUAL(200, answer.status);
           answered = true;
         },
         asio::detached);
-    Run([&]() -> asio::awaitable<void> {
+    loopback_.Run([&]() -> asio::awaitable<void> {
       co_await Pause(std::chrono::milliseconds(20));
       co_await server->Stop(std::chrono::seconds(5));
     });
@@ -79,9 +78,11 @@
   }
 
   void HandlerErrorsBecomeStatus400() {
-    Ref<HttpServer> server = Serve([](ServerRequest) { return Fail(); });
-    Run([&]() -> asio::awaitable<void> {
-      const HttpAnswer answer = co_await client_->Call(server->address(), {});
+    Ref<HttpServer> server =
+        loopback_.Serve([](ServerRequest) { return Fail(); });
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      const HttpAnswer answer =
+          co_await loopback_.client->Call(server->address(), {});
       CPPUNIT_ASSERT_EQUAL(400, answer.status);
       CPPUNIT_ASSERT_EQUAL(std::string("check with local: no\n"), answer.body);
     });
@@ -109,29 +110,7 @@
     co_return ServerAnswer{};
   }
 
-  Ref<HttpServer> Serve(ServerHandler handler) {
-    return MakeRef<HttpServer>(
-        context_.get_executor(),
-        HttpServerOptions{.listen = {.ip = "127.0.0.1", .port = 0},
-                          .handler = std::move(handler)});
-  }
-
-  // Runs `body` to its end; rethrows what it throws.
-  void Run(const std::function<asio::awaitable<void>()>& body) {
-    std::exception_ptr failure;
-    bool done = false;
-    asio::co_spawn(context_, body(), [&](std::exception_ptr error) {
-      failure = std::move(error);
-      done = true;
-    });
-    while (!done) context_.run_one();
-    context_.poll();
-    if (failure) std::rethrow_exception(failure);
-  }
-
-  asio::io_context context_;
-  Ref<HttpClient> client_ =
-      MakeRef<HttpClient>(context_.get_executor(), HttpClientOptions{});
+  Loopback loopback_;
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(HttpTest, "http_test");
