A call that timed out on an idle connection drops the others beside it

Seen by callers: starts are held while a follower of the store can't read, and after a cut of the ways it can't for longer than the cut.

Cause: connections that stood idle while their peer was cut off never close. Class: a view (here: that a connection lives) without an age.

Shown by net.http_test EachSilentConnectionCostsACall: three idle connections, one time-out; the next call timed out as well, now it connects anew.

--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -106,7 +106,8 @@
   const MonotonicTime deadline = MonotonicClock::now() + call.timeout;
   error_code error;
   Ref<Impl::Connection> connection = impl->TakeIdle(address);
-  if (connection == nullptr) {
+  const bool reused = connection != nullptr;
+  if (!reused) {
     connection = MakeRef<Impl::Connection>(impl->executor);
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(
@@ -133,6 +134,9 @@
   co_await ReadMessage(connection->stream, connection->buffer, parser, deadline,
                        error);
   if (error) {
+    // Others that stood idle may have gone silent with this one, and each would
+    // cost a call its time.
+    if (reused) impl->idle.erase(address);
     co_return Failure(CallOutcome::kUnknown, "receive", address, error);
   }
   http::response<http::string_body> response = parser.release();
--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -1,9 +1,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <string_view>
 
 #include "framework/base/error.h"
 #include "loopback.h"
@@ -12,6 +17,59 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::chrono::milliseconds kMoment{20};
+
+// Answers on each connection after a moment, until it is silenced; those that
+// it accepts afterwards are answered again.
+class SilencedPeer {
+ public:
+  explicit SilencedPeer(asio::io_context& context)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+  Address address() const {
+    return {.ip = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
+  }
+  std::size_t accepted() const { return accepted_; }
+  void Silence() { silenced_ = accepted_; }
+
+ private:
+  asio::awaitable<void> Accept() {
+    while (true) {
+      asio::ip::tcp::socket socket =
+          co_await acceptor_.async_accept(asio::use_awaitable);
+      asio::co_spawn(acceptor_.get_executor(),
+                     Answer(std::move(socket), ++accepted_), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Answer(asio::ip::tcp::socket socket,
+                               std::size_t number) {
+    while (true) {
+      std::string request;
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                      "\r\n\r\n", asio::use_awaitable);
+      if (number <= silenced_) continue;
+      // Calls that begin at once each find no idle connection.
+      asio::steady_timer timer(acceptor_.get_executor(), kMoment);
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await asio::async_write(
+          socket,
+          asio::buffer(
+              std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+          asio::use_awaitable);
+    }
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::size_t accepted_ = 0;
+  std::size_t silenced_ = 0;
+};
+
+}  // namespace
+
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(ParsesAddresses);
@@ -19,6 +77,7 @@
   CPPUNIT_TEST(TellsNotSentFromUnknown);
   CPPUNIT_TEST(StopLetsRequestsInFlightEnd);
   CPPUNIT_TEST(HandlerErrorsBecomeStatus400);
+  CPPUNIT_TEST(EachSilentConnectionCostsACall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -88,6 +147,36 @@
     });
   }
 
+  // A peer that was cut off while connections to it stood idle never closes
+  // them; new ones reach it.
+  void EachSilentConnectionCostsACall() {
+    constexpr std::size_t kConnections = 3;
+    SilencedPeer peer(loopback_.context);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      std::size_t answered = 0;
+      for (std::size_t i = 0; i < kConnections; ++i) {
+        asio::co_spawn(
+            loopback_.context,
+            [&]() -> asio::awaitable<void> {
+              const HttpAnswer answer =
+                  co_await loopback_.client->Call(peer.address(), {});
+              CPPUNIT_ASSERT_EQUAL(200, answer.status);
+              ++answered;
+            },
+            asio::detached);
+      }
+      while (answered < kConnections) co_await Pause(kMoment);
+      CPPUNIT_ASSERT_EQUAL(kConnections, peer.accepted());
+      peer.Silence();
+      HttpAnswer answer =
+          co_await loopback_.client->Call(peer.address(), {.timeout = kMoment});
+      CPPUNIT_ASSERT(answer.outcome == CallOutcome::kUnknown);
+      answer = co_await loopback_.client->Call(peer.address(), {});
+      CPPUNIT_ASSERT(answer.outcome == CallOutcome::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(kConnections + 1, peer.accepted());
+    });
+  }
+
  private:
   static asio::awaitable<void> Pause(Duration duration) {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
