--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -108,14 +108,15 @@
   const bool plain = answer.outcome == FrontOutcome::kState ||
                      answer.outcome == FrontOutcome::kPendingCount;
   if (!plain) {
-    log_.Write("answered", {{"path", path},
-                            {"outcome", OutcomeName(answer.outcome)},
-                            {"reason", answer.reason},
-                            {"owner", election_.claim().node},
-                            {"token", election_.claim().token},
-                            {"config", config_ ? config_->version : 0},
-                            {"config_age", ConfigAge()},
-                            {"took", took}});
+    log_.Write("answered",
+               {{"path", path},
+                {"outcome", OutcomeName(answer.outcome)},
+                {"reason", answer.reason},
+                {"owner", election_.claim().node},
+                {"token", election_.claim().token},
+                {"config", config_ ? config_->version : 0},
+                {"config_age", config_follower_->position().Age(LeaseNow())},
+                {"took", took}});
   }
   co_return services_.encode_answer(answer);
 }
@@ -129,13 +130,7 @@
     co_return FrontAnswer{.outcome = FrontOutcome::kTooLarge};
   }
   std::optional<QueueMatch> match = queues_.Find(request.host, request.path);
-  if (!match.has_value() && ConfigAge() > settings_.config_bound) {
-    co_return FrontAnswer{.outcome = FrontOutcome::kNotNow,
-                          .reason = "the configuration is not current"};
-  }
-  if (!match.has_value()) {
-    co_return FrontAnswer{.outcome = FrontOutcome::kNoQueue};
-  }
+  if (!match.has_value()) co_return AnswerNoQueue();
   if (match->rest.empty() && request.kind == FrontKind::kState) {
     co_return AnswerCount(match->queue);
   }
@@ -146,10 +141,13 @@
   co_return co_await AnswerJob(std::move(request), std::move(*match));
 }
 
-Duration NodeProcess::ConfigAge() const {
-  const std::optional<MonotonicTime> current_at =
-      config_follower_->position().current_at;
-  return LeaseNow() - current_at.value_or(MonotonicTime());
+// A newer configuration than the one known may hold the queue.
+FrontAnswer NodeProcess::AnswerNoQueue() const {
+  if (config_follower_->position().Age(LeaseNow()) > settings_.config_bound) {
+    return {.outcome = FrontOutcome::kNotNow,
+            .reason = "the configuration is not current"};
+  }
+  return {.outcome = FrontOutcome::kNoQueue};
 }
 
 FrontAnswer NodeProcess::AnswerCount(const std::string& queue) const {
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -63,8 +63,7 @@
   boost::asio::awaitable<FrontAnswer> Answer(FrontRequest request);
   boost::asio::awaitable<FrontAnswer> AnswerJob(FrontRequest request,
                                                 QueueMatch match);
-  // How long ago the configuration was known to be the newest.
-  Duration ConfigAge() const;
+  FrontAnswer AnswerNoQueue() const;
   FrontAnswer AnswerCount(const std::string& queue) const;
   boost::asio::awaitable<JobAnswer> Ask(FrontKind kind, JobCall call,
                                         Duration patience);
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -411,13 +411,12 @@
   if (now - registry_told_at_ < kRegistryLineEvery) return;
   registry_told_at_ = now;
   const StreamPosition& position = registry_->position();
-  hooks_.decided("registry",
-                 {{"next", position.next},
-                  {"end", position.end},
-                  {"age", now - position.current_at.value_or(MonotonicTime())},
-                  {"reads", position.reads},
-                  {"slowest_read", position.slowest_read},
-                  {"tick_late", worst_tick_}});
+  hooks_.decided("registry", {{"next", position.next},
+                              {"end", position.end},
+                              {"age", position.Age(now)},
+                              {"reads", position.reads},
+                              {"slowest_read", position.slowest_read},
+                              {"tick_late", worst_tick_}});
   registry_->ResetSlowestRead();
   worst_tick_ = Duration::zero();
 }
@@ -426,9 +425,7 @@
   std::vector<jobs::WorkerEntry> entries;
   entries.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) entries.push_back(entry);
-  core_->SetWorkers(entries,
-                    registry_->position().current_at.value_or(MonotonicTime()),
-                    ShardNow());
+  core_->SetWorkers(entries, registry_->position().current_at, ShardNow());
   for (const std::string& worker : core_->WorkersToHold()) {
     if (holds_.contains(worker)) continue;
     holds_[worker] = std::make_unique<HoldLoop>(executor_);
--- a/src/node/stream_follower.h
+++ b/src/node/stream_follower.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <optional>
 
 #include "contracts/keyed_log.h"
 
@@ -28,11 +27,14 @@
   // Offset of the next record to read, and the stream's end as last told.
   std::uint64_t next = 0;
   std::uint64_t end = 0;
-  // All that was stored before this time has been read; unset before that.
-  std::optional<MonotonicTime> current_at;
+  // All that was stored before this time has been read; the clock's zero when
+  // the stream was never read to its end.
+  MonotonicTime current_at;
   std::uint64_t reads = 0;
   // The longest time of one call.
   Duration slowest_read{0};
+
+  Duration Age(MonotonicTime now) const { return now - current_at; }
 };
 
 struct StreamFollowerHooks {
