Bounds that change at SIGHUP count without a restart

Seen by operators: drain-ms lowered in the settings file and SIGHUP sent; the node writes 'reloaded', and the owner goes on starting tasks by the former bound until it is restarted.

Cause: the reload took over max_lease and stop_grace alone. Class: a decision on an old view, here of the settings. Now both bounds count at once, the owner's too; the longest lease, the time for which ended jobs are kept and the factor of far tasks count from the next ownership, since what is out was given by the former values.

e2e.node_drain_bound_is_that_of_its_start_after_sighup: before, the job stayed 'queued' for 6 s with the bound raised to 60 s.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -73,6 +73,13 @@
   impl_->WantSchedule();
 }
 
+void ShardCore::SetMaxRegistryAge(std::chrono::milliseconds age,
+                                  ShardTime now) {
+  impl_->now = now;
+  impl_->options.max_registry_age = age;
+  impl_->WatchRegistryAge();
+}
+
 void ShardCore::SetWorkers(const std::vector<WorkerEntry>& entries,
                            MonotonicTime current_at, ShardTime now) {
   impl_->now = now;
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -41,6 +41,8 @@
   void SetConfig(const ClusterConfig& config, ShardTime now);
   void SetWorkers(const std::vector<WorkerEntry>& entries,
                   MonotonicTime current_at, ShardTime now);
+  // Starts go by ShardOptions::max_registry_age; here it changes.
+  void SetMaxRegistryAge(std::chrono::milliseconds age, ShardTime now);
   // These workers get nothing new and are emptied, for their maintenance.
   void SetCordoned(const std::set<std::string>& ids, ShardTime now);
   // Nothing runs there, as far as is known.
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -45,14 +45,19 @@
 // the registry is read every 250 ms.
 constexpr milliseconds kLeastRegistryAge{400};
 
+// How old a view of the registry may be under a start, so that the order still
+// arrives within the operators' bound.
+milliseconds MaxRegistryAge(const NodeSettings& settings) {
+  return std::max(kLeastRegistryAge,
+                  settings.drain_bound - kOrderTimeout - kOrderMargin);
+}
+
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
                                     contracts::FencingToken token) {
   return {.token = token,
           .max_lease = std::min(settings.max_lease, kLongestLease),
           .keep_ended = settings.keep_ended,
-          .max_registry_age =
-              std::max(kLeastRegistryAge,
-                       settings.drain_bound - kOrderTimeout - kOrderMargin),
+          .max_registry_age = MaxRegistryAge(settings),
           .far_factor = settings.far_factor};
 }
 
@@ -439,9 +444,18 @@
 void NodeProcess::Reload() {
   try {
     const NodeSettings fresh = services_.reload();
-    settings_.max_lease = fresh.max_lease;
     settings_.stop_grace = fresh.stop_grace;
-    log_.Write("reloaded", {{"stop_grace", settings_.stop_grace}});
+    settings_.drain_bound = fresh.drain_bound;
+    settings_.config_bound = fresh.config_bound;
+    // These count from the next ownership on: leases that are out and jobs that
+    // are known were given by the former values.
+    settings_.max_lease = fresh.max_lease;
+    settings_.keep_ended = fresh.keep_ended;
+    settings_.far_factor = fresh.far_factor;
+    if (owner_ != nullptr) owner_->SetMaxRegistryAge(MaxRegistryAge(settings_));
+    log_.Write("reloaded", {{"stop_grace", settings_.stop_grace},
+                            {"drain_bound", settings_.drain_bound},
+                            {"config_bound", settings_.config_bound}});
   } catch (const Error& error) {
     log_.Write("settings refused", {{"reason", error.what()}});
   }
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -219,6 +219,10 @@
   core_->SetConfig(config, ShardNow());
 }
 
+void Owner::SetMaxRegistryAge(std::chrono::milliseconds age) {
+  core_->SetMaxRegistryAge(age, ShardNow());
+}
+
 void Owner::OnFormerOwnersStopped() {
   core_->OnFormerOwnersStopped(ShardNow());
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -64,6 +64,7 @@
   // Nothing is ordered or stored afterwards; calls in flight end undecided.
   void Stop();
   void SetConfig(const jobs::ClusterConfig& config);
+  void SetMaxRegistryAge(std::chrono::milliseconds age);
   // No earlier owner orders anything any more.
   void OnFormerOwnersStopped();
   void SetWave(const maintenance::Wave& wave);
