Settings that change without a signal are taken over

Seen by operators: the platform may rewrite the settings file without SIGHUP; nothing was ever read again. node.h promised it ('and when the file has changed').

Each second the text is compared with the one last read, so a file read while it is written is refused once and read again.

e2e.node_changed_settings_file_is_not_read_without_a_signal: before, no line 'reloaded' in 20 s.

--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -44,6 +44,9 @@
 // Workers that leave sooner than this after their word can't be spared starts:
 // the registry is read every 250 ms.
 constexpr milliseconds kLeastRegistryAge{400};
+// Between two looks at the settings: well within the shortest bound for changes
+// of the operators' configuration, which is 2 s.
+constexpr milliseconds kWatchSettingsEvery{1000};
 
 // How old a view of the registry may be under a start, so that the order still
 // arrives within the operators' bound.
@@ -420,6 +423,7 @@
       election_.SetPendingCounts(owner_->core().PendingCounts());
     }
     election_.Tick(now);
+    WatchSettings();
     log_.Flush();
     co_await Sleep(kTick);
   }
@@ -441,6 +445,13 @@
   });
 }
 
+void NodeProcess::WatchSettings() {
+  const MonotonicTime now = LeaseNow();
+  if (now - settings_watched_at_ < kWatchSettingsEvery) return;
+  settings_watched_at_ = now;
+  if (services_.settings_changed()) Reload();
+}
+
 void NodeProcess::Reload() {
   try {
     const NodeSettings fresh = services_.reload();
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -51,6 +51,8 @@
   void WaitForSignals();
   void WaitForReload();
   void Reload();
+  // They may change without a signal.
+  void WatchSettings();
   boost::asio::awaitable<void> StopAll();
   boost::asio::awaitable<void> Sleep(Duration pause);
   net::ServerAnswer ServeOperator(const net::ServerRequest& request);
@@ -107,6 +109,7 @@
   std::map<std::uint64_t, maintenance::Wave> waves_;
   std::set<std::string> bad_workers_;
   std::list<boost::asio::steady_timer*> asks_;
+  MonotonicTime settings_watched_at_;
   bool store_reached_ = true;
   bool stopping_ = false;
 };
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,9 +70,11 @@
   std::function<FrontRequest(net::ServerRequest)> decode_request;
   std::function<jobs::JobSpec(const std::string& body)> decode_job;
   std::function<net::ServerAnswer(const FrontAnswer&)> encode_answer;
-  // Called at SIGHUP and when the file has changed; throws Error when the file
-  // can't be used, and the former settings stay.
+  // Called at SIGHUP and when the settings have changed; throws Error when they
+  // can't be used, and the former ones stay.
   std::function<NodeSettings()> reload;
+  // Whether the settings differ from those that were last read.
+  std::function<bool()> settings_changed;
 };
 
 // Runs the node until SIGTERM; returns the exit code.
