--- a/src/jobs/tests/registry_age_test.cc
+++ b/src/jobs/tests/registry_age_test.cc
@@ -40,10 +40,7 @@
     bench.Submit("j", MakeJob(1));
     bench.Store();
     CPPUNIT_ASSERT(bench.starts.empty());
-    bench.registry_silent = false;
-    bench.Pass(kMoment);
-    bench.Store();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CheckOneStartOnceItIsRead(bench);
   }
 
   void QueuedStartOutlivesTheViewOfTheWorkers() {
@@ -60,10 +57,7 @@
     bench.Confirm(first);
     bench.Store();
     CPPUNIT_ASSERT(bench.starts.empty());
-    bench.registry_silent = false;
-    bench.Pass(kMoment);
-    bench.Store();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CheckOneStartOnceItIsRead(bench);
   }
 
   void UnansweredStartIsRepeatedToAWorkerThatLeaves() {
@@ -114,6 +108,13 @@
   }
 
  private:
+  static void CheckOneStartOnceItIsRead(ShardBench& bench) {
+    bench.registry_silent = false;
+    bench.Pass(kMoment);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
   // A job of one task, sent to the only worker.
   static SentStart SendOne(ShardBench& bench) {
     bench.AddWorker("w");
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -29,6 +29,13 @@
                  .vms = {{.name = "a", .up = true, .worker = a},
                          {.name = "b", .up = true, .worker = b}}});
   }
+  // Until the VMs' first list has come.
+  void BeginWave(const std::vector<std::string>& vms) {
+    core.SetWave({.number = 1, .vms = vms});
+    Tick();
+    List("wa", "wb");
+    Tick();
+  }
   void Tick() {
     now += std::chrono::seconds(1);
     core.Tick(now);
@@ -61,10 +68,7 @@
  public:
   void NoMoreThanAllowedAreDown() {
     Bench bench;
-    bench.core.SetWave({.number = 1, .vms = {"a", "b"}});
-    bench.Tick();
-    bench.List("wa", "wb");
-    bench.Tick();
+    bench.BeginWave({"a", "b"});
     bench.core.OnStored();
     bench.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
@@ -89,10 +93,7 @@
   void WorkerIsEmptiedBefore() {
     Bench bench;
     bench.busy = {"wa"};
-    bench.core.SetWave({.number = 1, .vms = {"a"}});
-    bench.Tick();
-    bench.List("wa", "wb");
-    bench.Tick();
+    bench.BeginWave({"a"});
     CPPUNIT_ASSERT(bench.cordoned.contains("wa"));
     CPPUNIT_ASSERT(bench.progress.empty());
     bench.busy.clear();
@@ -103,10 +104,7 @@
   void VmIsTakenDownOnAnOldList() {
     Bench bench;
     bench.busy = {"wa"};
-    bench.core.SetWave({.number = 1, .vms = {"a"}});
-    bench.Tick();
-    bench.List("wa", "wb");
-    bench.Tick();
+    bench.BeginWave({"a"});
     // The list fails for a while; meanwhile another worker may be at work on
     // the VM, which no entry names and nobody empties.
     bench.busy.clear();
@@ -121,10 +119,7 @@
 
   void OrderWaitsForTheStoredIntent() {
     Bench bench;
-    bench.core.SetWave({.number = 1, .vms = {"a"}});
-    bench.Tick();
-    bench.List("wa", "wb");
-    bench.Tick();
+    bench.BeginWave({"a"});
     bench.Tick();
     CPPUNIT_ASSERT(bench.ordered.empty());
     bench.core.OnStored();
@@ -135,10 +130,7 @@
   void SuccessorRepeatsWhatIsInDoubt() {
     Bench bench;
     bench.core.Restore(1, "a wa 0\n");
-    bench.core.SetWave({.number = 1, .vms = {"a", "b"}});
-    bench.Tick();
-    bench.List("wa", "wb");
-    bench.Tick();
+    bench.BeginWave({"a", "b"});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.ordered.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a"), bench.ordered[0]);
   }
