Metrics tell the age of the views of configuration and registry

Gauges of both ages, the registry's at its owner alone: it goes with the ownership, since a stale gauge would be one more view without an age.

--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -36,6 +36,7 @@
 // time without proof, the longest lease and the jumps of wall clocks together.
 constexpr std::chrono::seconds kFormerMemory{30};
 constexpr std::size_t kMaxDatagramBytes = 65507;
+constexpr char kRegistryAgeMetric[] = "carobmast_registry_age_seconds";
 // Orders that workers did not answer by then are given up.
 constexpr milliseconds kOrderTimeout{250};
 // From the decision to start a task until the order has left: some turns of a
@@ -508,7 +509,21 @@
   metrics_.SetCounter("carobmast_log_lines_dropped_total",
                       "Lines dropped to keep the volume bounded",
                       log_.dropped());
-  if (owner_ == nullptr) return;
+  const auto set_age = [this](const std::string& name, const std::string& help,
+                              Duration age) {
+    metrics_.AddGauge(name, help)
+        ->Set(std::chrono::duration<double>(age).count());
+  };
+  set_age("carobmast_configuration_age_seconds",
+          "Since the configuration was known to be current",
+          config_follower_->position().Age(LeaseNow()));
+  if (owner_ == nullptr) {
+    metrics_.Remove(kRegistryAgeMetric, {});
+    return;
+  }
+  set_age(kRegistryAgeMetric,
+          "Since the registry of workers was known to be current",
+          owner_->RegistryAge());
   const jobs::ShardCounters& counters = owner_->core().counters();
   const auto set = [this](const std::string& name, const std::string& help,
                           std::uint64_t value) {
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -409,6 +409,10 @@
   }
 }
 
+Duration Owner::RegistryAge() const {
+  return registry_->position().Age(LeaseNow());
+}
+
 void Owner::TellRegistry(Duration tick_late) {
   worst_tick_ = std::max(worst_tick_, tick_late);
   const MonotonicTime now = LeaseNow();
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -81,6 +81,8 @@
   // Restored and at work.
   bool ready() const { return ready_ && !stopped_; }
   const jobs::ShardCore& core() const { return *core_; }
+  // How long ago the registry of workers was last known to be current.
+  Duration RegistryAge() const;
 
  private:
   struct HoldLoop {
