A job whose starts came to nothing counts as waiting

Cause: a job left the count as soon as a start of one of its tasks was planned, and for good. A start that is refused, given up or withdrawn, that waits for its turn behind 64 others or goes to a worker that has gone silent left its job uncounted, though nothing of it had begun. Class of fault: an intent taken for a fact. Now it leaves the count when a worker has confirmed a start, lists the run or tells its end.

Evidence: jobs.shard_core_test JobIsNotCountedAsWaitingOnceAStartIsPlanned, before: 0 where 1 waits, with the start sent and not answered.

Looked at too: the state that callers are told ('running') still follows the plan; no rule rests on it.

--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -152,6 +152,7 @@
       run->state = RunState::kRunning;
       run->confirmed_at = now.steady;
       run->progress_at = now.steady;
+      run->task->step->occurrence->job->started = true;
       return;
     case OrderOutcome::kSuperseded:
     case OrderOutcome::kLeaseOver:
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -473,7 +473,6 @@
   TakeRoom(run);
   Job& job = *task.step->occurrence->job;
   ++job.run_count;
-  job.started = true;
   if (job.state == JobState::kQueued) job.state = JobState::kRunning;
   Mark(job);
   return run;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -121,6 +121,8 @@
   Step& step = *task.step;
   Job& job = *step.occurrence->job;
   WorkerState& worker = *run.worker;
+  // Of one that is lost or was not run, nobody has said that it began.
+  if (end != RunEnd::kLost && end != RunEnd::kNotRun) job.started = true;
   if (end == RunEnd::kFinished) ++counters.ends_finished;
   if (end == RunEnd::kFailed) ++counters.ends_failed;
   if (end == RunEnd::kStopped) ++counters.ends_stopped;
@@ -220,6 +222,7 @@
       continue;
     }
     listed.insert(run);
+    run->task->step->occurrence->job->started = true;
     if (run->state != RunState::kRunning) {
       run->state = RunState::kRunning;
       run->confirmed_at = now.steady;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(FullLargePoolIsNotLookedAtForEachEnd);
   CPPUNIT_TEST(StartsBeyondTheLimitWaitForAnswers);
   CPPUNIT_TEST(WaitingStartIsNotSentToAWorkerThatLeaves);
+  CPPUNIT_TEST(JobIsNotCountedAsWaitingOnceAStartIsPlanned);
+  CPPUNIT_TEST(SuccessorCountsARunningJobAsWaiting);
   CPPUNIT_TEST(DueOccurrencesOnly);
   CPPUNIT_TEST(StartsWithATicketWhereAdviceIsAskedFor);
   CPPUNIT_TEST_SUITE_END();
@@ -543,6 +545,38 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  void JobIsNotCountedAsWaitingOnceAStartIsPlanned() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    CPPUNIT_ASSERT_EQUAL(1U, bench.core->PendingCounts().at("queue"));
+    bench.core->OnStart(start.worker, start.order,
+                        {.outcome = contracts::OrderOutcome::kNoRoom},
+                        bench.now);
+    CPPUNIT_ASSERT_EQUAL(1U, bench.core->PendingCounts().at("queue"));
+    bench.Pass(milliseconds(400));
+    bench.Store();
+    bench.Confirm(bench.TakeStarts().at(0));
+    CPPUNIT_ASSERT_EQUAL(0U, bench.core->PendingCounts().at("queue"));
+  }
+
+  void SuccessorCountsARunningJobAsWaiting() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.Contact("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    bench.Confirm(start);
+    bench.TakeOver();
+    bench.AddWorker("w");
+    bench.Contact("w", {bench.Running(start)});
+    CPPUNIT_ASSERT_EQUAL(0U, bench.core->PendingCounts().at("queue"));
+  }
+
   void DueOccurrencesOnly() {
     ShardBench bench;
     bench.AddWorker("w");
