The fuzz of jobs asks for the count of waiting jobs

Each 25 ms: the newest owner counts at least the accepted jobs of which no worker has started a task.

--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -2,8 +2,8 @@
 // The oracle looks at what the workers ran and at what callers were told: a
 // task in one place at a time, not after a noted end, not before the step it
 // needs, not beyond its attempts, not on a worker that has long said that it
-// leaves; nothing accepted is lost. When the faults are
-// over, all of it ends.
+// leaves; nothing accepted is lost, and what has not begun is counted as
+// waiting. When the faults are over, all of it ends.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
@@ -304,7 +304,12 @@
                       owner, target.id,
                       [this, order](FuzzWorker& worker, bool late) {
                         if (!late) JudgeStart(IndexOf(worker.id()), order);
-                        return worker.Start(order);
+                        const contracts::OrderAnswer answer =
+                            worker.Start(order);
+                        if (answer.outcome == OrderOutcome::kDone) {
+                          begun_.insert(order.task.job);
+                        }
+                        return answer;
                       },
                       [this, owner, target,
                        order](const contracts::OrderAnswer& answer) {
@@ -483,6 +488,21 @@
       Store(*owner);
       if (!owner->dead) HoldWorkers(*owner);
     }
+    JudgePendingCount(*owners_.back());
+  }
+
+  // An owner knows of all that it accepted, and of no start that nobody made.
+  void JudgePendingCount(const OwnerLife& owner) {
+    if (owner.dead || owner.paused_until > now_.steady) return;
+    const ShardCore& core = *owner.core;
+    std::uint32_t waiting = 0;
+    for (const auto& [id, job] : accepted_) {
+      if (!begun_.contains(id) && !cancelled_.contains(id)) ++waiting;
+    }
+    if (core.PendingCounts().at("queue") < waiting) {
+      record_.violations.push_back(std::to_string(waiting) +
+                                   " jobs wait, fewer are told of");
+    }
   }
 
   void Submit(const FaultStep& step) {
@@ -535,6 +555,8 @@
   std::uint32_t submitted_ = 0;
   std::map<std::string, bool> accepted_;
   std::set<std::string> cancelled_;
+  // Jobs of which a worker has started a task.
+  std::set<std::string> begun_;
 };
 
 std::string FromEnvironment(const char* name, const char* fallback) {
