--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -304,8 +304,7 @@
                       owner, target.id,
                       [this, order](FuzzWorker& worker, bool late) {
                         if (!late) JudgeStart(IndexOf(worker.id()), order);
-                        const contracts::OrderAnswer answer =
-                            worker.Start(order);
+                        contracts::OrderAnswer answer = worker.Start(order);
                         if (answer.outcome == OrderOutcome::kDone) {
                           begun_.insert(order.task.job);
                         }
