--- a/src/framework/link/tests/link_fixture.h
+++ b/src/framework/link/tests/link_fixture.h
@@ -9,13 +9,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <exception>
 #include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "framework/link/link.h"
+#include "framework/testing/run_to_end.h"
 
 namespace carobmast::link {
 
@@ -49,17 +49,8 @@
     return MakeRef<LinkClient>(context_.get_executor(), std::move(options));
   }
 
-  // Runs `body` to its end; rethrows what it throws.
   void Run(const std::function<Task()>& body) {
-    std::exception_ptr failure;
-    bool done = false;
-    boost::asio::co_spawn(context_, body(), [&](std::exception_ptr error) {
-      failure = std::move(error);
-      done = true;
-    });
-    while (!done) context_.run_one();
-    context_.poll();
-    if (failure) std::rethrow_exception(failure);
+    testing::RunToEnd(context_, body);
   }
 
   // Calls and returns the failure's text, or "" when it was answered.
--- a/src/framework/net/tests/loopback.h
+++ b/src/framework/net/tests/loopback.h
@@ -3,14 +3,13 @@
 #define CAROBMAST_FRAMEWORK_NET_TESTS_LOOPBACK_H_
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <exception>
 #include <functional>
 #include <utility>
 
 #include "framework/net/http_client.h"
 #include "framework/net/http_server.h"
+#include "framework/testing/run_to_end.h"
 
 namespace carobmast::net {
 
@@ -23,17 +22,8 @@
                           .handler = std::move(handler)});
   }
 
-  // Runs `body` to its end; rethrows what it throws.
   void Run(const std::function<boost::asio::awaitable<void>()>& body) {
-    std::exception_ptr failure;
-    bool done = false;
-    boost::asio::co_spawn(context, body(), [&](std::exception_ptr error) {
-      failure = std::move(error);
-      done = true;
-    });
-    while (!done) context.run_one();
-    context.poll();
-    if (failure) std::rethrow_exception(failure);
+    testing::RunToEnd(context, body);
   }
 
   boost::asio::io_context context;
--- a/src/jobs/tests/registry_age_test.cc
+++ b/src/jobs/tests/registry_age_test.cc
@@ -62,7 +62,7 @@
 
   void UnansweredStartIsRepeatedToAWorkerThatLeaves() {
     ShardBench bench;
-    const SentStart start = SendOne(bench);
+    const SentStart start = bench.SendOne();
     bench.core->OnStart("w", start.order, Unanswered(), bench.now);
     bench.Drain("w");
     bench.Pass(kDrainBound);
@@ -73,7 +73,7 @@
 
   void UnsentStartIsRepeatedToAWorkerThatLeaves() {
     ShardBench bench;
-    const SentStart start = SendOne(bench);
+    const SentStart start = bench.SendOne();
     bench.core->OnStart("w", start.order,
                         {.outcome = contracts::OrderOutcome::kNotSent},
                         bench.now);
@@ -114,15 +114,6 @@
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
-
-  // A job of one task, sent to the only worker.
-  static SentStart SendOne(ShardBench& bench) {
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    return bench.TakeStarts().at(0);
-  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RegistryAgeTest, "registry_age_test");
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -130,6 +130,14 @@
   }
 }
 
+SentStart ShardBench::SendOne() {
+  AddWorker("w");
+  Contact("w");
+  Submit("j", MakeJob(1));
+  Store();
+  return TakeStarts().at(0);
+}
+
 void ShardBench::Pass(std::chrono::milliseconds time) {
   constexpr std::chrono::milliseconds kStep{50};
   for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -70,6 +70,8 @@
     return std::chrono::duration_cast<contracts::WorkerClock>(
         now.steady.time_since_epoch());
   }
+  // Sends the only task of job "j" to the only worker, "w".
+  SentStart SendOne();
   std::vector<SentStart> TakeStarts() { return std::exchange(starts, {}); }
 
   ShardTime now{.steady = MonotonicTime(std::chrono::seconds(1000)),
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -158,11 +158,7 @@
 
   void UnansweredStartIsRepeatedUnderItsAttempt() {
     ShardBench bench;
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
+    const SentStart start = bench.SendOne();
     bench.core->OnStart("w", start.order,
                         {.outcome = contracts::OrderOutcome::kUnknown},
                         bench.now);
@@ -379,11 +375,7 @@
 
   void StaleListDoesNotEndARun() {
     ShardBench bench;
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
+    const SentStart start = bench.SendOne();
     const MonotonicTime sent_at = bench.now.steady;
     bench.now.steady += milliseconds(5);
     bench.Confirm(start);
@@ -547,11 +539,7 @@
 
   void JobIsNotCountedAsWaitingOnceAStartIsPlanned() {
     ShardBench bench;
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
+    const SentStart start = bench.SendOne();
     CPPUNIT_ASSERT_EQUAL(1U, bench.core->PendingCounts().at("queue"));
     bench.core->OnStart(start.worker, start.order,
                         {.outcome = contracts::OrderOutcome::kNoRoom},
@@ -565,11 +553,7 @@
 
   void SuccessorCountsARunningJobAsWaiting() {
     ShardBench bench;
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
+    const SentStart start = bench.SendOne();
     bench.Confirm(start);
     bench.TakeOver();
     bench.AddWorker("w");
@@ -636,11 +620,7 @@
 
   // One worker "w" that runs the only task of job "j".
   static SentStart StartOne(ShardBench& bench) {
-    bench.AddWorker("w");
-    bench.Contact("w");
-    bench.Submit("j", MakeJob(1));
-    bench.Store();
-    SentStart start = bench.TakeStarts().at(0);
+    SentStart start = bench.SendOne();
     bench.now.steady += milliseconds(1);
     bench.Confirm(start);
     bench.now.steady += milliseconds(1);
