Stopping servers answer connections that nobody has accepted yet

Cause: CallerPort, HttpServer and LinkServer closed their listening sockets while completed connections, often with requests on them, waited in the queue; the kernel reset them. CallerPort also dropped a connection whose accept had just completed. Change: net::CloseListener accepts what the kernel has completed; these connections are served or, on links, told that nothing was processed. HttpServer gives idle connections 300 ms for a last request, as CallerPort does, and Drain() makes each answer end its connection.

--- a/src/app/tests/e2e_requests_test.py
+++ b/src/app/tests/e2e_requests_test.py
@@ -267,6 +267,25 @@
             status, _, body = self.send_request(gateway)
             self.assertEqual(200, status, body)
 
+    # Connections that the kernel has completed and the gateway has not accepted must be
+    # answered, not reset, when the gateway stops.
+    def test_stopping_gateway_answers_connections_not_yet_accepted(self):
+        self.wait_serving()
+        gateway = self.cluster.process("gateway-1")
+        gateway.send(signal.SIGSTOP)
+        address = self.cluster.callers("gateway-1").rsplit(":", 1)
+        callers = []
+        for number in range(4):
+            caller = http.client.HTTPConnection(address[0], int(address[1]), timeout=30)
+            caller.request("POST", "/portal/check?ms=30", body="x",
+                           headers={"x-request-id": f"queued-{number}"})
+            callers.append(caller)
+        gateway.send(signal.SIGTERM)
+        gateway.send(signal.SIGCONT)
+        answers = [caller.getresponse().status for caller in callers]
+        self.assertEqual([200] * 4, answers)
+        self.assertEqual(0, gateway.wait())
+
     # A rolling restart of the gateways must not break requests in flight.
     def test_stopping_all_gateways_in_turn_cuts_no_request_off(self):
         self.wait_serving()
--- a/src/framework/link/internal/server.cc
+++ b/src/framework/link/internal/server.cc
@@ -67,14 +67,12 @@
             asio::redirect_error(asio::use_awaitable, error));
         continue;
       }
-      if (self->stopping || self->links.size() >= self->options.max_links) {
-        continue;
-      }
       self->AddLink(std::move(socket));
     }
   }
 
   void AddLink(asio::ip::tcp::socket socket) {
+    if (links.size() >= options.max_links) return;
     const std::string peer = RemoteAddress(socket);
     const Ref<Connection> link = MakeRef<Connection>(
         std::move(socket),
@@ -94,6 +92,7 @@
                      [this, peer](const std::string& reason) {
                        LinkClosed(peer, reason);
                      }});
+    if (stopping) link->Drain();
   }
 
   void LinkClosed(const std::string& peer, const std::string& reason) {
@@ -196,7 +195,9 @@
   const Ref<Impl> impl = impl_;
   impl->stopping = true;
   error_code error;
-  impl->acceptor.close(error);
+  for (asio::ip::tcp::socket& socket : net::CloseListener(impl->acceptor)) {
+    impl->AddLink(std::move(socket));
+  }
   impl->ForEachLink([](Connection& link) { link.Drain(); });
   const MonotonicTime deadline = MonotonicClock::now() + grace;
   while (!impl->links.empty() && MonotonicClock::now() < deadline) {
--- a/src/framework/link/tests/link_test.cc
+++ b/src/framework/link/tests/link_test.cc
@@ -1,4 +1,5 @@
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 
 #include "framework/link/tests/link_fixture.h"
 
@@ -20,6 +21,7 @@
   CPPUNIT_TEST(StopLetsCallsInFlightEnd);
   CPPUNIT_TEST(StopEndsCallsAfterTheGrace);
   CPPUNIT_TEST(CallsAfterStopAreNotSentAndNotRun);
+  CPPUNIT_TEST(StopResetsLinksThatNobodyAccepted);
   CPPUNIT_TEST(DeadPeerFailsItsCallsAndIsReconnected);
   CPPUNIT_TEST(SilentPeerIsDisconnected);
   CPPUNIT_TEST(UnreachablePeerIsNotRetriedWithoutBackoff);
@@ -46,6 +48,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server->links());
   }
 
+  // Guards against a reset of a link that waits in the listener's queue: the
+  // client could not tell whether its calls ran.
+  void StopResetsLinksThatNobodyAccepted() {
+    const Ref<LinkServer> server = Serve();
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int i = 0; i < 5; ++i) {
+      asio::ip::tcp::socket& client = clients.emplace_back(context_);
+      client.connect({asio::ip::make_address(server->address().ip),
+                      server->address().port});
+    }
+    Run([&]() -> Task { co_await server->Stop(kTimeout / 10); });
+    for (asio::ip::tcp::socket& client : clients) {
+      std::string frames;
+      boost::system::error_code error;
+      asio::read(client, asio::dynamic_buffer(frames), error);
+      CPPUNIT_ASSERT_EQUAL(std::string("End of file"), error.message());
+      CPPUNIT_ASSERT(!frames.empty());
+    }
+  }
+
   void LargeMessagesPass() {
     const Ref<LinkServer> server = Serve();
     const Ref<LinkClient> client = Connect(server);
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -67,6 +67,8 @@
   // Limit for receiving one whole request, including the wait for it on an idle
   // connection, and for sending one response.
   Duration idle_timeout = std::chrono::seconds(60);
+  // For this time after Stop, idle connections stay open and accept a request.
+  Duration idle_close_delay = std::chrono::milliseconds(300);
 };
 
 // Serves HTTP on the event loop of its executor; not thread-safe.
@@ -83,8 +85,14 @@
   // The number of open connections.
   std::size_t connections() const;
 
-  // Stops accepting, closes idle connections and waits up to `grace` for the
-  // requests in flight. Closes the connections that are still open afterwards.
+  // From now on every answer ends its connection, so that clients turn to other
+  // servers before Stop.
+  void Drain();
+
+  // Stops accepting and waits up to `grace` for the requests in flight,
+  // including those on connections that nobody has accepted yet. Closes idle
+  // connections after `idle_close_delay`, and the connections that are still
+  // open afterwards.
   boost::asio::awaitable<void> Stop(Duration grace);
 
  private:
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -1,5 +1,6 @@
 #include "framework/net/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -142,12 +143,16 @@
             asio::redirect_error(asio::use_awaitable, error));
         continue;
       }
-      if (self->sessions.size() >= self->options.max_connections) continue;
-      asio::co_spawn(self->acceptor.get_executor(),
-                     Serve(self, std::move(socket)), asio::detached);
+      self->AddSession(std::move(socket));
     }
   }
 
+  void AddSession(asio::ip::tcp::socket socket) {
+    if (sessions.size() >= options.max_connections) return;
+    asio::co_spawn(acceptor.get_executor(),
+                   Serve(Ref<Impl>(this), std::move(socket)), asio::detached);
+  }
+
   static asio::awaitable<void> Serve(Ref<Impl> self,
                                      asio::ip::tcp::socket socket) {
     error_code error;
@@ -156,7 +161,7 @@
     self->sessions.push_back(session);
     beast::flat_buffer buffer;
     bool keep_alive = true;
-    while (keep_alive && !self->stopping) {
+    while (keep_alive) {
       session.stream.expires_after(self->options.idle_timeout);
       http::request_parser<http::string_body> parser;
       parser.header_limit(
@@ -187,7 +192,7 @@
         self->options.handler, ToServerRequest(std::move(message)));
     const std::int64_t cut_after = answer.cut_after_bytes;
     const bool keep_alive =
-        client_keeps_alive && !self->stopping && cut_after < 0;
+        client_keeps_alive && !self->draining && cut_after < 0;
     const http::response<http::string_body> response =
         ToMessage(std::move(answer), keep_alive);
     error_code error;
@@ -221,6 +226,8 @@
   asio::steady_timer drain_timer;
   boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>>
       sessions;
+  // Every answer ends its connection.
+  bool draining = false;
   bool stopping = false;
 };
 
@@ -241,15 +248,28 @@
 
 std::size_t HttpServer::connections() const { return impl_->sessions.size(); }
 
+void HttpServer::Drain() { impl_->draining = true; }
+
 asio::awaitable<void> HttpServer::Stop(Duration grace) {
   const Ref<Impl> impl = impl_;
+  Drain();
   impl->stopping = true;
-  error_code error;
-  impl->acceptor.close(error);
-  impl->CloseSessions(false);
+  for (asio::ip::tcp::socket& socket : CloseListener(impl->acceptor)) {
+    impl->AddSession(std::move(socket));
+  }
   const MonotonicTime deadline = MonotonicClock::now() + grace;
+  const MonotonicTime close_idle_at = std::min(
+      deadline, MonotonicClock::now() + impl->options.idle_close_delay);
+  // Sessions just added are in the list only after the next turn of the event
+  // loop.
+  error_code error;
+  impl->drain_timer.expires_after(Duration::zero());
+  co_await impl->drain_timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
   while (!impl->sessions.empty() && MonotonicClock::now() < deadline) {
-    impl->drain_timer.expires_at(deadline);
+    const bool close_idle = MonotonicClock::now() >= close_idle_at;
+    if (close_idle) impl->CloseSessions(false);
+    impl->drain_timer.expires_at(close_idle ? deadline : close_idle_at);
     co_await impl->drain_timer.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
   }
--- a/src/framework/net/internal/listener.cc
+++ b/src/framework/net/internal/listener.cc
@@ -27,4 +27,22 @@
   return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
 }
 
+std::vector<tcp::socket> CloseListener(tcp::acceptor& listener) {
+  std::vector<tcp::socket> completed;
+  boost::system::error_code error;
+  listener.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(listener.get_executor());
+    listener.accept(socket, error);
+    // A client may have given up a connection that waits in the queue.
+    if (error == boost::asio::error::connection_aborted) {
+      error.clear();
+      continue;
+    }
+    if (!error) completed.push_back(std::move(socket));
+  }
+  listener.close(error);
+  return completed;
+}
+
 }  // namespace carobmast::net
--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -4,7 +4,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -20,6 +22,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kShortDelay{20};
+constexpr int kQueuedClients = 5;
 
 // Answers requests after kShortDelay. Silence() ends the answers on the
 // connections accepted so far; later connections are answered.
@@ -76,6 +79,8 @@
   CPPUNIT_TEST(AnswersAndReusesConnections);
   CPPUNIT_TEST(DistinguishesNotSentFromUnknown);
   CPPUNIT_TEST(StopLetsRequestsInFlightEnd);
+  CPPUNIT_TEST(StopResetsConnectionsThatNobodyAccepted);
+  CPPUNIT_TEST(DrainingServerKeepsConnectionsOpen);
   CPPUNIT_TEST(HandlerErrorsBecomeStatus400);
   CPPUNIT_TEST(SilentIdleConnectionsFailOneCallOnly);
   CPPUNIT_TEST_SUITE_END();
@@ -136,6 +141,46 @@
     CPPUNIT_ASSERT(answered);
   }
 
+  // Guards against closing the listener while completed connections with
+  // requests wait in its queue: the kernel resets them.
+  void StopResetsConnectionsThatNobodyAccepted() {
+    Ref<HttpServer> server =
+        loopback_.Serve([](ServerRequest) { return Slow(); });
+    std::vector<asio::ip::tcp::socket> clients;
+    for (int i = 0; i < kQueuedClients; ++i) {
+      clients.push_back(ConnectAndSend(server->address()));
+    }
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      co_await server->Stop(std::chrono::seconds(5));
+    });
+    for (asio::ip::tcp::socket& client : clients) {
+      std::string answer;
+      boost::system::error_code error;
+      asio::read(client, asio::dynamic_buffer(answer), error);
+      CPPUNIT_ASSERT_EQUAL(std::string("End of file"), error.message());
+      CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+    }
+  }
+
+  // Guards against clients that still use their open connections when the
+  // server stops.
+  void DrainingServerKeepsConnectionsOpen() {
+    Ref<HttpServer> server =
+        loopback_.Serve([](ServerRequest) { return Slow(); });
+    asio::ip::tcp::socket client = ConnectAndSend(server->address());
+    server->Drain();
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      std::string answer;
+      boost::system::error_code error;
+      co_await asio::async_read(
+          client, asio::dynamic_buffer(answer),
+          asio::redirect_error(asio::use_awaitable, error));
+      CPPUNIT_ASSERT_EQUAL(std::string("End of file"), error.message());
+      CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server->connections());
+  }
+
   void HandlerErrorsBecomeStatus400() {
     Ref<HttpServer> server =
         loopback_.Serve([](ServerRequest) { return Fail(); });
@@ -178,6 +223,16 @@
   }
 
  private:
+  // A connection with a request on it. The event loop is not run meanwhile.
+  asio::ip::tcp::socket ConnectAndSend(const Address& server) {
+    asio::ip::tcp::socket client(loopback_.context);
+    client.connect({asio::ip::make_address(server.ip), server.port});
+    asio::write(
+        client,
+        asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: test\r\n\r\n")));
+    return client;
+  }
+
   static asio::awaitable<void> Pause(Duration duration) {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/gateway/caller_port.h
+++ b/src/gateway/caller_port.h
@@ -75,6 +75,7 @@
 
  private:
   boost::asio::awaitable<void> AcceptConnections();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> ServeConnection(Ref<CallerConnection> caller);
   // Serves one request. Returns false when the connection must be closed.
   boost::asio::awaitable<bool> ServeRequest(Ref<CallerConnection> caller);
--- a/src/gateway/internal/caller_port.cc
+++ b/src/gateway/internal/caller_port.cc
@@ -59,27 +59,31 @@
     error_code error;
     tcp::socket socket = co_await acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
-    if (!acceptor_.is_open()) co_return;
+    if (error == asio::error::operation_aborted) co_return;
     if (error) {
       co_await Sleep(executor_, kAcceptRetryDelay);
       continue;
     }
-    ++counters_.connections;
-    if (connections_.size() >= options_.max_connections) {
-      ++counters_.refused_connections;
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    asio::co_spawn(
-        executor_,
-        ServeConnection(MakeRef<CallerConnection>(std::move(socket))),
-        asio::detached);
+    AddConnection(std::move(socket));
+  }
+}
+
+void CallerPort::AddConnection(tcp::socket socket) {
+  ++counters_.connections;
+  if (connections_.size() >= options_.max_connections) {
+    ++counters_.refused_connections;
+    return;
   }
+  error_code error;
+  socket.set_option(tcp::no_delay(true), error);
+  const Ref<CallerConnection> caller =
+      MakeRef<CallerConnection>(std::move(socket));
+  connections_.insert(caller);
+  asio::co_spawn(executor_, ServeConnection(caller), asio::detached);
 }
 
 asio::awaitable<void> CallerPort::ServeConnection(
     Ref<CallerConnection> caller) {
-  connections_.insert(caller);
   bool open = true;
   while (open) {
     caller->idle = true;
@@ -237,13 +241,16 @@
 asio::awaitable<void> CallerPort::Stop(Duration grace) {
   const MonotonicTime end = MonotonicClock::now() + grace;
   stopping_ = true;
-  acceptor_.close();
+  for (tcp::socket& socket : net::CloseListener(acceptor_)) {
+    AddConnection(std::move(socket));
+  }
   const MonotonicTime close_idle_at =
       std::min(end, MonotonicClock::now() + options_.idle_close_delay);
-  while (!connections_.empty() && MonotonicClock::now() < end) {
+  // The first pause lets a connection be added whose accept has just completed.
+  do {
     if (MonotonicClock::now() >= close_idle_at) CloseIdleConnections();
     co_await Sleep(executor_, kStopPollInterval);
-  }
+  } while (!connections_.empty() && MonotonicClock::now() < end);
 }
 
 }  // namespace carobmast::gateway
