Compaction goes on after an append that throws

Cause: an exception of an append ended CompactionLoop silently; records would expire in the end. Change: it counts as a failed compaction, which is planned again. Not reproduced; 0 tests changed.

--- a/src/config/internal/follower.cc
+++ b/src/config/internal/follower.cc
@@ -161,8 +161,15 @@
   for (contracts::NewRecord& record : records) {
     contracts::AppendRequest request{.stream = contracts::kConfigStream};
     request.records.push_back(std::move(record));
-    const contracts::AppendAnswer answer = co_await log.append(request);
-    if (answer.outcome != contracts::AppendOutcome::kAppended) co_return false;
+    try {
+      const contracts::AppendAnswer answer = co_await log.append(request);
+      if (answer.outcome != contracts::AppendOutcome::kAppended) {
+        co_return false;
+      }
+    } catch (const std::exception&) {
+      // Counts as a failed compaction, which the core plans again.
+      co_return false;
+    }
   }
   co_return true;
 }
