Maintenance orders wait for the append that has their intent; withdrawn jobs

Two causes in the owner's storing of changes. (1) StoreChanges cleared the waves to store before its append returned; progress set meanwhile counted as stored with that append, so an order could go out whose intent a successor doesn't know. OnStored now says how many store calls are durable. (2) A submission that gave up waiting removed its job although another submission of the same ID still waited for it; that one was then told "accepted" for a job that was gone, and the first one's "not run" could be false.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -52,13 +52,16 @@
     lines << name << " " << (vm.worker.empty() ? "-" : vm.worker) << " "
           << (vm.state == State::kDone) << "\n";
   }
+  ++stores_;
   hooks_.store(wave.wave.number, lines.str());
 }
 
-void MaintenanceCore::OnStored() {
+void MaintenanceCore::OnStored(std::uint64_t stores) {
   for (auto& [number, wave] : waves_) {
     for (auto& [name, vm] : wave.vms) {
-      if (vm.state == State::kStoringIntent) vm.state = State::kIntentStored;
+      if (vm.state == State::kStoringIntent && vm.intent_store <= stores) {
+        vm.state = State::kIntentStored;
+      }
     }
   }
 }
@@ -110,6 +113,7 @@
     if (entry.up && !list_is_stale_ && down < wave.wave.max_parallel &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.state = State::kStoringIntent;
+      vm.intent_store = stores_ + 1;
       ++down;
       Store(wave);
     }
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -49,9 +49,10 @@
   // Sets the progress stored by an earlier owner. To be called before SetWave
   // of the same wave and before the first Tick.
   void Restore(std::uint64_t wave, const std::string& progress);
-  // To be called when all progress passed to MaintenanceHooks::store so far is
-  // durable: the orders that waited for it may go out.
-  void OnStored();
+  // To be called when the progress of the first `stores` calls of
+  // MaintenanceHooks::store is durable: the orders that waited for it may go
+  // out.
+  void OnStored(std::uint64_t stores);
   void OnVmList(const contracts::VmList& list);
   void OnMaintainOutcome(const std::string& vm, std::uint64_t wave,
                          contracts::MaintainOutcome outcome);
@@ -72,6 +73,8 @@
     State state = State::kWaiting;
     // The worker to drain, which the maintenance ends.
     std::string worker;
+    // The number of the store call that has the intent of the order.
+    std::uint64_t intent_store = 0;
     bool order_in_flight = false;
   };
   struct WaveState {
@@ -88,6 +91,8 @@
   void Cordon();
 
   MaintenanceHooks hooks_;
+  // Number of calls of MaintenanceHooks::store.
+  std::uint64_t stores_ = 0;
   std::map<std::uint64_t, WaveState> waves_;
   std::map<std::uint64_t, std::string> restored_progress_;
   std::map<std::string, contracts::WorkerVm> listed_vms_;
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -21,8 +21,11 @@
                   [this](const std::string& worker) {
                     return !busy.contains(worker);
                   },
-              .store = [this](std::uint64_t,
-                              const std::string& text) { progress = text; },
+              .store =
+                  [this](std::uint64_t, const std::string& text) {
+                    progress = text;
+                    ++stores;
+                  },
               .report_wave = [this](std::uint64_t,
                                     bool done) { completed = done; }}) {}
 
@@ -49,6 +52,7 @@
   std::set<std::string> cordoned;
   std::set<std::string> busy;
   std::string progress;
+  std::uint64_t stores = 0;
   bool completed = false;
   MaintenanceCore core;
 };
@@ -63,6 +67,7 @@
   CPPUNIT_TEST(AtMostMaxParallelVmsAreDown);
   CPPUNIT_TEST(WorkerIsDrainedBeforeMaintenance);
   CPPUNIT_TEST(OrderWaitsForStoredIntent);
+  CPPUNIT_TEST(OrderGoesOutOnAnEarlierAppend);
   CPPUNIT_TEST(NewOwnerRepeatsUnconfirmedOrder);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST_SUITE_END();
@@ -71,7 +76,7 @@
   void AtMostMaxParallelVmsAreDown() {
     Fixture fixture;
     fixture.BeginWave({"a", "b"});
-    fixture.core.OnStored();
+    fixture.core.OnStored(fixture.stores);
     fixture.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
     fixture.core.OnMaintainOutcome("a", 1, kBegun);
@@ -84,7 +89,7 @@
     // one is in time.
     fixture.DeliverList("wa2", "wb");
     fixture.Tick();
-    fixture.core.OnStored();
+    fixture.core.OnStored(fixture.stores);
     fixture.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
     fixture.core.OnMaintainOutcome("b", 1, kBegun);
@@ -125,11 +130,22 @@
     fixture.BeginWave({"a"});
     fixture.Tick();
     CPPUNIT_ASSERT(fixture.maintained.empty());
-    fixture.core.OnStored();
+    fixture.core.OnStored(fixture.stores);
     fixture.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
   }
 
+  // Guards against an order whose intent was added while the append of earlier
+  // progress was on its way: a successor would not know of the order.
+  void OrderGoesOutOnAnEarlierAppend() {
+    Fixture fixture;
+    fixture.BeginWave({"a"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fixture.stores);
+    fixture.core.OnStored(0);
+    fixture.Tick();
+    CPPUNIT_ASSERT(fixture.maintained.empty());
+  }
+
   void NewOwnerRepeatsUnconfirmedOrder() {
     Fixture fixture;
     fixture.core.Restore(1, "a wa 0\n");
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -120,6 +120,7 @@
           [this](std::uint64_t wave, const std::string& progress) {
             unstored_waves_[std::string(kWavePrefix) + std::to_string(wave)] =
                 progress;
+            ++wave_stores_;
             changes_timer_.cancel();
           },
       .report_wave =
@@ -394,7 +395,7 @@
       continue;
     }
     jobs::Batch batch = core_->TakeBatch(ShardNow());
-    const bool has_wave_records = !unstored_waves_.empty();
+    const std::uint64_t wave_stores = wave_stores_;
     for (auto& [key, progress] : unstored_waves_) {
       batch.records.push_back({.key = key, .value = std::move(progress)});
     }
@@ -404,7 +405,7 @@
     }
     if (stopped_) co_return;
     core_->OnStored(batch.number, ShardNow());
-    if (has_wave_records) maintenance_.OnStored();
+    maintenance_.OnStored(wave_stores);
     WakeStoreWaiters();
   }
 }
@@ -552,8 +553,7 @@
   if (co_await WaitStored(submitted.change, timeout)) {
     co_return MakeAnswer(JobAnswer::DONE);
   }
-  if (!stopped_ && submitted.outcome == jobs::SubmitOutcome::kNewJob &&
-      core_->Withdraw(id)) {
+  if (!stopped_ && core_->Withdraw(id)) {
     co_return MakeAnswer(JobAnswer::NOT_DONE, "the store does not answer");
   }
   co_return MakeAnswer(JobAnswer::UNDECIDED, "not known to be stored");
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -157,6 +157,8 @@
   maintenance::MaintenanceCore maintenance_;
   // Progress of waves by record key, to be stored with the next batch.
   std::map<std::string, std::string> unstored_waves_;
+  // Number of times that the progress of a wave was set to be stored.
+  std::uint64_t wave_stores_ = 0;
   Ref<StreamFollower> registry_;
   std::map<std::string, jobs::WorkerEntry> registry_entries_;
   bool registry_read_ = false;
