--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -158,6 +158,8 @@
   // The number of its first change that is in no batch yet; 0 for none.
   std::uint64_t change = 0;
   bool spec_written = false;
+  // Submissions that wait for the job to be stored.
+  std::uint32_t waiting_submissions = 0;
   // The encoded progress, between Restore and FinishRestore only.
   std::string restored_progress;
 
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -144,6 +144,7 @@
   impl_->now = now;
   const auto known = impl_->jobs.find(id);
   if (known != impl_->jobs.end()) {
+    ++known->second->waiting_submissions;
     return {SubmitOutcome::kKnownJob,
             known->second->change == 0 ? impl_->batch_changes : impl_->changes};
   }
@@ -154,6 +155,7 @@
   job.pool = policy->second.pool;
   job.spec = spec;
   job.idle_since = now.steady;
+  job.waiting_submissions = 1;
   job.accepted_at_ms = now.wall.time_since_epoch().count();
   impl_->SetPolicy(job);
   impl_->MarkChanged(job);
@@ -188,9 +190,11 @@
   const auto found = impl_->jobs.find(id);
   if (found == impl_->jobs.end()) return false;
   Job& job = *found->second;
-  if (job.spec_written) return false;
+  if (job.spec_written || --job.waiting_submissions > 0) return false;
   impl_->StopAll(job, "withdrawn");
   std::erase(impl_->changed_jobs, &job);
+  std::erase_if(impl_->ended_jobs,
+                [&id](const auto& ended) { return ended.second == id; });
   impl_->jobs.erase(found);
   return true;
 }
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST_SUITE(ShardCoreTest);
   CPPUNIT_TEST(StartsOnlyAfterTheIntentIsStored);
   CPPUNIT_TEST(ResubmittedIdIsTheSameJob);
+  CPPUNIT_TEST(JobThatAnotherSubmissionWaitsForIsWithdrawn);
+  CPPUNIT_TEST(WithdrawnAndResubmittedJobIsDroppedAsEnded);
   CPPUNIT_TEST(EndIsAcknowledgedAfterItIsStored);
   CPPUNIT_TEST(CompletionIsReportedAfterItIsStored);
   CPPUNIT_TEST(StartsStayWithinCapacity);
@@ -77,6 +79,34 @@
                    bench.Submit("j", MakeJob(1)).outcome);
   }
 
+  // Guards against telling one caller "not run" and another "accepted" about
+  // the same job, when both wait for a store that doesn't answer.
+  void JobThatAnotherSubmissionWaitsForIsWithdrawn() {
+    ShardBench bench;
+    bench.Submit("j", MakeJob(1));
+    const SubmitAnswer second = bench.Submit("j", MakeJob(1));
+    CPPUNIT_ASSERT(SubmitOutcome::kKnownJob == second.outcome);
+    CPPUNIT_ASSERT(!bench.core->Withdraw("j"));
+    CPPUNIT_ASSERT(bench.core->StoredState("j").has_value());
+    CPPUNIT_ASSERT(bench.core->Withdraw("j"));
+    CPPUNIT_ASSERT(!bench.core->StoredState("j").has_value());
+  }
+
+  // Guards against forgetting a job because an earlier one of the same ID was
+  // cancelled and withdrawn before it was stored.
+  void WithdrawnAndResubmittedJobIsDroppedAsEnded() {
+    ShardBench bench;
+    bench.Submit("j", MakeJob(1));
+    bench.core->Cancel("j", bench.now);
+    CPPUNIT_ASSERT(bench.core->Withdraw("j"));
+    bench.AdvanceTime(seconds(100));
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    bench.AdvanceTime(seconds(100));
+    bench.core->Tick(bench.now);
+    CPPUNIT_ASSERT(bench.core->StoredState("j").has_value());
+  }
+
   void EndIsAcknowledgedAfterItIsStored() {
     ShardBench bench;
     const SentStart start = RunOneTask(bench);
