Election: the owner is chosen by size, and its answers no longer grow with the cluster

Its load was partly of our making: each of 97 nodes said hello four times a second and was answered with the list of all members. Change: a hand-over waits up to 0.6 s for a much larger node, passes over nodes that leave or that were asked in vain, and in a rolling restart prefers nodes that have come back. A claim tells the highest rank known; a restarted owner of half that rank or less leaves the shard to a larger node that says hello. Answers carry the 12 preferred members once a second. An unanswered claim is looked up and used. A claim that can't be read no longer keeps a node from claiming for ever (its coroutine ended without a line).

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -37,6 +37,9 @@
   // the claim. Set only in claims read from the stream.
   std::vector<std::string> former;
   WallTime claimed_at;
+  // The highest rank among the nodes that the claimer knew, its own included.
+  // Set only in claims read from the stream.
+  std::uint32_t highest_rank = 0;
 };
 
 enum class MessageKind { kHello, kOwnerState, kProbe, kProbeAnswer, kTakeOver };
@@ -49,8 +52,13 @@
   OwnerClaim claim;
   bool store_reached = false;
   bool hears_owner = false;
+  // The sender is shutting down and claims no more.
+  bool leaving = false;
   std::uint32_t round = 0;
-  // Only in kOwnerState.
+  // Only in kOwnerState, and there only now and then, since the owner answers
+  // each node several times a second.
+  bool has_details = false;
+  // The nodes that are preferred to take over.
   std::vector<NodeInfo> members;
   std::map<std::string, std::uint32_t> pending_counts;
 };
@@ -58,6 +66,12 @@
 struct ElectionOptions {
   NodeInfo self;
   Duration hello_interval = std::chrono::milliseconds(250);
+  // Interval at which the owner sends a node its preferred successors and the
+  // pending counts.
+  Duration details_interval = std::chrono::milliseconds(1000);
+  // Number of preferred successors that the owner tells, and of nodes that a
+  // probe asks.
+  std::size_t max_listed_members = 12;
   // A node that has not heard from the owner for this long probes the others.
   Duration suspect_after = std::chrono::milliseconds(750);
   // Added to `suspect_after` for a new owner, which restores the shard first.
@@ -72,6 +86,13 @@
   // A store that has failed for this long counts as unreachable, and the owner
   // asks another node to take over.
   Duration store_unreachable_after = std::chrono::milliseconds(500);
+  // An owner that has to hand over waits this long for a much larger node that
+  // it hears to reach the store as well: after an outage the smaller nodes may
+  // be the first to report.
+  Duration larger_node_wait = std::chrono::milliseconds(600);
+  // A node that has not claimed the shard this long after it was asked to take
+  // over is passed over.
+  Duration takeover_timeout = std::chrono::milliseconds(1500);
   // An owner hands over to a much larger node once it has owned the shard, and
   // heard from that node, for this long.
   Duration stability_period = std::chrono::seconds(3);
@@ -125,6 +146,8 @@
   // the shard; requests may be lost.
   void Leave(MonotonicTime now);
 
+  // The highest rank among this node and those it has heard of.
+  std::uint32_t HighestRank() const;
   // The newest known claim.
   const OwnerClaim& claim() const { return claim_; }
   bool owns() const;
@@ -152,6 +175,9 @@
     MonotonicTime heard_since;
     MonotonicTime last_seen_at;
     bool store_reached = false;
+    bool leaving = false;
+    MonotonicTime details_sent_at;
+    MonotonicTime asked_to_take_over_at;
   };
 
   NodeMessage MakeMessage(MessageKind kind, MonotonicTime now) const;
@@ -159,13 +185,28 @@
   void OnOwnerState(const NodeMessage& message, MonotonicTime now);
   void OnProbe(const NodeMessage& message, MonotonicTime now);
   void OnTakeOver(const NodeMessage& message, MonotonicTime now);
+  // The `max_listed_members` preferred nodes, among those heard from recently
+  // if `only_heard`.
+  std::vector<NodeInfo> PreferredMembers(bool only_heard,
+                                         MonotonicTime now) const;
+  // Claims the shard again after a restart, or leaves it to a much larger node
+  // that has said hello.
+  void Reclaim(MonotonicTime now);
   void StartProbe(MonotonicTime now);
   void EndProbe(MonotonicTime now);
   void Claim(MonotonicTime now);
   // Whether a much larger node has been available for `stability_period`.
   bool HasLargerNode(MonotonicTime now) const;
-  // Asks the preferred node among those that reach the store to take over.
+  // Whether the node is in contact, stays, and has not been asked in vain.
+  bool MayTakeOver(const Member& member, MonotonicTime now) const;
+  // Whether `left` is preferred over `right` to take over from this node.
+  bool IsBetterSuccessor(const Member& left, const Member& right) const;
+  // The preferred node among those that may take over and reach the store; null
+  // when there is none or a much larger one is worth waiting for.
+  Member* FindSuccessor(MonotonicTime now);
+  // Asks the successor, if there is one, to take over.
   void HandOver(MonotonicTime now);
+  void RequestTakeover(Member& member, MonotonicTime now);
   void StopOwning(const std::string& reason);
   // Whether `left` is preferred over `right` as owner.
   static bool Outranks(const NodeInfo& left, const NodeInfo& right);
@@ -181,8 +222,15 @@
   // When the running probe ends, or else when the next one may start.
   MonotonicTime next_probe_step_at_;
   MonotonicTime takeover_requested_at_;
+  // Since when the owner has known a node to hand over to.
+  std::optional<MonotonicTime> successor_known_since_;
   MonotonicTime owns_since_;
   std::optional<MonotonicTime> store_failing_since_;
+  // When this node, whose earlier run owned the shard, claims it again.
+  std::optional<MonotonicTime> reclaim_at_;
+  // Preferred members as last computed by the owner.
+  std::vector<NodeInfo> listed_members_;
+  MonotonicTime listed_members_at_;
   std::uint32_t probe_round_ = 0;
   // Probes after which this node left the claim to a preferred node.
   std::uint32_t deferrals_ = 0;
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -14,6 +14,9 @@
 // change of owner.
 constexpr std::uint32_t kHandoverRankRatio = 2;
 constexpr Duration kTakeoverRequestInterval = std::chrono::milliseconds(300);
+// A node that was asked in vain is passed over until this many time-outs after
+// the first request.
+constexpr int kPassedOverTimeouts = 3;
 
 }  // namespace
 
@@ -60,6 +63,7 @@
           .claim = claim_,
           .store_reached = StoreReached(now),
           .hears_owner = HearsOwner(now),
+          .leaving = leaving_,
           .round = probe_round_};
 }
 
@@ -85,7 +89,42 @@
   claims_read_ = true;
   owner_silent_since_ = now;
   state_ = State::kFollowing;
-  if (claim_.token == 0 || claim_.node == options_.self.name) Claim(now);
+  if (claim_.token == 0) {
+    Claim(now);
+  } else if (claim_.node == options_.self.name) {
+    // The other nodes say hello to this one, as it was the owner.
+    const bool may_be_replaced =
+        claim_.highest_rank >= kHandoverRankRatio * options_.self.rank;
+    reclaim_at_ =
+        now + (may_be_replaced ? options_.larger_node_wait : Duration::zero());
+    Reclaim(now);
+  }
+}
+
+std::uint32_t ElectionCore::HighestRank() const {
+  std::uint32_t highest = options_.self.rank;
+  for (const auto& [name, member] : members_) {
+    highest = std::max(highest, member.info.rank);
+  }
+  return highest;
+}
+
+void ElectionCore::Reclaim(MonotonicTime now) {
+  if (!reclaim_at_.has_value()) return;
+  if (state_ != State::kFollowing || claim_.node != options_.self.name) {
+    reclaim_at_.reset();
+    return;
+  }
+  Member* successor = FindSuccessor(now);
+  if (successor != nullptr &&
+      successor->info.rank >= kHandoverRankRatio * options_.self.rank) {
+    reclaim_at_.reset();
+    RequestTakeover(*successor, now);
+    owner_heard_at_ = now;
+  } else if (now >= *reclaim_at_) {
+    reclaim_at_.reset();
+    Claim(now);
+  }
 }
 
 void ElectionCore::OnClaimed(const OwnerClaim& claim, MonotonicTime now) {
@@ -93,6 +132,10 @@
   if (claim.token > claim_.token) hooks_.log_change("owner", claim.node);
   claim_ = claim;
   state_ = State::kOwning;
+  successor_known_since_.reset();
+  for (auto& [name, member] : members_) {
+    member.asked_to_take_over_at = MonotonicTime();
+  }
   owns_since_ = now;
   owner_heard_at_ = now;
   deferrals_ = 0;
@@ -138,6 +181,7 @@
   if (now - member.last_seen_at > kMemberTimeout) member.heard_since = now;
   member.last_seen_at = now;
   member.store_reached = message.store_reached;
+  member.leaving = message.leaving;
   if (message.claim.token > claim_.token) OnClaim(message.claim, now);
   switch (message.kind) {
     case MessageKind::kHello:
@@ -160,15 +204,37 @@
   }
 }
 
+std::vector<NodeInfo> ElectionCore::PreferredMembers(bool only_heard,
+                                                     MonotonicTime now) const {
+  std::vector<NodeInfo> members;
+  for (const auto& [name, member] : members_) {
+    const bool heard =
+        now - member.last_seen_at < kMemberTimeout && !member.leaving;
+    if (heard || !only_heard) members.push_back(member.info);
+  }
+  const std::size_t count =
+      std::min(members.size(), options_.max_listed_members);
+  std::partial_sort(members.begin(),
+                    members.begin() + static_cast<std::ptrdiff_t>(count),
+                    members.end(), Outranks);
+  members.resize(count);
+  return members;
+}
+
 void ElectionCore::OnHello(const NodeMessage& message, MonotonicTime now) {
   if (!owns()) return;
   NodeMessage answer = MakeMessage(MessageKind::kOwnerState, now);
-  for (const auto& [name, member] : members_) {
-    if (now - member.last_seen_at < kMemberTimeout) {
-      answer.members.push_back(member.info);
+  Member& member = members_[message.sender.name];
+  if (now - member.details_sent_at >= options_.details_interval) {
+    member.details_sent_at = now;
+    if (now - listed_members_at_ >= options_.hello_interval) {
+      listed_members_at_ = now;
+      listed_members_ = PreferredMembers(true, now);
     }
+    answer.has_details = true;
+    answer.members = listed_members_;
+    answer.pending_counts = pending_counts_;
   }
-  answer.pending_counts = pending_counts_;
   hooks_.send(message.sender.address, answer);
 }
 
@@ -176,7 +242,7 @@
   if (message.claim.token != claim_.token || owns()) return;
   if (message.sender.name != claim_.node) return;
   owner_heard_at_ = now;
-  pending_counts_ = message.pending_counts;
+  if (message.has_details) pending_counts_ = message.pending_counts;
   for (const NodeInfo& info : message.members) {
     if (info.name != options_.self.name) members_[info.name].info = info;
   }
@@ -199,8 +265,8 @@
   ++probe_round_;
   probe_answers_.clear();
   next_probe_step_at_ = now + options_.probe_wait;
-  for (const auto& [name, member] : members_) {
-    hooks_.send(member.info.address, MakeMessage(MessageKind::kProbe, now));
+  for (const NodeInfo& member : PreferredMembers(false, now)) {
+    hooks_.send(member.address, MakeMessage(MessageKind::kProbe, now));
   }
 }
 
@@ -213,11 +279,12 @@
       std::any_of(probe_answers_.begin(), probe_answers_.end(),
                   [](const NodeMessage& answer) { return answer.hears_owner; });
   if (heard_by_others) return;
-  const bool preferred_node = std::any_of(
-      probe_answers_.begin(), probe_answers_.end(),
-      [this](const NodeMessage& answer) {
-        return answer.store_reached && Outranks(answer.sender, options_.self);
-      });
+  const bool preferred_node =
+      std::any_of(probe_answers_.begin(), probe_answers_.end(),
+                  [this](const NodeMessage& answer) {
+                    return answer.store_reached && !answer.leaving &&
+                           Outranks(answer.sender, options_.self);
+                  });
   if (preferred_node && ++deferrals_ <= kMaxDeferrals) return;
   const bool isolated = probe_answers_.empty() && !members_.empty();
   if (isolated && now - owner_silent_since_ < options_.isolated_wait) return;
@@ -242,26 +309,69 @@
       members_.begin(), members_.end(), [this, now](const auto& entry) {
         const Member& member = entry.second;
         return member.info.rank >= kHandoverRankRatio * options_.self.rank &&
-               member.store_reached &&
-               now - member.last_seen_at < options_.suspect_after &&
+               member.store_reached && !member.leaving &&
+               now - member.last_seen_at < kMemberTimeout &&
                now - member.heard_since >= options_.stability_period;
       });
 }
 
+bool ElectionCore::MayTakeOver(const Member& member, MonotonicTime now) const {
+  if (member.leaving || now - member.last_seen_at > options_.suspect_after) {
+    return false;
+  }
+  // A request may be lost, so a node is asked again until its time is over, and
+  // once more after the others had theirs.
+  const Duration since_request = now - member.asked_to_take_over_at;
+  return since_request < options_.takeover_timeout ||
+         since_request >= kPassedOverTimeouts * options_.takeover_timeout;
+}
+
+ElectionCore::Member* ElectionCore::FindSuccessor(MonotonicTime now) {
+  Member* best = nullptr;
+  std::uint32_t highest_rank = 0;
+  for (auto& [name, member] : members_) {
+    if (!MayTakeOver(member, now)) continue;
+    highest_rank = std::max(highest_rank, member.info.rank);
+    if (!member.store_reached) continue;
+    if (best == nullptr || IsBetterSuccessor(member, *best)) best = &member;
+  }
+  if (best == nullptr) {
+    successor_known_since_.reset();
+    return nullptr;
+  }
+  if (!successor_known_since_.has_value()) successor_known_since_ = now;
+  const bool larger_node_may_follow =
+      highest_rank >= kHandoverRankRatio * best->info.rank;
+  if (larger_node_may_follow &&
+      now - *successor_known_since_ < options_.larger_node_wait) {
+    return nullptr;
+  }
+  return best;
+}
+
+// In a rolling restart the nodes that have come back last are those that stay
+// longest.
+bool ElectionCore::IsBetterSuccessor(const Member& left,
+                                     const Member& right) const {
+  if (leaving_ && left.info.rank == right.info.rank) {
+    return left.heard_since > right.heard_since;
+  }
+  return Outranks(left.info, right.info);
+}
+
 void ElectionCore::HandOver(MonotonicTime now) {
   if (now - takeover_requested_at_ < kTakeoverRequestInterval) return;
-  const Member* best = nullptr;
-  for (const auto& [name, member] : members_) {
-    if (!member.store_reached ||
-        now - member.last_seen_at > options_.suspect_after) {
-      continue;
-    }
-    if (best == nullptr || Outranks(member.info, best->info)) best = &member;
-  }
-  if (best == nullptr) return;
+  Member* successor = FindSuccessor(now);
+  if (successor != nullptr) RequestTakeover(*successor, now);
+}
+
+void ElectionCore::RequestTakeover(Member& member, MonotonicTime now) {
   takeover_requested_at_ = now;
-  hooks_.log_change("hand over", best->info.name);
-  hooks_.send(best->info.address, MakeMessage(MessageKind::kTakeOver, now));
+  if (now - member.asked_to_take_over_at >= options_.takeover_timeout) {
+    member.asked_to_take_over_at = now;
+  }
+  hooks_.log_change("hand over", member.info.name);
+  hooks_.send(member.info.address, MakeMessage(MessageKind::kTakeOver, now));
 }
 
 void ElectionCore::Leave(MonotonicTime now) {
@@ -280,6 +390,7 @@
     }
     return;
   }
+  Reclaim(now);
   if (HearsOwner(now)) owner_silent_since_ = now;
   if (claim_.token > 0 && now - hello_sent_at_ >= options_.hello_interval) {
     hello_sent_at_ = now;
@@ -287,7 +398,7 @@
   }
   if (state_ == State::kProbing && now >= next_probe_step_at_) EndProbe(now);
   if (state_ == State::kFollowing && !HearsOwner(now) &&
-      now >= next_probe_step_at_) {
+      !reclaim_at_.has_value() && now >= next_probe_step_at_) {
     StartProbe(now);
   }
 }
--- a/src/node/internal/message_codec.cc
+++ b/src/node/internal/message_codec.cc
@@ -37,7 +37,9 @@
   }
   record.set_store_reached(message.store_reached);
   record.set_hears_owner(message.hears_owner);
+  record.set_leaving(message.leaving);
   record.set_round(message.round);
+  record.set_has_details(message.has_details);
   for (const NodeInfo& member : message.members) {
     Encode(member, *record.add_members());
   }
@@ -59,7 +61,9 @@
                       .sender = Decode(record.sender()),
                       .store_reached = record.store_reached(),
                       .hears_owner = record.hears_owner(),
-                      .round = record.round()};
+                      .leaving = record.leaving(),
+                      .round = record.round(),
+                      .has_details = record.has_details()};
   if (record.claim_token() > 0) {
     const NodeInfo owner = Decode(record.claim_node());
     message.claim = {.token = record.claim_token(),
@@ -75,13 +79,13 @@
   return message;
 }
 
-std::string EncodeClaim(const NodeInfo& node,
-                        const std::vector<std::string>& former,
-                        WallTime claimed_at) {
+std::string EncodeClaim(const OwnerClaim& claim, std::uint32_t rank) {
   proto::Claim record;
-  Encode(node, *record.mutable_node());
-  for (const std::string& name : former) record.add_former(name);
-  record.set_claimed_at_ms(claimed_at.time_since_epoch().count());
+  Encode({.name = claim.node, .address = claim.address, .rank = rank},
+         *record.mutable_node());
+  for (const std::string& name : claim.former) record.add_former(name);
+  record.set_claimed_at_ms(claim.claimed_at.time_since_epoch().count());
+  record.set_highest_rank(claim.highest_rank);
   return record.SerializeAsString();
 }
 
@@ -92,12 +96,13 @@
   }
   const NodeInfo owner = Decode(record.node());
   // Offsets start at 0, but workers treat a missing token as 0.
-  return {.token = offset + 1,
-          .node = owner.name,
-          .address = owner.address,
-          .former = {record.former().begin(), record.former().end()},
-          .claimed_at =
-              WallTime(std::chrono::milliseconds(record.claimed_at_ms()))};
+  return {
+      .token = offset + 1,
+      .node = owner.name,
+      .address = owner.address,
+      .former = {record.former().begin(), record.former().end()},
+      .claimed_at = WallTime(std::chrono::milliseconds(record.claimed_at_ms())),
+      .highest_rank = record.highest_rank()};
 }
 
 }  // namespace carobmast::node
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -220,13 +220,17 @@
   if (owner_ != nullptr) owner_->SetConfig(*config_);
 }
 
-void NodeProcess::OnClaimRecord(const contracts::KeyedRecord& record) {
-  if (record.key != kShardKey || !record.value.has_value()) return;
+std::optional<OwnerClaim> NodeProcess::OnClaimRecord(
+    const contracts::KeyedRecord& record) {
+  if (record.key != kShardKey || !record.value.has_value()) return std::nullopt;
   try {
-    election_.OnClaim(DecodeClaim(*record.value, record.offset), LeaseNow());
+    OwnerClaim claim = DecodeClaim(*record.value, record.offset);
+    election_.OnClaim(claim, LeaseNow());
+    return claim;
   } catch (const Error& error) {
     log_.Write("claim refused",
                {{"offset", record.offset}, {"reason", error.what()}});
+    return std::nullopt;
   }
 }
 
@@ -238,60 +242,76 @@
 }
 
 asio::awaitable<void> NodeProcess::StoreClaim() {
-  const NodeInfo self{.name = settings_.name,
-                      .address = settings_.peers,
-                      .rank = settings_.rank};
+  ClaimResult result = co_await TryClaim();
+  // The next try finds out whether the unanswered claim was stored.
+  if (result == ClaimResult::kUnanswered) result = co_await TryClaim();
+  if (result != ClaimResult::kStored) election_.OnClaimFailed(LeaseNow());
+}
+
+asio::awaitable<NodeProcess::ClaimResult> NodeProcess::TryClaim() {
   const contracts::StreamId stream{.name = kClaimStream};
   const std::uint64_t known_token = election_.claim().token;
   const WallTime wall = ShardNow().wall;
   OwnerClaim previous;
+  bool is_own_claim = false;
   const contracts::NewestAnswer newest =
       co_await store_->Newest(stream, "", kClaimTimeout);
   OnStoreCall(newest.ok, newest.error);
-  if (!newest.ok) {
-    election_.OnClaimFailed(LeaseNow());
-    co_return;
-  }
+  if (!newest.ok) co_return ClaimResult::kFailed;
   for (const contracts::KeyedRecord& record : newest.records) {
-    OnClaimRecord(record);
-    if (record.key == kShardKey && record.value.has_value()) {
-      previous = DecodeClaim(*record.value, record.offset);
-    }
+    previous = OnClaimRecord(record).value_or(previous);
+    is_own_claim =
+        is_own_claim || (record.key == kShardKey && record.value.has_value() &&
+                         record.value == unanswered_claim_);
   }
-  // Another node has claimed first, or an unanswered claim of this node was
-  // stored.
-  if (election_.claim().token != known_token) {
-    election_.OnClaimFailed(LeaseNow());
-    co_return;
+  if (is_own_claim) {
+    OnClaimStored(previous.token,
+                  {previous.former.begin(), previous.former.end()});
+    co_return ClaimResult::kStored;
   }
+  // Another node has claimed first.
+  if (election_.claim().token != known_token) co_return ClaimResult::kFailed;
   std::set<std::string> former;
   if (wall - previous.claimed_at < kFormerOwnerRetention) {
     former.insert(previous.former.begin(), previous.former.end());
   }
   if (!previous.node.empty()) former.insert(previous.node);
   // An earlier run of this node has certainly ended.
-  former.erase(self.name);
-  const contracts::KeyedAppendAnswer answer = co_await store_->Append(
-      {.stream = stream,
-       .records = {{.key = kShardKey,
-                    .value = EncodeClaim(self, {former.begin(), former.end()},
-                                         wall)}},
-       .expected_end = newest.end,
-       .timeout = kClaimTimeout});
+  former.erase(settings_.name);
+  const std::string value =
+      EncodeClaim({.node = settings_.name,
+                   .address = settings_.peers,
+                   .former = {former.begin(), former.end()},
+                   .claimed_at = wall,
+                   .highest_rank = election_.HighestRank()},
+                  settings_.rank);
+  const contracts::KeyedAppendAnswer answer =
+      co_await store_->Append({.stream = stream,
+                               .records = {{.key = kShardKey, .value = value}},
+                               .expected_end = newest.end,
+                               .timeout = kClaimTimeout});
   if (answer.outcome == contracts::KeyedAppendOutcome::kStored) {
     OnStoreCall(true, "");
-    election_.OnClaimed({.token = answer.offset + 1,
-                         .node = self.name,
-                         .address = self.address},
-                        LeaseNow());
-    former_owners_ = std::move(former);
-    if (election_.owns()) StartOwning();
-    co_return;
+    OnClaimStored(answer.offset + 1, std::move(former));
+    co_return ClaimResult::kStored;
   }
-  // An unanswered claim may still be stored and then shows up in the stream of
-  // claims. It is not used; this node makes a new claim instead.
   log_.Write("claim not stored", {{"reason", answer.error}});
-  election_.OnClaimFailed(LeaseNow());
+  if (answer.outcome != contracts::KeyedAppendOutcome::kUnknown) {
+    co_return ClaimResult::kFailed;
+  }
+  // It may still be stored, and counts as long as no other claim follows it.
+  unanswered_claim_ = value;
+  co_return ClaimResult::kUnanswered;
+}
+
+void NodeProcess::OnClaimStored(std::uint64_t token,
+                                std::set<std::string> former) {
+  unanswered_claim_.reset();
+  election_.OnClaimed(
+      {.token = token, .node = settings_.name, .address = settings_.peers},
+      LeaseNow());
+  former_owners_ = std::move(former);
+  if (election_.owns()) StartOwning();
 }
 
 void NodeProcess::StartOwning() {
@@ -478,6 +498,7 @@
 asio::awaitable<void> NodeProcess::ShutDown() {
   const MonotonicTime started_at = LeaseNow();
   stopping_ = true;
+  front_server_->Drain();
   while (LeaseNow() - started_at < kBalancerDrainTime) {
     election_.Leave(LeaseNow());
     co_await Sleep(kTickInterval);
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -37,9 +37,13 @@
   void OnOperatorRecord(const contracts::KeyedRecord& record);
   void OnConfigRecord(const contracts::KeyedRecord& record);
   void OnWaveRecord(const contracts::KeyedRecord& record);
-  void OnClaimRecord(const contracts::KeyedRecord& record);
+  // Returns the claim; empty when the record is not a valid claim.
+  std::optional<OwnerClaim> OnClaimRecord(const contracts::KeyedRecord& record);
   void OnStoreCall(bool reached, const std::string& error);
   boost::asio::awaitable<void> StoreClaim();
+  enum class ClaimResult { kStored, kFailed, kUnanswered };
+  boost::asio::awaitable<ClaimResult> TryClaim();
+  void OnClaimStored(std::uint64_t token, std::set<std::string> former);
   void StartOwning();
   void OnFormerOwnerMessage(const NodeMessage& message);
   void StopOwning(const std::string& reason);
@@ -106,6 +110,8 @@
   Ref<Owner> owner_;
   // Earlier owners that have not yet shown that they know this node's claim.
   std::set<std::string> former_owners_;
+  // A claim of this process of which it is not known whether it was stored.
+  std::optional<std::string> unanswered_claim_;
   std::optional<jobs::ClusterConfig> config_;
   QueueTable queues_;
   std::map<std::uint64_t, maintenance::Wave> waves_;
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -30,7 +30,10 @@
               .claim = [this] { ++claim_attempts; },
               .stop_owning =
                   [this](const std::string& reason) { stop_reason = reason; },
-              .log_change = [](const std::string&, const std::string&) {}}) {}
+              .log_change =
+                  [this](const std::string& event, const std::string& detail) {
+                    if (event == "hand over") successors.push_back(detail);
+                  }}) {}
 
   void Advance(Duration time) {
     for (Duration passed = Duration::zero(); passed < time;
@@ -63,6 +66,8 @@
   std::vector<NodeMessage> sent;
   int claim_attempts = 0;
   std::string stop_reason;
+  // The nodes that were asked to take over, in this order.
+  std::vector<std::string> successors;
   ElectionCore core;
 };
 
@@ -80,6 +85,13 @@
   CPPUNIT_TEST(IsolatedNodeWaitsBeforeClaiming);
   CPPUNIT_TEST(NewerClaimEndsOwnership);
   CPPUNIT_TEST(OwnerThatLosesTheStoreHandsOver);
+  CPPUNIT_TEST(FirstNodeToReachTheStoreTakesOverBeforeALargerOne);
+  CPPUNIT_TEST(LeavingNodeIsAskedToTakeOver);
+  CPPUNIT_TEST(NodeThatDoesNotClaimIsAskedForever);
+  CPPUNIT_TEST(NodeThatRestartsNextTakesOver);
+  CPPUNIT_TEST(SmallNodeOwnsTheShardAgainAfterARestart);
+  CPPUNIT_TEST(RestartedNodeWaitsForLargerNodesInVain);
+  CPPUNIT_TEST(EachHelloIsAnsweredWithAllMembers);
   CPPUNIT_TEST(OwnerStopsWhenClaimCannotBeConfirmed);
   CPPUNIT_TEST(RetryAfterGrowsWithTheOutage);
   CPPUNIT_TEST_SUITE_END();
@@ -161,7 +173,7 @@
     BecomeOwner(fixture);
     fixture.core.OnStoreResult(false, fixture.now);
     for (int i = 0; i < 20; ++i) {
-      ReceiveHello(fixture, "c");
+      ReceiveHello(fixture, MakeNode("c"));
       fixture.Advance(milliseconds(50));
     }
     const auto takeover_requests =
@@ -173,6 +185,114 @@
     CPPUNIT_ASSERT(fixture.core.owns());
   }
 
+  // Guards against handing over to the smallest node, which needs seconds to
+  // restore the shard, because it is the first to report after an outage.
+  void FirstNodeToReachTheStoreTakesOverBeforeALargerOne() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    for (int i = 0; i < 10; ++i) {
+      const bool large_reaches_store = i >= 4;
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      ReceiveHello(fixture, {.name = "large", .rank = 500},
+                   large_reaches_store);
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(!fixture.successors.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+  }
+
+  // Guards against asking nodes that are shutting down as well.
+  void LeavingNodeIsAskedToTakeOver() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    for (int i = 0; i < 10; ++i) {
+      fixture.core.OnMessage({.kind = MessageKind::kHello,
+                              .sender = MakeNode("large", 500),
+                              .claim = fixture.core.claim(),
+                              .store_reached = true,
+                              .leaving = true},
+                             fixture.now);
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(!fixture.successors.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("small"), fixture.successors.front());
+  }
+
+  // Guards against an owner that asks one node until its time to stop is over.
+  void NodeThatDoesNotClaimIsAskedForever() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    for (int i = 0; i < 30; ++i) {
+      ReceiveHello(fixture, {.name = "large", .rank = 500});
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+    CPPUNIT_ASSERT_EQUAL(std::string("small"), fixture.successors.back());
+  }
+
+  // Guards against one hand-over for each node of a rolling restart: nodes that
+  // have come back already stay.
+  void NodeThatRestartsNextTakesOver() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    ReceiveHello(fixture, MakeNode("c"));
+    ReceiveHello(fixture, MakeNode("d"));
+    // Node "d" restarts meanwhile.
+    for (int i = 0; i < 20; ++i) {
+      fixture.Advance(milliseconds(250));
+      ReceiveHello(fixture, MakeNode("c"));
+    }
+    ReceiveHello(fixture, MakeNode("d"));
+    fixture.core.Leave(fixture.now);
+    CPPUNIT_ASSERT_EQUAL(std::string("d"), fixture.successors.front());
+  }
+
+  // Guards against a node that is too small for the fleet and, after all nodes
+  // lost power, owns the shard again because it was the last owner.
+  void SmallNodeOwnsTheShardAgainAfterARestart() {
+    NodeFixture fixture("b", 60);
+    RestartAsOwner(fixture);
+    fixture.Advance(milliseconds(100));
+    ReceiveHello(fixture, {.name = "middle", .rank = 200});
+    ReceiveHello(fixture, {.name = "large", .rank = 500});
+    fixture.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(0, fixture.claim_attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+  }
+
+  void RestartedNodeWaitsForLargerNodesInVain() {
+    NodeFixture fixture("b", 60);
+    RestartAsOwner(fixture);
+    CPPUNIT_ASSERT_EQUAL(0, fixture.claim_attempts);
+    fixture.Advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+  }
+
+  // Guards against answers that grow with the number of nodes: the owner of a
+  // large cluster would spend its link and processor on them.
+  void EachHelloIsAnsweredWithAllMembers() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    for (int round = 0; round < 2; ++round) {
+      for (std::uint32_t i = 0; i < 100; ++i) {
+        ReceiveHello(fixture, MakeNode("n" + std::to_string(i), 100 + i));
+      }
+      fixture.Advance(milliseconds(250));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{200}, fixture.sent.size());
+    std::size_t listed = 0;
+    for (std::size_t i = 0; i < fixture.sent.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(i < 100, fixture.sent[i].has_details);
+      listed = std::max(listed, fixture.sent[i].members.size());
+    }
+    CPPUNIT_ASSERT(listed <= ElectionOptions().max_listed_members);
+  }
+
   void OwnerStopsWhenClaimCannotBeConfirmed() {
     NodeFixture fixture;
     BecomeOwner(fixture);
@@ -190,15 +310,24 @@
     fixture.Advance(milliseconds(1000));
     fixture.ReceiveOwnerState("a", 1, {MakeNode("b"), MakeNode("c", 1)});
   }
+  // The newest claim is from an earlier run of this node, which knew a node of
+  // rank 500.
+  static void RestartAsOwner(NodeFixture& fixture) {
+    OwnerClaim claim = MakeClaim("b", 7);
+    claim.highest_rank = 500;
+    fixture.core.OnClaim(claim, fixture.now);
+    fixture.core.OnClaimsRead(fixture.now);
+  }
   static void BecomeOwner(NodeFixture& fixture) {
     fixture.core.OnClaimsRead(fixture.now);
     fixture.core.OnClaimed(MakeClaim("b", 1), fixture.now);
   }
-  static void ReceiveHello(NodeFixture& fixture, const std::string& from) {
+  static void ReceiveHello(NodeFixture& fixture, const NodeInfo& from,
+                           bool store_reached = true) {
     fixture.core.OnMessage({.kind = MessageKind::kHello,
-                            .sender = MakeNode(from),
+                            .sender = MakeNode(from.name, from.rank),
                             .claim = fixture.core.claim(),
-                            .store_reached = true},
+                            .store_reached = store_reached},
                            fixture.now);
   }
 
