Jobs that can't find room while they are of use are turned away at once

Pattern: standing tasks hold a whole pool (a third of the workers has left during a burst). Cause: admission knew only the store and the owner. Change: src/jobs/admission rejects a job of a queue of which no task has found room, while some waited, for longer than three objectives of the job; 503 with a Retry-After that grows with that time and is spread by ID.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -150,6 +150,11 @@
   }
   const auto policy = impl_->queues.find(queue);
   if (policy == impl_->queues.end()) return {};
+  const std::optional<milliseconds> retry_after =
+      impl_->RejectForLoad(id, policy->second, spec);
+  if (retry_after.has_value()) {
+    return {.outcome = SubmitOutcome::kNoRoom, .retry_after = *retry_after};
+  }
   Job& job = impl_->AddJob(id);
   job.queue = queue;
   job.pool = policy->second.pool;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -41,6 +41,9 @@
   void BeginDueOccurrences(Job& job, ShardTime now);
   void UpdateReadySteps(Occurrence& occurrence);
   void SetPolicy(Job& job) const;
+  // See RetryAfterIfRejected. Logs and counts a rejection.
+  std::optional<std::chrono::milliseconds> RejectForLoad(
+      const std::string& id, const QueuePolicy& queue, const JobSpec& spec);
   void FinishTask(Task& task);
   void FinishStep(Step& step);
   void EndJob(Job& job, JobState state);
@@ -67,6 +70,8 @@
   bool HasWaitingTasks(const Step& step) const;
   void ScheduleStep(Step& step);
   void ScheduleGang(Step& step);
+  // See AdmissionInput::without_room.
+  std::optional<Duration> TimeWithoutRoom(const std::string& queue) const;
   // Whether the view of the registry is so old that a worker may have announced
   // in the meantime that it leaves.
   bool IsRegistryStale() const;
@@ -208,6 +213,9 @@
   std::map<std::string, std::unique_ptr<Job>> jobs;
   std::map<std::string, std::unique_ptr<WorkerState>> workers;
   std::map<ReadyKey, Step*> ready;
+  // By queue: since when none of its steps, other than standing ones, has found
+  // a worker.
+  std::map<std::string, MonotonicTime> without_room_since;
   // Demands for which no worker was found since `unplaceable_since`.
   struct UnplaceableDemand {
     ImageId image = 0;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "framework/base/error.h"
+#include "jobs/admission.h"
 #include "jobs/internal/shard_impl.h"
 #include "jobs/job_record.h"
 
@@ -37,6 +38,13 @@
   return longest;
 }
 
+// The time within which a job of the queue should end.
+milliseconds ObjectiveSpan(const QueuePolicy& queue, const JobSpec& spec) {
+  const double chain =
+      queue.stretch * static_cast<double>(LongestChain(spec).count());
+  return queue.target_latency + milliseconds(static_cast<std::int64_t>(chain));
+}
+
 bool IsUntouched(const Task& task) {
   return !task.finished && task.attempt == 0 && task.runs.empty();
 }
@@ -80,12 +88,30 @@
 void ShardCore::Impl::SetPolicy(Job& job) const {
   const auto queue = queues.find(job.queue);
   if (queue == queues.end()) return;
-  const QueuePolicy& policy = queue->second;
-  const double chain =
-      policy.stretch * static_cast<double>(LongestChain(job.spec).count());
-  job.priority = policy.priority;
-  job.objective_ms = job.accepted_at_ms + policy.target_latency.count() +
-                     static_cast<std::int64_t>(chain);
+  job.priority = queue->second.priority;
+  job.objective_ms =
+      job.accepted_at_ms + ObjectiveSpan(queue->second, job.spec).count();
+}
+
+std::optional<milliseconds> ShardCore::Impl::RejectForLoad(
+    const std::string& id, const QueuePolicy& queue, const JobSpec& spec) {
+  const bool has_deadline =
+      spec.occurrences == 0 &&
+      std::none_of(spec.steps.begin(), spec.steps.end(),
+                   [](const StepSpec& step) { return step.standing; });
+  if (!has_deadline) return std::nullopt;
+  const std::optional<Duration> without_room = TimeWithoutRoom(queue.name);
+  const std::optional<milliseconds> retry_after =
+      RetryAfterIfRejected({.id = id,
+                            .objective = ObjectiveSpan(queue, spec),
+                            .without_room = without_room});
+  if (!retry_after.has_value()) return std::nullopt;
+  ++counters.rejected;
+  hooks.decided("job rejected", {{"job", id},
+                                 {"queue", queue.name},
+                                 {"without_room", *without_room},
+                                 {"retry_after", Duration(*retry_after)}});
+  return retry_after;
 }
 
 Occurrence& ShardCore::Impl::MakeOccurrence(Job& job, std::uint32_t number) {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "jobs/admission.h"
 #include "jobs/internal/shard_impl.h"
 #include "jobs/job_record.h"
 
@@ -52,10 +53,6 @@
 // score.
 constexpr double kDataRackBonus = 10;
 constexpr double kAvoidedPenalty = 5;
-// A job that ends later than this multiple of its objective counts as
-// worthless.
-constexpr std::int64_t kUsefulObjectives = 3;
-
 double ToDouble(std::uint64_t value) { return static_cast<double>(value); }
 
 }  // namespace
@@ -208,6 +205,7 @@
 void ShardCore::Impl::ScheduleStep(Step& step) {
   std::vector<Candidate> candidates = Rank(step);
   bool all_placed = true;
+  bool any_placed = false;
   for (Task& task : step.tasks) {
     if (task.finished || !task.runs.empty()) continue;
     Candidate* best = Best(candidates, task);
@@ -222,6 +220,7 @@
       break;
     }
     Plan(task, *best->worker, task.attempt + 1);
+    any_placed = true;
     if (ignore_slowdown) {
       ignore_slowdown = false;
       candidates = Rank(step);
@@ -231,6 +230,26 @@
   }
   ignore_slowdown = false;
   if (all_placed) RemoveReady(step);
+  if (step.spec->standing) return;
+  const std::string& queue = step.occurrence->job->queue;
+  if (any_placed) {
+    without_room_since.erase(queue);
+  } else if (!all_placed) {
+    without_room_since.try_emplace(queue, now.steady);
+  }
+}
+
+std::optional<Duration> ShardCore::Impl::TimeWithoutRoom(
+    const std::string& queue) const {
+  const auto since = without_room_since.find(queue);
+  if (since == without_room_since.end()) return std::nullopt;
+  const bool some_wait =
+      std::any_of(ready.begin(), ready.end(), [&queue](const auto& entry) {
+        const Step& step = *entry.second;
+        return !step.spec->standing && step.occurrence->job->queue == queue;
+      });
+  if (!some_wait) return std::nullopt;
+  return now.steady - since->second;
 }
 
 void ShardCore::Impl::ScheduleGang(Step& step) {
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -79,12 +79,15 @@
   kNewJob,    // accepted once the change is stored
   kKnownJob,  // the ID was taken before; accepted once the change is stored
   kNoQueue,
+  kNoRoom,  // turned away; see SubmitAnswer::retry_after
 };
 
 struct SubmitAnswer {
   SubmitOutcome outcome = SubmitOutcome::kNoQueue;
   // The change that must be stored before the caller is answered.
   std::uint64_t change = 0;
+  // Only for kNoRoom.
+  std::chrono::milliseconds retry_after{0};
 };
 
 struct CancelAnswer {
@@ -105,6 +108,8 @@
 
 struct ShardCounters {
   std::uint64_t accepted = 0;
+  // Jobs turned away for want of room.
+  std::uint64_t rejected = 0;
   std::uint64_t starts = 0;
   std::uint64_t starts_repeated = 0;
   std::uint64_t starts_refused = 0;
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -43,6 +43,9 @@
 FrontAnswer ToFrontAnswer(FrontKind kind, const JobAnswer& answer) {
   FrontAnswer result;
   result.reason = answer.reason();
+  if (answer.retry_after_ms() > 0) {
+    result.retry_after = milliseconds(answer.retry_after_ms());
+  }
   switch (answer.outcome()) {
     case JobAnswer::DONE:
       result.outcome = kind == FrontKind::kSubmit   ? FrontOutcome::kAccepted
@@ -101,7 +104,9 @@
   const FrontKind kind = decoded.kind;
   const std::string path = decoded.path;
   FrontAnswer answer = co_await HandleRequest(std::move(decoded));
-  answer.retry_after = election_.RetryAfter(LeaseNow());
+  if (!answer.retry_after.has_value()) {
+    answer.retry_after = election_.RetryAfter(LeaseNow());
+  }
   const Duration duration = LeaseNow() - started_at;
   (kind == FrontKind::kSubmit ? submit_latency_ : state_latency_)
       ->Record(duration);
@@ -210,6 +215,7 @@
           last_answer.outcome() == JobAnswer::UNKNOWN_JOB) {
         co_return last_answer;
       }
+      if (last_answer.retry_after_ms() > 0 && !undecided) co_return last_answer;
       undecided = undecided || last_answer.outcome() == JobAnswer::UNDECIDED;
     }
     asio::steady_timer timer(context_, kRetryDelay);
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -555,6 +555,8 @@
   };
   set_gauge("carobmast_jobs_accepted", "Jobs taken by this owner",
             counters.accepted);
+  set_gauge("carobmast_jobs_rejected", "Jobs turned away for want of room",
+            counters.rejected);
   set_gauge("carobmast_starts", "Starts ordered", counters.starts);
   set_gauge("carobmast_starts_repeated",
             "Starts ordered again for want of an answer",
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -550,6 +550,12 @@
   if (submitted.outcome == jobs::SubmitOutcome::kNoQueue) {
     co_return MakeAnswer(JobAnswer::NOT_DONE, "the queue is not configured");
   }
+  if (submitted.outcome == jobs::SubmitOutcome::kNoRoom) {
+    JobAnswer answer = MakeAnswer(JobAnswer::NOT_DONE, "no room for the queue");
+    answer.set_retry_after_ms(
+        static_cast<std::uint32_t>(submitted.retry_after.count()));
+    co_return answer;
+  }
   if (co_await WaitStored(submitted.change, timeout)) {
     co_return MakeAnswer(JobAnswer::DONE);
   }
--- a/src/node/types/front.h
+++ b/src/node/types/front.h
@@ -42,7 +42,8 @@
   FrontOutcome outcome = FrontOutcome::kRetryLater;
   jobs::JobState state = jobs::JobState::kQueued;
   std::uint32_t pending = 0;
-  Duration retry_after = std::chrono::seconds(1);
+  // Only for kRetryLater; empty for as soon as the caller likes.
+  std::optional<Duration> retry_after;
   std::string reason;
 };
 
