A pause of the owner no longer makes running tasks look stalled

Cause: a task without progress is stopped after 2.2 s, counted on the owner's clock from the last report that showed progress. After a pause of the owner, or a gap in the reports, the next tick stopped every running task before any report could be read: work given up because nobody had looked. Change: the time without progress is taken from the worker's clock in its reports, from the first that shows a progress to the last. Measured: PausedOwnerTakesRunningTasksForStalled fails on the former code (4 s pause, a stop is sent) and passes; TaskWithoutProgressIsStopped holds on both.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -56,7 +56,9 @@
   // processor use of a filler in thousandths of a processor.
   std::uint32_t percent = 0;
   std::uint32_t measured = 0;
-  MonotonicTime progress_at;
+  // The time on the worker's clock of the first report of this progress; empty
+  // before the first report under the present conditions.
+  std::optional<contracts::WorkerClock> progress_clock;
   // Speed of a filler, in percent.
   std::uint32_t pace = 100;
   std::uint32_t pace_sent = 100;
@@ -186,6 +188,8 @@
   // The latest lease end sent to the worker, on the worker's clock.
   contracts::WorkerClock lease_end{0};
   MonotonicTime known_since;
+  // The time of the last report about its runs, on the worker's clock.
+  contracts::WorkerClock reported_clock{0};
   contracts::Resources used;
   // Processors requested by fillers, in thousandths of one.
   std::uint64_t filler_milli_cpus = 0;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -340,7 +340,6 @@
     run.attempt = run_record.attempt();
     run.state = RunState::kRunning;
     run.may_have_arrived = true;
-    run.progress_at = now.steady;
     run.worker->runs.push_back(run);
     ReserveResources(run);
     ++step.occurrence->job->run_count;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -46,7 +46,6 @@
   if (run.state == RunState::kPlanned) {
     run.state = RunState::kSent;
     run.sent_at = now.steady;
-    run.progress_at = now.steady;
     ++counters.starts;
   } else {
     ++counters.starts_repeated;
@@ -155,7 +154,6 @@
       run->may_have_arrived = true;
       run->state = RunState::kRunning;
       run->confirmed_at = now.steady;
-      run->progress_at = now.steady;
       run->task->step->occurrence->job->started = true;
       return;
     case OrderOutcome::kSuperseded:
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -243,7 +243,7 @@
   }
   run.pace_in_flight = true;
   run.pace_sent = run.pace;
-  run.progress_at = now.steady;
+  run.progress_clock.reset();
   ++counters.paces;
   hooks.pace({.id = run.worker->id, .address = run.worker->entry.address},
              {.task = KeyOfTask(*run.task),
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -493,7 +493,6 @@
   run.task = &task;
   run.worker = &worker;
   run.attempt = attempt;
-  run.progress_at = now.steady;
   run.idle_since = now.steady;
   if (NeedsTicket(*task.step)) {
     const std::string* ticket = FindTicket(*task.step, worker);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -212,6 +212,7 @@
                                     const contracts::HoldAnswer& answer,
                                     MonotonicTime sent_at) {
   std::set<const Run*> listed;
+  worker.reported_clock = answer.clock.value_or(worker.reported_clock);
   for (const contracts::RunningTask& row : answer.running) {
     Run* run = FindRun(worker, row.task, row.attempt);
     if (run == nullptr) {
@@ -230,9 +231,10 @@
     if (run->state != RunState::kRunning) {
       run->state = RunState::kRunning;
       run->confirmed_at = now.steady;
-      run->progress_at = now.steady;
     }
-    if (row.percent != run->percent) run->progress_at = now.steady;
+    if (row.percent != run->percent || !run->progress_clock.has_value()) {
+      run->progress_clock = answer.clock;
+    }
     run->percent = row.percent;
     run->measured = row.measured;
     if (run->task->step->spec->checkpoints && !row.checkpoint.empty()) {
@@ -371,7 +373,12 @@
         kStalledAfter,
         milliseconds(static_cast<std::int64_t>(
             kStalledEstimates * static_cast<double>(spec.estimate.count()))));
-    if (now.steady - run.progress_at > limit) stalled.push_back(&run);
+    // Measured from report to report: a worker or an owner that was silent
+    // meanwhile does not make a task look stalled.
+    if (run.progress_clock.has_value() &&
+        worker.reported_clock - *run.progress_clock > limit) {
+      stalled.push_back(&run);
+    }
   }
   for (Run* run : stalled) {
     RecordFailure(worker, *run->task);
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(UnansweredStartIsRepeatedUnderItsAttempt);
   CPPUNIT_TEST(SilentWorkerKeepsItsTasksUntilTheLeaseIsOver);
   CPPUNIT_TEST(OneLostAnswerDoesNotMakeAWorkerSilent);
+  CPPUNIT_TEST(PausedOwnerTakesRunningTasksForStalled);
+  CPPUNIT_TEST(TaskWithoutProgressIsStopped);
   CPPUNIT_TEST(HoldsWithoutAnAnswerRenewNoLease);
   CPPUNIT_TEST(NewOwnerAdoptsRunningTasks);
   CPPUNIT_TEST(NewOwnerRestartsTasksThatNeverArrived);
@@ -220,6 +222,36 @@
     CPPUNIT_ASSERT_EQUAL(2U, moved[0].order.attempt);
   }
 
+  // Guards against stopping all running tasks after a pause of the owner or a
+  // gap in the reports, in which nobody could see their progress.
+  void PausedOwnerTakesRunningTasksForStalled() {
+    ShardBench bench;
+    const SentStart start = RunOneTask(bench);
+    contracts::RunningTask row = bench.RunningRow(start);
+    row.percent = 10;
+    bench.AnswerHold("w", {row});
+    bench.now.steady += seconds(4);
+    bench.now.wall += seconds(4);
+    bench.core->Tick(bench.now);
+    CPPUNIT_ASSERT(bench.stops.empty());
+    row.percent = 60;
+    bench.AnswerHold("w", {row});
+    bench.AdvanceTime(milliseconds(100));
+    CPPUNIT_ASSERT(bench.stops.empty());
+  }
+
+  void TaskWithoutProgressIsStopped() {
+    ShardBench bench;
+    const SentStart start = RunOneTask(bench);
+    contracts::RunningTask row = bench.RunningRow(start);
+    row.percent = 10;
+    for (int i = 0; i < 6 && bench.stops.empty(); ++i) {
+      bench.AnswerHold("w", {row});
+      bench.AdvanceTime(milliseconds(500));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
+  }
+
   void HoldsWithoutAnAnswerRenewNoLease() {
     ShardBench bench;
     RunOneTask(bench);
