Large pools: bounded searches, fewer reports; the excess of a long overload is turned away

(1) Every step ranked all workers, every 0.4 s each misplaced standing task looked at all workers, and each worker reported once or twice a second whatever their number: at 3,000 workers the owner was saturated and standing tasks lapsed. A search now ranks 600 eligible workers (8 a task) from where the last one ended, 24 misplaced tasks are looked at a time, and a hold waits 0.5 ms a worker at least, 2 s at most. (2) In an overload that lasts, half of what was accepted was never done. QueueAdmission counts jobs that became worthless before their first run against those that begun, and turns that share of new ones away. Also: members that nothing reads are gone.

--- a/measure/work_simulation.h
+++ b/measure/work_simulation.h
@@ -50,7 +50,6 @@
   std::uint64_t evictions = 0;
   std::uint64_t throttles = 0;
   std::uint64_t failures = 0;
-  std::uint64_t quarantines = 0;
   Duration short_wait_mean = Duration::zero();
   Duration short_wait_p99 = Duration::zero();
   Duration long_wait_mean = Duration::zero();
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -1,9 +1,12 @@
-// Whether a submitted job is taken or turned away.
+// Whether a submitted job is taken or turned away for load.
 //
-// Answers a pool that has had no room for a queue for so long that a job of the
-// queue would have become worthless meanwhile, e.g. because tasks that last
-// hold all of it: callers hear at once that the job was not taken, and when to
-// come back, instead of waiting for a result that comes too late.
+// Answers two load patterns. A pool has had no room for a queue for so long
+// that a job of the queue would have become worthless meanwhile, e.g. because
+// tasks that last hold all of it. Or a queue gets more than it can do for long,
+// so that a part of what it takes becomes worthless before it begins: about
+// that part is turned away. Callers then hear at once that the job was not
+// taken, and when to come back, instead of waiting for a result that comes too
+// late.
 #ifndef CAROBMAST_JOBS_ADMISSION_H_
 #define CAROBMAST_JOBS_ADMISSION_H_
 
@@ -28,11 +31,33 @@
   std::optional<Duration> without_room;
 };
 
-// Returns when the caller should come back if the job is turned away; empty if
-// it is taken. Callers come back the later the longer there has been no room,
-// spread by their IDs so that they don't all come at once.
-std::optional<std::chrono::milliseconds> RetryAfterIfRejected(
-    const AdmissionInput& input);
+// The admission of one queue.
+class QueueAdmission {
+ public:
+  // A job of the queue has got its first run.
+  void OnBegun(MonotonicTime now);
+  // A job of the queue has become worthless before its first run.
+  void OnWorthless(MonotonicTime now);
+
+  // Returns when the caller should come back if the job is turned away; empty
+  // if it is taken. The time grows with the time without room, and is spread by
+  // IDs so that callers don't all come back at once.
+  std::optional<std::chrono::milliseconds> RetryAfterIfRejected(
+      const AdmissionInput& input, MonotonicTime now);
+
+ private:
+  void Decay(MonotonicTime now);
+  // Whether this job belongs to the part that is turned away.
+  bool IsInExcess(MonotonicTime now);
+
+  // Numbers of recent jobs, weighted by age.
+  double begun_ = 0;
+  double worthless_ = 0;
+  double rejected_ = 0;
+  MonotonicTime decayed_at_;
+  // Sum of the shares to turn away, less the jobs turned away.
+  double owed_rejections_ = 0;
+};
 
 }  // namespace carobmast::jobs
 
--- a/src/jobs/internal/admission.cc
+++ b/src/jobs/internal/admission.cc
@@ -1,6 +1,7 @@
 #include "jobs/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace carobmast::jobs {
@@ -14,20 +15,64 @@
 constexpr milliseconds kMaxRetryAfter{4000};
 // The last part of the retry delay is spread over this time.
 constexpr milliseconds kRetrySpread{1000};
+// Time after which a job counts half in the recent numbers.
+constexpr std::chrono::duration<double> kHalfLife{2};
+// Fewer worthless jobs than this, weighted by age, are no overload.
+constexpr double kMinWorthless = 5;
+constexpr double kRejectedWeight = 0.5;
+
+milliseconds SpreadOf(const std::string& id) {
+  const std::size_t range = static_cast<std::size_t>(kRetrySpread.count());
+  return milliseconds(
+      static_cast<std::int64_t>(std::hash<std::string>()(id) % range));
+}
 
 }  // namespace
 
-std::optional<milliseconds> RetryAfterIfRejected(const AdmissionInput& input) {
-  if (!input.without_room.has_value() ||
-      *input.without_room <= kUsefulObjectives * input.objective) {
-    return std::nullopt;
+void QueueAdmission::Decay(MonotonicTime now) {
+  const std::chrono::duration<double> age = now - decayed_at_;
+  decayed_at_ = now;
+  const double factor = std::exp2(-age / kHalfLife);
+  begun_ *= factor;
+  worthless_ *= factor;
+  rejected_ *= factor;
+}
+
+void QueueAdmission::OnBegun(MonotonicTime now) {
+  Decay(now);
+  ++begun_;
+}
+
+void QueueAdmission::OnWorthless(MonotonicTime now) {
+  Decay(now);
+  ++worthless_;
+}
+
+bool QueueAdmission::IsInExcess(MonotonicTime now) {
+  Decay(now);
+  if (worthless_ < kMinWorthless) {
+    owed_rejections_ = 0;
+    return false;
   }
-  const milliseconds without_room =
-      std::chrono::duration_cast<milliseconds>(*input.without_room);
-  const milliseconds spread(static_cast<std::int64_t>(
-      std::hash<std::string>()(input.id) %
-      static_cast<std::size_t>(kRetrySpread.count())));
-  return std::clamp(without_room, kMinRetryAfter, kMaxRetryAfter) + spread;
+  // Jobs turned away count as excess too, in part: in full they would keep up a
+  // rejection that is no longer needed.
+  const double excess = worthless_ + kRejectedWeight * rejected_;
+  owed_rejections_ += excess / (begun_ + excess);
+  if (owed_rejections_ < 1) return false;
+  --owed_rejections_;
+  ++rejected_;
+  return true;
+}
+
+std::optional<milliseconds> QueueAdmission::RetryAfterIfRejected(
+    const AdmissionInput& input, MonotonicTime now) {
+  const Duration without_room = input.without_room.value_or(Duration::zero());
+  const bool rejected =
+      without_room > kUsefulObjectives * input.objective || IsInExcess(now);
+  if (!rejected) return std::nullopt;
+  return std::clamp(std::chrono::duration_cast<milliseconds>(without_room),
+                    kMinRetryAfter, kMaxRetryAfter) +
+         SpreadOf(input.id);
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -50,7 +50,6 @@
   bool stop_requested = false;
   bool stop_in_flight = false;
   std::optional<MonotonicTime> stop_confirmed_at;
-  std::string stop_reason;
   // As last reported by the worker: progress in percent, and the measured
   // value, which is the latency in milliseconds of a standing task and the
   // processor use of a filler in thousandths of a processor.
@@ -162,6 +161,8 @@
   bool spec_written = false;
   // Submissions that wait for the job to be stored.
   std::uint32_t waiting_submissions = 0;
+  // Whether it has become worthless before its first run.
+  bool counted_worthless = false;
   // The encoded progress, between Restore and FinishRestore only.
   std::string restored_progress;
 
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -18,6 +18,11 @@
 // Like kHoldWait, while fillers run beside standing tasks, whose latency must
 // be reported often.
 constexpr milliseconds kColocatedHoldWait{500};
+// Holds wait at least this long for each worker of the shard, up to the longest
+// wait that workers accept: otherwise an owner of thousands of workers would
+// only read reports.
+constexpr std::chrono::microseconds kHoldWaitPerWorker{500};
+constexpr milliseconds kMaxHoldWait{2000};
 // Like kHoldWait, while a stop or an unanswered start is pending on the worker.
 constexpr milliseconds kUncertainHoldWait{100};
 // Waiting steps are scheduled again at least this often.
@@ -273,8 +278,11 @@
   } else if (HasUncertainRun(worker)) {
     plan.order.wait = kUncertainHoldWait;
   } else {
-    plan.order.wait =
+    const milliseconds wanted =
         HasColocatedFillers(worker) ? kColocatedHoldWait : kHoldWait;
+    const milliseconds affordable = std::chrono::duration_cast<milliseconds>(
+        impl_->workers.size() * kHoldWaitPerWorker);
+    plan.order.wait = std::min(std::max(wanted, affordable), kMaxHoldWait);
   }
   return plan;
 }
@@ -391,6 +399,7 @@
   }
   if (now.steady - impl_->last_schedule_at > kScheduleInterval) {
     impl_->last_schedule_at = now.steady;
+    impl_->CountWorthlessJobs();
     impl_->RequestSchedule();
   }
   impl_->RetryUnplaceable();
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "jobs/admission.h"
 #include "jobs/generated/jobs.pb.h"
 #include "jobs/internal/model.h"
 #include "jobs/shard_core.h"
@@ -44,6 +45,8 @@
   // See RetryAfterIfRejected. Logs and counts a rejection.
   std::optional<std::chrono::milliseconds> RejectForLoad(
       const std::string& id, const QueuePolicy& queue, const JobSpec& spec);
+  // Tells the queues' admissions of jobs that waited too long to be of use.
+  void CountWorthlessJobs();
   void FinishTask(Task& task);
   void FinishStep(Step& step);
   void EndJob(Job& job, JobState state);
@@ -105,11 +108,12 @@
   };
   std::optional<double> ScoreIfEligible(WorkerState& worker,
                                         const Step& step) const;
-  // All eligible workers with their scores.
-  std::vector<Candidate> Rank(const Step& step) const;
+  // Eligible workers with their scores: all of a small pool, or enough of a
+  // large one.
+  std::vector<Candidate> Rank(const Step& step);
   // The best candidate for the task; null when there is none.
   static Candidate* Best(std::vector<Candidate>& candidates, const Task& task);
-  WorkerState* Pick(const Task& task) const;
+  WorkerState* Pick(const Task& task);
   std::string PoolOf(const Job& job) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
   void ReserveResources(const Run& run);
@@ -216,6 +220,8 @@
   // By queue: since when none of its steps, other than standing ones, has found
   // a worker.
   std::map<std::string, MonotonicTime> without_room_since;
+  // By queue.
+  std::map<std::string, QueueAdmission> admissions;
   // Demands for which no worker was found since `unplaceable_since`.
   struct UnplaceableDemand {
     ImageId image = 0;
@@ -257,6 +263,10 @@
   bool ignore_slowdown = false;
   MonotonicTime last_schedule_at;
   MonotonicTime last_rebalance_at;
+  // Where the next search for misplaced tasks begins.
+  std::size_t rebalance_offset = 0;
+  // The worker with which the next ranking begins.
+  std::string rank_cursor;
   MonotonicTime restored_at;
   bool advice_in_flight = false;
   MonotonicTime advice_retry_at;
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -102,18 +102,36 @@
   if (!has_deadline) return std::nullopt;
   const std::optional<Duration> without_room = TimeWithoutRoom(queue.name);
   const std::optional<milliseconds> retry_after =
-      RetryAfterIfRejected({.id = id,
-                            .objective = ObjectiveSpan(queue, spec),
-                            .without_room = without_room});
+      admissions[queue.name].RetryAfterIfRejected(
+          {.id = id,
+           .objective = ObjectiveSpan(queue, spec),
+           .without_room = without_room},
+          now.steady);
   if (!retry_after.has_value()) return std::nullopt;
   ++counters.rejected;
-  hooks.decided("job rejected", {{"job", id},
-                                 {"queue", queue.name},
-                                 {"without_room", *without_room},
-                                 {"retry_after", Duration(*retry_after)}});
+  hooks.decided("job rejected",
+                {{"job", id},
+                 {"queue", queue.name},
+                 {"without_room", without_room.value_or(Duration::zero())},
+                 {"retry_after", Duration(*retry_after)}});
   return retry_after;
 }
 
+void ShardCore::Impl::CountWorthlessJobs() {
+  for (const auto& [key, step] : ready) {
+    Job& job = *step->occurrence->job;
+    const std::int64_t span = job.objective_ms - job.accepted_at_ms;
+    if (job.state != JobState::kQueued || job.counted_worthless ||
+        job.spec.occurrences > 0 || step->spec->standing ||
+        ToMilliseconds(now.wall) - job.accepted_at_ms <=
+            kUsefulObjectives * span) {
+      continue;
+    }
+    job.counted_worthless = true;
+    admissions[job.queue].OnWorthless(now.steady);
+  }
+}
+
 Occurrence& ShardCore::Impl::MakeOccurrence(Job& job, std::uint32_t number) {
   std::unique_ptr<Occurrence>& occurrence = job.occurrences[number];
   if (occurrence != nullptr) return *occurrence;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -117,7 +117,6 @@
   }
   if (run.stop_requested) return;
   run.stop_requested = true;
-  run.stop_reason = reason;
   ++counters.stops;
   hooks.decided("stop", {{"job", run.task->step->occurrence->job->id},
                          {"step", run.task->step->number},
--- a/src/jobs/internal/shard_rebalance.cc
+++ b/src/jobs/internal/shard_rebalance.cc
@@ -14,6 +14,9 @@
 constexpr milliseconds kRebalanceInterval{400};
 // Maximum number of standing tasks that are being moved at the same time.
 constexpr std::size_t kMaxConcurrentMoves = 6;
+// Maximum number of tasks for which a better worker is looked for at a time:
+// each search visits all workers.
+constexpr std::size_t kMaxSearches = 24;
 // A new owner moves no tasks for this long, until its workers have reported
 // what they run.
 constexpr milliseconds kMinOwnershipTime{600};
@@ -62,7 +65,13 @@
             [](const auto& left, const auto& right) {
               return left.first < right.first;
             });
-  for (const auto& [similarity, run] : misplaced) {
+  // Goes on where the last searches ended, so that tasks that can't be helped
+  // don't keep the others from being looked at.
+  if (rebalance_offset >= misplaced.size()) rebalance_offset = 0;
+  const std::size_t end =
+      std::min(misplaced.size(), rebalance_offset + kMaxSearches);
+  while (rebalance_offset < end) {
+    const auto& [similarity, run] = misplaced[rebalance_offset++];
     if (moving >= kMaxConcurrentMoves) return;
     if (!MayMove(*run) || !HasBetterWorker(*run, similarity)) continue;
     ++moving;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -48,6 +48,10 @@
 constexpr std::chrono::microseconds kRetryPerWorker{200};
 // Below this interval they are tried again at once.
 constexpr milliseconds kMinRetryInterval{25};
+// Number of eligible workers among which the best is chosen. More make the
+// choice hardly better, and each costs time.
+constexpr std::size_t kMaxCandidates = 600;
+constexpr std::size_t kCandidatesPerTask = 8;
 // Score of a worker in the rack of the step's data, and penalty of the worker
 // where the task failed or from which it was moved. Both exceed the rest of the
 // score.
@@ -450,18 +454,30 @@
 }
 
 std::vector<ShardCore::Impl::Candidate> ShardCore::Impl::Rank(
-    const Step& step) const {
+    const Step& step) {
   const StepSpec& spec = *step.spec;
   const milliseconds locality_wait(static_cast<std::int64_t>(
       (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
   const bool data_rack_only = !spec.preferred_rack.empty() &&
                               now.steady - step.ready_at < locality_wait;
+  // The racks of the data and workers to avoid need a look at the whole pool.
+  const std::size_t enough =
+      spec.preferred_rack.empty()
+          ? std::max(kMaxCandidates, kCandidatesPerTask * step.tasks.size())
+          : workers.size();
   std::vector<Candidate> candidates;
-  candidates.reserve(workers.size());
-  for (const auto& [id, worker] : workers) {
-    if (data_rack_only && worker->entry.rack != spec.preferred_rack) continue;
-    const std::optional<double> score = ScoreIfEligible(*worker, step);
-    if (score.has_value()) candidates.push_back({worker.get(), score});
+  auto next = workers.lower_bound(rank_cursor);
+  for (std::size_t visited = 0;
+       visited < workers.size() && candidates.size() < enough; ++visited) {
+    if (next == workers.end()) next = workers.begin();
+    WorkerState& worker = *(next++)->second;
+    if (data_rack_only && worker.entry.rack != spec.preferred_rack) continue;
+    const std::optional<double> score = ScoreIfEligible(worker, step);
+    if (score.has_value()) candidates.push_back({&worker, score});
+  }
+  // A pool that was visited as a whole is visited in the same order again.
+  if (candidates.size() >= enough) {
+    rank_cursor = next == workers.end() ? "" : next->first;
   }
   return candidates;
 }
@@ -481,7 +497,7 @@
   return best;
 }
 
-WorkerState* ShardCore::Impl::Pick(const Task& task) const {
+WorkerState* ShardCore::Impl::Pick(const Task& task) {
   std::vector<Candidate> candidates = Rank(*task.step);
   const Candidate* best = Best(candidates, task);
   return best == nullptr ? nullptr : best->worker;
@@ -503,7 +519,10 @@
   ReserveResources(run);
   Job& job = *task.step->occurrence->job;
   ++job.run_count;
-  if (job.state == JobState::kQueued) job.state = JobState::kRunning;
+  if (job.state == JobState::kQueued) {
+    job.state = JobState::kRunning;
+    admissions[job.queue].OnBegun(now.steady);
+  }
   MarkChanged(job);
   return run;
 }
--- a/src/jobs/tests/overload_test.cc
+++ b/src/jobs/tests/overload_test.cc
@@ -16,6 +16,7 @@
 // The objective of a job of MakeJob in the queue of ShardBench.
 constexpr milliseconds kObjective{500};
 constexpr milliseconds kArrivalInterval{500};
+constexpr seconds kOverloadTime{30};
 // Standing jobs that fill the pool, four tasks each.
 constexpr int kStandingJobs = 10;
 
@@ -54,6 +55,18 @@
   return events;
 }
 
+// Jobs of 8 tasks arrive at twice the rate that the pool can do.
+std::vector<PatternEvent> LongOverload() {
+  std::vector<PatternEvent> events;
+  for (int i = 0; i * milliseconds(50) < kOverloadTime; ++i) {
+    events.push_back({i * milliseconds(50), [i](LoadReplay& replay) {
+                        replay.Submit("f" + std::to_string(i), MakeJob(8),
+                                      kObjective);
+                      }});
+  }
+  return events;
+}
+
 // A burst that takes the pool four times as long as its arrival.
 std::vector<PatternEvent> Burst() {
   std::vector<PatternEvent> events;
@@ -72,6 +85,7 @@
   CPPUNIT_TEST_SUITE(OverloadTest);
   CPPUNIT_TEST(JobsWaitForAPoolThatHasNoRoom);
   CPPUNIT_TEST(BurstIsTurnedAwayAlthoughItCanBeServed);
+  CPPUNIT_TEST(ExcessOfALongOverloadIsAccepted);
   CPPUNIT_TEST(StandingJobIsTurnedAway);
   CPPUNIT_TEST(RejectedCallersReturnAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +117,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{20}, replay.Counts('f').completed);
   }
 
+  // Guards against accepting twice as much as can be done for as long as it
+  // comes, and keeping half of the callers waiting in vain.
+  void ExcessOfALongOverloadIsAccepted() {
+    LoadReplay replay(kWorkers, kWorkerMilliCpus);
+    replay.Run(LongOverload(), kOverloadTime);
+    const ServiceCounts& counts = replay.Counts('f');
+    const std::size_t accepted = counts.submitted - counts.rejected;
+    // Of each two jobs the pool can do one.
+    CPPUNIT_ASSERT(counts.completed * 10 >= counts.submitted / 2 * 9);
+    CPPUNIT_ASSERT(accepted - counts.completed < counts.submitted / 4);
+    // Once the overload is over, all are taken again.
+    const std::size_t rejected = counts.rejected;
+    std::vector<PatternEvent> later;
+    AddShortJobs(later, seconds(20), 20);
+    replay.Run(later, seconds(32));
+    CPPUNIT_ASSERT_EQUAL(rejected, replay.Counts('f').rejected);
+  }
+
   // A standing job is of use whenever it starts.
   void StandingJobIsTurnedAway() {
     LoadReplay replay(kWorkers, kWorkerMilliCpus);
@@ -115,12 +147,14 @@
   }
 
   void RejectedCallersReturnAtOnce() {
+    QueueAdmission admission;
     std::set<milliseconds> delays;
     for (int i = 0; i < 20; ++i) {
       const std::optional<milliseconds> delay =
-          RetryAfterIfRejected({.id = "job" + std::to_string(i),
-                                .objective = kObjective,
-                                .without_room = seconds(3)});
+          admission.RetryAfterIfRejected({.id = "job" + std::to_string(i),
+                                          .objective = kObjective,
+                                          .without_room = seconds(3)},
+                                         MonotonicTime(seconds(1)));
       CPPUNIT_ASSERT(delay >= seconds(3) && delay < seconds(4));
       delays.insert(*delay);
     }
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(FillerIsNotStarvedWhileThePoolHasFreeCpus);
   CPPUNIT_TEST(NothingIsAcknowledgedAfterAnUnansweredHold);
   CPPUNIT_TEST(FullLargePoolIsNotRescannedAfterEachEnd);
+  CPPUNIT_TEST(WorkersOfALargePoolReportTooOften);
+  CPPUNIT_TEST(LargePoolIsFilledUnevenly);
   CPPUNIT_TEST(StartsBeyondTheLimitWaitForAnswers);
   CPPUNIT_TEST(QueuedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(JobIsPendingUntilAStartIsConfirmed);
@@ -252,6 +254,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
   }
 
+  // Guards against an owner that can't keep up with the reports of its workers:
+  // their rate must not grow with the pool without bound.
+  void WorkersOfALargePoolReportTooOften() {
+    const milliseconds few = HoldWaitWithWorkers(100);
+    const milliseconds many = HoldWaitWithWorkers(3000);
+    CPPUNIT_ASSERT(few == milliseconds(1000));
+    CPPUNIT_ASSERT(many == milliseconds(1500));
+    // The longest wait that workers accept.
+    CPPUNIT_ASSERT(HoldWaitWithWorkers(5800) == milliseconds(2000));
+  }
+
+  // Guards against placing all work on the workers that a search finds first,
+  // when it doesn't visit the whole pool.
+  void LargePoolIsFilledUnevenly() {
+    constexpr std::size_t kWorkers = 2000;
+    ShardBench bench;
+    AddWorkers(bench, kWorkers);
+    for (std::size_t job = 0; job < 10; ++job) {
+      bench.Submit("j" + std::to_string(job), MakeJob(200));
+      bench.Store();
+    }
+    std::map<std::string, int> tasks;
+    for (const SentStart& start : bench.starts) ++tasks[start.worker];
+    CPPUNIT_ASSERT_EQUAL(kWorkers, bench.starts.size());
+    CPPUNIT_ASSERT(tasks.size() > kWorkers / 2);
+    for (const auto& [worker, count] : tasks) CPPUNIT_ASSERT(count <= 2);
+  }
+
   void HoldsWithoutAnAnswerRenewNoLease() {
     ShardBench bench;
     RunOneTask(bench);
@@ -686,6 +716,25 @@
   }
 
   // Runs the only task of job "j" on worker "w".
+  static void AddWorkers(ShardBench& bench, std::size_t count) {
+    std::vector<WorkerEntry> entries(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      entries[i] = {.id = "w" + std::to_string(i),
+                    .address = {.ip = "127.0.0.1", .port = 1},
+                    .pool = "pool",
+                    .capacity = {.milli_cpus = 4000, .memory = {1000}}};
+    }
+    bench.max_starts_in_flight = 10000;
+    bench.TakeOver();
+    bench.core->SetWorkers(entries, bench.now.steady, bench.now);
+    for (const WorkerEntry& entry : entries) bench.AnswerHold(entry.id);
+    bench.core->SetWorkers(entries, bench.now.steady, bench.now);
+  }
+  static milliseconds HoldWaitWithWorkers(std::size_t count) {
+    ShardBench bench;
+    AddWorkers(bench, count);
+    return bench.core->PlanHold("w0", bench.now).order.wait;
+  }
   static SentStart RunOneTask(ShardBench& bench) {
     SentStart start = bench.SubmitAndTakeStart();
     bench.now.steady += milliseconds(1);
--- a/src/placement/types/placement_types.h
+++ b/src/placement/types/placement_types.h
@@ -141,7 +141,6 @@
   std::uint64_t stops = 0;
   std::uint64_t evictions_refused = 0;
   std::uint64_t quarantines = 0;
-  std::uint64_t tasks_held = 0;
 };
 
 }  // namespace carobmast::placement
--- a/src/requests/instance_state.h
+++ b/src/requests/instance_state.h
@@ -42,8 +42,6 @@
   MonotonicTime probed_at;
   // Requests routed to the instance since that probe.
   std::uint32_t picks_since_probe = 0;
-  // Whether it is missing from the latest list; requests in flight go on.
-  bool removed = false;
 };
 
 }  // namespace carobmast::requests
--- a/src/requests/internal/service_pool.cc
+++ b/src/requests/internal/service_pool.cc
@@ -40,7 +40,6 @@
 void ServicePool::SetInstances(const std::vector<Instance>& instances) {
   std::map<std::string, Ref<InstanceState>> known;
   for (const Ref<InstanceState>& state : instances_) {
-    state->removed = true;
     known[state->instance.name] = state;
   }
   std::map<std::string, Ref<InstanceState>> next;
@@ -52,7 +51,6 @@
     state->instance = instance;
     state->instance.leaving = leaving;
     state->local = instance.zone == options_.zone;
-    state->removed = false;
   }
   instances_.clear();
   for (const auto& [name, state] : next) instances_.push_back(state);
