--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -147,6 +147,7 @@
     Ref<HttpServer> server =
         loopback_.Serve([](ServerRequest) { return Slow(); });
     std::vector<asio::ip::tcp::socket> clients;
+    clients.reserve(kQueuedClients);
     for (int i = 0; i < kQueuedClients; ++i) {
       clients.push_back(ConnectAndSend(server->address()));
     }
--- a/src/jobs/tests/overload_test.cc
+++ b/src/jobs/tests/overload_test.cc
@@ -29,6 +29,7 @@
 // From `first` on, `count` short jobs arrive one by one.
 void AddShortJobs(std::vector<PatternEvent>& events, milliseconds first,
                   int count) {
+  events.reserve(events.size() + static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     const milliseconds at = first + i * kArrivalInterval;
     events.push_back({at, [at](LoadReplay& replay) {
@@ -42,6 +43,7 @@
 // standing job is cancelled, and short jobs arrive for 10 s more.
 std::vector<PatternEvent> HeldPool() {
   std::vector<PatternEvent> events;
+  events.reserve(kStandingJobs);
   for (int i = 0; i < kStandingJobs; ++i) {
     events.push_back({milliseconds(0), [i](LoadReplay& replay) {
                         replay.Submit("s" + std::to_string(i), StandingJob(),
@@ -57,9 +59,12 @@
 
 // Jobs of 8 tasks arrive at twice the rate that the pool can do.
 std::vector<PatternEvent> LongOverload() {
+  constexpr milliseconds kInterval{50};
+  constexpr int kJobs = kOverloadTime / kInterval;
   std::vector<PatternEvent> events;
-  for (int i = 0; i * milliseconds(50) < kOverloadTime; ++i) {
-    events.push_back({i * milliseconds(50), [i](LoadReplay& replay) {
+  events.reserve(kJobs);
+  for (int i = 0; i < kJobs; ++i) {
+    events.push_back({i * kInterval, [i](LoadReplay& replay) {
                         replay.Submit("f" + std::to_string(i), MakeJob(8),
                                       kObjective);
                       }});
@@ -69,8 +74,10 @@
 
 // A burst that takes the pool four times as long as its arrival.
 std::vector<PatternEvent> Burst() {
+  constexpr int kJobs = 20;
   std::vector<PatternEvent> events;
-  for (int i = 0; i < 20; ++i) {
+  events.reserve(kJobs);
+  for (int i = 0; i < kJobs; ++i) {
     events.push_back({i * milliseconds(100), [i](LoadReplay& replay) {
                         replay.Submit("f" + std::to_string(i), MakeJob(32),
                                       kObjective);
@@ -156,7 +163,7 @@
                                           .without_room = seconds(3)},
                                          MonotonicTime(seconds(1)));
       CPPUNIT_ASSERT(delay >= seconds(3) && delay < seconds(4));
-      delays.insert(*delay);
+      delays.insert(delay.value_or(seconds(0)));
     }
     CPPUNIT_ASSERT(delays.size() > 10);
   }
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -177,7 +177,6 @@
     bool store_reached = false;
     bool leaving = false;
     MonotonicTime details_sent_at;
-    MonotonicTime asked_to_take_over_at;
   };
 
   NodeMessage MakeMessage(MessageKind kind, MonotonicTime now) const;
@@ -203,10 +202,10 @@
   bool IsBetterSuccessor(const Member& left, const Member& right) const;
   // The preferred node among those that may take over and reach the store; null
   // when there is none or a much larger one is worth waiting for.
-  Member* FindSuccessor(MonotonicTime now);
+  const Member* FindSuccessor(MonotonicTime now);
   // Asks the successor, if there is one, to take over.
   void HandOver(MonotonicTime now);
-  void RequestTakeover(Member& member, MonotonicTime now);
+  void RequestTakeover(const Member& member, MonotonicTime now);
   void StopOwning(const std::string& reason);
   // Whether `left` is preferred over `right` as owner.
   static bool Outranks(const NodeInfo& left, const NodeInfo& right);
@@ -222,8 +221,10 @@
   // When the running probe ends, or else when the next one may start.
   MonotonicTime next_probe_step_at_;
   MonotonicTime takeover_requested_at_;
-  // Since when the owner has known a node to hand over to.
-  std::optional<MonotonicTime> successor_known_since_;
+  // Since when the owner has known a node to hand over to; the epoch for none.
+  MonotonicTime successor_known_since_;
+  // By node, when it was asked to take over; of this ownership.
+  std::map<std::string, MonotonicTime> takeover_requests_;
   MonotonicTime owns_since_;
   std::optional<MonotonicTime> store_failing_since_;
   // When this node, whose earlier run owned the shard, claims it again.
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -115,7 +115,7 @@
     reclaim_at_.reset();
     return;
   }
-  Member* successor = FindSuccessor(now);
+  const Member* successor = FindSuccessor(now);
   if (successor != nullptr &&
       successor->info.rank >= kHandoverRankRatio * options_.self.rank) {
     reclaim_at_.reset();
@@ -132,10 +132,8 @@
   if (claim.token > claim_.token) hooks_.log_change("owner", claim.node);
   claim_ = claim;
   state_ = State::kOwning;
-  successor_known_since_.reset();
-  for (auto& [name, member] : members_) {
-    member.asked_to_take_over_at = MonotonicTime();
-  }
+  successor_known_since_ = MonotonicTime();
+  takeover_requests_.clear();
   owns_since_ = now;
   owner_heard_at_ = now;
   deferrals_ = 0;
@@ -321,29 +319,31 @@
   }
   // A request may be lost, so a node is asked again until its time is over, and
   // once more after the others had theirs.
-  const Duration since_request = now - member.asked_to_take_over_at;
+  const auto request = takeover_requests_.find(member.info.name);
+  if (request == takeover_requests_.end()) return true;
+  const Duration since_request = now - request->second;
   return since_request < options_.takeover_timeout ||
          since_request >= kPassedOverTimeouts * options_.takeover_timeout;
 }
 
-ElectionCore::Member* ElectionCore::FindSuccessor(MonotonicTime now) {
-  Member* best = nullptr;
+const ElectionCore::Member* ElectionCore::FindSuccessor(MonotonicTime now) {
+  const Member* best = nullptr;
   std::uint32_t highest_rank = 0;
-  for (auto& [name, member] : members_) {
+  for (const auto& [name, member] : members_) {
     if (!MayTakeOver(member, now)) continue;
     highest_rank = std::max(highest_rank, member.info.rank);
     if (!member.store_reached) continue;
     if (best == nullptr || IsBetterSuccessor(member, *best)) best = &member;
   }
   if (best == nullptr) {
-    successor_known_since_.reset();
+    successor_known_since_ = MonotonicTime();
     return nullptr;
   }
-  if (!successor_known_since_.has_value()) successor_known_since_ = now;
+  if (successor_known_since_ == MonotonicTime()) successor_known_since_ = now;
   const bool larger_node_may_follow =
       highest_rank >= kHandoverRankRatio * best->info.rank;
   if (larger_node_may_follow &&
-      now - *successor_known_since_ < options_.larger_node_wait) {
+      now - successor_known_since_ < options_.larger_node_wait) {
     return nullptr;
   }
   return best;
@@ -361,14 +361,16 @@
 
 void ElectionCore::HandOver(MonotonicTime now) {
   if (now - takeover_requested_at_ < kTakeoverRequestInterval) return;
-  Member* successor = FindSuccessor(now);
+  const Member* successor = FindSuccessor(now);
   if (successor != nullptr) RequestTakeover(*successor, now);
 }
 
-void ElectionCore::RequestTakeover(Member& member, MonotonicTime now) {
+void ElectionCore::RequestTakeover(const Member& member, MonotonicTime now) {
   takeover_requested_at_ = now;
-  if (now - member.asked_to_take_over_at >= options_.takeover_timeout) {
-    member.asked_to_take_over_at = now;
+  const auto request =
+      takeover_requests_.try_emplace(member.info.name, now).first;
+  if (now - request->second >= options_.takeover_timeout) {
+    request->second = now;
   }
   hooks_.log_change("hand over", member.info.name);
   hooks_.send(member.info.address, MakeMessage(MessageKind::kTakeOver, now));
