Jobs that have become worthless are counted by the steady clock

A wall clock that jumps ahead would make each waiting job look worthless and turn others away. overload_test passes (4 patterns, as before).

--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -120,11 +120,10 @@
 void ShardCore::Impl::CountWorthlessJobs() {
   for (const auto& [key, step] : ready) {
     Job& job = *step->occurrence->job;
-    const std::int64_t span = job.objective_ms - job.accepted_at_ms;
+    const milliseconds span(job.objective_ms - job.accepted_at_ms);
     if (job.state != JobState::kQueued || job.counted_worthless ||
         job.spec.occurrences > 0 || step->spec->standing ||
-        ToMilliseconds(now.wall) - job.accepted_at_ms <=
-            kUsefulObjectives * span) {
+        now.steady - job.idle_since <= kUsefulObjectives * span) {
       continue;
     }
     job.counted_worthless = true;
