--- a/src/jobs/internal/shard_rebalance.cc
+++ b/src/jobs/internal/shard_rebalance.cc
@@ -14,9 +14,9 @@
 constexpr milliseconds kRebalanceInterval{400};
 // Maximum number of standing tasks that are being moved at the same time.
 constexpr std::size_t kMaxConcurrentMoves = 6;
-// Maximum number of tasks for which a better worker is looked for at a time:
-// each search visits all workers.
-constexpr std::size_t kMaxSearches = 24;
+// Maximum number of workers visited in the searches of one interval; each
+// search for a better worker may visit all.
+constexpr std::size_t kMaxVisits = 250000;
 // A new owner moves no tasks for this long, until its workers have reported
 // what they run.
 constexpr milliseconds kMinOwnershipTime{600};
@@ -65,14 +65,19 @@
             [](const auto& left, const auto& right) {
               return left.first < right.first;
             });
-  // Goes on where the last searches ended, so that tasks that can't be helped
-  // don't keep the others from being looked at.
+  // Begins with the worst placed, or where the last searches ended if they
+  // helped too few.
   if (rebalance_offset >= misplaced.size()) rebalance_offset = 0;
+  const std::size_t searches =
+      kMaxVisits / std::max<std::size_t>(1, workers.size());
   const std::size_t end =
-      std::min(misplaced.size(), rebalance_offset + kMaxSearches);
+      std::min(misplaced.size(), rebalance_offset + searches);
   while (rebalance_offset < end) {
+    if (moving >= kMaxConcurrentMoves) {
+      rebalance_offset = 0;
+      return;
+    }
     const auto& [similarity, run] = misplaced[rebalance_offset++];
-    if (moving >= kMaxConcurrentMoves) return;
     if (!MayMove(*run) || !HasBetterWorker(*run, similarity)) continue;
     ++moving;
     ++counters.moves;
