--- a/src/jobs/tests/load_replay.cc
+++ b/src/jobs/tests/load_replay.cc
@@ -34,18 +34,11 @@
   bench_.core->Cancel(id, bench_.now);
 }
 
-void LoadReplay::RemoveWorker(const std::string& worker) {
-  tasks_by_worker_.erase(worker);
-  bench_.RemoveWorker(worker);
-}
-
 void LoadReplay::BeginTasks() {
   for (const SentStart& start : bench_.TakeStarts()) {
-    const auto worker = tasks_by_worker_.find(start.worker);
-    if (worker == tasks_by_worker_.end()) continue;
     const StepSpec& step =
         jobs_[start.order.task.job].spec.steps[start.order.task.step];
-    worker->second.push_back(
+    tasks_by_worker_[start.worker].push_back(
         {.start = start,
          .ends_at = step.standing ? MonotonicTime::max()
                                   : bench_.now.steady + step.estimate});
--- a/src/jobs/tests/load_replay.h
+++ b/src/jobs/tests/load_replay.h
@@ -1,5 +1,5 @@
 // Replays a load pattern in virtual time against the real owner: jobs that
-// arrive and are cancelled, workers that leave, tasks that take their time.
+// arrive and are cancelled, tasks that take their time.
 #ifndef CAROBMAST_JOBS_TESTS_LOAD_REPLAY_H_
 #define CAROBMAST_JOBS_TESTS_LOAD_REPLAY_H_
 
@@ -36,14 +36,11 @@
   void Submit(const std::string& id, const JobSpec& spec,
               std::chrono::milliseconds aim);
   void Cancel(const std::string& id);
-  // The worker is gone with all that runs on it.
-  void RemoveWorker(const std::string& worker);
   // Plays the events, which must be in order of their times, until `end`.
   void Run(const std::vector<PatternEvent>& events,
            std::chrono::milliseconds end);
 
   const ServiceCounts& Counts(char kind) { return counts_[kind]; }
-  ShardBench& bench() { return bench_; }
 
  private:
   struct ActiveTask {
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -83,11 +83,6 @@
   SetWorkers();
 }
 
-void ShardBench::RemoveWorker(const std::string& worker) {
-  entries_.erase(worker);
-  SetWorkers();
-}
-
 void ShardBench::AddWorker(const std::string& id, std::uint64_t milli_cpus,
                            const std::string& rack) {
   entries_[id] = {.id = id,
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -44,8 +44,6 @@
                   std::vector<contracts::RunningTask> running = {},
                   std::vector<contracts::EndedTask> ended = {});
   void Drain(const std::string& worker);
-  // Removes the worker from the registry.
-  void RemoveWorker(const std::string& worker);
   // Sends a hold to the worker that gets no answer.
   void LoseHold(const std::string& worker);
   SubmitAnswer Submit(const std::string& id, const JobSpec& spec) {
