--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,4 +77,4 @@
     return BROKEN if pairs else HELD
 
 
-harness.run_case(FOLDER, body)
+harness.run_case(FOLDER / "record.txt", body)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -68,4 +68,4 @@
     return HELD if state == (200, {"state": "completed"}) else NOT_RUN
 
 
-harness.run_case(FOLDER, body)
+harness.run_case(FOLDER / "record.txt", body)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -72,4 +72,4 @@
     return HELD if started and waited < IDLE_SECONDS else BROKEN
 
 
-harness.run_case(FOLDER, body)
+harness.run_case(FOLDER / "record.txt", body)
--- a/review/3/timed.py
+++ b/review/3/timed.py
@@ -49,4 +49,5 @@
     return BROKEN if waited > 20 else HELD
 
 
-harness.run_case(tempfile.mkdtemp(prefix="carobmast-review-"), body)
+with tempfile.TemporaryDirectory() as folder:
+    harness.run_case(pathlib.Path(folder) / "record.txt", body)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -291,9 +291,10 @@
             node.log.close()
 
 
-def run_case(folder, body):
+def run_case(record_file, body):
     """Calls `body` with a function that makes a cluster, ends the processes of the
-    cluster, writes the record and exits with the code that `body` returned.
+    cluster, writes the record to the file and exits with the code that `body`
+    returned.
 
     The logs of the nodes are removed, unless KEEP_LOGS is set."""
     clusters = []
@@ -319,6 +320,6 @@
             if not os.environ.get("KEEP_LOGS"):
                 shutil.rmtree(cluster.folder, ignore_errors=True)
             cluster.record.add(f"exit code {code}")
-            cluster.record.write(pathlib.Path(folder) / "record.txt")
+            cluster.record.write(record_file)
     sys.stdout.flush()
     os._exit(code)
