Runs beyond the ends that a worker lists are no longer taken for lost

Cause: a worker lists its unacknowledged ends 500 at a time. A confirmed run that is neither listed as running nor as ended was taken for lost, although the list was cut off. In an outage of the store no end is acknowledged, so the list stays cut off until it returns.

The platform client now says whether more tasks may have ended than listed; a missing run then stays as it is until its end is listed. It counts neither as serving nor as stalled.

Evidence: without the condition, RunBeyondTheListedEndsIsStartedAgain fails, and jobs_fuzz, whose workers now list two ends at a time, fails after one submission ('acknowledged as finished twice'). Without the reset of its progress RunBeyondTheListedEndsIsStoppedAsStalled fails. Ruled out: expired leases (none in the record), lost ends.

--- a/src/contracts/task_workers.h
+++ b/src/contracts/task_workers.h
@@ -133,7 +133,10 @@
   // epoch; 0 if the worker did not report it.
   std::int64_t born_ms = 0;
   std::vector<RunningTask> running;
+  // In the order of their numbers, from the first that is not acknowledged.
   std::vector<EndedTask> ended;
+  // More tasks may have ended than `ended` contains.
+  bool more_ended = false;
   std::string error;
 };
 
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -248,6 +248,13 @@
   std::vector<RunKey> missing;
   for (Run& run : worker.runs) {
     if (listed.contains(&run) || ended.contains(KeyOfRun(run))) continue;
+    if (answer.more_ended) {
+      // It may have ended; its end follows once the listed ones are
+      // acknowledged.
+      run.percent = 0;
+      run.progress_clock.reset();
+      continue;
+    }
     const bool confirmed_before =
         run.state == RunState::kRunning && run.confirmed_at < sent_at;
     const bool stopped_before =
--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -12,6 +12,8 @@
 
 constexpr contracts::WorkerClock kMaxLease{6000};
 constexpr std::size_t kSlots = 4;
+// Maximum number of ends in one answer.
+constexpr std::size_t kListedEnds = 2;
 
 std::string Describe(const contracts::TaskKey& task) {
   return task.job + "." + std::to_string(task.step) + "." +
@@ -189,11 +191,14 @@
   token_ = order.token;
   Extend(order.lease_end.value_or(contracts::WorkerClock(0)));
   Acknowledge(order.acknowledged_end);
+  const std::size_t listed = std::min(ends_.size(), kListedEnds);
   return {.outcome = OrderOutcome::kDone,
           .clock = clock_,
           .born_ms = born_ms_,
           .running = ListRunning(),
-          .ended = ends_};
+          .ended = {ends_.begin(),
+                    ends_.begin() + static_cast<std::ptrdiff_t>(listed)},
+          .more_ended = listed == kListedEnds};
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -98,16 +98,26 @@
 void ShardBench::AnswerHold(const std::string& worker,
                             std::vector<contracts::RunningTask> running,
                             std::vector<contracts::EndedTask> ended) {
+  OnHold(worker, {.running = std::move(running), .ended = std::move(ended)});
+}
+
+void ShardBench::AnswerHoldWithMoreEnded(
+    const std::string& worker, std::vector<contracts::RunningTask> running,
+    std::vector<contracts::EndedTask> ended) {
+  OnHold(worker, {.running = std::move(running),
+                  .ended = std::move(ended),
+                  .more_ended = true});
+}
+
+void ShardBench::OnHold(const std::string& worker,
+                        contracts::HoldAnswer answer) {
   const HoldPlan plan = core->PlanHold(worker, now);
   const MonotonicTime sent_at = now.steady;
   now.steady += std::chrono::milliseconds(1);
-  core->OnHold(worker, plan.order,
-               {.outcome = contracts::OrderOutcome::kDone,
-                .clock = Clock(),
-                .born_ms = 1,
-                .running = std::move(running),
-                .ended = std::move(ended)},
-               sent_at, now);
+  answer.outcome = contracts::OrderOutcome::kDone;
+  answer.clock = Clock();
+  answer.born_ms = 1;
+  core->OnHold(worker, plan.order, answer, sent_at, now);
 }
 
 void ShardBench::LoseHold(const std::string& worker) {
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -43,6 +43,10 @@
   void AnswerHold(const std::string& worker,
                   std::vector<contracts::RunningTask> running = {},
                   std::vector<contracts::EndedTask> ended = {});
+  // Like AnswerHold, with a list of ends that is cut off.
+  void AnswerHoldWithMoreEnded(const std::string& worker,
+                               std::vector<contracts::RunningTask> running,
+                               std::vector<contracts::EndedTask> ended);
   void Drain(const std::string& worker);
   // Sends a hold to the worker that gets no answer.
   void LoseHold(const std::string& worker);
@@ -92,6 +96,7 @@
 
  private:
   void StartOwner(contracts::FencingToken token);
+  void OnHold(const std::string& worker, contracts::HoldAnswer answer);
   void SetWorkers();
 
   contracts::FencingToken token_ = 0;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(TasksOnSilentWorkersCountAsUnavailable);
   CPPUNIT_TEST(UnlistedWorkerIsHeldWhileItRunsTasks);
   CPPUNIT_TEST(RunningListFromBeforeTheStartDoesNotEndARun);
+  CPPUNIT_TEST(RunBeyondTheListedEndsIsStartedAgain);
+  CPPUNIT_TEST(RunBeyondTheListedEndsIsStoppedAsStalled);
   CPPUNIT_TEST(RestartedWorkerLosesItsTasks);
   CPPUNIT_TEST(GangStartsTogetherUnderOneAttempt);
   CPPUNIT_TEST(MaxPerWorkerIsKept);
@@ -481,6 +483,36 @@
     CPPUNIT_ASSERT(bench.starts.empty());
   }
 
+  // Guards against starting tasks again whose ends are beyond the part of the
+  // list that a worker returns, for example after an outage of the store.
+  void RunBeyondTheListedEndsIsStartedAgain() {
+    ShardBench bench;
+    const std::vector<SentStart> runs = RunTwoTasks(bench);
+    bench.AnswerHoldWithMoreEnded("w", {}, {bench.EndedRow(1, runs[0])});
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.AnswerHold("w", {}, {bench.EndedRow(2, runs[1])});
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    CPPUNIT_ASSERT(JobState::kCompleted == StoredStateOfJob(bench));
+  }
+
+  // Guards against blaming a worker for tasks that have ended, but whose ends
+  // it has not listed yet.
+  void RunBeyondTheListedEndsIsStoppedAsStalled() {
+    ShardBench bench;
+    const std::vector<SentStart> runs = RunTwoTasks(bench);
+    contracts::RunningTask row = bench.RunningRow(runs[1]);
+    row.percent = 40;
+    bench.AnswerHold("w", {bench.RunningRow(runs[0]), row});
+    for (int i = 0; i < 8; ++i) {
+      bench.AdvanceTime(milliseconds(500));
+      bench.AnswerHoldWithMoreEnded("w", {}, {bench.EndedRow(1, runs[0])});
+    }
+    bench.AdvanceTime(milliseconds(100));
+    CPPUNIT_ASSERT(bench.stops.empty());
+  }
+
   void RestartedWorkerLosesItsTasks() {
     ShardBench bench;
     const SentStart start = RunOneTask(bench);
@@ -715,7 +747,6 @@
     return bench.core->StoredState("j").value_or(JobState::kQueued);
   }
 
-  // Runs the only task of job "j" on worker "w".
   static void AddWorkers(ShardBench& bench, std::size_t count) {
     std::vector<WorkerEntry> entries(count);
     for (std::size_t i = 0; i < count; ++i) {
@@ -735,6 +766,19 @@
     AddWorkers(bench, count);
     return bench.core->PlanHold("w0", bench.now).order.wait;
   }
+  // Runs the two tasks of job "j" on worker "w".
+  static std::vector<SentStart> RunTwoTasks(ShardBench& bench) {
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    bench.Submit("j", MakeJob(2));
+    bench.Store();
+    const std::vector<SentStart> runs = bench.TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs.size());
+    for (const SentStart& run : runs) bench.ConfirmStart(run);
+    bench.now.steady += milliseconds(1);
+    return runs;
+  }
+  // Runs the only task of job "j" on worker "w".
   static SentStart RunOneTask(ShardBench& bench) {
     SentStart start = bench.SubmitAndTakeStart();
     bench.now.steady += milliseconds(1);
