The policy of a queue is recorded with its jobs

Cause: limits, objectives and the need for tickets were looked up in the configuration at each decision; where the queue was absent (its route is removed, or a new owner has not read the configuration) the limit was 1.

The policy is now stored with the job at acceptance and follows the configuration while that has the queue; decisions use the job's copy. Related paths fixed by it: jobs under a new owner without configuration all counted as worthless, and new ones were rejected for them; queues with advice were started without tickets.

--- a/src/jobs/internal/job_record.cc
+++ b/src/jobs/internal/job_record.cc
@@ -60,6 +60,42 @@
   return step;
 }
 
+proto::Policy EncodePolicy(const QueuePolicy& policy) {
+  proto::Policy record;
+  record.set_priority(policy.priority);
+  record.set_max_attempts(policy.max_attempts);
+  record.set_stretch(policy.stretch);
+  record.set_target_latency_ms(
+      static_cast<std::uint64_t>(policy.target_latency.count()));
+  if (policy.advice.has_value()) {
+    proto::Advice& advice = *record.mutable_advice();
+    advice.set_decide_ms(
+        static_cast<std::uint64_t>(policy.advice->decide.count()));
+    advice.set_each_ms(static_cast<std::uint64_t>(policy.advice->each.count()));
+    advice.set_valid_ms(
+        static_cast<std::uint64_t>(policy.advice->valid.count()));
+  }
+  return record;
+}
+
+QueuePolicy DecodePolicy(const proto::Job& job) {
+  const proto::Policy& record = job.policy();
+  QueuePolicy policy{
+      .name = job.queue(),
+      .pool = job.pool(),
+      .priority = record.priority(),
+      .max_attempts = record.max_attempts(),
+      .stretch = record.stretch(),
+      .target_latency = std::chrono::milliseconds(record.target_latency_ms())};
+  if (record.has_advice()) {
+    const proto::Advice& advice = record.advice();
+    policy.advice = {.decide = std::chrono::milliseconds(advice.decide_ms()),
+                     .each = std::chrono::milliseconds(advice.each_ms()),
+                     .valid = std::chrono::milliseconds(advice.valid_ms())};
+  }
+  return policy;
+}
+
 proto::Job EncodeSpec(const JobSpec& spec) {
   proto::Job record;
   record.set_text(spec.text);
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -136,8 +136,10 @@
 struct Job {
   std::string id;
   std::string queue;
-  // The pool at acceptance, used when the queue is no longer configured.
-  std::string pool;
+  // Of its queue, as last configured; the one at acceptance for an owner that
+  // has not seen the queue configured. `max_attempts` is 0 when it is unknown,
+  // for jobs accepted by an earlier version.
+  QueuePolicy policy;
   JobSpec spec;
   std::int64_t accepted_at_ms = 0;
   // The wall time, in milliseconds, by which the job should end. Jobs of the
--- a/src/jobs/internal/shard_advice.cc
+++ b/src/jobs/internal/shard_advice.cc
@@ -20,9 +20,8 @@
 
 }  // namespace
 
-bool ShardCore::Impl::NeedsTicket(const Step& step) const {
-  const auto queue = queues.find(step.occurrence->job->queue);
-  return queue != queues.end() && queue->second.advice.has_value();
+bool ShardCore::Impl::NeedsTicket(const Step& step) {
+  return step.occurrence->job->policy.advice.has_value();
 }
 
 const std::string* ShardCore::Impl::FindTicket(
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -162,7 +162,6 @@
   }
   Job& job = impl_->AddJob(id);
   job.queue = queue;
-  job.pool = policy->second.pool;
   job.spec = spec;
   job.idle_since = now.steady;
   job.waiting_submissions = 1;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -114,7 +114,6 @@
   // The best candidate for the task; null when there is none.
   static Candidate* Best(std::vector<Candidate>& candidates, const Task& task);
   WorkerState* Pick(const Task& task);
-  std::string PoolOf(const Job& job) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
   void ReserveResources(const Run& run);
   void ReleaseResources(const Run& run);
@@ -171,7 +170,7 @@
   std::uint32_t CountUnavailable(const Step& step) const;
 
   // shard_advice.cc: tickets for queues that require advice.
-  bool NeedsTicket(const Step& step) const;
+  static bool NeedsTicket(const Step& step);
   const std::string* FindTicket(const Step& step,
                                 const WorkerState& worker) const;
   void AskAdvice();
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -87,10 +87,11 @@
 
 void ShardCore::Impl::SetPolicy(Job& job) const {
   const auto queue = queues.find(job.queue);
-  if (queue == queues.end()) return;
-  job.priority = queue->second.priority;
+  if (queue != queues.end()) job.policy = queue->second;
+  if (job.policy.max_attempts == 0) return;
+  job.priority = job.policy.priority;
   job.objective_ms =
-      job.accepted_at_ms + ObjectiveSpan(queue->second, job.spec).count();
+      job.accepted_at_ms + ObjectiveSpan(job.policy, job.spec).count();
 }
 
 std::optional<milliseconds> ShardCore::Impl::RejectForLoad(
@@ -257,7 +258,10 @@
 std::string ShardCore::Impl::EncodeJob(const Job& job) const {
   proto::Job record = EncodeSpec(job.spec);
   record.set_queue(job.queue);
-  record.set_pool(job.pool);
+  record.set_pool(job.policy.pool);
+  if (job.policy.max_attempts > 0) {
+    *record.mutable_policy() = EncodePolicy(job.policy);
+  }
   record.set_accepted_at_ms(job.accepted_at_ms);
   return record.SerializeAsString();
 }
@@ -320,7 +324,7 @@
   }
   Job& job = AddJob(id);
   job.queue = spec.queue();
-  job.pool = spec.pool();
+  job.policy = DecodePolicy(spec);
   job.accepted_at_ms = spec.accepted_at_ms();
   job.spec = DecodeSpec(spec);
   job.spec_written = true;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -192,7 +192,7 @@
 
 bool ShardCore::Impl::IsStarved(const Job& job) const {
   return job.run_count == 0 && now.steady - job.idle_since > kStarvedAfter &&
-         PoolUtilization(PoolOf(job)) < kMaxStarvedPoolUse;
+         PoolUtilization(job.policy.pool) < kMaxStarvedPoolUse;
 }
 
 double ShardCore::Impl::PoolUtilization(const std::string& pool) const {
@@ -307,11 +307,6 @@
   }
 }
 
-std::string ShardCore::Impl::PoolOf(const Job& job) const {
-  const auto queue = queues.find(job.queue);
-  return queue == queues.end() ? job.pool : queue->second.pool;
-}
-
 bool ShardCore::Impl::IsRegistryStale() const {
   return now.steady - registry_current_at > options.max_registry_age;
 }
@@ -344,7 +339,7 @@
 bool ShardCore::Impl::IsUsable(const WorkerState& worker,
                                const Step& step) const {
   if (!AcceptsTasks(worker)) return false;
-  if (worker.entry.pool != PoolOf(*step.occurrence->job)) return false;
+  if (worker.entry.pool != step.occurrence->job->policy.pool) return false;
   const std::string& label = step.spec->required_label;
   if (label.empty()) return true;
   return std::find(worker.entry.labels.begin(), worker.entry.labels.end(),
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -165,10 +165,8 @@
     if (!step.spec->standing) {
       Task& counted = step.spec->gang ? step.tasks.front() : task;
       ++counted.failures;
-      const auto queue = queues.find(job.queue);
-      const std::uint32_t attempt_limit =
-          queue == queues.end() ? 1 : queue->second.max_attempts;
-      if (counted.failures >= attempt_limit) {
+      const std::uint32_t attempt_limit = job.policy.max_attempts;
+      if (attempt_limit > 0 && counted.failures >= attempt_limit) {
         EndJob(job, JobState::kFailed);
         return;
       }
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -18,7 +18,14 @@
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
 
-// Encodes everything but the queue, the pool and the time of acceptance.
+// Encodes everything but the host and prefix of the queue, and the pool, which
+// is a field of the job's record.
+proto::Policy EncodePolicy(const QueuePolicy& policy);
+// Decodes the policy and the pool of a job's record. `max_attempts` is 0 if the
+// record has no policy.
+QueuePolicy DecodePolicy(const proto::Job& job);
+
+// Encodes everything but the queue, the policy and the time of acceptance.
 proto::Job EncodeSpec(const JobSpec& spec);
 JobSpec DecodeSpec(const proto::Job& job);
 
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -61,14 +61,16 @@
   kCrashWorker,
   kDrainWorker,     // it announces that it leaves, and is replaced later
   kRegistryUnread,  // no owner can read the registry
+  kConfigUnread,    // new owners can't read the configuration
+  kDropQueue,       // the queue is removed for a while
   kCount,
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",       "submit failing", "cancel",      "take over",
-    "kill owner",   "pause owner",    "store out",   "lose append answers",
-    "cut worker",   "lose messages",  "late orders", "crash worker",
-    "drain worker", "registry silent"};
+    "submit",       "submit failing",  "cancel",        "take over",
+    "kill owner",   "pause owner",     "store out",     "lose append answers",
+    "cut worker",   "lose messages",   "late orders",   "crash worker",
+    "drain worker", "registry silent", "config unread", "drop queue"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -155,6 +157,12 @@
       case Fault::kRegistryUnread:
         registry_unread_until_ = until.steady;
         break;
+      case Fault::kConfigUnread:
+        config_unread_until_ = until.steady;
+        break;
+      case Fault::kDropQueue:
+        queue_dropped_until_ = until.steady;
+        break;
       case Fault::kCount:
         break;
     }
@@ -168,7 +176,8 @@
   // Ends all faults; all accepted jobs must then end.
   void EndFaultsAndSettle() {
     store_unavailable_until_ = append_answers_lost_until_ = lossy_until_ =
-        orders_late_until_ = registry_unread_until_ = now_.steady;
+        orders_late_until_ = registry_unread_until_ = config_unread_until_ =
+            queue_dropped_until_ = now_.steady;
     // A worker that has just crashed stays away for its minimum time.
     for (auto& [worker, until] : unreachable_until_) {
       until = std::min(until, now_.steady + kMinDownTime);
@@ -207,6 +216,8 @@
     bool dead = false;
     MonotonicTime paused_until;
     MonotonicTime last_proof_at;
+    // Whether the queue is configured; empty without a configuration.
+    std::optional<bool> knows_queue;
     // By worker, whether a hold is in flight.
     std::map<std::string, bool> holds;
     // A batch that was stored but whose answer was lost.
@@ -249,14 +260,7 @@
     owner->core = std::make_unique<ShardCore>(
         ShardOptions{.token = owner->token, .keep_ended = kKeepEnded},
         MakeHooks(owner));
-    owner->core->SetConfig({.version = 1,
-                            .queues = {{.name = "queue",
-                                        .host = "host",
-                                        .prefix = "/p/",
-                                        .pool = "pool",
-                                        .max_attempts = kMaxAttempts}},
-                            .pools = {{.name = "pool"}}},
-                           now_);
+    ReadConfig(*owner);
     for (const auto& [key, value] : stored_) {
       owner->core->Restore({.key = key, .value = value});
     }
@@ -265,6 +269,22 @@
     owners_.push_back(std::move(incarnation));
   }
 
+  void ReadConfig(OwnerInstance& owner) {
+    if (config_unread_until_ > now_.steady) return;
+    const bool has_queue = queue_dropped_until_ <= now_.steady;
+    if (owner.knows_queue == has_queue) return;
+    owner.knows_queue = has_queue;
+    ClusterConfig config{.pools = {{.name = "pool"}}};
+    if (has_queue) {
+      config.queues.push_back({.name = "queue",
+                               .host = "host",
+                               .prefix = "/p/",
+                               .pool = "pool",
+                               .max_attempts = kMaxAttempts});
+    }
+    owner.core->SetConfig(config, now_);
+  }
+
   void ReadRegistry(OwnerInstance& owner) {
     if (registry_unread_until_ > now_.steady) return;
     std::vector<WorkerEntry> entries;
@@ -493,6 +513,7 @@
         continue;
       }
       owner->core->Tick(now_);
+      ReadConfig(*owner);
       ReadRegistry(*owner);
       Store(*owner);
       if (!owner->dead) HoldWorkers(*owner);
@@ -509,7 +530,9 @@
     for (const auto& [id, job] : accepted_) {
       if (!started_jobs_.contains(id) && !cancelled_.contains(id)) ++waiting;
     }
-    if (core.PendingCounts().at("queue") < waiting) {
+    const std::map<std::string, std::uint32_t> counts = core.PendingCounts();
+    const auto counted = counts.find("queue");
+    if (waiting > (counted == counts.end() ? 0 : counted->second)) {
       history_.violations.push_back(std::to_string(waiting) +
                                     " jobs are pending, but fewer are counted");
     }
@@ -532,6 +555,7 @@
     }
     history_.first_step_tasks[id] = count;
     const SubmitAnswer answer = owner.core->Submit(id, "queue", job, now_);
+    if (answer.outcome == SubmitOutcome::kNoQueue) return;
     owner.submissions.emplace_back(id, answer.change);
   }
 
@@ -559,6 +583,8 @@
   MonotonicTime lossy_until_;
   MonotonicTime orders_late_until_;
   MonotonicTime registry_unread_until_;
+  MonotonicTime config_unread_until_;
+  MonotonicTime queue_dropped_until_;
   // By worker, since when it has announced that it leaves.
   std::map<std::size_t, MonotonicTime> draining_since_;
   std::map<std::size_t, MonotonicTime> unreachable_until_;
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -57,7 +57,7 @@
                  .hold_now = [](const std::string&) {},
                  .decided = [](const std::string&,
                                const std::vector<telemetry::Field>&) {}});
-  core->SetConfig(MakeConfig(), now);
+  if (!config_unread) core->SetConfig(MakeConfig(), now);
   for (const auto& [key, value] : stored) {
     core->Restore({.key = key, .value = value});
   }
@@ -78,6 +78,8 @@
   core->SetConfig(config, now);
 }
 
+void ShardBench::RestoreQueue() { core->SetConfig(MakeConfig(), now); }
+
 void ShardBench::Drain(const std::string& worker) {
   entries_[worker].draining = true;
   SetWorkers();
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -33,6 +33,9 @@
 
   // From here on the queue requires advice.
   void EnableAdvice();
+  // Replaces the configuration by one without the queue, or with it.
+  void DropQueue() { core->SetConfig({.version = 2}, now); }
+  void RestoreQueue();
 
   // Replaces the owner by a new one that is restored from the stored records.
   void TakeOver() { StartOwner(token_ + 1); }
@@ -85,6 +88,8 @@
                 .wall = WallTime(std::chrono::seconds(1700000000))};
   // Option of owners that start from here on.
   std::size_t max_starts_in_flight = 1000;
+  // Whether owners that start from here on have no configuration.
+  bool config_unread = false;
   // Whether the registry is not read while time passes.
   bool registry_unread = false;
   std::unique_ptr<ShardCore> core;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -22,6 +22,10 @@
   CPPUNIT_TEST(StartsStayWithinCapacity);
   CPPUNIT_TEST(LaterStepWaitsForEarlierOnes);
   CPPUNIT_TEST(TaskThatFailsTooOftenFailsItsJob);
+  CPPUNIT_TEST(JobFailsAtOnceWhileItsQueueIsNotConfigured);
+  CPPUNIT_TEST(JobFailsAtOnceUnderAnOwnerWithoutConfiguration);
+  CPPUNIT_TEST(JobsCountAsWorthlessUnderAnOwnerWithoutConfiguration);
+  CPPUNIT_TEST(TicketIsNotAskedForWhileTheQueueIsNotConfigured);
   CPPUNIT_TEST(CancelStopsRunningTasks);
   CPPUNIT_TEST(UnansweredStartIsRepeatedUnderItsAttempt);
   CPPUNIT_TEST(SilentWorkerKeepsItsTasksUntilTheLeaseIsOver);
@@ -183,6 +187,58 @@
     CPPUNIT_ASSERT(JobState::kFailed == StoredStateOfJob(bench));
   }
 
+  // Guards against failing a job before its attempts are used up, because its
+  // route is removed for a while.
+  void JobFailsAtOnceWhileItsQueueIsNotConfigured() {
+    ShardBench bench;
+    const SentStart start = RunOneTask(bench);
+    bench.DropQueue();
+    AssertFailsAtItsSecondFailure(bench, start);
+  }
+
+  // The same, because a new owner has not read the configuration.
+  void JobFailsAtOnceUnderAnOwnerWithoutConfiguration() {
+    ShardBench bench;
+    const SentStart start = RunOneTask(bench);
+    bench.config_unread = true;
+    bench.TakeOver();
+    AssertFailsAtItsSecondFailure(bench, start);
+  }
+
+  // Guards against rejecting jobs for a backlog that only seems late, because
+  // its objectives were not known.
+  void JobsCountAsWorthlessUnderAnOwnerWithoutConfiguration() {
+    ShardBench bench;
+    for (int job = 0; job < 20; ++job) {
+      JobSpec spec = MakeJob(1);
+      spec.steps[0].estimate = seconds(60);
+      bench.Submit("j" + std::to_string(job), spec);
+    }
+    bench.Store();
+    bench.config_unread = true;
+    bench.TakeOver();
+    bench.AdvanceTime(seconds(1));
+    bench.RestoreQueue();
+    CPPUNIT_ASSERT(SubmitOutcome::kNewJob ==
+                   bench.Submit("k", MakeJob(1)).outcome);
+  }
+
+  // Guards against starts without a ticket, which workers reject, while the
+  // route that asks for it is removed.
+  void TicketIsNotAskedForWhileTheQueueIsNotConfigured() {
+    ShardBench bench;
+    bench.EnableAdvice();
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    bench.DropQueue();
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.AdvanceTime(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.advice_calls.size());
+  }
+
   void CancelStopsRunningTasks() {
     ShardBench bench;
     RunOneTask(bench);
@@ -742,6 +798,21 @@
     bench.Store();
   }
 
+  // Lets the only task of job "j", which runs on worker "w", fail twice.
+  static void AssertFailsAtItsSecondFailure(ShardBench& bench,
+                                            const SentStart& first) {
+    bench.AnswerHold("w", {},
+                     {bench.EndedRow(1, first, contracts::EndKind::kFailed)});
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kRunning == StoredStateOfJob(bench));
+    const SentStart second = bench.TakeStarts().at(0);
+    bench.ConfirmStart(second);
+    bench.AnswerHold("w", {},
+                     {bench.EndedRow(2, second, contracts::EndKind::kFailed)});
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kFailed == StoredStateOfJob(bench));
+  }
+
   // The stored state of job "j".
   static JobState StoredStateOfJob(const ShardBench& bench) {
     return bench.core->StoredState("j").value_or(JobState::kQueued);
