--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -31,12 +31,8 @@
 struct ShardCore::Impl {
   Impl(ShardOptions shard_options, ShardHooks shard_hooks);
 
-  // shard_jobs.cc: jobs and their records.
+  // shard_jobs.cc: jobs and their steps.
   Job& AddJob(const std::string& id);
-  void Restore(const contracts::KeyedRecord& record);
-  void RestoreProgress(Job& job, const proto::Progress& record);
-  void RestoreTask(Step& step, const proto::Task& record);
-  void FinishRestore(ShardTime now);
   void BeginOccurrence(Job& job, std::uint32_t number);
   Occurrence& MakeOccurrence(Job& job, std::uint32_t number);
   void BeginDueOccurrences(Job& job, ShardTime now);
@@ -53,6 +49,12 @@
   void StopAll(Job& job, const std::string& reason);
   void StopTask(Task& task, const std::string& reason);
   void MarkChanged(Job& job);
+
+  // shard_records.cc: records of the shard's stream.
+  void Restore(const contracts::KeyedRecord& record);
+  void RestoreProgress(Job& job, const proto::Progress& record);
+  void RestoreTask(Step& step, const proto::Task& record);
+  void FinishRestore(ShardTime now);
   std::string EncodeProgress(const Job& job) const;
   std::string EncodeJob(const Job& job) const;
   void DropEndedJobs();
