Workers with hundreds of runs report less often

On a worker with 900 runs each end asked for another report, which lists all runs.

After a report of more than 64 runs, a pause of 0.5 ms for each further run precedes the next one. WorkerWithManyRunsReportsAtEachEnd guards it (the pause was 0 before).

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -209,6 +209,8 @@
   // The latest lease end sent to the worker, on the worker's clock.
   contracts::WorkerClock lease_end{0};
   MonotonicTime known_since;
+  // No report is asked for before.
+  MonotonicTime next_report_at;
   // The time of the last report about its runs, on the worker's clock.
   contracts::WorkerClock reported_clock{0};
   contracts::Resources used;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -23,6 +23,10 @@
 // only read reports.
 constexpr std::chrono::microseconds kHoldWaitPerWorker{500};
 constexpr milliseconds kMaxHoldWait{2000};
+// Pause after a report for each run beyond the first ones: a report lists all
+// runs of the worker, and each end of a run asks for another one.
+constexpr std::size_t kRunsWithoutPause = 64;
+constexpr std::chrono::microseconds kReportPausePerRun{500};
 // Like kHoldWait, while a stop or an unanswered start is pending on the worker.
 constexpr milliseconds kUncertainHoldWait{100};
 // Waiting steps are scheduled again at least this often.
@@ -283,6 +287,9 @@
         impl_->workers.size() * kHoldWaitPerWorker);
     plan.order.wait = std::min(std::max(wanted, affordable), kMaxHoldWait);
   }
+  const milliseconds until_next_report =
+      std::chrono::ceil<milliseconds>(worker.next_report_at - now.steady);
+  plan.pause = std::max(plan.pause, until_next_report);
   return plan;
 }
 
@@ -326,6 +333,11 @@
   worker.silent_since.reset();
   worker.unanswered_orders_in_row = 0;
   if (answer.clock.has_value()) impl_->OnClock(worker, *answer.clock);
+  if (answer.running.size() > kRunsWithoutPause) {
+    worker.next_report_at =
+        now.steady +
+        (answer.running.size() - kRunsWithoutPause) * kReportPausePerRun;
+  }
   impl_->OnRunningList(worker, answer, sent_at);
   impl_->OnEndedList(worker, answer);
   impl_->UpdateLatencies(worker);
@@ -358,7 +370,7 @@
   impl_->OnOrderAnswer(*found->second, answer);
   if (answer.outcome == OrderOutcome::kDone) {
     run->stop_confirmed_at = now.steady;
-    impl_->hooks.hold_now(worker_id);
+    impl_->HoldNow(*found->second);
   } else {
     run->retry_at = now.steady + impl_->options.order_retry_interval;
   }
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -168,6 +168,9 @@
                std::uint32_t attempt);
   Task* FindTask(const contracts::TaskKey& key);
   void OnClock(WorkerState& worker, contracts::WorkerClock clock);
+  // Asks for the worker's next report now, unless its last one was so large
+  // that a pause follows.
+  void HoldNow(const WorkerState& worker) const;
   void SetSilent(WorkerState& worker, const std::string& error);
   void OnRunningList(WorkerState& worker, const contracts::HoldAnswer& answer,
                      MonotonicTime sent_at);
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -162,7 +162,7 @@
       // runs.
       run->may_have_arrived = true;
       run->retry_at = now.steady + options.order_retry_interval;
-      hooks.hold_now(worker_id);
+      HoldNow(worker);
       return;
     case OrderOutcome::kNotSent:
       run->retry_at = now.steady + options.order_retry_interval;
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -476,7 +476,7 @@
     if (worker->seen_end > worker->acknowledged_end &&
         worker->ends_change <= stored_changes) {
       worker->acknowledged_end = worker->seen_end;
-      if (hooks.hold_now) hooks.hold_now(id);
+      HoldNow(*worker);
     }
   }
 }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -111,6 +111,10 @@
   worker.clock_at = now.steady;
 }
 
+void ShardCore::Impl::HoldNow(const WorkerState& worker) const {
+  if (worker.next_report_at <= now.steady) hooks.hold_now(worker.id);
+}
+
 void ShardCore::Impl::SetSilent(WorkerState& worker, const std::string& error) {
   if (worker.silent_since.has_value()) return;
   worker.silent_since = now.steady;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(NothingIsAcknowledgedAfterAnUnansweredHold);
   CPPUNIT_TEST(FullLargePoolIsNotRescannedAfterEachEnd);
   CPPUNIT_TEST(WorkersOfALargePoolReportTooOften);
+  CPPUNIT_TEST(WorkerWithManyRunsReportsAtEachEnd);
   CPPUNIT_TEST(LargePoolIsFilledUnevenly);
   CPPUNIT_TEST(StartsBeyondTheLimitWaitForAnswers);
   CPPUNIT_TEST(QueuedStartIsNotSentToADrainingWorker);
@@ -323,6 +324,13 @@
     CPPUNIT_ASSERT(HoldWaitWithWorkers(5800) == milliseconds(2000));
   }
 
+  // Guards against reports of hundreds of runs at each end of one of them,
+  // which take up a worker, its link and the owner.
+  void WorkerWithManyRunsReportsAtEachEnd() {
+    CPPUNIT_ASSERT(HoldPauseWithRuns(64) == milliseconds(0));
+    CPPUNIT_ASSERT(HoldPauseWithRuns(964) == milliseconds(450));
+  }
+
   // Guards against placing all work on the workers that a search finds first,
   // when it doesn't visit the whole pool.
   void LargePoolIsFilledUnevenly() {
@@ -832,6 +840,21 @@
     for (const WorkerEntry& entry : entries) bench.AnswerHold(entry.id);
     bench.core->SetWorkers(entries, bench.now.steady, bench.now);
   }
+  static milliseconds HoldPauseWithRuns(std::uint32_t count) {
+    ShardBench bench;
+    bench.AddWorker("w", 1000 * count);
+    bench.AnswerHold("w");
+    bench.Submit("j", MakeJob(count));
+    bench.Store();
+    std::vector<contracts::RunningTask> rows;
+    for (const SentStart& start : bench.TakeStarts()) {
+      bench.ConfirmStart(start);
+      rows.push_back(bench.RunningRow(start));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{count}, rows.size());
+    bench.AnswerHold("w", rows);
+    return bench.core->PlanHold("w", bench.now).pause;
+  }
   static milliseconds HoldWaitWithWorkers(std::size_t count) {
     ShardBench bench;
     AddWorkers(bench, count);
