A new owner no longer waits 10 s for a former one that is gone

Cause: for a worker that it has not reached, a new owner waited until a former owner that is cut off from the store had given up (10 s) and the longest lease was over (5.1 s), since it could not tell such an owner from one that is gone.

An owner counts leases from its last confirmation, by an append or by a majority of the witnesses; a new owner that a majority has answered waits for the longest lease only (ADR 0035). This also lets starts end unused that a paused owner sends after its pause.

The fuzz took a rejected job for an accepted one, which the new fault showed; it counts new jobs only now.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -27,6 +27,8 @@
 // runs of the worker, and each end of a run asks for another one.
 constexpr std::size_t kRunsWithoutPause = 64;
 constexpr std::chrono::microseconds kReportPausePerRun{500};
+// Like kHoldWait, for witnesses of an owner that the store does not confirm.
+constexpr milliseconds kWitnessHoldWait{250};
 // Like kHoldWait, while a stop or an unanswered start is pending on the worker.
 constexpr milliseconds kUncertainHoldWait{100};
 // Waiting steps are scheduled again at least this often.
@@ -64,7 +66,9 @@
 
 void ShardCore::OnFormerOwnersStopped(ShardTime now) {
   impl_->now = now;
-  impl_->former_owners_stopped_at = now.steady;
+  if (!impl_->former_owners_stopped_at.has_value()) {
+    impl_->former_owners_stopped_at = now.steady;
+  }
 }
 
 void ShardCore::SetConfig(const ClusterConfig& config, ShardTime now) {
@@ -223,7 +227,8 @@
 
 bool ShardCore::HasChanges() const {
   return impl_->schedule_requested || !impl_->changed_jobs.empty() ||
-         !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty();
+         !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty() ||
+         impl_->store_witnesses;
 }
 
 std::uint64_t ShardCore::stored_changes() const {
@@ -287,6 +292,9 @@
         impl_->workers.size() * kHoldWaitPerWorker);
     plan.order.wait = std::min(std::max(wanted, affordable), kMaxHoldWait);
   }
+  if (impl_->IsUnconfirmed() && impl_->witnesses.Contains(worker_id)) {
+    plan.order.wait = std::min(plan.order.wait, kWitnessHoldWait);
+  }
   const milliseconds until_next_report =
       std::chrono::ceil<milliseconds>(worker.next_report_at - now.steady);
   plan.pause = std::max(plan.pause, until_next_report);
@@ -338,6 +346,7 @@
         now.steady +
         (answer.running.size() - kRunsWithoutPause) * kReportPausePerRun;
   }
+  impl_->OnWitnessAnswered(worker, sent_at);
   impl_->OnRunningList(worker, answer, sent_at);
   impl_->OnEndedList(worker, answer);
   impl_->UpdateLatencies(worker);
@@ -418,6 +427,7 @@
   impl_->Rebalance();
   impl_->AskAdvice();
   impl_->DropEndedJobs();
+  impl_->UpdateWitnesses();
   impl_->LogSummary();
 }
 
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -14,6 +14,7 @@
 #include "jobs/admission.h"
 #include "jobs/generated/jobs.pb.h"
 #include "jobs/internal/model.h"
+#include "jobs/lease_witnesses.h"
 #include "jobs/shard_core.h"
 
 namespace carobmast::jobs {
@@ -191,6 +192,19 @@
   // The number of the step's tasks that are not known to be serving.
   std::uint32_t CountUnavailable(const Step& step) const;
 
+  // shard_leases.cc: how long this owner may extend leases, and how long those
+  // of its predecessors last.
+  void OnWitnessAnswered(const WorkerState& worker, MonotonicTime sent_at);
+  void Confirm(MonotonicTime at);
+  // Whether no predecessor extends leases any more.
+  bool HaveFormerOwnersStopped() const;
+  void UpdateWitnesses();
+  // The time from which a lease is counted that is granted now.
+  MonotonicTime LeaseStart() const;
+  // Whether the owner needs answers of witnesses, because the store does not
+  // confirm it.
+  bool IsUnconfirmed() const;
+
   // shard_advice.cc: tickets for queues that require advice.
   static bool NeedsTicket(const Step& step);
   const std::string* FindTicket(const Step& step,
@@ -283,7 +297,15 @@
   // jobs with their states.
   std::uint64_t batch_number = 0;
   std::uint64_t batch_changes = 0;
+  MonotonicTime batch_taken_at;
+  bool batch_has_records = false;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
+  // A time at which no later owner was known to the stream or to a majority of
+  // the witnesses.
+  MonotonicTime confirmed_at;
+  LeaseWitnesses witnesses;
+  bool store_witnesses = false;
+  MonotonicTime witnesses_updated_at;
   InterferenceModel interference;
   MonotonicTime interference_stored_at;
   // Set while a starved job is placed: fillers then fit on any worker that has
--- /dev/null
+++ b/src/jobs/internal/shard_leases.cc
@@ -0,0 +1,70 @@
+// How long this owner may extend leases, and how long those of its predecessors
+// last.
+#include <algorithm>
+
+#include "jobs/internal/shard_impl.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWitnessInterval{1000};
+// An owner that was not confirmed for this long asks the witnesses more often.
+// Appends confirm it many times a second while the store answers.
+constexpr milliseconds kUnconfirmedAfter{500};
+
+}  // namespace
+
+void ShardCore::Impl::OnWitnessAnswered(const WorkerState& worker,
+                                        MonotonicTime sent_at) {
+  witnesses.OnAnswered({.worker = worker.id, .born_ms = worker.born_ms},
+                       sent_at);
+  const std::optional<MonotonicTime> answered_at =
+      witnesses.AnsweredByMajority();
+  if (!answered_at.has_value()) return;
+  Confirm(*answered_at);
+  if (former_owners_stopped_at.has_value()) return;
+  former_owners_stopped_at = now.steady;
+  hooks.decided("former owners stopped", {{"after", now.steady - restored_at}});
+}
+
+void ShardCore::Impl::Confirm(MonotonicTime at) {
+  confirmed_at = std::max(confirmed_at, at);
+}
+
+bool ShardCore::Impl::HaveFormerOwnersStopped() const {
+  return former_owners_stopped_at.has_value() ||
+         now.steady > restored_at + options.former_owner_timeout;
+}
+
+bool ShardCore::Impl::IsUnconfirmed() const {
+  return now.steady - confirmed_at > kUnconfirmedAfter;
+}
+
+MonotonicTime ShardCore::Impl::LeaseStart() const {
+  return std::min(now.steady, confirmed_at);
+}
+
+void ShardCore::Impl::UpdateWitnesses() {
+  if (now.steady - witnesses_updated_at < kWitnessInterval) return;
+  witnesses_updated_at = now.steady;
+  // Without other changes to store, this record confirms the owner.
+  if (IsUnconfirmed() && !workers.empty()) store_witnesses = true;
+  if (HaveFormerOwnersStopped()) {
+    std::vector<WitnessCandidate> usable;
+    for (const auto& [id, worker] : workers) {
+      if (IsLeaving(*worker) || worker->silent_since.has_value() ||
+          !worker->contact_at.has_value()) {
+        continue;
+      }
+      usable.push_back(
+          {{.worker = id, .born_ms = worker->born_ms}, worker->entry.zone});
+    }
+    if (witnesses.Propose(usable)) store_witnesses = true;
+  }
+  if (store_witnesses && hooks.changed) hooks.changed();
+}
+
+}  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -31,10 +31,10 @@
   // The worker's clock is unknown before its first answer: the lease is then
   // computed from 0.
   const WorkerClock base = worker.clock.value_or(WorkerClock(0));
-  const milliseconds passed = worker.clock.has_value()
-                                  ? std::chrono::duration_cast<milliseconds>(
-                                        now.steady - worker.clock_at)
-                                  : milliseconds(0);
+  const milliseconds passed =
+      worker.clock.has_value()
+          ? std::chrono::floor<milliseconds>(LeaseStart() - worker.clock_at)
+          : milliseconds(0);
   const WorkerClock end = base + passed + options.max_lease - kLeaseMargin;
   worker.lease_end = std::max(worker.lease_end, end);
   return end;
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -127,6 +127,12 @@
     RestoreBlock(record);
     return;
   }
+  if (key == kWitnessesKey) {
+    if (record.value.has_value() && !witnesses.Decode(*record.value)) {
+      throw Error(kRestoreStep, record.key, "malformed record of witnesses");
+    }
+    return;
+  }
   const bool is_job = key.starts_with(kJobPrefix);
   const bool is_progress = key.starts_with(kProgressPrefix);
   if (!is_job && !is_progress) {
@@ -274,6 +280,7 @@
   now = time;
   interference_stored_at = now.steady;
   restored_at = now.steady;
+  confirmed_at = options.confirmed_at.value_or(now.steady);
   for (const auto& [id, job] : jobs) {
     proto::Progress progress;
     progress.ParseFromString(job->restored_progress);
@@ -451,6 +458,13 @@
     interference_stored_at = now.steady;
     batch.records.push_back({kInterferenceKey, interference.Encode()});
   }
+  if (store_witnesses) {
+    store_witnesses = false;
+    witnesses.OnStoring();
+    batch.records.push_back({kWitnessesKey, witnesses.Encode()});
+  }
+  batch_taken_at = now.steady;
+  batch_has_records = !batch.records.empty();
   batch_changes =
       changed_jobs.empty() ? changes : changed_jobs.front()->change - 1;
   return batch;
@@ -459,6 +473,8 @@
 void ShardCore::Impl::OnStored(std::uint64_t number, ShardTime time) {
   now = time;
   stored_changes = std::max(stored_changes, batch_changes);
+  if (batch_has_records) Confirm(batch_taken_at);
+  witnesses.OnStored();
   for (const std::pair<std::string, JobState>& stored : batch_jobs) {
     const auto found = jobs.find(stored.first);
     if (found == jobs.end()) continue;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -11,12 +11,13 @@
 namespace carobmast::jobs {
 
 // Key prefixes of job specifications, of their progress, and of blocks of a
-// divided progress, each followed by the job ID, and the key of the
-// interference model.
+// divided progress, each followed by the job ID, and the keys of the
+// interference model and of the witnesses of leases.
 inline constexpr char kJobPrefix[] = "j/";
 inline constexpr char kProgressPrefix[] = "p/";
 inline constexpr char kBlockPrefix[] = "b/";
 inline constexpr char kInterferenceKey[] = "m/interference";
+inline constexpr char kWitnessesKey[] = "m/witnesses";
 
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -64,15 +64,17 @@
   kConfigUnread,    // new owners can't read the configuration
   kDropQueue,       // the queue is removed for a while
   kDieInAppend,     // the owner ends when part of a batch is stored
+  kSplitOwners,     // a new owner starts; the former one does not reach the
+                    // store, and each of them reaches some of the workers
   kCount,
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",       "submit failing",  "cancel",        "take over",
-    "kill owner",   "pause owner",     "store out",     "lose append answers",
-    "cut worker",   "lose messages",   "late orders",   "crash worker",
-    "drain worker", "registry silent", "config unread", "drop queue",
-    "die in append"};
+    "submit",        "submit failing",  "cancel",        "take over",
+    "kill owner",    "pause owner",     "store out",     "lose append answers",
+    "cut worker",    "lose messages",   "late orders",   "crash worker",
+    "drain worker",  "registry silent", "config unread", "drop queue",
+    "die in append", "split owners"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -170,6 +172,12 @@
       case Fault::kDieInAppend:
         owners_.back()->dies_in_append = true;
         break;
+      case Fault::kSplitOwners:
+        owners_.back()->store_cut_until = until.steady;
+        TakeOver();
+        split_until_ = until.steady;
+        reached_by_newest_ = target;
+        break;
       case Fault::kCount:
         break;
     }
@@ -182,9 +190,9 @@
 
   // Ends all faults; all accepted jobs must then end.
   void EndFaultsAndSettle() {
-    store_unavailable_until_ = append_answers_lost_until_ = lossy_until_ =
-        orders_late_until_ = registry_unread_until_ = config_unread_until_ =
-            queue_dropped_until_ = now_.steady;
+    split_until_ = store_unavailable_until_ = append_answers_lost_until_ =
+        lossy_until_ = orders_late_until_ = registry_unread_until_ =
+            config_unread_until_ = queue_dropped_until_ = now_.steady;
     // A worker that has just crashed stays away for its minimum time.
     for (auto& [worker, until] : unreachable_until_) {
       until = std::min(until, now_.steady + kMinDownTime);
@@ -223,6 +231,7 @@
     bool dead = false;
     MonotonicTime paused_until;
     MonotonicTime last_proof_at;
+    MonotonicTime store_cut_until;
     bool dies_in_append = false;
     // Whether the queue is configured; empty without a configuration.
     std::optional<bool> knows_queue;
@@ -377,7 +386,12 @@
     return static_cast<std::size_t>(std::stoi(worker.substr(1)));
   }
 
-  bool IsUnreachable(std::size_t worker) const {
+  bool IsUnreachable(std::size_t worker, const OwnerInstance& owner) const {
+    if (split_until_ > now_.steady) {
+      const bool is_newest = &owner == owners_.back().get();
+      const bool reached_by_newest = (reached_by_newest_ >> worker) % 2 == 1;
+      if (is_newest != reached_by_newest) return true;
+    }
     const auto cut = unreachable_until_.find(worker);
     return cut != unreachable_until_.end() && cut->second > now_.steady;
   }
@@ -393,7 +407,7 @@
     const bool late =
         orders_late_until_ > now_.steady && HappensWithProbability(0.4);
     const bool lost =
-        IsUnreachable(index) || (lossy && HappensWithProbability(0.3));
+        IsUnreachable(index, *owner) || (lossy && HappensWithProbability(0.3));
     const bool answer_lost =
         lost || late || (lossy && HappensWithProbability(0.3));
     if (!lost) {
@@ -435,7 +449,7 @@
     const MonotonicTime sent_at = now_.steady;
     const bool lossy = lossy_until_ > now_.steady;
     const bool lost =
-        IsUnreachable(index) || (lossy && HappensWithProbability(0.3));
+        IsUnreachable(index, owner) || (lossy && HappensWithProbability(0.3));
     const bool answer_lost = lost || (lossy && HappensWithProbability(0.3));
     const std::function<void(const contracts::HoldAnswer&)> on_answer =
         [this, &owner, id, order,
@@ -462,7 +476,10 @@
   }
 
   void Store(OwnerInstance& owner) {
-    if (store_unavailable_until_ > now_.steady) return;
+    if (std::max(store_unavailable_until_, owner.store_cut_until) >
+        now_.steady) {
+      return;
+    }
     if (owner.token < store_epoch_) {
       owner.dead = true;
       return;
@@ -575,7 +592,7 @@
     }
     history_.first_step_tasks[id] = count;
     const SubmitAnswer answer = owner.core->Submit(id, "queue", job, now_);
-    if (answer.outcome == SubmitOutcome::kNoQueue) return;
+    if (answer.outcome != SubmitOutcome::kNewJob) return;
     owner.submissions.emplace_back(id, answer.change);
   }
 
@@ -603,6 +620,9 @@
   MonotonicTime append_answers_lost_until_;
   MonotonicTime lossy_until_;
   MonotonicTime orders_late_until_;
+  MonotonicTime split_until_;
+  // One bit for each worker.
+  std::size_t reached_by_newest_ = 0;
   MonotonicTime registry_unread_until_;
   MonotonicTime config_unread_until_;
   MonotonicTime queue_dropped_until_;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -39,6 +39,10 @@
   CPPUNIT_TEST(OrderAnswerBeforeFirstHoldDoesNotEndLeases);
   CPPUNIT_TEST(NewOwnerWaitsOutLeasesOfUnreachedWorker);
   CPPUNIT_TEST(StoppedFormerOwnersShortenTheWait);
+  CPPUNIT_TEST(LostTasksWaitForAFormerOwnerThatNeverAnswers);
+  CPPUNIT_TEST(MinorityOfTheWitnessesShortensTheWait);
+  CPPUNIT_TEST(LeasesAreExtendedByAnOwnerThatMayBeReplaced);
+  CPPUNIT_TEST(IdleOwnerIsNotConfirmed);
   CPPUNIT_TEST(DrainMovesStandingTasksWithinMaxAway);
   CPPUNIT_TEST(TasksOnSilentWorkersCountAsUnavailable);
   CPPUNIT_TEST(UnlistedWorkerIsHeldWhileItRunsTasks);
@@ -467,6 +471,73 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  // Guards against leaving the tasks of lost workers waiting for as long as a
+  // former owner may be cut off, when its VM was removed for good.
+  void LostTasksWaitForAFormerOwnerThatNeverAnswers() {
+    ShardBench bench;
+    RunOneTaskWithWitnesses(bench);
+    bench.TakeOver();
+    bench.LoseHold("w");
+    for (const char* witness : {"v", "x"}) bench.AnswerHold(witness);
+    bench.AdvanceTime(milliseconds(4900));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    for (const char* witness : {"v", "x"}) bench.AnswerHold(witness);
+    // The longest lease, by a clock that is 2% slow, and the margin.
+    bench.AdvanceTime(milliseconds(1400));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
+  // Guards against starting a task again that a former owner, which reaches
+  // the other witnesses, keeps running.
+  void MinorityOfTheWitnessesShortensTheWait() {
+    ShardBench bench;
+    RunOneTaskWithWitnesses(bench);
+    bench.TakeOver();
+    bench.LoseHold("w");
+    bench.LoseHold("x");
+    bench.AnswerHold("v");
+    bench.AdvanceTime(seconds(14));
+    bench.AnswerHold("v");
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void LeasesAreExtendedByAnOwnerThatMayBeReplaced() {
+    ShardBench bench;
+    RunOneTaskWithWitnesses(bench);
+    bench.AnswerHold("w");
+    const contracts::WorkerClock confirmed_at = bench.Clock();
+    // Neither the store nor the other witnesses answer.
+    for (int i = 0; i < 20; ++i) {
+      bench.AdvanceTime(milliseconds(100));
+      bench.AnswerHold("w");
+    }
+    const contracts::WorkerClock unconfirmed =
+        bench.core->PlanHold("w", bench.now).order.lease_end.value();
+    CPPUNIT_ASSERT(unconfirmed <= confirmed_at + ShardOptions{}.max_lease);
+    bench.AnswerHold("v");
+    bench.AnswerHold("w");
+    CPPUNIT_ASSERT(
+        bench.core->PlanHold("w", bench.now).order.lease_end.value() >
+        unconfirmed + seconds(1));
+  }
+
+  // Guards against letting leases expire because there is nothing to store.
+  void IdleOwnerIsNotConfirmed() {
+    ShardBench bench;
+    RunOneTaskWithWitnesses(bench);
+    for (int i = 0; i < 100; ++i) {
+      bench.AdvanceTime(milliseconds(100));
+      bench.Store();
+      bench.AnswerHold("w");
+    }
+    const contracts::WorkerClock lease_end =
+        bench.core->PlanHold("w", bench.now).order.lease_end.value();
+    CPPUNIT_ASSERT(lease_end > bench.Clock() + seconds(3));
+  }
+
   void DrainMovesStandingTasksWithinMaxAway() {
     ShardBench bench;
     bench.AddWorker("w");
@@ -860,6 +931,18 @@
     AddWorkers(bench, count);
     return bench.core->PlanHold("w0", bench.now).order.wait;
   }
+  // Runs the only task of job "j" on worker "w"; "v", "w" and "x" are the
+  // witnesses.
+  static void RunOneTaskWithWitnesses(ShardBench& bench) {
+    RunOneTask(bench);
+    for (const char* worker : {"v", "x"}) {
+      bench.AddWorker(worker);
+      bench.AnswerHold(worker);
+    }
+    bench.core->OnFormerOwnersStopped(bench.now);
+    bench.AdvanceTime(milliseconds(1100));
+    bench.Store();
+  }
   // Runs the two tasks of job "j" on worker "w".
   static std::vector<SentStart> RunTwoTasks(ShardBench& bench) {
     bench.AddWorker("w");
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
 
 struct ShardOptions {
   contracts::FencingToken token = 1;
+  // A time at which no later owner had written to the stream; the start of the
+  // owner when empty.
+  std::optional<MonotonicTime> confirmed_at;
   // Maximum lease that workers grant.
   std::chrono::milliseconds max_lease{6000};
   // Maximum time for which a former owner may keep renewing leases without
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -60,6 +60,7 @@
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
                                     contracts::FencingToken token) {
   return {.token = token,
+          .confirmed_at = LeaseNow(),
           .max_lease = std::min(settings.max_lease, kMaxLease),
           .keep_ended = settings.keep_ended,
           .max_registry_age = MaxRegistryAge(settings),
