A withdrawn job no longer stays in the queue of ready steps

Cause: Withdraw ended the planned runs after it had taken the steps out of the queue; EndRun found waiting tasks and queued the step again, and the job was freed. ForgetJob now marks the job as over first and is the only way to remove one, also for expired jobs, which could stay among the changed ones.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -208,11 +208,9 @@
   if (found == impl_->jobs.end()) return false;
   Job& job = *found->second;
   if (job.spec_written || --job.waiting_submissions > 0) return false;
-  impl_->StopAll(job, "withdrawn");
-  std::erase(impl_->changed_jobs, &job);
   std::erase_if(impl_->ended_jobs,
                 [&id](const auto& ended) { return ended.second == id; });
-  impl_->jobs.erase(found);
+  impl_->ForgetJob(job, "withdrawn");
   return true;
 }
 
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -49,6 +49,9 @@
   void EndJob(Job& job, JobState state);
   void StopAll(Job& job, const std::string& reason);
   void StopTask(Task& task, const std::string& reason);
+  // Stops the job's runs and removes the job with all that points to it, but
+  // for `ended_jobs`.
+  void ForgetJob(Job& job, const std::string& reason);
   void MarkChanged(Job& job);
   void MarkChanged(const Task& task);
 
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -224,6 +224,21 @@
   }
 }
 
+void ShardCore::Impl::ForgetJob(Job& job, const std::string& reason) {
+  // Otherwise the end of a planned run would make its step ready again.
+  if (!job.IsOver()) job.state = JobState::kCancelled;
+  StopAll(job, reason);
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (Step& step : occurrence->steps) {
+      for (Task& task : step.tasks) {
+        for (Run& run : task.runs) ReleaseResources(run);
+      }
+    }
+  }
+  std::erase(changed_jobs, &job);
+  jobs.erase(job.id);
+}
+
 void ShardCore::Impl::StopTask(Task& task, const std::string& reason) {
   // RequestStop removes a planned run from the list.
   for (auto run = task.runs.begin(); run != task.runs.end();) {
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -321,18 +321,12 @@
     const auto job = jobs.find(ended_jobs.front().second);
     ended_jobs.pop_front();
     if (job == jobs.end() || job->second->change != 0) continue;
-    StopAll(*job->second, "job over");
     dropped_keys.push_back(kJobPrefix + job->first);
     dropped_keys.push_back(kProgressPrefix + job->first);
     for (const auto& [number, occurrence] : job->second->occurrences) {
-      for (Step& step : occurrence->steps) {
-        DropBlocks(step, dropped_keys);
-        for (Task& task : step.tasks) {
-          for (Run& run : task.runs) ReleaseResources(run);
-        }
-      }
+      for (Step& step : occurrence->steps) DropBlocks(step, dropped_keys);
     }
-    jobs.erase(job);
+    ForgetJob(*job->second, "job over");
     ++changes;
   }
 }
--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -29,6 +29,9 @@
     violations.push_back(run_name + " started on " + worker +
                          " while it ran on " + running_[task]);
   }
+  if (withdrawn.contains(task.job)) {
+    violations.push_back(run_name + " started after it was withdrawn");
+  }
   if (acknowledged_.contains(task)) {
     violations.push_back(run_name +
                          " started after its finish was acknowledged");
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -30,6 +30,8 @@
   // them.
   std::map<std::string, std::uint32_t> first_step_tasks;
   std::uint32_t max_attempts = 0;
+  // Jobs whose callers were told that they have not run.
+  std::set<std::string> withdrawn;
   std::vector<std::string> violations;
 
  private:
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -50,6 +50,7 @@
   kSubmit,
   kSubmitFailing,
   kCancel,
+  kWithdraw,    // a submission that is not stored is given up
   kTakeOver,    // the former owner continues until it notices
   kKillOwner,   // the next one starts at once
   kPauseOwner,  // it may have been replaced when it resumes
@@ -70,11 +71,13 @@
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",        "submit failing",  "cancel",        "take over",
-    "kill owner",    "pause owner",     "store out",     "lose append answers",
-    "cut worker",    "lose messages",   "late orders",   "crash worker",
-    "drain worker",  "registry silent", "config unread", "drop queue",
-    "die in append", "split owners"};
+    "submit",        "submit failing", "cancel",
+    "withdraw",      "take over",      "kill owner",
+    "pause owner",   "store out",      "lose append answers",
+    "cut worker",    "lose messages",  "late orders",
+    "crash worker",  "drain worker",   "registry silent",
+    "config unread", "drop queue",     "die in append",
+    "split owners"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -109,6 +112,8 @@
     history_.max_attempts = kMaxAttempts;
     // In half of the runs all jobs are divided.
     if (random_() % 2 == 0) max_undivided_bytes_ = 1;
+    // In half of them each batch contains one job.
+    if (random_() % 2 == 0) max_batch_bytes_ = 1;
     for (int i = 0; i < kWorkers; ++i) {
       workers_.push_back(
           std::make_unique<FuzzWorker>("w" + std::to_string(i), history_));
@@ -127,6 +132,9 @@
       case Fault::kCancel:
         Cancel(target);
         break;
+      case Fault::kWithdraw:
+        Withdraw(target);
+        break;
       case Fault::kTakeOver:
         TakeOver();
         break;
@@ -277,6 +285,7 @@
     owner->core = std::make_unique<ShardCore>(
         ShardOptions{.token = owner->token,
                      .keep_ended = kKeepEnded,
+                     .max_batch_bytes = max_batch_bytes_,
                      .max_undivided_bytes = max_undivided_bytes_},
         MakeHooks(owner));
     ReadConfig(*owner);
@@ -596,6 +605,18 @@
     owner.submissions.emplace_back(id, answer.change);
   }
 
+  void Withdraw(std::size_t target) {
+    OwnerInstance& owner = *owners_.back();
+    if (owner.submissions.empty()) return;
+    const auto submission =
+        owner.submissions.begin() +
+        static_cast<std::ptrdiff_t>(target % owner.submissions.size());
+    if (owner.core->Withdraw(submission->first)) {
+      history_.withdrawn.insert(submission->first);
+    }
+    owner.submissions.erase(submission);
+  }
+
   void Cancel(std::size_t target) {
     if (accepted_.empty()) return;
     const auto job =
@@ -606,6 +627,7 @@
   }
 
   std::mt19937 random_;
+  std::size_t max_batch_bytes_ = ShardOptions{}.max_batch_bytes;
   std::size_t max_undivided_bytes_ = ShardOptions{}.max_undivided_bytes;
   ShardTime now_{.steady = MonotonicTime(std::chrono::seconds(1000)),
                  .wall = WallTime(std::chrono::seconds(1700000000))};
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -35,6 +35,7 @@
   core = std::make_unique<ShardCore>(
       ShardOptions{.token = token,
                    .max_starts_in_flight = max_starts_in_flight,
+                   .max_batch_bytes = max_batch_bytes,
                    .max_undivided_bytes = max_undivided_bytes},
       ShardHooks{.start =
                      [this](const contracts::WorkerTarget& worker,
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -90,6 +90,7 @@
                 .wall = WallTime(std::chrono::seconds(1700000000))};
   // Option of owners that start from here on.
   std::size_t max_starts_in_flight = 1000;
+  std::size_t max_batch_bytes = ShardOptions{}.max_batch_bytes;
   std::size_t max_undivided_bytes = ShardOptions{}.max_undivided_bytes;
   // Whether owners that start from here on have no configuration.
   bool config_unread = false;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ResubmittedIdIsTheSameJob);
   CPPUNIT_TEST(JobThatAnotherSubmissionWaitsForIsWithdrawn);
   CPPUNIT_TEST(WithdrawnAndResubmittedJobIsDroppedAsEnded);
+  CPPUNIT_TEST(WithdrawnJobStaysInTheQueueOfReadySteps);
   CPPUNIT_TEST(EndIsAcknowledgedAfterItIsStored);
   CPPUNIT_TEST(CompletionIsReportedAfterItIsStored);
   CPPUNIT_TEST(StartsStayWithinCapacity);
@@ -122,6 +123,29 @@
     CPPUNIT_ASSERT(bench.core->StoredState("j").has_value());
   }
 
+  // Guards against a crash when a job is withdrawn whose tasks are planned, but
+  // in no batch.
+  void WithdrawnJobStaysInTheQueueOfReadySteps() {
+    ShardBench bench;
+    bench.max_batch_bytes = 1;
+    bench.TakeOver();
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Submit("k", MakeJob(2));
+    const Batch batch = bench.core->TakeBatch(bench.now);
+    CPPUNIT_ASSERT(bench.core->Withdraw("k"));
+    bench.AdvanceTime(milliseconds(500));
+    bench.core->OnStored(batch.number, bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("j"), bench.starts[0].order.task.job);
+    // Its resources are free again.
+    bench.Submit("l", MakeJob(3));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, bench.starts.size());
+  }
+
   void EndIsAcknowledgedAfterItIsStored() {
     ShardBench bench;
     const SentStart start = RunOneTask(bench);
