An order's answer no longer sets the clock of a worker back

A worker that restarted under its ID and answered an order before the next hold gave the owner a clock that began anew, beside the lease end of its former life. If it was lost then, its tasks waited for as long as the worker had lived. A clock that goes back is now left to the next hold, which shows the new incarnation.

LeaseOfAFormerLifeLastsByTheNewClock fails without the condition (its four tasks had not started after 8 s) and passes with it; 53 tests pass.

--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -184,7 +184,11 @@
                                     const contracts::OrderAnswer& answer) {
   // Only the answer to a hold shows how long leases of former owners may last.
   if (!worker.contact_at.has_value()) return;
-  if (answer.clock.has_value()) OnClock(worker, *answer.clock);
+  // A worker whose clock has gone back was restarted; the next hold shows its
+  // new incarnation. Its former leases must not be compared with the new clock.
+  if (answer.clock.has_value() && answer.clock >= worker.clock) {
+    OnClock(worker, *answer.clock);
+  }
   if (answer.outcome != OrderOutcome::kUnknown &&
       answer.outcome != OrderOutcome::kNotSent) {
     worker.unanswered_orders_in_row = 0;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(RunBeyondTheListedEndsIsStartedAgain);
   CPPUNIT_TEST(RunBeyondTheListedEndsIsStoppedAsStalled);
   CPPUNIT_TEST(RestartedWorkerLosesItsTasks);
+  CPPUNIT_TEST(LeaseOfAFormerLifeLastsByTheNewClock);
   CPPUNIT_TEST(GangStartsTogetherUnderOneAttempt);
   CPPUNIT_TEST(MaxPerWorkerIsKept);
   CPPUNIT_TEST(FillerIsNotStarvedWhileThePoolHasFreeCpus);
@@ -689,6 +690,32 @@
     CPPUNIT_ASSERT_EQUAL(2U, bench.starts[0].order.attempt);
   }
 
+  // Guards against waiting for as long as a worker has lived, when it restarts,
+  // answers one order and is lost before the next hold.
+  void LeaseOfAFormerLifeLastsByTheNewClock() {
+    ShardBench bench;
+    const SentStart start = RunOneTask(bench);
+    bench.AnswerHold("w", {bench.RunningRow(start)});
+    bench.core->Cancel("j", bench.now);
+    bench.Submit("k", MakeJob(4));
+    bench.Store();
+    const SentStop stop = bench.stops.at(0);
+    bench.core->OnStop("w", stop.order,
+                       {.outcome = contracts::OrderOutcome::kDone,
+                        .clock = contracts::WorkerClock(3)},
+                       bench.now);
+    bench.LoseHold("w");
+    bench.LoseHold("w");
+    bench.AddWorker("v");
+    bench.AnswerHold("v");
+    bench.starts.clear();
+    bench.AdvanceTime(seconds(8));
+    bench.AnswerHold("v");
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), bench.starts[0].worker);
+  }
+
   void GangStartsTogetherUnderOneAttempt() {
     ShardBench bench;
     bench.AddWorker("v", 2000);
