A worker that is registered after its cordon gets no tasks

SetCordoned marked the workers known at that time, and maintenance repeats the set only when it changes: a worker registered again, or later than the VM list was read, got tasks while its VM waited for maintenance. The set is kept now.

WorkerRegisteredAfterItsCordonGetsTasks fails without it; 54 tests pass with it.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -137,6 +137,7 @@
 
 void ShardCore::SetCordoned(const std::set<std::string>& ids, ShardTime now) {
   impl_->now = now;
+  impl_->cordoned = ids;
   for (const auto& [id, worker] : impl_->workers) {
     const bool cordoned = ids.contains(id);
     if (worker->cordoned == cordoned) continue;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -254,6 +254,8 @@
   std::map<std::string, QueuePolicy> queues;
   std::map<std::string, std::unique_ptr<Job>> jobs;
   std::map<std::string, std::unique_ptr<WorkerState>> workers;
+  // IDs of workers under maintenance, whether they are known or not.
+  std::set<std::string> cordoned;
   std::map<ReadyKey, Step*> ready;
   // By queue: since when none of its steps, other than standing ones, has found
   // a worker.
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -80,6 +80,7 @@
     worker = std::make_unique<WorkerState>();
     worker->id = id;
     worker->known_since = now.steady;
+    worker->cordoned = cordoned.contains(id);
   }
   return *worker;
 }
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(MinorityOfTheWitnessesShortensTheWait);
   CPPUNIT_TEST(LeasesAreExtendedByAnOwnerThatMayBeReplaced);
   CPPUNIT_TEST(IdleOwnerIsNotConfirmed);
+  CPPUNIT_TEST(WorkerRegisteredAfterItsCordonGetsTasks);
   CPPUNIT_TEST(DrainMovesStandingTasksWithinMaxAway);
   CPPUNIT_TEST(TasksOnSilentWorkersCountAsUnavailable);
   CPPUNIT_TEST(UnlistedWorkerIsHeldWhileItRunsTasks);
@@ -563,6 +564,21 @@
     CPPUNIT_ASSERT(lease_end > bench.Clock() + seconds(3));
   }
 
+  // Guards against tasks on a worker whose VM waits for maintenance, but that
+  // the owner did not know when it was told so.
+  void WorkerRegisteredAfterItsCordonGetsTasks() {
+    ShardBench bench;
+    bench.core->SetCordoned({"w"}, bench.now);
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.core->SetCordoned({}, bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
   void DrainMovesStandingTasksWithinMaxAway() {
     ShardBench bench;
     bench.AddWorker("w");
