Witnesses are looked at one by one before a proposal

The owner listed all usable workers each second, though its witnesses were sound; at thousands of workers that is a millisecond and more.

--- a/src/jobs/internal/lease_witnesses.cc
+++ b/src/jobs/internal/lease_witnesses.cc
@@ -27,6 +27,12 @@
   return record.SerializeAsString();
 }
 
+bool LeaseWitnesses::NeedsProposal(
+    const std::function<bool(const Witness&)>& is_usable) const {
+  return present_.size() < kMaxWitnesses ||
+         !std::all_of(present_.begin(), present_.end(), is_usable);
+}
+
 bool LeaseWitnesses::Propose(const std::vector<WitnessCandidate>& usable) {
   if (!proposed_.empty()) return true;
   Set chosen;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -201,6 +201,8 @@
   void Confirm(MonotonicTime at);
   // Whether no predecessor extends leases any more.
   bool HaveFormerOwnersStopped() const;
+  static bool MayWitness(const WorkerState& worker);
+  void ProposeWitnesses();
   void UpdateWitnesses();
   // The time from which a lease is counted that is granted now.
   MonotonicTime LeaseStart() const;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -47,23 +47,33 @@
   return std::min(now.steady, confirmed_at);
 }
 
+bool ShardCore::Impl::MayWitness(const WorkerState& worker) {
+  return !IsLeaving(worker) && worker.contact_at.has_value() &&
+         !worker.silent_since.has_value();
+}
+
+void ShardCore::Impl::ProposeWitnesses() {
+  const bool needed = witnesses.NeedsProposal([this](const Witness& witness) {
+    const auto worker = workers.find(witness.worker);
+    return worker != workers.end() && MayWitness(*worker->second) &&
+           worker->second->born_ms == witness.born_ms;
+  });
+  if (!needed) return;
+  std::vector<WitnessCandidate> usable;
+  for (const auto& [id, worker] : workers) {
+    if (!MayWitness(*worker)) continue;
+    usable.push_back(
+        {{.worker = id, .born_ms = worker->born_ms}, worker->entry.zone});
+  }
+  if (witnesses.Propose(usable)) store_witnesses = true;
+}
+
 void ShardCore::Impl::UpdateWitnesses() {
   if (now.steady - witnesses_updated_at < kWitnessInterval) return;
   witnesses_updated_at = now.steady;
   // Without other changes to store, this record confirms the owner.
   if (IsUnconfirmed() && !workers.empty()) store_witnesses = true;
-  if (HaveFormerOwnersStopped()) {
-    std::vector<WitnessCandidate> usable;
-    for (const auto& [id, worker] : workers) {
-      if (IsLeaving(*worker) || worker->silent_since.has_value() ||
-          !worker->contact_at.has_value()) {
-        continue;
-      }
-      usable.push_back(
-          {{.worker = id, .born_ms = worker->born_ms}, worker->entry.zone});
-    }
-    if (witnesses.Propose(usable)) store_witnesses = true;
-  }
+  if (HaveFormerOwnersStopped()) ProposeWitnesses();
   if (store_witnesses && hooks.changed) hooks.changed();
 }
 
--- a/src/jobs/lease_witnesses.h
+++ b/src/jobs/lease_witnesses.h
@@ -14,6 +14,7 @@
 #define CAROBMAST_JOBS_LEASE_WITNESSES_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -48,6 +49,9 @@
   // The record to be stored: the proposed witnesses, or else the present ones.
   std::string Encode() const;
 
+  // Whether a proposal may improve the witnesses.
+  bool NeedsProposal(
+      const std::function<bool(const Witness&)>& is_usable) const;
   // Chooses among `usable` workers when some present witness is not usable or
   // there are too few. Keeps usable witnesses and spreads the others over the
   // zones. Returns whether there is a proposal.
