--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -57,6 +57,10 @@
          std::to_string(step) + "." + std::to_string(block);
 }
 
+std::size_t SizeOf(const contracts::KeyedRecord& record) {
+  return record.value ? record.value->size() : 0;
+}
+
 bool IsFinished(const Occurrence& occurrence) {
   return std::all_of(
       occurrence.steps.begin(), occurrence.steps.end(),
@@ -180,7 +184,8 @@
 
 void ShardCore::Impl::RestoreBlock(const contracts::KeyedRecord& record) {
   if (!record.value.has_value()) return;
-  const std::string_view key = std::string_view(record.key).substr(2);
+  std::string_view key = record.key;
+  key.remove_prefix(2);
   proto::Block block;
   if (key.rfind('/') == std::string_view::npos ||
       !block.ParseFromString(*record.value)) {
@@ -380,8 +385,9 @@
         proto::Block record;
         record.set_occurrence(number);
         record.set_block(block);
-        *record.mutable_progress() = EncodeTasks(step, block * kTasksPerBlock,
-                                                 (block + 1) * kTasksPerBlock);
+        const std::size_t first = std::size_t{block} * kTasksPerBlock;
+        *record.mutable_progress() =
+            EncodeTasks(step, first, first + kTasksPerBlock);
         batch.records.push_back({BlockKey(job.id, number, step.number, block),
                                  record.SerializeAsString()});
         step.stored_blocks.insert(block);
@@ -425,7 +431,7 @@
     const std::size_t first_record = batch.records.size();
     AddJobRecords(job, batch);
     for (std::size_t r = first_record; r < batch.records.size(); ++r) {
-      bytes += batch.records[r].value->size();
+      bytes += SizeOf(batch.records[r]);
     }
     job.change = 0;
     batch_jobs.emplace_back(job.id, job.state);
--- a/src/jobs/tests/lease_witnesses_test.cc
+++ b/src/jobs/tests/lease_witnesses_test.cc
@@ -107,6 +107,7 @@
   static std::vector<WitnessCandidate> Candidates(
       const std::set<std::string>& workers) {
     std::vector<WitnessCandidate> candidates;
+    candidates.reserve(workers.size());
     for (const std::string& worker : workers) {
       candidates.push_back({{.worker = worker, .born_ms = 1}, "z"});
     }
