Jobs: names of images are collected once an encoding, and one alias for intervals

Encode and ImagesToStore each built the list of names; RestoreOccurrences spelt out the interval type that model.h has an alias for; the limit of an encoded model stood between the comment of Encode and Encode.

--- a/src/jobs/interference_model.h
+++ b/src/jobs/interference_model.h
@@ -33,6 +33,8 @@
 
 class InterferenceModel {
  public:
+  static constexpr std::size_t kMaxEncodedBytes = std::size_t{64} * 1024;
+
   ImageId Intern(const std::string& image);
   // Processes one latency report of a standing task that ran beside `fillers`.
   // Updates the factors and the load estimate of its step. Returns the report's
@@ -58,7 +60,6 @@
   // Serializes the model for the next owner of the shard, in at most
   // kMaxEncodedBytes: what is known of the standing images that were reported
   // last.
-  static constexpr std::size_t kMaxEncodedBytes = std::size_t{64} * 1024;
   std::string Encode() const;
   // Replaces the model by an encoded one. Returns false and changes nothing
   // when `record` is malformed.
@@ -76,7 +77,10 @@
 
   // The images about which something is known, as far as they fit into
   // kMaxEncodedBytes, in ascending order.
-  std::vector<ImageId> ImagesToStore() const;
+  std::vector<ImageId> ImagesToStore(
+      const std::vector<const std::string*>& names) const;
+  // By ImageId.
+  std::vector<const std::string*> ImageNames() const;
   // The input index of the filler image. Assigns one at first use; 0 when no
   // index is left.
   std::size_t IndexOf(ImageId filler);
--- a/src/jobs/internal/interference_model.cc
+++ b/src/jobs/internal/interference_model.cc
@@ -182,7 +182,14 @@
   return sum == 0 ? -1 : 1 - 2 * difference / sum;
 }
 
-std::vector<ImageId> InterferenceModel::ImagesToStore() const {
+std::vector<const std::string*> InterferenceModel::ImageNames() const {
+  std::vector<const std::string*> names(images_.size());
+  for (const auto& [name, image] : images_) names[image] = &name;
+  return names;
+}
+
+std::vector<ImageId> InterferenceModel::ImagesToStore(
+    const std::vector<const std::string*>& names) const {
   std::vector<ImageId> fillers;
   std::vector<ImageId> standing;
   for (ImageId image = 0; image < models_.size(); ++image) {
@@ -196,8 +203,6 @@
       standing.begin(), standing.end(), [this](ImageId left, ImageId right) {
         return models_[left].drifted_at > models_[right].drifted_at;
       });
-  std::vector<const std::string*> names(images_.size());
-  for (const auto& [name, image] : images_) names[image] = &name;
   std::vector<ImageId> stored;
   std::size_t bytes = 0;
   for (const std::vector<ImageId>& images : {fillers, standing}) {
@@ -215,9 +220,8 @@
 
 std::string InterferenceModel::Encode() const {
   proto::Interference record;
-  std::vector<const std::string*> names(images_.size());
-  for (const auto& [name, image] : images_) names[image] = &name;
-  for (const ImageId image : ImagesToStore()) {
+  const std::vector<const std::string*> names = ImageNames();
+  for (const ImageId image : ImagesToStore(names)) {
     const std::uint32_t number =
         static_cast<std::uint32_t>(record.images_size());
     record.add_images(*names[image]);
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -231,8 +231,8 @@
 void ShardCore::Impl::RestoreOccurrences(Job& job,
                                          const proto::Progress& record) {
   for (const proto::OccurrenceRange& range : record.retired()) {
-    job.retired_occurrences.add(boost::icl::interval<std::uint32_t>::right_open(
-        range.first(), range.end()));
+    job.retired_occurrences.add(
+        OccurrenceInterval::right_open(range.first(), range.end()));
   }
   for (const proto::Occurrence& occurrence_record : record.occurrences()) {
     Occurrence& occurrence = MakeOccurrence(job, occurrence_record.number());
