The owner logs for what a standing task waits, and since when

Each second the owner now writes the 16 standing tasks that have waited longest, each with the term that it waits for, and two gauges give their number and the longest wait. No decision changes.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -90,6 +90,8 @@
   bool checkpoint_refused = false;
   bool finished = false;
   std::list<Run> runs;
+  // The end of its last run that this owner has followed.
+  MonotonicTime idle_since;
   // The worker where the task failed last or from which it was moved.
   std::string avoided_worker;
 };
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -432,6 +432,10 @@
 
 const ShardCounters& ShardCore::counters() const { return impl_->counters; }
 
+const StandingWaits& ShardCore::standing_waits() const {
+  return impl_->standing_waits;
+}
+
 std::size_t ShardCore::open_jobs() const {
   return static_cast<std::size_t>(
       std::count_if(impl_->jobs.begin(), impl_->jobs.end(),
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -29,6 +29,24 @@
   kGangOver,      // another member of its gang ended
 };
 
+// What a task that is not known to be served waits for.
+enum class WaitReason {
+  kRoom,          // a worker that may run it, in the next schedule
+  kRegistry,      // a current view of the registry
+  kIntent,        // the store
+  kStart,         // the worker's answer
+  kFormerOwners,  // the end of orders from former owners
+  kLease,         // the end of the leases on a worker that does not answer
+};
+const char* WaitReasonName(WaitReason reason);
+
+struct TaskWait {
+  WaitReason reason = WaitReason::kRoom;
+  MonotonicTime since;
+  // The worker of its last run; empty when that is over.
+  std::string worker;
+};
+
 struct ShardCore::Impl {
   Impl(ShardOptions shard_options, ShardHooks shard_hooks);
 
@@ -195,6 +213,11 @@
   // The number of the step's tasks that are not known to be serving.
   std::uint32_t CountUnavailable(const Step& step) const;
 
+  // shard_waits.cc: why standing tasks are not known to be served.
+  // Empty when a worker in contact runs the task.
+  std::optional<TaskWait> FindWait(const Task& task) const;
+  void LogStandingWaits();
+
   // shard_leases.cc: how long this owner may extend leases, and how long those
   // of its predecessors last.
   void OnWitnessAnswered(const WorkerState& worker, MonotonicTime sent_at);
@@ -334,6 +357,7 @@
   bool restored = false;
   std::optional<MonotonicTime> former_owners_stopped_at;
   MonotonicTime last_summary_at;
+  StandingWaits standing_waits;
 };
 
 // Number of consecutive tasks of a step whose progress is stored together when
--- /dev/null
+++ b/src/jobs/internal/shard_waits.cc
@@ -0,0 +1,96 @@
+// Why standing tasks are not known to be served.
+#include <algorithm>
+
+#include "jobs/internal/shard_impl.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+// Maximum number of log lines about waiting tasks in one summary.
+constexpr std::size_t kMaxWaitLines = 16;
+
+}  // namespace
+
+const char* WaitReasonName(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kRoom:
+      return "room";
+    case WaitReason::kRegistry:
+      return "registry";
+    case WaitReason::kIntent:
+      return "intent";
+    case WaitReason::kStart:
+      return "start";
+    case WaitReason::kFormerOwners:
+      return "former owners";
+    case WaitReason::kLease:
+      return "lease";
+  }
+  return "room";
+}
+
+std::optional<TaskWait> ShardCore::Impl::FindWait(const Task& task) const {
+  if (task.runs.empty()) {
+    return TaskWait{
+        .reason = IsRegistryStale() ? WaitReason::kRegistry : WaitReason::kRoom,
+        .since = std::max(task.idle_since, restored_at)};
+  }
+  const Run& run = task.runs.back();
+  const WorkerState& worker = *run.worker;
+  if (!worker.contact_at.has_value()) {
+    return TaskWait{.reason = HaveFormerOwnersStopped()
+                                  ? WaitReason::kLease
+                                  : WaitReason::kFormerOwners,
+                    .since = std::max(worker.known_since, restored_at),
+                    .worker = worker.id};
+  }
+  if (worker.silent_since.has_value()) {
+    return TaskWait{.reason = WaitReason::kLease,
+                    .since = *worker.silent_since,
+                    .worker = worker.id};
+  }
+  if (run.state == RunState::kRunning) return std::nullopt;
+  return TaskWait{.reason = run.state == RunState::kPlanned
+                                ? WaitReason::kIntent
+                                : WaitReason::kStart,
+                  .since = std::max(task.idle_since, restored_at),
+                  .worker = worker.id};
+}
+
+void ShardCore::Impl::LogStandingWaits() {
+  std::vector<std::pair<const Task*, TaskWait>> waits;
+  for (const auto& [id, job] : jobs) {
+    if (job->IsOver()) continue;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (const Step& step : occurrence->steps) {
+        if (!step.spec->standing) continue;
+        for (const Task& task : step.tasks) {
+          const std::optional<TaskWait> wait = FindWait(task);
+          if (wait.has_value()) waits.emplace_back(&task, *wait);
+        }
+      }
+    }
+  }
+  std::sort(waits.begin(), waits.end(),
+            [](const auto& left, const auto& right) {
+              return left.second.since < right.second.since;
+            });
+  standing_waits.count = waits.size();
+  standing_waits.longest = waits.empty()
+                               ? Duration::zero()
+                               : now.steady - waits.front().second.since;
+  for (std::size_t i = 0; i < std::min(waits.size(), kMaxWaitLines); ++i) {
+    const auto& [task, wait] = waits[i];
+    hooks.decided("standing task waits",
+                  {{"job", task->step->occurrence->job->id},
+                   {"step", task->step->number},
+                   {"task", task->index},
+                   {"attempt", task->attempt},
+                   {"worker", wait.worker},
+                   {"for", WaitReasonName(wait.reason)},
+                   {"since", now.steady - wait.since}});
+  }
+}
+
+}  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -154,6 +154,7 @@
   const bool was_stalled = run.stop_requested;
   if (--job.run_count == 0) job.idle_since = now.steady;
   task.runs.remove_if([&run](const Run& each) { return &each == &run; });
+  task.idle_since = now.steady;
   MarkChanged(task);
   if (&keeper != &task) MarkChanged(keeper);
   RequestSchedule();
@@ -452,6 +453,7 @@
                           {"fillers", fillers},
                           {"slowed", slowed},
                           {"changes_unstored", changes - stored_changes}});
+  LogStandingWaits();
 }
 
 ShardCore::Impl::Impl(ShardOptions shard_options, ShardHooks shard_hooks)
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -97,6 +97,7 @@
   void Tick(ShardTime now);
 
   const ShardCounters& counters() const;
+  const StandingWaits& standing_waits() const;
   // The number of jobs that have not ended.
   std::size_t open_jobs() const;
 
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -134,6 +134,12 @@
   std::uint64_t jobs_cancelled = 0;
 };
 
+// Standing tasks that no worker in contact runs, as of the last summary.
+struct StandingWaits {
+  std::uint64_t count = 0;
+  Duration longest{0};
+};
+
 }  // namespace carobmast::jobs
 
 #endif  // CAROBMAST_JOBS_TYPES_SHARD_TYPES_H_
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -579,6 +579,11 @@
             counters.moves);
   set_gauge("carobmast_open_jobs", "Jobs that are not over",
             owner_->core().open_jobs());
+  const jobs::StandingWaits& waits = owner_->core().standing_waits();
+  set_gauge("carobmast_standing_tasks_waiting",
+            "Standing tasks that no worker in contact runs", waits.count);
+  set_age_gauge("carobmast_standing_wait_seconds",
+                "The longest time that such a task has waited", waits.longest);
 }
 
 int RunNode(NodeSettings settings, NodeServices services) {
