Jobs: failing tests for workers whose successor answers at their address

Each of the three fails on the present code: the task is not started when the time of the test is over (no start, one expected).

--- /dev/null
+++ b/src/jobs/tests/replaced_incarnation_test.cc
@@ -0,0 +1,84 @@
+// ShardCore: tasks and witnesses on incarnations of workers that are over.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "shard_bench.h"
+
+namespace carobmast::jobs {
+
+using std::chrono::milliseconds;
+
+class ReplacedIncarnationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplacedIncarnationTest);
+  CPPUNIT_TEST(TasksOfAReplacedIncarnationWaitForItsLease);
+  CPPUNIT_TEST(NewOwnerWaitsForLeasesOfAReplacedIncarnation);
+  CPPUNIT_TEST(ReplacedWitnessesCountAsSilent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TasksOfAReplacedIncarnationWaitForItsLease() {
+    ShardBench bench;
+    RunOneTask(bench);
+    bench.AddWorker("v");
+    bench.AnswerHold("v");
+    bench.AnswerHoldAsLaterIncarnation("w");
+    bench.AdvanceTime(milliseconds(50));
+    bench.Store();
+    AssertStartedOn(bench, "v");
+  }
+
+  void NewOwnerWaitsForLeasesOfAReplacedIncarnation() {
+    ShardBench bench;
+    RunOneTask(bench);
+    bench.AddWorker("v");
+    bench.TakeOver();
+    bench.AnswerHold("v");
+    bench.AnswerHoldAsLaterIncarnation("w");
+    bench.AdvanceTime(milliseconds(50));
+    bench.Store();
+    AssertStartedOn(bench, "v");
+  }
+
+  // Guards against waiting until a former owner may no longer be confirmed by
+  // witnesses that no longer exist.
+  void ReplacedWitnessesCountAsSilent() {
+    ShardBench bench;
+    RunOneTask(bench);
+    for (const char* worker : {"v", "x"}) {
+      bench.AddWorker(worker);
+      bench.AnswerHold(worker);
+    }
+    bench.core->OnFormerOwnersStopped(bench.now);
+    bench.AdvanceTime(milliseconds(1100));
+    bench.Store();
+    bench.TakeOver();
+    bench.LoseHold("w");
+    bench.AnswerHoldAsLaterIncarnation("v");
+    bench.AnswerHoldAsLaterIncarnation("x");
+    bench.AddWorker("n");
+    // The longest lease, by a clock that is 2% slow, and the margin.
+    bench.AdvanceTime(ShardOptions{}.max_lease + milliseconds(300));
+    bench.AnswerHold("n");
+    bench.AdvanceTime(milliseconds(50));
+    bench.Store();
+    AssertStartedOn(bench, "n");
+  }
+
+ private:
+  static void RunOneTask(ShardBench& bench) {
+    const SentStart start = bench.SubmitAndTakeStart();
+    bench.now.steady += milliseconds(1);
+    bench.ConfirmStart(start);
+    bench.now.steady += milliseconds(1);
+  }
+
+  static void AssertStartedOn(const ShardBench& bench,
+                              const std::string& worker) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(worker, bench.starts.front().worker);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ReplacedIncarnationTest,
+                                      "replaced_incarnation_test");
+
+}  // namespace carobmast::jobs
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -126,10 +126,10 @@
   core->OnHold(worker, plan.order, answer, sent_at, now);
 }
 
-void ShardBench::LoseHold(const std::string& worker) {
+void ShardBench::FailHold(const std::string& worker,
+                          contracts::OrderOutcome outcome) {
   const HoldPlan plan = core->PlanHold(worker, now);
-  core->OnHold(worker, plan.order,
-               {.outcome = contracts::OrderOutcome::kUnknown}, now.steady, now);
+  core->OnHold(worker, plan.order, {.outcome = outcome}, now.steady, now);
 }
 
 void ShardBench::Store() {
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -52,7 +52,13 @@
                                std::vector<contracts::EndedTask> ended);
   void Drain(const std::string& worker);
   // Sends a hold to the worker that gets no answer.
-  void LoseHold(const std::string& worker);
+  void LoseHold(const std::string& worker) {
+    FailHold(worker, contracts::OrderOutcome::kUnknown);
+  }
+  // Sends a hold to the worker; a later incarnation answers at its address.
+  void AnswerHoldAsLaterIncarnation(const std::string& worker) {
+    FailHold(worker, contracts::OrderOutcome::kOtherIncarnation);
+  }
   SubmitAnswer Submit(const std::string& id, const JobSpec& spec) {
     return core->Submit(id, "queue", spec, now);
   }
@@ -108,6 +114,7 @@
  private:
   void StartOwner(contracts::FencingToken token);
   void OnHold(const std::string& worker, contracts::HoldAnswer answer);
+  void FailHold(const std::string& worker, contracts::OrderOutcome outcome);
   void SetWorkers();
   void StoreRecord(const contracts::KeyedRecord& record);
 
