An answer of a later incarnation ends the runs of the former one

Seen by callers: standing tasks had no run for 15 to 31 s after most workers had crashed together with the owner and were back at once (LOST).

Cause: a worker whose successor answers at its address (another incarnation) was treated as silent, for which the owner waits until leases are over: 5 s, and 10 s more under a new owner when most witnesses are such workers. The proof that the incarnation and its runs are over was thrown away.

Now the answer to a hold ends all runs that were ordered before that hold, for any owner, unless the worker's address has changed meanwhile. A witness that is over counts as one that stands by no former owner; it never confirms one. The owner's own time-out for former owners no longer starts the wait again when new witnesses answer after it.

--- a/src/jobs/internal/lease_witnesses.cc
+++ b/src/jobs/internal/lease_witnesses.cc
@@ -70,10 +70,14 @@
   present_ = std::move(proposed_);
   proposed_.clear();
   storing_ = false;
-  std::erase_if(answered_, [this](const auto& entry) {
-    return std::find(present_.begin(), present_.end(), entry.first) ==
+  const auto is_former = [this](const Witness& witness) {
+    return std::find(present_.begin(), present_.end(), witness) ==
            present_.end();
+  };
+  std::erase_if(answered_, [&is_former](const auto& entry) {
+    return is_former(entry.first);
   });
+  std::erase_if(over_, is_former);
 }
 
 bool LeaseWitnesses::Contains(const std::string& worker) const {
@@ -91,6 +95,28 @@
   latest = std::max(latest, sent_at);
 }
 
+void LeaseWitnesses::OnReplaced(const std::string& worker,
+                                std::optional<Witness> living,
+                                MonotonicTime sent_at) {
+  for (const Set* set : {&present_, &proposed_}) {
+    for (const Witness& witness : *set) {
+      if (witness.worker != worker || witness == living) continue;
+      // An answer to a later order came from an incarnation that began since.
+      const auto answered = answered_.find(witness);
+      if (answered != answered_.end() && answered->second > sent_at) continue;
+      over_.insert(witness);
+    }
+  }
+}
+
+bool LeaseWitnesses::HaveLeftFormerOwners() const {
+  const std::ptrdiff_t left = std::count_if(
+      present_.begin(), present_.end(), [this](const Witness& witness) {
+        return answered_.contains(witness) || over_.contains(witness);
+      });
+  return static_cast<std::size_t>(left) > present_.size() / 2;
+}
+
 std::optional<MonotonicTime> LeaseWitnesses::AnsweredByMajorityOf(
     const Set& set) const {
   std::vector<MonotonicTime> times;
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -43,6 +43,8 @@
   std::uint64_t intent_batch = 0;
   std::string ticket;
   MonotonicTime sent_at;
+  // The last time that its start was ordered.
+  MonotonicTime ordered_at;
   MonotonicTime confirmed_at;
   // Whether a start may have reached the worker, whatever its answer was.
   bool may_have_arrived = false;
@@ -211,6 +213,8 @@
   // The latest lease end sent to the worker, on the worker's clock.
   contracts::WorkerClock lease_end{0};
   MonotonicTime known_since;
+  // Since when its registry entry has had this address.
+  MonotonicTime address_since;
   // No report is asked for before.
   MonotonicTime next_report_at;
   // The time of the last report about its runs, on the worker's clock.
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -66,9 +66,7 @@
 
 void ShardCore::OnFormerOwnersStopped(ShardTime now) {
   impl_->now = now;
-  if (!impl_->former_owners_stopped_at.has_value()) {
-    impl_->former_owners_stopped_at = now.steady;
-  }
+  impl_->OnFormerOwnersStopped("their messages");
 }
 
 void ShardCore::SetConfig(const ClusterConfig& config, ShardTime now) {
@@ -105,6 +103,9 @@
     listed.insert(entry.id);
     WorkerState& worker = impl_->GetWorker(entry.id);
     const bool was_draining = worker.entry.draining;
+    if (!(worker.entry.address == entry.address)) {
+      worker.address_since = now.steady;
+    }
     worker.entry = entry;
     if (!worker.listed || was_draining != entry.draining) {
       impl_->hooks.decided("worker",
@@ -312,6 +313,11 @@
     impl_->hooks.fenced(worker_id);
     return;
   }
+  if (answer.outcome == OrderOutcome::kOtherIncarnation) {
+    impl_->SetSilent(worker, answer.error);
+    impl_->OnIncarnationReplaced(worker, sent_at);
+    return;
+  }
   if (answer.outcome != OrderOutcome::kDone) {
     // A single answer may be lost: the next hold is sent without waiting before
     // the worker counts as silent.
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -221,6 +221,11 @@
   // shard_leases.cc: how long this owner may extend leases, and how long those
   // of its predecessors last.
   void OnWitnessAnswered(const WorkerState& worker, MonotonicTime sent_at);
+  // Another incarnation answered an order to this one: it is over, and so are
+  // its runs.
+  void OnIncarnationReplaced(WorkerState& worker, MonotonicTime sent_at);
+  void CheckFormerOwners();
+  void OnFormerOwnersStopped(const std::string& reason);
   void Confirm(MonotonicTime at);
   // Whether no predecessor extends leases any more.
   bool HaveFormerOwnersStopped() const;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -19,15 +19,53 @@
 
 void ShardCore::Impl::OnWitnessAnswered(const WorkerState& worker,
                                         MonotonicTime sent_at) {
-  witnesses.OnAnswered({.worker = worker.id, .born_ms = worker.born_ms},
-                       sent_at);
+  const Witness witness{.worker = worker.id, .born_ms = worker.born_ms};
+  witnesses.OnAnswered(witness, sent_at);
+  // Without the time of its start, the worker's incarnation is not known.
+  if (witness.born_ms != 0) {
+    witnesses.OnReplaced(worker.id, witness, sent_at);
+  }
   const std::optional<MonotonicTime> answered_at =
       witnesses.AnsweredByMajority();
-  if (!answered_at.has_value()) return;
-  Confirm(*answered_at);
+  if (answered_at.has_value()) Confirm(*answered_at);
+  CheckFormerOwners();
+}
+
+void ShardCore::Impl::OnIncarnationReplaced(WorkerState& worker,
+                                            MonotonicTime sent_at) {
+  // Another worker may have answered at an address that this one has left.
+  if (worker.address_since > sent_at) return;
+  witnesses.OnReplaced(worker.id, std::nullopt, sent_at);
+  CheckFormerOwners();
+  std::vector<RunKey> over;
+  for (Run& run : worker.runs) {
+    // A later order may have reached an incarnation that began since then.
+    if (run.state == RunState::kPlanned || run.ordered_at > sent_at) continue;
+    over.push_back(KeyOfRun(run));
+  }
+  for (const RunKey& run_key : over) {
+    Run* run = FindRun(worker, run_key.first, run_key.second);
+    if (run != nullptr) EndRun(*run, RunEnd::kLost, "");
+  }
+}
+
+void ShardCore::Impl::CheckFormerOwners() {
+  if (former_owners_stopped_at.has_value()) return;
+  if (witnesses.HaveLeftFormerOwners()) {
+    OnFormerOwnersStopped("witnesses");
+  } else if (now.steady > restored_at + options.former_owner_timeout) {
+    OnFormerOwnersStopped("timeout");
+  }
+}
+
+void ShardCore::Impl::OnFormerOwnersStopped(const std::string& reason) {
   if (former_owners_stopped_at.has_value()) return;
   former_owners_stopped_at = now.steady;
-  hooks.decided("former owners stopped", {{"after", now.steady - restored_at}});
+  // Known before the shard is restored when there are no former owners.
+  const Duration after = restored_at == MonotonicTime()
+                             ? Duration::zero()
+                             : now.steady - restored_at;
+  hooks.decided("former owners stopped", {{"after", after}, {"by", reason}});
 }
 
 void ShardCore::Impl::Confirm(MonotonicTime at) {
@@ -35,8 +73,7 @@
 }
 
 bool ShardCore::Impl::HaveFormerOwnersStopped() const {
-  return former_owners_stopped_at.has_value() ||
-         now.steady > restored_at + options.former_owner_timeout;
+  return former_owners_stopped_at.has_value();
 }
 
 bool ShardCore::Impl::IsUnconfirmed() const {
@@ -69,6 +106,7 @@
 }
 
 void ShardCore::Impl::UpdateWitnesses() {
+  CheckFormerOwners();
   if (now.steady - witnesses_updated_at < kWitnessInterval) return;
   witnesses_updated_at = now.steady;
   // Without other changes to store, this record confirms the owner.
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -50,6 +50,7 @@
   } else {
     ++counters.starts_repeated;
   }
+  run.ordered_at = now.steady;
   run.order_in_flight = true;
   ++starts_in_flight;
   hooks.start({.id = worker.id, .address = worker.entry.address},
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -312,7 +312,7 @@
 bool ShardCore::Impl::IsLeaseExpired(const WorkerState& worker) const {
   if (!worker.clock.has_value()) {
     const MonotonicTime last_order = former_owners_stopped_at.value_or(
-        worker.known_since + options.former_owner_timeout);
+        restored_at + options.former_owner_timeout);
     const milliseconds lease(static_cast<std::int64_t>(
         static_cast<double>(options.max_lease.count()) / kMinClockRate));
     return now.steady > last_order + lease + kLeaseEndMargin;
--- a/src/jobs/lease_witnesses.h
+++ b/src/jobs/lease_witnesses.h
@@ -7,6 +7,9 @@
 // owner that more than half of the witnesses have answered knows the end of all
 // leases of its predecessors, without having reached them.
 //
+// An incarnation that is over answers nobody: it counts as one that only the
+// later owner has been answered by, but never confirms an owner.
+//
 // The witnesses are stored, so that an owner and its successor use the same. An
 // owner may replace them only once its predecessors can't extend leases any
 // more.
@@ -17,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,9 +67,16 @@
   bool Contains(const std::string& worker) const;
   // The worker answered an order of this owner that was sent at `sent_at`.
   void OnAnswered(const Witness& witness, MonotonicTime sent_at);
+  // A later incarnation than all witnesses of this worker has answered an order
+  // that was sent at `sent_at`. `living` is its own when it has the same ID.
+  void OnReplaced(const std::string& worker, std::optional<Witness> living,
+                  MonotonicTime sent_at);
   // The latest time such that more than half of the witnesses have answered
   // orders sent at or after it; empty when fewer have answered.
   std::optional<MonotonicTime> AnsweredByMajority() const;
+  // Whether more than half of the witnesses have answered or are over: no
+  // earlier owner is confirmed by them any more.
+  bool HaveLeftFormerOwners() const;
 
  private:
   using Set = std::vector<Witness>;
@@ -75,6 +86,7 @@
   Set proposed_;
   bool storing_ = false;
   std::map<Witness, MonotonicTime> answered_;
+  std::set<Witness> over_;
 };
 
 }  // namespace carobmast::jobs
--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -119,6 +119,11 @@
   ++born_ms_;
 }
 
+void FuzzWorker::Replace(const std::string& id) {
+  Crash();
+  id_ = id;
+}
+
 contracts::OrderAnswer FuzzWorker::Answer(OrderOutcome outcome) const {
   return {.outcome = outcome, .clock = clock_};
 }
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -52,6 +52,8 @@
   void AdvanceTime(std::chrono::milliseconds time);
   // Loses all state and begins a new incarnation.
   void Crash();
+  // Like Crash; the new incarnation has another ID.
+  void Replace(const std::string& id);
 
   contracts::OrderAnswer Start(const contracts::StartOrder& order);
   contracts::OrderAnswer Stop(const contracts::StopOrder& order);
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -44,6 +44,10 @@
 constexpr milliseconds kDrainBound{2000};
 // Longer than a test run, so that ended jobs stay known.
 constexpr milliseconds kKeepEnded{3600000};
+// Time after which the registry drops the entry of a worker that is gone.
+constexpr milliseconds kEntryTimeout{4500};
+// A replaced worker is unreachable for this part of the fault's time.
+constexpr int kDownTimeDivisor = 8;
 constexpr int kWorkers = 4;
 
 enum class Fault {
@@ -60,6 +64,8 @@
   kLoseMessages,
   kLateOrders,
   kCrashWorker,
+  kReplaceWorker,   // it crashes; an incarnation of another ID takes its place,
+                    // while the registry still lists the former one
   kDrainWorker,     // it announces that it leaves, and is replaced later
   kRegistryUnread,  // no owner can read the registry
   kConfigUnread,    // new owners can't read the configuration
@@ -71,13 +77,13 @@
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",        "submit failing", "cancel",
-    "withdraw",      "take over",      "kill owner",
-    "pause owner",   "store out",      "lose append answers",
-    "cut worker",    "lose messages",  "late orders",
-    "crash worker",  "drain worker",   "registry silent",
-    "config unread", "drop queue",     "die in append",
-    "split owners"};
+    "submit",          "submit failing", "cancel",
+    "withdraw",        "take over",      "kill owner",
+    "pause owner",     "store out",      "lose append answers",
+    "cut worker",      "lose messages",  "late orders",
+    "crash worker",    "replace worker", "drain worker",
+    "registry silent", "config unread",  "drop queue",
+    "die in append",   "split owners"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -165,6 +171,9 @@
         unreachable_until_[target % kWorkers] =
             now_.steady + std::max(milliseconds(step.length_ms), kMinDownTime);
         break;
+      case Fault::kReplaceWorker:
+        Replace(target % kWorkers, milliseconds(step.length_ms));
+        break;
       case Fault::kDrainWorker:
         Drain(target % kWorkers, milliseconds(step.length_ms));
         break;
@@ -319,17 +328,34 @@
     entries.reserve(workers_.size());
     for (std::size_t i = 0; i < workers_.size(); ++i) {
       entries.push_back(
-          {.id = workers_[i]->id(),
-           .address = {.ip = "127.0.0.1", .port = 1},
-           .pool = "pool",
-           .zone = "z",
-           .rack = "r",
-           .capacity = {.milli_cpus = 4000, .memory = {std::uint64_t{1} << 30}},
-           .draining = draining_since_.contains(i)});
+          MakeEntry(workers_[i]->id(), draining_since_.contains(i)));
+    }
+    for (const auto& [id, until] : former_entries_) {
+      if (until > now_.steady) entries.push_back(MakeEntry(id, false));
     }
     owner.core->SetWorkers(entries, now_.steady, now_);
   }
 
+  WorkerEntry MakeEntry(const std::string& id, bool draining) const {
+    return {
+        .id = id,
+        .address = {.ip = "127.0.0.1",
+                    .port = static_cast<std::uint16_t>(1 + IndexOf(id))},
+        .pool = "pool",
+        .zone = "z",
+        .rack = "r",
+        .capacity = {.milli_cpus = 4000, .memory = {std::uint64_t{1} << 30}},
+        .draining = draining};
+  }
+
+  void Replace(std::size_t worker, milliseconds time) {
+    former_entries_[workers_[worker]->id()] =
+        now_.steady + std::min(time, kEntryTimeout);
+    workers_[worker]->Replace("w" + std::to_string(worker) + "-" +
+                              std::to_string(++replaced_));
+    unreachable_until_[worker] = now_.steady + time / kDownTimeDivisor;
+  }
+
   // Drains a worker and replaces it after `time` by a new incarnation of the
   // same name.
   void Drain(std::size_t worker, milliseconds time) {
@@ -421,10 +447,12 @@
         lost || late || (lossy && HappensWithProbability(0.3));
     if (!lost) {
       After(late ? Delay(2000, 9000) : Delay(0, 30),
-            [this, owner, index, execute, on_answer, answer_lost, late,
+            [this, owner, index, id, execute, on_answer, answer_lost, late,
              incarnation = workers_[index]->incarnation()] {
               contracts::OrderAnswer answer;
-              if (workers_[index]->incarnation() == incarnation) {
+              if (workers_[index]->id() != id) {
+                answer.outcome = OrderOutcome::kOtherIncarnation;
+              } else if (workers_[index]->incarnation() == incarnation) {
                 answer = execute(*workers_[index], late);
               }
               if (answer_lost) return;
@@ -468,10 +496,12 @@
           owner.core->OnHold(id, order, answer, sent_at, now_);
         };
     if (!lost) {
-      After(Delay(0, 100), [this, index, order, answer_lost, on_answer,
+      After(Delay(0, 100), [this, id, index, order, answer_lost, on_answer,
                             incarnation = workers_[index]->incarnation()] {
         contracts::HoldAnswer answer;
-        if (workers_[index]->incarnation() == incarnation) {
+        if (workers_[index]->id() != id) {
+          answer.outcome = OrderOutcome::kOtherIncarnation;
+        } else if (workers_[index]->incarnation() == incarnation) {
           answer = workers_[index]->Hold(order);
         }
         if (answer_lost) return;
@@ -654,6 +684,9 @@
   std::uint32_t submitted_ = 0;
   std::map<std::string, bool> accepted_;
   std::set<std::string> cancelled_;
+  // By ID, until when the registry lists an incarnation that is over.
+  std::map<std::string, MonotonicTime> former_entries_;
+  std::uint32_t replaced_ = 0;
   // Jobs of which a worker has started a task.
   std::set<std::string> started_jobs_;
 };
--- a/src/jobs/tests/lease_witnesses_test.cc
+++ b/src/jobs/tests/lease_witnesses_test.cc
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(HalfOfTheWitnessesProveAnOwner);
   CPPUNIT_TEST(OldAnswersCountAsNew);
   CPPUNIT_TEST(RestartedWitnessProvesAnOwner);
+  CPPUNIT_TEST(ReplacedWitnessProvesAnOwner);
+  CPPUNIT_TEST(ReplacedWitnessesHoldUpASuccessor);
+  CPPUNIT_TEST(LateAnswerEndsALaterWitness);
   CPPUNIT_TEST(OwnerAndSuccessorUseDisjointWitnesses);
   CPPUNIT_TEST(WitnessesAreOfOneZone);
   CPPUNIT_TEST(SoundWitnessesAreReplaced);
@@ -47,6 +50,35 @@
     CPPUNIT_ASSERT(!witnesses.AnsweredByMajority().has_value());
   }
 
+  // Guards against two owners that are both confirmed by one of the witnesses
+  // and the same one that is over.
+  void ReplacedWitnessProvesAnOwner() {
+    LeaseWitnesses witnesses = Make({"a", "b", "c"});
+    Answer(witnesses, {"a"}, 5);
+    witnesses.OnReplaced("b", std::nullopt, At(6));
+    CPPUNIT_ASSERT(!witnesses.AnsweredByMajority().has_value());
+    CPPUNIT_ASSERT(witnesses.HaveLeftFormerOwners());
+  }
+
+  void ReplacedWitnessesHoldUpASuccessor() {
+    LeaseWitnesses witnesses = Make({"a", "b", "c"});
+    witnesses.OnReplaced("a", std::nullopt, At(6));
+    CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
+    // The worker itself, and then a later incarnation under the same ID.
+    witnesses.OnReplaced("b", Witness{.worker = "b", .born_ms = 1}, At(6));
+    CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
+    witnesses.OnReplaced("b", Witness{.worker = "b", .born_ms = 2}, At(7));
+    CPPUNIT_ASSERT(witnesses.HaveLeftFormerOwners());
+  }
+
+  void LateAnswerEndsALaterWitness() {
+    LeaseWitnesses witnesses = Make({"a"});
+    Answer(witnesses, {"a"}, 5);
+    witnesses.OnReplaced("a", std::nullopt, At(4));
+    Answer(witnesses, {"a"}, 6);
+    CPPUNIT_ASSERT(witnesses.AnsweredByMajority() == At(6));
+  }
+
   // Guards against an owner that counts on new witnesses while its successor
   // may have read the former ones, or the other way round.
   void OwnerAndSuccessorUseDisjointWitnesses() {
