Nodes witness an owner's leases beside workers

Cause: a new owner knows that its predecessor extends no leases any more once a majority of the stored witnesses answers it. All of these were workers, so the loss of most workers left only the time-out of 10 s.

Nodes are a second stored set of witnesses. An owner that the store does not confirm extends leases only while majorities of both sets do; one majority is enough for its successor. A node returns the time of the owner's last message with its hello, at once for a new owner. A node that was restarted is another witness, and the former one is over. Claims say whether an owner needs nodes, so that no successor relies on them while an owner of an earlier version may go on. The rule for former owners of a claim is a function now; an unreadable claim no longer counts as none.

--- a/src/jobs/internal/lease_witnesses.cc
+++ b/src/jobs/internal/lease_witnesses.cc
@@ -10,8 +10,9 @@
   proto::Witnesses record;
   if (!record.ParseFromString(bytes)) return false;
   Set restored;
-  for (const proto::Witnesses::Worker& worker : record.workers()) {
-    restored.push_back({.worker = worker.id(), .born_ms = worker.born_ms()});
+  for (const proto::Witnesses::Witness& witness : record.witnesses()) {
+    restored.push_back(
+        {.id = witness.id(), .incarnation = witness.incarnation()});
   }
   present_ = std::move(restored);
   return true;
@@ -20,9 +21,9 @@
 std::string LeaseWitnesses::Encode() const {
   proto::Witnesses record;
   for (const Witness& witness : proposed_.empty() ? present_ : proposed_) {
-    proto::Witnesses::Worker& worker = *record.add_workers();
-    worker.set_id(witness.worker);
-    worker.set_born_ms(witness.born_ms);
+    proto::Witnesses::Witness& entry = *record.add_witnesses();
+    entry.set_id(witness.id);
+    entry.set_incarnation(witness.incarnation);
   }
   return record.SerializeAsString();
 }
@@ -80,10 +81,10 @@
   std::erase_if(over_, is_former);
 }
 
-bool LeaseWitnesses::Contains(const std::string& worker) const {
+bool LeaseWitnesses::Contains(const std::string& id) const {
   return std::any_of(
       present_.begin(), present_.end(),
-      [&worker](const Witness& witness) { return witness.worker == worker; });
+      [&id](const Witness& witness) { return witness.id == id; });
 }
 
 void LeaseWitnesses::OnAnswered(const Witness& witness, MonotonicTime sent_at) {
@@ -95,12 +96,12 @@
   latest = std::max(latest, sent_at);
 }
 
-void LeaseWitnesses::OnReplaced(const std::string& worker,
+void LeaseWitnesses::OnReplaced(const std::string& id,
                                 std::optional<Witness> living,
                                 MonotonicTime sent_at) {
   for (const Set* set : {&present_, &proposed_}) {
     for (const Witness& witness : *set) {
-      if (witness.worker != worker || witness == living) continue;
+      if (witness.id != id || witness == living) continue;
       // An answer to a later order came from an incarnation that began since.
       const auto answered = answered_.find(witness);
       if (answered != answered_.end() && answered->second > sent_at) continue;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -69,6 +69,12 @@
   impl_->OnFormerOwnersStopped("their messages");
 }
 
+void ShardCore::OnNodeAnswered(const WitnessCandidate& node,
+                               MonotonicTime asked_at, ShardTime now) {
+  impl_->now = now;
+  impl_->OnNodeAnswered(node, asked_at);
+}
+
 void ShardCore::SetConfig(const ClusterConfig& config, ShardTime now) {
   impl_->now = now;
   impl_->queues.clear();
@@ -228,7 +234,7 @@
 bool ShardCore::HasChanges() const {
   return impl_->schedule_requested || !impl_->changed_jobs.empty() ||
          !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty() ||
-         impl_->store_witnesses;
+         impl_->store_witnesses || impl_->store_node_witnesses;
 }
 
 std::uint64_t ShardCore::stored_changes() const {
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -224,6 +224,11 @@
   // Another incarnation answered an order to this one: it is over, and so are
   // its runs.
   void OnIncarnationReplaced(WorkerState& worker, MonotonicTime sent_at);
+  void OnNodeAnswered(const WitnessCandidate& node, MonotonicTime asked_at);
+  // Counts answers of nodes that came before the witnesses were restored.
+  void RestoreNodeAnswers();
+  // Confirms the owner by the witnesses: workers, and nodes if there are any.
+  void ConfirmByWitnesses();
   void CheckFormerOwners();
   void OnFormerOwnersStopped(const std::string& reason);
   void Confirm(MonotonicTime at);
@@ -231,6 +236,7 @@
   bool HaveFormerOwnersStopped() const;
   static bool MayWitness(const WorkerState& worker);
   void ProposeWitnesses();
+  void ProposeNodeWitnesses();
   void UpdateWitnesses();
   // The time from which a lease is counted that is granted now.
   MonotonicTime LeaseStart() const;
@@ -340,6 +346,16 @@
   MonotonicTime confirmed_at;
   LeaseWitnesses witnesses;
   bool store_witnesses = false;
+  // Nodes of which a majority must confirm the owner too, but suffices for a
+  // successor: it may have lost most workers together with the owner.
+  LeaseWitnesses node_witnesses;
+  bool store_node_witnesses = false;
+  // By name, the latest answer of each node.
+  struct NodeAnswer {
+    WitnessCandidate node;
+    MonotonicTime asked_at;
+  };
+  std::map<std::string, NodeAnswer> node_answers;
   MonotonicTime witnesses_updated_at;
   InterferenceModel interference;
   MonotonicTime interference_stored_at;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -14,23 +14,61 @@
 // An owner that was not confirmed for this long asks the witnesses more often.
 // Appends confirm it many times a second while the store answers.
 constexpr milliseconds kUnconfirmedAfter{500};
+// Nodes answer several times a second. One that has not for this long is not
+// chosen as a witness.
+constexpr milliseconds kNodeSilentAfter{1500};
 
 }  // namespace
 
 void ShardCore::Impl::OnWitnessAnswered(const WorkerState& worker,
                                         MonotonicTime sent_at) {
-  const Witness witness{.worker = worker.id, .born_ms = worker.born_ms};
+  const Witness witness{.id = worker.id, .incarnation = worker.born_ms};
   witnesses.OnAnswered(witness, sent_at);
   // Without the time of its start, the worker's incarnation is not known.
-  if (witness.born_ms != 0) {
+  if (witness.incarnation != 0) {
     witnesses.OnReplaced(worker.id, witness, sent_at);
   }
-  const std::optional<MonotonicTime> answered_at =
-      witnesses.AnsweredByMajority();
-  if (answered_at.has_value()) Confirm(*answered_at);
+  ConfirmByWitnesses();
+  CheckFormerOwners();
+}
+
+void ShardCore::Impl::OnNodeAnswered(const WitnessCandidate& node,
+                                     MonotonicTime asked_at) {
+  NodeAnswer& answer = node_answers[node.witness.id];
+  if (asked_at < answer.asked_at || asked_at > now.steady) return;
+  answer = {.node = node, .asked_at = asked_at};
+  if (!restored) return;
+  node_witnesses.OnAnswered(node.witness, asked_at);
+  // Before, a former owner may have chosen an incarnation that began since.
+  if (asked_at > restored_at) {
+    node_witnesses.OnReplaced(node.witness.id, node.witness, asked_at);
+  }
+  ConfirmByWitnesses();
   CheckFormerOwners();
 }
 
+void ShardCore::Impl::RestoreNodeAnswers() {
+  node_witnesses.OnAnswered(options.node, now.steady);
+  for (const auto& [name, answer] : node_answers) {
+    node_witnesses.OnAnswered(answer.node.witness, answer.asked_at);
+  }
+  CheckFormerOwners();
+}
+
+void ShardCore::Impl::ConfirmByWitnesses() {
+  const std::optional<MonotonicTime> by_workers =
+      witnesses.AnsweredByMajority();
+  if (!by_workers.has_value()) return;
+  if (node_witnesses.IsEmpty()) {
+    Confirm(*by_workers);
+    return;
+  }
+  node_witnesses.OnAnswered(options.node, now.steady);
+  const std::optional<MonotonicTime> by_nodes =
+      node_witnesses.AnsweredByMajority();
+  if (by_nodes.has_value()) Confirm(std::min(*by_workers, *by_nodes));
+}
+
 void ShardCore::Impl::OnIncarnationReplaced(WorkerState& worker,
                                             MonotonicTime sent_at) {
   // Another worker may have answered at an address that this one has left.
@@ -52,7 +90,10 @@
 void ShardCore::Impl::CheckFormerOwners() {
   if (former_owners_stopped_at.has_value()) return;
   if (witnesses.HaveLeftFormerOwners()) {
-    OnFormerOwnersStopped("witnesses");
+    OnFormerOwnersStopped("workers");
+  } else if (options.former_owners_need_nodes &&
+             node_witnesses.HaveLeftFormerOwners()) {
+    OnFormerOwnersStopped("nodes");
   } else if (now.steady > restored_at + options.former_owner_timeout) {
     OnFormerOwnersStopped("timeout");
   }
@@ -91,28 +132,51 @@
 
 void ShardCore::Impl::ProposeWitnesses() {
   const bool needed = witnesses.NeedsProposal([this](const Witness& witness) {
-    const auto worker = workers.find(witness.worker);
+    const auto worker = workers.find(witness.id);
     return worker != workers.end() && MayWitness(*worker->second) &&
-           worker->second->born_ms == witness.born_ms;
+           worker->second->born_ms == witness.incarnation;
   });
   if (!needed) return;
   std::vector<WitnessCandidate> usable;
   for (const auto& [id, worker] : workers) {
     if (!MayWitness(*worker)) continue;
     usable.push_back(
-        {{.worker = id, .born_ms = worker->born_ms}, worker->entry.zone});
+        {{.id = id, .incarnation = worker->born_ms}, worker->entry.zone});
   }
   if (witnesses.Propose(usable)) store_witnesses = true;
 }
 
+void ShardCore::Impl::ProposeNodeWitnesses() {
+  const auto may_witness = [this](const NodeAnswer& answer) {
+    return now.steady - answer.asked_at < kNodeSilentAfter;
+  };
+  const bool needed = node_witnesses.NeedsProposal(
+      [this, &may_witness](const Witness& witness) {
+        const auto answer = node_answers.find(witness.id);
+        return answer != node_answers.end() && may_witness(answer->second) &&
+               answer->second.node.witness == witness;
+      });
+  if (!needed) return;
+  std::vector<WitnessCandidate> usable;
+  for (const auto& [name, answer] : node_answers) {
+    if (may_witness(answer)) usable.push_back(answer.node);
+  }
+  if (node_witnesses.Propose(usable)) store_node_witnesses = true;
+}
+
 void ShardCore::Impl::UpdateWitnesses() {
   CheckFormerOwners();
   if (now.steady - witnesses_updated_at < kWitnessInterval) return;
   witnesses_updated_at = now.steady;
   // Without other changes to store, this record confirms the owner.
   if (IsUnconfirmed() && !workers.empty()) store_witnesses = true;
-  if (HaveFormerOwnersStopped()) ProposeWitnesses();
-  if (store_witnesses && hooks.changed) hooks.changed();
+  if (HaveFormerOwnersStopped()) {
+    ProposeWitnesses();
+    ProposeNodeWitnesses();
+  }
+  if ((store_witnesses || store_node_witnesses) && hooks.changed) {
+    hooks.changed();
+  }
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -137,6 +137,13 @@
     }
     return;
   }
+  if (key == kNodeWitnessesKey) {
+    if (record.value.has_value() && !node_witnesses.Decode(*record.value)) {
+      throw Error(kRestoreStep, record.key,
+                  "malformed record of nodes that are witnesses");
+    }
+    return;
+  }
   const bool is_job = key.starts_with(kJobPrefix);
   const bool is_progress = key.starts_with(kProgressPrefix);
   if (!is_job && !is_progress) {
@@ -316,6 +323,7 @@
     BeginDueOccurrences(*job, now);
   }
   restored = true;
+  RestoreNodeAnswers();
   RequestSchedule();
 }
 
@@ -463,6 +471,11 @@
     witnesses.OnStoring();
     batch.records.push_back({kWitnessesKey, witnesses.Encode()});
   }
+  if (store_node_witnesses) {
+    store_node_witnesses = false;
+    node_witnesses.OnStoring();
+    batch.records.push_back({kNodeWitnessesKey, node_witnesses.Encode()});
+  }
   batch_taken_at = now.steady;
   batch_has_records = !batch.records.empty();
   batch_changes =
@@ -475,6 +488,7 @@
   stored_changes = std::max(stored_changes, batch_changes);
   if (batch_has_records) Confirm(batch_taken_at);
   witnesses.OnStored();
+  node_witnesses.OnStored();
   for (const std::pair<std::string, JobState>& stored : batch_jobs) {
     const auto found = jobs.find(stored.first);
     if (found == jobs.end()) continue;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -18,6 +18,7 @@
 inline constexpr char kBlockPrefix[] = "b/";
 inline constexpr char kInterferenceKey[] = "m/interference";
 inline constexpr char kWitnessesKey[] = "m/witnesses";
+inline constexpr char kNodeWitnessesKey[] = "m/node-witnesses";
 
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
--- a/src/jobs/lease_witnesses.h
+++ b/src/jobs/lease_witnesses.h
@@ -1,6 +1,6 @@
-// Workers that show whether an owner may still extend leases.
+// Workers or nodes that show whether an owner may still extend leases.
 //
-// A worker answers only the highest fencing token that it has seen. When more
+// A witness answers only the highest fencing token that it has seen. When more
 // than half of the witnesses have answered orders that an owner sent at or
 // after a time T, no later owner had been answered by more than half of them at
 // T. An owner therefore grants leases up to a fixed time after T, and a later
@@ -28,10 +28,10 @@
 
 namespace carobmast::jobs {
 
-// One incarnation of a worker: another one has not seen the tokens.
+// One incarnation of a worker or node: another one has not seen the tokens.
 struct Witness {
-  std::string worker;
-  std::int64_t born_ms = 0;
+  std::string id;
+  std::int64_t incarnation = 0;
 
   friend auto operator<=>(const Witness&, const Witness&) = default;
 };
@@ -64,18 +64,21 @@
   void OnStoring();
   void OnStored();
 
-  bool Contains(const std::string& worker) const;
-  // The worker answered an order of this owner that was sent at `sent_at`.
+  bool Contains(const std::string& id) const;
+  // Whether there never were any, not even ones that may be stored or not.
+  bool IsEmpty() const { return present_.empty() && !storing_; }
+  // The witness answered an order of this owner that was sent at `sent_at`.
   void OnAnswered(const Witness& witness, MonotonicTime sent_at);
-  // A later incarnation than all witnesses of this worker has answered an order
-  // that was sent at `sent_at`. `living` is its own when it has the same ID.
-  void OnReplaced(const std::string& worker, std::optional<Witness> living,
+  // An order that was sent at `sent_at` to `id` was answered by an incarnation
+  // that began after those of all other witnesses of this ID. `living` is that
+  // incarnation if it has the same ID.
+  void OnReplaced(const std::string& id, std::optional<Witness> living,
                   MonotonicTime sent_at);
   // The latest time such that more than half of the witnesses have answered
   // orders sent at or after it; empty when fewer have answered.
   std::optional<MonotonicTime> AnsweredByMajority() const;
-  // Whether more than half of the witnesses have answered or are over: no
-  // earlier owner is confirmed by them any more.
+  // Whether more than half of the restored witnesses have answered or are over:
+  // they confirm no earlier owner any more.
   bool HaveLeftFormerOwners() const;
 
  private:
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -37,6 +37,11 @@
   // did not grant then expire after ShardOptions::max_lease at the latest.
   void OnFormerOwnersStopped(ShardTime now);
 
+  // A node of which no later owner was known at `asked_at` or after it. May be
+  // called before the shard is restored.
+  void OnNodeAnswered(const WitnessCandidate& node, MonotonicTime asked_at,
+                      ShardTime now);
+
   // Each call replaces the whole configuration or list of workers. `entries`
   // must contain every registration made before `current_at`.
   void SetConfig(const ClusterConfig& config, ShardTime now);
--- a/src/jobs/tests/lease_witnesses_test.cc
+++ b/src/jobs/tests/lease_witnesses_test.cc
@@ -46,7 +46,7 @@
 
   void RestartedWitnessProvesAnOwner() {
     LeaseWitnesses witnesses = Make({"a"});
-    witnesses.OnAnswered({.worker = "a", .born_ms = 2}, At(1));
+    witnesses.OnAnswered({.id = "a", .incarnation = 2}, At(1));
     CPPUNIT_ASSERT(!witnesses.AnsweredByMajority().has_value());
   }
 
@@ -65,9 +65,9 @@
     witnesses.OnReplaced("a", std::nullopt, At(6));
     CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
     // The worker itself, and then a later incarnation under the same ID.
-    witnesses.OnReplaced("b", Witness{.worker = "b", .born_ms = 1}, At(6));
+    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 1}, At(6));
     CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
-    witnesses.OnReplaced("b", Witness{.worker = "b", .born_ms = 2}, At(7));
+    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 2}, At(7));
     CPPUNIT_ASSERT(witnesses.HaveLeftFormerOwners());
   }
 
@@ -104,7 +104,7 @@
       const std::string zone = worker < 200 ? "a" : worker < 280 ? "b" : "c";
       const std::string id =
           zone + std::to_string(worker);  // grouped by zone, like a registry
-      usable.push_back({{.worker = id, .born_ms = 1}, zone});
+      usable.push_back({{.id = id, .incarnation = 1}, zone});
     }
     LeaseWitnesses witnesses;
     CPPUNIT_ASSERT(witnesses.Propose(usable));
@@ -112,7 +112,7 @@
     witnesses.OnStored();
     std::map<std::string, std::size_t> by_zone;
     for (const WitnessCandidate& candidate : usable) {
-      by_zone[candidate.zone] += witnesses.Contains(candidate.witness.worker);
+      by_zone[candidate.zone] += witnesses.Contains(candidate.witness.id);
     }
     for (const auto& [zone, count] : by_zone) CPPUNIT_ASSERT(count >= 10);
   }
@@ -141,7 +141,7 @@
     std::vector<WitnessCandidate> candidates;
     candidates.reserve(workers.size());
     for (const std::string& worker : workers) {
-      candidates.push_back({{.worker = worker, .born_ms = 1}, "z"});
+      candidates.push_back({{.id = worker, .incarnation = 1}, "z"});
     }
     return candidates;
   }
@@ -157,7 +157,7 @@
   static void Answer(LeaseWitnesses& witnesses,
                      const std::set<std::string>& workers, int second) {
     for (const std::string& worker : workers) {
-      witnesses.OnAnswered({.worker = worker, .born_ms = 1}, At(second));
+      witnesses.OnAnswered({.id = worker, .incarnation = 1}, At(second));
     }
   }
 };
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -34,6 +34,7 @@
   paces.clear();
   core = std::make_unique<ShardCore>(
       ShardOptions{.token = token,
+                   .former_owners_need_nodes = former_owners_need_nodes,
                    .max_starts_in_flight = max_starts_in_flight,
                    .max_batch_bytes = max_batch_bytes,
                    .max_undivided_bytes = max_undivided_bytes},
@@ -126,6 +127,16 @@
   core->OnHold(worker, plan.order, answer, sent_at, now);
 }
 
+void ShardBench::AnswerFromNodes(const std::vector<std::string>& nodes,
+                                 std::int64_t incarnation) {
+  now.steady += std::chrono::milliseconds(1);
+  for (const std::string& node : nodes) {
+    core->OnNodeAnswered(
+        {.witness = {.id = node, .incarnation = incarnation}, .zone = "z"},
+        now.steady, now);
+  }
+}
+
 void ShardBench::FailHold(const std::string& worker,
                           contracts::OrderOutcome outcome) {
   const HoldPlan plan = core->PlanHold(worker, now);
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -50,6 +50,9 @@
   void AnswerHoldWithMoreEnded(const std::string& worker,
                                std::vector<contracts::RunningTask> running,
                                std::vector<contracts::EndedTask> ended);
+  // Nodes that know no later owner now.
+  void AnswerFromNodes(const std::vector<std::string>& nodes,
+                       std::int64_t incarnation = 1);
   void Drain(const std::string& worker);
   // Sends a hold to the worker that gets no answer.
   void LoseHold(const std::string& worker) {
@@ -98,6 +101,8 @@
   std::size_t max_starts_in_flight = 1000;
   std::size_t max_batch_bytes = ShardOptions{}.max_batch_bytes;
   std::size_t max_undivided_bytes = ShardOptions{}.max_undivided_bytes;
+  // Whether the former owners needed confirmations of nodes.
+  bool former_owners_need_nodes = true;
   // Whether owners that start from here on have no configuration.
   bool config_unread = false;
   // Whether the registry is not read while time passes.
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -12,6 +12,7 @@
 #include "contracts/keyed_log.h"
 #include "contracts/task_workers.h"
 #include "framework/telemetry/log.h"
+#include "jobs/lease_witnesses.h"
 #include "jobs/types/job.h"
 
 namespace carobmast::jobs {
@@ -28,6 +29,10 @@
   // A time at which no later owner had written to the stream; the start of the
   // owner when empty.
   std::optional<MonotonicTime> confirmed_at;
+  // The node of this owner; it stands by its own owner.
+  Witness node;
+  // Whether no former owner extends leases without being confirmed by nodes.
+  bool former_owners_need_nodes = false;
   // Maximum lease that workers grant.
   std::chrono::milliseconds max_lease{6000};
   // Maximum time for which a former owner may keep renewing leases without
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,25 @@
   // The highest rank among the nodes that the claimer knew, its own included.
   // Set only in claims read from the stream.
   std::uint32_t highest_rank = 0;
+  // Whether this owner, and each of `former`, extends leases without the store
+  // only while nodes confirm it. Set only in claims read from the stream.
+  bool needs_nodes = false;
+  bool former_need_nodes = false;
 };
 
+// Earlier owners that may still believe they own the shard.
+struct FormerOwners {
+  std::set<std::string> names;
+  // Whether all of them extend leases without the store only while nodes
+  // confirm them.
+  bool need_nodes = true;
+};
+
+// The former owners for a claim that `node` stores at `now`. `previous` is the
+// newest claim, or empty when there is none.
+FormerOwners FindFormerOwners(const std::optional<OwnerClaim>& previous,
+                              const std::string& node, WallTime now);
+
 enum class MessageKind { kHello, kOwnerState, kProbe, kProbeAnswer, kTakeOver };
 
 // A datagram between nodes.
@@ -54,6 +72,13 @@
   bool hears_owner = false;
   // The sender is shutting down and claims no more.
   bool leaving = false;
+  // Identifies the sender's process among those of its name.
+  std::int64_t incarnation = 0;
+  std::string zone;
+  // The owner's clock when it sent its state; in hellos, that of the last state
+  // received from this owner. Shows at what time the sender of the hello knew
+  // no later owner.
+  std::optional<MonotonicTime> owner_time;
   std::uint32_t round = 0;
   // Only in kOwnerState, and there only now and then, since the owner answers
   // each node several times a second.
@@ -65,6 +90,8 @@
 
 struct ElectionOptions {
   NodeInfo self;
+  std::int64_t incarnation = 0;
+  std::string zone;
   Duration hello_interval = std::chrono::milliseconds(250);
   // Interval at which the owner sends a node its preferred successors and the
   // pending counts.
@@ -112,6 +139,9 @@
   std::function<void()> claim;
   // Called when this node no longer owns the shard.
   std::function<void(const std::string& reason)> stop_owning;
+  // A node's answer shows that it knew no later owner at `owner_time`. Called
+  // while this node owns the shard.
+  std::function<void(const NodeMessage& answer)> node_answered;
   // Logs a change of owner or a request to take over; `detail` names the node.
   std::function<void(const std::string& event, const std::string& detail)>
       log_change;
@@ -180,6 +210,7 @@
   };
 
   NodeMessage MakeMessage(MessageKind kind, MonotonicTime now) const;
+  void SendHello(MonotonicTime now);
   void OnHello(const NodeMessage& message, MonotonicTime now);
   void OnOwnerState(const NodeMessage& message, MonotonicTime now);
   void OnProbe(const NodeMessage& message, MonotonicTime now);
@@ -240,6 +271,8 @@
   // Other known nodes, by name.
   std::map<std::string, Member> members_;
   std::map<std::string, std::uint32_t> pending_counts_;
+  // Of the last state received under the present claim.
+  std::optional<MonotonicTime> owner_time_;
 };
 
 }  // namespace carobmast::node
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -18,8 +18,28 @@
 // the first request.
 constexpr int kPassedOverTimeouts = 3;
 
+// A claim older than this can't have a predecessor that still believes it owns
+// the shard. Exceeds the sum of the longest unconfirmed ownership, the longest
+// lease and jumps of the wall clock.
+constexpr std::chrono::seconds kFormerOwnerRetention{30};
+
 }  // namespace
 
+FormerOwners FindFormerOwners(const std::optional<OwnerClaim>& previous,
+                              const std::string& node, WallTime now) {
+  FormerOwners former;
+  if (!previous.has_value()) return former;
+  former.need_nodes = previous->needs_nodes;
+  if (now - previous->claimed_at < kFormerOwnerRetention) {
+    former.names.insert(previous->former.begin(), previous->former.end());
+    former.need_nodes = former.need_nodes && previous->former_need_nodes;
+  }
+  former.names.insert(previous->node);
+  // An earlier run of this node has certainly ended.
+  former.names.erase(node);
+  return former;
+}
+
 ElectionCore::ElectionCore(ElectionOptions options, ElectionHooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)) {}
 
@@ -64,6 +84,9 @@
           .store_reached = StoreReached(now),
           .hears_owner = HearsOwner(now),
           .leaving = leaving_,
+          .incarnation = options_.incarnation,
+          .zone = options_.zone,
+          .owner_time = owns() ? now : owner_time_,
           .round = probe_round_};
 }
 
@@ -71,6 +94,7 @@
   if (claim.token <= claim_.token) return;
   if (owns()) StopOwning("another node has claimed the shard");
   claim_ = claim;
+  owner_time_.reset();
   owner_heard_at_ = now + options_.new_owner_grace;
   deferrals_ = 0;
   pending_counts_.clear();
@@ -131,6 +155,7 @@
   if (claim.token < claim_.token) return;
   if (claim.token > claim_.token) hooks_.log_change("owner", claim.node);
   claim_ = claim;
+  owner_time_.reset();
   state_ = State::kOwning;
   successor_known_since_ = MonotonicTime();
   takeover_requests_.clear();
@@ -219,8 +244,16 @@
   return members;
 }
 
+void ElectionCore::SendHello(MonotonicTime now) {
+  hello_sent_at_ = now;
+  hooks_.send(claim_.address, MakeMessage(MessageKind::kHello, now));
+}
+
 void ElectionCore::OnHello(const NodeMessage& message, MonotonicTime now) {
   if (!owns()) return;
+  if (message.claim.token == claim_.token && message.owner_time.has_value()) {
+    hooks_.node_answered(message);
+  }
   NodeMessage answer = MakeMessage(MessageKind::kOwnerState, now);
   Member& member = members_[message.sender.name];
   if (now - member.details_sent_at >= options_.details_interval) {
@@ -240,6 +273,10 @@
   if (message.claim.token != claim_.token || owns()) return;
   if (message.sender.name != claim_.node) return;
   owner_heard_at_ = now;
+  const bool is_first = !owner_time_.has_value();
+  owner_time_ = message.owner_time;
+  // A new owner waits for the nodes to stand by it.
+  if (is_first && owner_time_.has_value()) SendHello(now);
   if (message.has_details) pending_counts_ = message.pending_counts;
   for (const NodeInfo& info : message.members) {
     if (info.name != options_.self.name) members_[info.name].info = info;
@@ -395,8 +432,7 @@
   Reclaim(now);
   if (HearsOwner(now)) owner_silent_since_ = now;
   if (claim_.token > 0 && now - hello_sent_at_ >= options_.hello_interval) {
-    hello_sent_at_ = now;
-    hooks_.send(claim_.address, MakeMessage(MessageKind::kHello, now));
+    SendHello(now);
   }
   if (state_ == State::kProbing && now >= next_probe_step_at_) EndProbe(now);
   if (state_ == State::kFollowing && !HearsOwner(now) &&
--- a/src/node/internal/message_codec.cc
+++ b/src/node/internal/message_codec.cc
@@ -8,6 +8,7 @@
 namespace {
 
 namespace proto = jobs::proto;
+using std::chrono::microseconds;
 
 constexpr char kDatagramStep[] = "datagram";
 constexpr char kClaimStep[] = "claim";
@@ -38,6 +39,13 @@
   record.set_store_reached(message.store_reached);
   record.set_hears_owner(message.hears_owner);
   record.set_leaving(message.leaving);
+  record.set_incarnation(message.incarnation);
+  record.set_zone(message.zone);
+  if (message.owner_time.has_value()) {
+    record.set_owner_time_us(std::chrono::duration_cast<microseconds>(
+                                 message.owner_time->time_since_epoch())
+                                 .count());
+  }
   record.set_round(message.round);
   record.set_has_details(message.has_details);
   for (const NodeInfo& member : message.members) {
@@ -62,8 +70,13 @@
                       .store_reached = record.store_reached(),
                       .hears_owner = record.hears_owner(),
                       .leaving = record.leaving(),
+                      .incarnation = record.incarnation(),
+                      .zone = record.zone(),
                       .round = record.round(),
                       .has_details = record.has_details()};
+  if (record.owner_time_us() > 0) {
+    message.owner_time = MonotonicTime(microseconds(record.owner_time_us()));
+  }
   if (record.claim_token() > 0) {
     const NodeInfo owner = Decode(record.claim_node());
     message.claim = {.token = record.claim_token(),
@@ -86,6 +99,8 @@
   for (const std::string& name : claim.former) record.add_former(name);
   record.set_claimed_at_ms(claim.claimed_at.time_since_epoch().count());
   record.set_highest_rank(claim.highest_rank);
+  record.set_needs_nodes(claim.needs_nodes);
+  record.set_former_need_nodes(claim.former_need_nodes);
   return record.SerializeAsString();
 }
 
@@ -102,7 +117,9 @@
       .address = owner.address,
       .former = {record.former().begin(), record.former().end()},
       .claimed_at = WallTime(std::chrono::milliseconds(record.claimed_at_ms())),
-      .highest_rank = record.highest_rank()};
+      .highest_rank = record.highest_rank(),
+      .needs_nodes = record.needs_nodes(),
+      .former_need_nodes = record.former_need_nodes()};
 }
 
 }  // namespace carobmast::node
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <random>
 
 #include "framework/base/error.h"
 #include "node/internal/message_codec.h"
@@ -32,10 +33,6 @@
 constexpr milliseconds kBalancerDrainTime{2600};
 // Part of the stop grace reserved for the exit of the process.
 constexpr milliseconds kExitMargin{400};
-// A claim older than this can't have a predecessor that still believes it owns
-// the shard. Exceeds the sum of the longest unconfirmed ownership, the longest
-// lease and jumps of the wall clock.
-constexpr std::chrono::seconds kFormerOwnerRetention{30};
 constexpr std::size_t kMaxDatagramBytes = 65507;
 constexpr char kRegistryAgeMetric[] = "carobmast_registry_age_seconds";
 // Orders that a worker has not answered by then are given up.
@@ -57,10 +54,21 @@
                   settings.drain_bound - kOrderTimeout - kOrderSendMargin);
 }
 
+// Differs from that of every earlier process of the same node.
+std::int64_t MakeIncarnation() {
+  std::random_device random;
+  const std::uint64_t high = random();
+  return static_cast<std::int64_t>(((high << 32U) | random()) >> 1U);
+}
+
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
-                                    contracts::FencingToken token) {
+                                    contracts::FencingToken token,
+                                    std::int64_t incarnation,
+                                    bool former_owners_need_nodes) {
   return {.token = token,
           .confirmed_at = LeaseNow(),
+          .node = {.id = settings.name, .incarnation = incarnation},
+          .former_owners_need_nodes = former_owners_need_nodes,
           .max_lease = std::min(settings.max_lease, kMaxLease),
           .keep_ended = settings.keep_ended,
           .max_registry_age = MaxRegistryAge(settings),
@@ -74,6 +82,7 @@
       services_(std::move(services)),
       signals_(context_, SIGTERM, SIGINT),
       reload_signal_(context_, SIGHUP),
+      incarnation_(MakeIncarnation()),
       log_({.common = {{"node", settings_.name}}}),
       submit_latency_(metrics_.AddHistogram("carobmast_submit_seconds",
                                             "Time until a job is accepted")),
@@ -85,7 +94,9 @@
       vms_(services_.vms(context_.get_executor())),
       election_({.self = {.name = settings_.name,
                           .address = settings_.peers,
-                          .rank = settings_.rank}},
+                          .rank = settings_.rank},
+                 .incarnation = incarnation_,
+                 .zone = settings_.zone},
                 MakeElectionHooks()),
       datagrams_(context_) {}
 
@@ -96,6 +107,15 @@
       .claim =
           [this] { asio::co_spawn(context_, StoreClaim(), asio::detached); },
       .stop_owning = [this](const std::string& reason) { StopOwning(reason); },
+      .node_answered =
+          [this](const NodeMessage& answer) {
+            if (owner_ == nullptr) return;
+            owner_->OnNodeAnswered(
+                {.witness = {.id = answer.sender.name,
+                             .incarnation = answer.incarnation},
+                 .zone = answer.zone},
+                *answer.owner_time);
+          },
       .log_change =
           [this](const std::string& event, const std::string& detail) {
             log_.Write(event,
@@ -253,38 +273,35 @@
   const contracts::StreamId stream{.name = kClaimStream};
   const std::uint64_t known_token = election_.claim().token;
   const WallTime wall = ShardNow().wall;
-  OwnerClaim previous;
+  std::optional<OwnerClaim> previous;
   bool is_own_claim = false;
   const contracts::NewestAnswer newest =
       co_await store_->Newest(stream, "", kClaimTimeout);
   OnStoreCall(newest.ok, newest.error);
   if (!newest.ok) co_return ClaimResult::kFailed;
   for (const contracts::KeyedRecord& record : newest.records) {
-    previous = OnClaimRecord(record).value_or(previous);
-    is_own_claim =
-        is_own_claim || (record.key == kShardKey && record.value.has_value() &&
-                         record.value == unanswered_claim_);
+    if (record.key != kShardKey || !record.value.has_value()) continue;
+    // Of an owner whose claim can't be read nothing is known.
+    previous = OnClaimRecord(record).value_or(OwnerClaim{});
+    is_own_claim = record.value == unanswered_claim_;
   }
   if (is_own_claim) {
-    OnClaimStored(previous.token,
-                  {previous.former.begin(), previous.former.end()});
+    OnClaimStored(previous->token,
+                  {.names = {previous->former.begin(), previous->former.end()},
+                   .need_nodes = previous->former_need_nodes});
     co_return ClaimResult::kStored;
   }
   // Another node has claimed first.
   if (election_.claim().token != known_token) co_return ClaimResult::kFailed;
-  std::set<std::string> former;
-  if (wall - previous.claimed_at < kFormerOwnerRetention) {
-    former.insert(previous.former.begin(), previous.former.end());
-  }
-  if (!previous.node.empty()) former.insert(previous.node);
-  // An earlier run of this node has certainly ended.
-  former.erase(settings_.name);
+  FormerOwners former = FindFormerOwners(previous, settings_.name, wall);
   const std::string value =
       EncodeClaim({.node = settings_.name,
                    .address = settings_.peers,
-                   .former = {former.begin(), former.end()},
+                   .former = {former.names.begin(), former.names.end()},
                    .claimed_at = wall,
-                   .highest_rank = election_.HighestRank()},
+                   .highest_rank = election_.HighestRank(),
+                   .needs_nodes = true,
+                   .former_need_nodes = former.need_nodes},
                   settings_.rank);
   const contracts::KeyedAppendAnswer answer =
       co_await store_->Append({.stream = stream,
@@ -305,8 +322,7 @@
   co_return ClaimResult::kUnanswered;
 }
 
-void NodeProcess::OnClaimStored(std::uint64_t token,
-                                std::set<std::string> former) {
+void NodeProcess::OnClaimStored(std::uint64_t token, FormerOwners former) {
   unanswered_claim_.reset();
   election_.OnClaimed(
       {.token = token, .node = settings_.name, .address = settings_.peers},
@@ -319,7 +335,8 @@
   owner_ = MakeRef<Owner>(
       context_.get_executor(), store_, workers_, advice_, vms_,
       OwnerOptions{
-          .shard = MakeShardOptions(settings_, election_.claim().token),
+          .shard = MakeShardOptions(settings_, election_.claim().token,
+                                    incarnation_, former_owners_.need_nodes),
           .stream = {.name = kShardStream},
           .registry = settings_.registry_stream,
           .status = settings_.status_stream,
@@ -343,7 +360,7 @@
                      }});
   owner_->Start(config_.value_or(jobs::ClusterConfig{}));
   for (const auto& [number, wave] : waves_) owner_->SetWave(wave);
-  if (former_owners_.empty()) owner_->OnFormerOwnersStopped();
+  if (former_owners_.names.empty()) owner_->OnFormerOwnersStopped();
 }
 
 // A former owner that knows this node's claim sends no orders any more.
@@ -351,10 +368,10 @@
   if (owner_ == nullptr || message.claim.token < election_.claim().token) {
     return;
   }
-  if (former_owners_.erase(message.sender.name) == 0) return;
+  if (former_owners_.names.erase(message.sender.name) == 0) return;
   log_.Write("former owner stopped", {{"owner", message.sender.name},
-                                      {"others", former_owners_.size()}});
-  if (former_owners_.empty()) owner_->OnFormerOwnersStopped();
+                                      {"others", former_owners_.names.size()}});
+  if (former_owners_.names.empty()) owner_->OnFormerOwnersStopped();
 }
 
 void NodeProcess::StopOwning(const std::string& reason) {
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -43,7 +43,7 @@
   boost::asio::awaitable<void> StoreClaim();
   enum class ClaimResult { kStored, kFailed, kUnanswered };
   boost::asio::awaitable<ClaimResult> TryClaim();
-  void OnClaimStored(std::uint64_t token, std::set<std::string> former);
+  void OnClaimStored(std::uint64_t token, FormerOwners former);
   void StartOwning();
   void OnFormerOwnerMessage(const NodeMessage& message);
   void StopOwning(const std::string& reason);
@@ -90,6 +90,8 @@
   boost::asio::io_context context_{1};
   boost::asio::signal_set signals_;
   boost::asio::signal_set reload_signal_;
+  // Identifies this process among those of the same node.
+  std::int64_t incarnation_;
   telemetry::LineLog log_;
   telemetry::MetricsRegistry metrics_;
   Ref<telemetry::LatencyHistogram> submit_latency_;
@@ -109,7 +111,7 @@
   Ref<StreamFollower> claim_follower_;
   Ref<Owner> owner_;
   // Earlier owners that have not yet shown that they know this node's claim.
-  std::set<std::string> former_owners_;
+  FormerOwners former_owners_;
   // A claim of this process of which it is not known whether it was stored.
   std::optional<std::string> unanswered_claim_;
   std::optional<jobs::ClusterConfig> config_;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -239,6 +239,11 @@
   core_->OnFormerOwnersStopped(ShardNow());
 }
 
+void Owner::OnNodeAnswered(const jobs::WitnessCandidate& node,
+                           MonotonicTime asked_at) {
+  core_->OnNodeAnswered(node, asked_at, ShardNow());
+}
+
 void Owner::WakeStoreWaiters() {
   for (asio::steady_timer* waiter : store_waiters_) waiter->cancel();
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -72,6 +72,9 @@
   void SetMaxRegistryAge(std::chrono::milliseconds age);
   // No earlier owner sends orders any more.
   void OnFormerOwnersStopped();
+  // See ShardCore::OnNodeAnswered.
+  void OnNodeAnswered(const jobs::WitnessCandidate& node,
+                      MonotonicTime asked_at);
   void SetWave(const maintenance::Wave& wave);
 
   // Callers' requests, received by this node or passed on by another one.
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -30,6 +30,10 @@
               .claim = [this] { ++claim_attempts; },
               .stop_owning =
                   [this](const std::string& reason) { stop_reason = reason; },
+              .node_answered =
+                  [this](const NodeMessage& answer) {
+                    answers.push_back(answer);
+                  },
               .log_change =
                   [this](const std::string& event, const std::string& detail) {
                     if (event == "hand over") successors.push_back(detail);
@@ -66,6 +70,7 @@
   std::vector<NodeMessage> sent;
   int claim_attempts = 0;
   std::string stop_reason;
+  std::vector<NodeMessage> answers;
   // The nodes that were asked to take over, in this order.
   std::vector<std::string> successors;
   ElectionCore core;
@@ -94,6 +99,11 @@
   CPPUNIT_TEST(EachHelloIsAnsweredWithAllMembers);
   CPPUNIT_TEST(OwnerStopsWhenClaimCannotBeConfirmed);
   CPPUNIT_TEST(RetryAfterGrowsWithTheOutage);
+  CPPUNIT_TEST(NodeThatKnowsALaterOwnerConfirmsThisOne);
+  CPPUNIT_TEST(OwnerTimeOfAFormerOwnerIsReturnedToItsSuccessor);
+  CPPUNIT_TEST(NewOwnerWaitsForTheNextHello);
+  CPPUNIT_TEST(FirstOwnerCountsAsSucceedingAnEarlierVersion);
+  CPPUNIT_TEST(FormerOwnerOfAnEarlierVersionIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -303,7 +313,102 @@
     CPPUNIT_ASSERT(!fixture.core.owns());
   }
 
+  void NodeThatKnowsALaterOwnerConfirmsThisOne() {
+    NodeFixture owner;
+    owner.core.OnClaimsRead(owner.now);
+    owner.core.OnClaimed(MakeClaim("b", 5), owner.now);
+    const MonotonicTime asked_at = owner.now;
+    const auto say_hello = [&owner, asked_at](std::uint64_t token) {
+      owner.core.OnMessage({.kind = MessageKind::kHello,
+                            .sender = MakeNode("a"),
+                            .claim = MakeClaim("b", token),
+                            .owner_time = asked_at},
+                           owner.now);
+    };
+    // It does not know this owner yet.
+    say_hello(4);
+    CPPUNIT_ASSERT(owner.answers.empty());
+    say_hello(5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.answers.size());
+    say_hello(6);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.answers.size());
+    CPPUNIT_ASSERT(!owner.core.owns());
+  }
+
+  void OwnerTimeOfAFormerOwnerIsReturnedToItsSuccessor() {
+    NodeFixture node;
+    node.core.OnClaim(MakeClaim("a", 1), node.now);
+    node.core.OnClaimsRead(node.now);
+    SendOwnerTime(node, "a", 1, node.now);
+    CPPUNIT_ASSERT(node.sent.back().owner_time == node.now);
+    // The claim is known from the stream; its owner has not been heard.
+    node.core.OnClaim(MakeClaim("c", 2), node.now);
+    node.Advance(milliseconds(300));
+    CPPUNIT_ASSERT(node.sent.back().claim.token == 2);
+    CPPUNIT_ASSERT(!node.sent.back().owner_time.has_value());
+    // A late message of the former owner.
+    SendOwnerTime(node, "a", 1, node.now);
+    node.Advance(milliseconds(300));
+    CPPUNIT_ASSERT(!node.sent.back().owner_time.has_value());
+  }
+
+  void NewOwnerWaitsForTheNextHello() {
+    NodeFixture node;
+    node.core.OnClaim(MakeClaim("a", 1), node.now);
+    node.core.OnClaimsRead(node.now);
+    node.sent.clear();
+    SendOwnerTime(node, "a", 1, node.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node.sent.size());
+    CPPUNIT_ASSERT(node.sent.back().kind == MessageKind::kHello);
+    SendOwnerTime(node, "a", 1, node.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node.sent.size());
+  }
+
+  void FirstOwnerCountsAsSucceedingAnEarlierVersion() {
+    const WallTime now{std::chrono::hours(1)};
+    FormerOwners former = FindFormerOwners(std::nullopt, "a", now);
+    CPPUNIT_ASSERT(former.names.empty() && former.need_nodes);
+    const OwnerClaim first{.token = 1,
+                           .node = "a",
+                           .claimed_at = now,
+                           .needs_nodes = true,
+                           .former_need_nodes = former.need_nodes};
+    former = FindFormerOwners(first, "b", now + std::chrono::seconds(1));
+    CPPUNIT_ASSERT(former.names == std::set<std::string>{"a"});
+    CPPUNIT_ASSERT(former.need_nodes);
+  }
+
+  // Guards against relying on nodes while an owner that does not need them may
+  // extend leases.
+  void FormerOwnerOfAnEarlierVersionIsForgotten() {
+    const WallTime now{std::chrono::hours(1)};
+    const OwnerClaim earlier_version{
+        .token = 1, .node = "a", .claimed_at = now};
+    FormerOwners former = FindFormerOwners(earlier_version, "b", now);
+    CPPUNIT_ASSERT(!former.need_nodes);
+    const OwnerClaim next{.token = 2,
+                          .node = "b",
+                          .former = {"a"},
+                          .claimed_at = now,
+                          .needs_nodes = true,
+                          .former_need_nodes = former.need_nodes};
+    former = FindFormerOwners(next, "c", now + std::chrono::seconds(29));
+    CPPUNIT_ASSERT(former.names.contains("a") && !former.need_nodes);
+    former = FindFormerOwners(next, "c", now + std::chrono::seconds(31));
+    CPPUNIT_ASSERT(former.names == std::set<std::string>{"b"});
+    CPPUNIT_ASSERT(former.need_nodes);
+  }
+
  private:
+  static void SendOwnerTime(NodeFixture& node, const std::string& owner,
+                            std::uint64_t token, MonotonicTime owner_time) {
+    node.core.OnMessage({.kind = MessageKind::kOwnerState,
+                         .sender = MakeNode(owner),
+                         .claim = MakeClaim(owner, token),
+                         .owner_time = owner_time},
+                        node.now);
+  }
+
   static void FollowOwner(NodeFixture& fixture) {
     fixture.core.OnClaim(MakeClaim("a", 1), fixture.now);
     fixture.core.OnClaimsRead(fixture.now);
