Fuzz of jobs: a split leaves the former owner on its node

The new owner of a split reached the node of the former one too, which ended it: an owner that needs no nodes was not found.

--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -443,13 +443,14 @@
   void Split(std::size_t workers, std::size_t nodes) {
     split_until_ = now_.steady + kSplitTime;
     owners_.back()->store_cut_until = split_until_;
+    const std::size_t former_node = owners_.back()->node;
     TakeOver();
     reached_by_newest_ = workers;
     nodes_reached_by_newest_ = nodes;
     if (workers % 2 == 0) return;
-    // The new owner reaches all nodes, but most workers only the former one.
+    // The new owner reaches all other nodes, but one worker only.
     reached_by_newest_ = std::size_t{1} << (workers % kWorkers);
-    nodes_reached_by_newest_ = (std::size_t{1} << kNodes) - 1;
+    nodes_reached_by_newest_ = ~(std::size_t{1} << former_node);
   }
 
   // Drains a worker and replaces it after `time` by a new incarnation of the
