The wait of a new standing task counts from when it may start

Operators saw a wait of 5 s for tasks of a job that was 0.1 s old: it was counted from the start of the owner. Log line and gauge only. The test failed before.

--- a/src/jobs/internal/shard_waits.cc
+++ b/src/jobs/internal/shard_waits.cc
@@ -31,10 +31,12 @@
 }
 
 std::optional<TaskWait> ShardCore::Impl::FindWait(const Task& task) const {
+  const MonotonicTime idle_since =
+      std::max({task.idle_since, task.step->ready_at, restored_at});
   if (task.runs.empty()) {
     return TaskWait{
         .reason = IsRegistryStale() ? WaitReason::kRegistry : WaitReason::kRoom,
-        .since = std::max(task.idle_since, restored_at)};
+        .since = idle_since};
   }
   const Run& run = task.runs.back();
   const WorkerState& worker = *run.worker;
@@ -54,7 +56,7 @@
   return TaskWait{.reason = run.state == RunState::kPlanned
                                 ? WaitReason::kIntent
                                 : WaitReason::kStart,
-                  .since = std::max(task.idle_since, restored_at),
+                  .since = idle_since,
                   .worker = worker.id};
 }
 
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(NewOwnerDoesNotCountARunningJobAsPending);
   CPPUNIT_TEST(OnlyDueOccurrencesStart);
   CPPUNIT_TEST(QueueWithAdviceStartsOnlyWithATicket);
+  CPPUNIT_TEST(WaitOfANewStandingTaskCountsFromTheOwnersStart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -926,6 +927,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ticket"), bench.starts[0].order.ticket);
   }
 
+  void WaitOfANewStandingTaskCountsFromTheOwnersStart() {
+    ShardBench bench;
+    bench.AdvanceTime(seconds(20));
+    JobSpec job = MakeJob(1);
+    job.steps[0].standing = true;
+    bench.Submit("j", job);
+    bench.Store();
+    bench.AdvanceTime(seconds(3));
+    const StandingWaits& waits = bench.core->standing_waits();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, waits.count);
+    CPPUNIT_ASSERT(waits.longest > seconds(1) && waits.longest <= seconds(3));
+  }
+
  private:
   // Submits four tasks that fit on one worker, with a limit of starts in
   // flight.
