--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -34,10 +34,12 @@
   paces.clear();
   core = std::make_unique<ShardCore>(
       ShardOptions{.token = token,
+                   .node = own_node,
                    .former_owners_need_nodes = former_owners_need_nodes,
                    .max_starts_in_flight = max_starts_in_flight,
                    .max_batch_bytes = max_batch_bytes,
-                   .max_undivided_bytes = max_undivided_bytes},
+                   .max_undivided_bytes = max_undivided_bytes,
+                   .far_factor = far_factor},
       ShardHooks{.start =
                      [this](const contracts::WorkerTarget& worker,
                             const contracts::StartOrder& order) {
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -103,6 +103,10 @@
   std::size_t max_undivided_bytes = ShardOptions{}.max_undivided_bytes;
   // Whether the former owners needed confirmations of nodes.
   bool former_owners_need_nodes = true;
+  // The node of owners that start from here on, and how much longer tasks take
+  // outside the rack of their data.
+  Witness own_node;
+  double far_factor = 1;
   // Whether owners that start from here on have no configuration.
   bool config_unread = false;
   // Whether the registry is not read while time passes.
