A start that a worker does not answer is tried on another one

Seen by callers: a standing task had no run while a worker answered holds but no starts (orders are carried out late): after 1.5 s the start was given up and ordered on the same worker again. The worker is now avoided for this task, as one where it failed. standing_wait_test StartIsRepeatedOnlyOnAWorkerThatDoesNotAnswerIt failed before.

--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -238,6 +238,7 @@
     }
     if (run.state == RunState::kSent && !run.order_in_flight) {
       if (now.steady - run.sent_at > kStartTimeout) {
+        run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
       } else if (!IsRegistryStale()) {
         SendStart(run);
