Standing tasks do not wait for the rack of their data

Seen by callers: a standing task with a rack of its data had no run for as long as it would take longer elsewhere, by its estimate, also when no worker of that rack was left. A task that lasts gains nothing by waiting; the rack is still preferred. standing_wait_test TaskWaitsForARackThatIsGone failed before.

--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -453,7 +453,8 @@
   const StepSpec& spec = *step.spec;
   const milliseconds locality_wait(static_cast<std::int64_t>(
       (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
-  const bool data_rack_only = !spec.preferred_rack.empty() &&
+  // A standing task never gains back the time that it has waited.
+  const bool data_rack_only = !spec.standing && !spec.preferred_rack.empty() &&
                               now.steady - step.ready_at < locality_wait;
   // The racks of the data and workers to avoid need a look at the whole pool.
   const std::size_t enough =
