A standing task that becomes ready counts as a success of its worker

Seen by callers: standing tasks had no run for up to 20 s though their workers had room: workers that run standing tasks only were set aside after three failures, however far apart, since only a finished task reset the count, and standing tasks may fail at any time. standing_wait_test WorkerIsSetAsideForFailuresFarApart failed before.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -201,6 +201,7 @@
   // Keeps the checkpoint of a task whose step makes some.
   void SetCheckpoint(Task& task, const std::string& checkpoint);
   void StopGang(Step& step, const std::string& reason);
+  void RecordSuccess(WorkerState& worker);
   void RecordFailure(WorkerState& worker, const Task& task);
   void Quarantine(WorkerState& worker, const std::string& reason);
   void TickWorker(WorkerState& worker);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -159,8 +159,7 @@
   if (&keeper != &task) MarkChanged(keeper);
   RequestSchedule();
   if (end == RunEnd::kFinished && !step.spec->standing) {
-    worker.failures_in_row = 0;
-    worker.quarantines = 0;
+    RecordSuccess(worker);
     if (step.spec->gang) {
       for (Task& member : step.tasks) FinishTask(member);
     } else {
@@ -205,6 +204,11 @@
   for (Task& task : step.tasks) StopTask(task, reason);
 }
 
+void ShardCore::Impl::RecordSuccess(WorkerState& worker) {
+  worker.failures_in_row = 0;
+  worker.quarantines = 0;
+}
+
 void ShardCore::Impl::RecordFailure(WorkerState& worker, const Task& task) {
   const std::string& job = task.step->occurrence->job->id;
   // Repeated failures of one job do not show that the worker is at fault.
@@ -258,6 +262,11 @@
     if (row.percent != run->percent || !run->progress_clock.has_value()) {
       run->progress_clock = answer.clock;
     }
+    // Standing tasks do not finish: one that becomes ready has succeeded.
+    if (run->task->step->spec->standing && run->percent < kReadyPercent &&
+        row.percent >= kReadyPercent) {
+      RecordSuccess(worker);
+    }
     run->percent = row.percent;
     run->measured = row.measured;
     SetCheckpoint(*run->task, row.checkpoint);
