A hold goes to the address that its worker has after the pause

A hold that waits before it is sent used the address from before the pause. If the registry had changed it meanwhile, the answer of another incarnation at the old address ended the runs of a living worker. Found by reading; the guard for changed addresses is covered by replaced_incarnation_test WorkerThatHasMovedIsOver.

--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -472,9 +472,7 @@
 asio::awaitable<void> Owner::Hold(Ref<Owner> self, std::string worker) {
   HoldLoop& loop = *self->hold_loops_[worker];
   while (!self->stopped_) {
-    const std::optional<contracts::WorkerTarget> target =
-        self->core_->Target(worker);
-    if (!target.has_value()) break;
+    if (!self->core_->Target(worker).has_value()) break;
     jobs::HoldPlan plan = self->core_->PlanHold(worker, ShardNow());
     if (plan.pause > milliseconds::zero()) {
       loop.timer.expires_after(plan.pause);
@@ -487,6 +485,10 @@
       // The full pause has passed: ask without waiting for a task to end.
       if (plan.pause == pause) plan.order.wait = milliseconds::zero();
     }
+    // The registry may have changed the address during the pause.
+    const std::optional<contracts::WorkerTarget> target =
+        self->core_->Target(worker);
+    if (!target.has_value()) break;
     const MonotonicTime sent_at = LeaseNow();
     const contracts::HoldAnswer answer = co_await self->workers_->Hold(
         *target, plan.order, plan.order.wait + kHoldAnswerMargin);
