What is left of leases is stored for the next owner

Seen by callers: standing tasks of a lost worker had no run for 9.8 s when the next owner was lost, or handed over, within the wait for their leases: each owner began that wait anew.

The owner stores, once a second, the workers with runs that have not answered for 1 s, and how long leases on them may last. Such a worker gets no lease before a record without it is stored, so a next owner waits for what is left only. It trusts the record only if no owner of an earlier version may have acted since.

Beside it: tests of the guards for runs that were started after a hold and for workers that moved; a guard of LeaseWitnesses that changed nothing is gone.

--- a/src/jobs/internal/lease_witnesses.cc
+++ b/src/jobs/internal/lease_witnesses.cc
@@ -97,14 +97,10 @@
 }
 
 void LeaseWitnesses::OnReplaced(const std::string& id,
-                                std::optional<Witness> living,
-                                MonotonicTime sent_at) {
+                                std::optional<Witness> living) {
   for (const Set* set : {&present_, &proposed_}) {
     for (const Witness& witness : *set) {
       if (witness.id != id || witness == living) continue;
-      // An answer to a later order came from an incarnation that began since.
-      const auto answered = answered_.find(witness);
-      if (answered != answered_.end() && answered->second > sent_at) continue;
       over_.insert(witness);
     }
   }
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -234,7 +234,8 @@
 bool ShardCore::HasChanges() const {
   return impl_->schedule_requested || !impl_->changed_jobs.empty() ||
          !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty() ||
-         impl_->store_witnesses || impl_->store_node_witnesses;
+         impl_->store_witnesses || impl_->store_node_witnesses ||
+         impl_->store_lease_waits;
 }
 
 std::uint64_t ShardCore::stored_changes() const {
@@ -279,7 +280,7 @@
   // A hold that may get no answer must not extend the lease: otherwise the
   // lease of an unreachable worker would never expire.
   if (worker.clock.has_value() && !worker.silent_since.has_value() &&
-      worker.unanswered_holds_in_row == 0) {
+      worker.unanswered_holds_in_row == 0 && impl_->MayGrantLease(worker)) {
     plan.order.lease_end = impl_->LeaseEndFor(worker);
   }
   if (worker.silent_since.has_value()) {
@@ -361,6 +362,7 @@
   impl_->OnRunningList(worker, answer, sent_at);
   impl_->OnEndedList(worker, answer);
   impl_->UpdateLatencies(worker);
+  if (!impl_->MayGrantLease(worker)) impl_->store_lease_waits = true;
   if (contact_regained) {
     impl_->hooks.decided(
         "worker in contact",
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -206,9 +206,6 @@
   void Quarantine(WorkerState& worker, const std::string& reason);
   void TickWorker(WorkerState& worker);
   void LogSummary();
-  // Whether all leases on the worker have certainly expired, allowing for the
-  // drift of its clock.
-  bool IsLeaseExpired(const WorkerState& worker) const;
   void StopStalled(WorkerState& worker);
   void Evacuate(WorkerState& worker);
   // The number of the step's tasks that are not known to be serving.
@@ -239,6 +236,17 @@
   void ProposeWitnesses();
   void ProposeNodeWitnesses();
   void UpdateWitnesses();
+  // How long leases on a worker that does not answer may still last, allowing
+  // for the drift of its clock.
+  Duration LeaseWait(const WorkerState& worker) const;
+  bool RestoreLeaseWaits(const std::string& bytes);
+  // Whether the worker has runs and does not answer.
+  bool IsLeaseWaitRecorded(const WorkerState& worker) const;
+  // Encodes the waits for these workers; from here on they get no leases.
+  std::string TakeLeaseWaits();
+  // Whether no stored record says how long leases on the worker last.
+  bool MayGrantLease(const WorkerState& worker) const;
+  void OnLeaseWaitsStored();
   // The time from which a lease is counted that is granted now.
   MonotonicTime LeaseStart() const;
   // Whether the owner needs answers of witnesses, because the store does not
@@ -341,6 +349,7 @@
   std::uint64_t batch_changes = 0;
   MonotonicTime batch_taken_at;
   bool batch_has_records = false;
+  bool batch_has_lease_waits = false;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
   // A time at which no later owner was known to the stream or to a majority of
   // the witnesses.
@@ -351,6 +360,13 @@
   // successor: it may have lost most workers together with the owner.
   LeaseWitnesses node_witnesses;
   bool store_node_witnesses = false;
+  // Workers in the stored record of lease waits, and in the one that is being
+  // stored.
+  std::set<std::string> stored_lease_waits;
+  std::set<std::string> storing_lease_waits;
+  bool store_lease_waits = false;
+  // By worker, the waits that a former owner stored.
+  std::map<std::string, Duration> restored_lease_waits;
   // By name, the latest answer of each node.
   struct NodeAnswer {
     WitnessCandidate node;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -17,6 +17,18 @@
 // Nodes answer several times a second. One that has not for this long is not
 // chosen as a witness.
 constexpr milliseconds kNodeSilentAfter{1500};
+// A worker's clock runs at this fraction of the owner's rate at least.
+constexpr double kMinClockRate = 0.98;
+// Time after the end of a lease by which the worker has ended all runs under
+// it.
+constexpr milliseconds kLeaseEndMargin{100};
+// A worker that answers again sooner goes on without a pause of its leases.
+constexpr milliseconds kRecordLeaseWaitAfter{1000};
+// Workers beyond this size are not recorded: a next owner waits for the longest
+// lease on them.
+constexpr std::size_t kMaxLeaseWaitsBytes = std::size_t{64} * 1024;
+// Of an entry of the record, besides the worker's ID.
+constexpr std::size_t kLeaseWaitBytes = 10;
 
 }  // namespace
 
@@ -26,7 +38,7 @@
   witnesses.OnAnswered(witness, sent_at);
   // Without the time of its start, the worker's incarnation is not known.
   if (witness.incarnation != 0) {
-    witnesses.OnReplaced(worker.id, witness, sent_at);
+    witnesses.OnReplaced(worker.id, witness);
   }
   ConfirmByWitnesses();
   CheckFormerOwners();
@@ -41,7 +53,7 @@
   node_witnesses.OnAnswered(node.witness, asked_at);
   // Before, a former owner may have chosen an incarnation that began since.
   if (asked_at > restored_at) {
-    node_witnesses.OnReplaced(node.witness.id, node.witness, asked_at);
+    node_witnesses.OnReplaced(node.witness.id, node.witness);
   }
   ConfirmByWitnesses();
   CheckFormerOwners();
@@ -49,7 +61,7 @@
 
 void ShardCore::Impl::RestoreNodeAnswers() {
   node_witnesses.OnAnswered(options.node, now.steady);
-  node_witnesses.OnReplaced(options.node.id, options.node, now.steady);
+  node_witnesses.OnReplaced(options.node.id, options.node);
   for (const auto& [name, answer] : node_answers) {
     node_witnesses.OnAnswered(answer.node.witness, answer.asked_at);
   }
@@ -74,7 +86,7 @@
                                             MonotonicTime sent_at) {
   // Another worker may have answered at an address that this one has left.
   if (worker.address_since > sent_at) return;
-  witnesses.OnReplaced(worker.id, std::nullopt, sent_at);
+  witnesses.OnReplaced(worker.id, std::nullopt);
   CheckFormerOwners();
   std::vector<RunKey> over;
   for (Run& run : worker.runs) {
@@ -118,6 +130,79 @@
   return former_owners_stopped_at.has_value();
 }
 
+Duration ShardCore::Impl::LeaseWait(const WorkerState& worker) const {
+  const auto on_slowest_clock = [](milliseconds lease) {
+    return Duration(static_cast<std::int64_t>(
+        static_cast<double>(Duration(lease).count()) / kMinClockRate));
+  };
+  if (worker.clock.has_value()) {
+    return worker.clock_at +
+           on_slowest_clock(worker.lease_end + kLeaseEndMargin -
+                            *worker.clock) -
+           now.steady;
+  }
+  const MonotonicTime last_order = former_owners_stopped_at.value_or(
+      restored_at + options.former_owner_timeout);
+  const Duration wait = last_order + on_slowest_clock(options.max_lease) +
+                        kLeaseEndMargin - now.steady;
+  const auto stored = restored_lease_waits.find(worker.id);
+  if (stored == restored_lease_waits.end()) return wait;
+  return std::min(wait, restored_at + stored->second - now.steady);
+}
+
+bool ShardCore::Impl::RestoreLeaseWaits(const std::string& bytes) {
+  proto::LeaseWaits record;
+  if (!record.ParseFromString(bytes)) return false;
+  for (const proto::LeaseWaits::Worker& worker : record.workers()) {
+    stored_lease_waits.insert(worker.id());
+    // An owner of an earlier version may have granted leases since.
+    if (!options.former_owners_need_nodes) continue;
+    restored_lease_waits[worker.id()] = milliseconds(worker.remaining_ms());
+  }
+  store_lease_waits = !stored_lease_waits.empty();
+  return true;
+}
+
+bool ShardCore::Impl::IsLeaseWaitRecorded(const WorkerState& worker) const {
+  if (worker.runs.empty()) return false;
+  if (!worker.contact_at.has_value()) {
+    return restored_lease_waits.contains(worker.id) ||
+           now.steady - std::max(restored_at, worker.known_since) >
+               kRecordLeaseWaitAfter;
+  }
+  return worker.silent_since.has_value() &&
+         now.steady - *worker.silent_since > kRecordLeaseWaitAfter;
+}
+
+std::string ShardCore::Impl::TakeLeaseWaits() {
+  store_lease_waits = false;
+  proto::LeaseWaits record;
+  std::size_t bytes = 0;
+  for (const auto& [id, worker] : workers) {
+    if (!IsLeaseWaitRecorded(*worker)) continue;
+    bytes += id.size() + kLeaseWaitBytes;
+    if (bytes > kMaxLeaseWaitsBytes) break;
+    proto::LeaseWaits::Worker& entry = *record.add_workers();
+    entry.set_id(id);
+    entry.set_remaining_ms(static_cast<std::uint32_t>(
+        std::max(std::chrono::ceil<milliseconds>(LeaseWait(*worker)),
+                 milliseconds(0))
+            .count()));
+    storing_lease_waits.insert(id);
+  }
+  return record.SerializeAsString();
+}
+
+bool ShardCore::Impl::MayGrantLease(const WorkerState& worker) const {
+  return !stored_lease_waits.contains(worker.id) &&
+         !storing_lease_waits.contains(worker.id);
+}
+
+void ShardCore::Impl::OnLeaseWaitsStored() {
+  stored_lease_waits = std::exchange(storing_lease_waits, {});
+  RequestSchedule();
+}
+
 bool ShardCore::Impl::IsUnconfirmed() const {
   return now.steady - confirmed_at > kUnconfirmedAfter;
 }
@@ -177,7 +262,12 @@
     ProposeWitnesses();
     ProposeNodeWitnesses();
   }
-  if ((store_witnesses || store_node_witnesses) && hooks.changed) {
+  const bool has_lease_waits = std::any_of(
+      workers.begin(), workers.end(),
+      [this](const auto& entry) { return IsLeaseWaitRecorded(*entry.second); });
+  if (has_lease_waits || !stored_lease_waits.empty()) store_lease_waits = true;
+  if ((store_lease_waits || store_witnesses || store_node_witnesses) &&
+      hooks.changed) {
     hooks.changed();
   }
 }
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -240,7 +240,7 @@
       if (now.steady - run.sent_at > kStartTimeout) {
         run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
-      } else if (!IsRegistryStale()) {
+      } else if (!IsRegistryStale() && MayGrantLease(worker)) {
         SendStart(run);
       }
     }
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -144,6 +144,12 @@
     }
     return;
   }
+  if (key == kLeaseWaitsKey) {
+    if (record.value.has_value() && !RestoreLeaseWaits(*record.value)) {
+      throw Error(kRestoreStep, record.key, "malformed record of lease waits");
+    }
+    return;
+  }
   const bool is_job = key.starts_with(kJobPrefix);
   const bool is_progress = key.starts_with(kProgressPrefix);
   if (!is_job && !is_progress) {
@@ -476,6 +482,10 @@
     node_witnesses.OnStoring();
     batch.records.push_back({kNodeWitnessesKey, node_witnesses.Encode()});
   }
+  batch_has_lease_waits = store_lease_waits;
+  if (store_lease_waits) {
+    batch.records.push_back({kLeaseWaitsKey, TakeLeaseWaits()});
+  }
   batch_taken_at = now.steady;
   batch_has_records = !batch.records.empty();
   batch_changes =
@@ -489,6 +499,7 @@
   if (batch_has_records) Confirm(batch_taken_at);
   witnesses.OnStored();
   node_witnesses.OnStored();
+  if (batch_has_lease_waits) OnLeaseWaitsStored();
   for (const std::pair<std::string, JobState>& stored : batch_jobs) {
     const auto found = jobs.find(stored.first);
     if (found == jobs.end()) continue;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -10,11 +10,6 @@
 using contracts::WorkerClock;
 using std::chrono::milliseconds;
 
-// A worker's clock runs at this fraction of the owner's rate at least.
-constexpr double kMinClockRate = 0.98;
-// Time after the end of a lease by which the worker has ended all runs under
-// it.
-constexpr milliseconds kLeaseEndMargin{100};
 // A block of a divided job then takes at most 70 KB, a quarter of the smallest
 // record that the stream must accept.
 constexpr std::size_t kMaxCheckpointBytes = 256;
@@ -318,23 +313,6 @@
   }
 }
 
-bool ShardCore::Impl::IsLeaseExpired(const WorkerState& worker) const {
-  if (!worker.clock.has_value()) {
-    const MonotonicTime last_order = former_owners_stopped_at.value_or(
-        restored_at + options.former_owner_timeout);
-    const milliseconds lease(static_cast<std::int64_t>(
-        static_cast<double>(options.max_lease.count()) / kMinClockRate));
-    return now.steady > last_order + lease + kLeaseEndMargin;
-  }
-  const std::int64_t passed =
-      std::chrono::duration_cast<milliseconds>(now.steady - worker.clock_at)
-          .count();
-  const WorkerClock earliest =
-      *worker.clock + WorkerClock(static_cast<std::int64_t>(
-                          kMinClockRate * static_cast<double>(passed)));
-  return earliest > worker.lease_end + kLeaseEndMargin;
-}
-
 void ShardCore::Impl::TickWorker(WorkerState& worker) {
   if (worker.quarantined_until != MonotonicTime() &&
       worker.quarantined_until <= now.steady) {
@@ -351,7 +329,7 @@
     return;
   }
   std::vector<RunKey> ended_runs;
-  const bool lease_over = IsLeaseExpired(worker);
+  const bool lease_over = LeaseWait(worker) < Duration::zero();
   for (Run& run : worker.runs) {
     const bool never_delivered = run.state == RunState::kSent &&
                                  !run.may_have_arrived && !run.order_in_flight;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -19,6 +19,7 @@
 inline constexpr char kInterferenceKey[] = "m/interference";
 inline constexpr char kWitnessesKey[] = "m/witnesses";
 inline constexpr char kNodeWitnessesKey[] = "m/node-witnesses";
+inline constexpr char kLeaseWaitsKey[] = "m/lease-waits";
 
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
--- a/src/jobs/lease_witnesses.h
+++ b/src/jobs/lease_witnesses.h
@@ -69,11 +69,10 @@
   bool IsEmpty() const { return present_.empty() && !storing_; }
   // The witness answered an order of this owner that was sent at `sent_at`.
   void OnAnswered(const Witness& witness, MonotonicTime sent_at);
-  // An order that was sent at `sent_at` to `id` was answered by an incarnation
-  // that began after those of all other witnesses of this ID. `living` is that
-  // incarnation if it has the same ID.
-  void OnReplaced(const std::string& id, std::optional<Witness> living,
-                  MonotonicTime sent_at);
+  // An order to `id` was answered by an incarnation that began after those of
+  // all other witnesses of this ID. `living` is that incarnation if it has the
+  // same ID.
+  void OnReplaced(const std::string& id, std::optional<Witness> living);
   // The latest time such that more than half of the witnesses have answered
   // orders sent at or after it; empty when fewer have answered.
   std::optional<MonotonicTime> AnsweredByMajority() const;
--- a/src/jobs/tests/lease_witnesses_test.cc
+++ b/src/jobs/tests/lease_witnesses_test.cc
@@ -55,26 +55,26 @@
   void ReplacedWitnessProvesAnOwner() {
     LeaseWitnesses witnesses = Make({"a", "b", "c"});
     Answer(witnesses, {"a"}, 5);
-    witnesses.OnReplaced("b", std::nullopt, At(6));
+    witnesses.OnReplaced("b", std::nullopt);
     CPPUNIT_ASSERT(!witnesses.AnsweredByMajority().has_value());
     CPPUNIT_ASSERT(witnesses.HaveLeftFormerOwners());
   }
 
   void ReplacedWitnessesHoldUpASuccessor() {
     LeaseWitnesses witnesses = Make({"a", "b", "c"});
-    witnesses.OnReplaced("a", std::nullopt, At(6));
+    witnesses.OnReplaced("a", std::nullopt);
     CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
     // The worker itself, and then a later incarnation under the same ID.
-    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 1}, At(6));
+    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 1});
     CPPUNIT_ASSERT(!witnesses.HaveLeftFormerOwners());
-    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 2}, At(7));
+    witnesses.OnReplaced("b", Witness{.id = "b", .incarnation = 2});
     CPPUNIT_ASSERT(witnesses.HaveLeftFormerOwners());
   }
 
   void LateAnswerEndsALaterWitness() {
     LeaseWitnesses witnesses = Make({"a"});
     Answer(witnesses, {"a"}, 5);
-    witnesses.OnReplaced("a", std::nullopt, At(4));
+    witnesses.OnReplaced("a", std::nullopt);
     Answer(witnesses, {"a"}, 6);
     CPPUNIT_ASSERT(witnesses.AnsweredByMajority() == At(6));
   }
--- a/src/jobs/tests/replaced_incarnation_test.cc
+++ b/src/jobs/tests/replaced_incarnation_test.cc
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(TasksOfAReplacedIncarnationWaitForItsLease);
   CPPUNIT_TEST(NewOwnerWaitsForLeasesOfAReplacedIncarnation);
   CPPUNIT_TEST(ReplacedWitnessesCountAsSilent);
+  CPPUNIT_TEST(StartOrderedAfterTheHoldIsOver);
+  CPPUNIT_TEST(WorkerThatHasMovedIsOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +65,39 @@
     AssertStartedOn(bench, "n");
   }
 
+  // Guards against ending a run of an incarnation that began after the hold was
+  // answered, under the ID that the hold named.
+  void StartOrderedAfterTheHoldIsOver() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    const HoldPlan plan = bench.core->PlanHold("w", bench.now);
+    const MonotonicTime sent_at = bench.now.steady;
+    bench.AdvanceTime(milliseconds(50));
+    bench.Submit("j", MakeJob(1));
+    bench.Store();
+    bench.ConfirmStart(bench.TakeStarts().at(0));
+    bench.core->OnHold("w", plan.order,
+                       {.outcome = contracts::OrderOutcome::kOtherIncarnation},
+                       sent_at, bench.now);
+    CPPUNIT_ASSERT(!bench.core->IsEmpty("w"));
+    bench.AnswerHoldAsLaterIncarnation("w");
+    CPPUNIT_ASSERT(bench.core->IsEmpty("w"));
+  }
+
+  void WorkerThatHasMovedIsOver() {
+    ShardBench bench;
+    RunOneTask(bench);
+    const HoldPlan plan = bench.core->PlanHold("w", bench.now);
+    const MonotonicTime sent_at = bench.now.steady;
+    bench.AdvanceTime(milliseconds(50));
+    bench.MoveWorker("w");
+    bench.core->OnHold("w", plan.order,
+                       {.outcome = contracts::OrderOutcome::kOtherIncarnation},
+                       sent_at, bench.now);
+    CPPUNIT_ASSERT(!bench.core->IsEmpty("w"));
+  }
+
  private:
   static void RunOneTask(ShardBench& bench) {
     const SentStart start = bench.SubmitAndTakeStart();
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -93,6 +93,11 @@
   SetWorkers();
 }
 
+void ShardBench::MoveWorker(const std::string& worker) {
+  ++entries_[worker].address.port;
+  SetWorkers();
+}
+
 void ShardBench::AddWorker(const std::string& id, std::uint64_t milli_cpus,
                            const std::string& rack) {
   entries_[id] = {.id = id,
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -54,6 +54,8 @@
   // Nodes that know no later owner now.
   void AnswerFromNodes(const std::vector<std::string>& nodes,
                        std::int64_t incarnation = 1);
+  // Registers the worker at another address.
+  void MoveWorker(const std::string& worker);
   void Drain(const std::string& worker);
   // Sends a hold to the worker that gets no answer.
   void LoseHold(const std::string& worker) {
--- a/src/jobs/tests/standing_wait_test.cc
+++ b/src/jobs/tests/standing_wait_test.cc
@@ -21,6 +21,8 @@
 class StandingWaitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StandingWaitTest);
   CPPUNIT_TEST(WaitForLeasesBeginsAgainWithEachOwner);
+  CPPUNIT_TEST(LeaseIsExtendedBeyondAStoredWait);
+  CPPUNIT_TEST(WaitStoredBesideAnEarlierVersionIsTrusted);
   CPPUNIT_TEST(WorkerIsSetAsideForFailuresFarApart);
   CPPUNIT_TEST(StartIsRepeatedOnlyOnAWorkerThatDoesNotAnswerIt);
   CPPUNIT_TEST(TaskWaitsForARackThatIsGone);
@@ -54,6 +56,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  // Guards against a next owner that takes a lease for over which this owner
+  // has extended since it stored how long the lease may last.
+  void LeaseIsExtendedBeyondAStoredWait() {
+    ShardBench bench;
+    StoreWaitForSilentWorker(bench);
+    bench.AnswerHold("w", {bench.RunningRow(start_)});
+    CPPUNIT_ASSERT(!HasLease(bench));
+    bench.Store();
+    CPPUNIT_ASSERT(HasLease(bench));
+    bench.TakeOver();
+    bench.AddWorker("n");
+    bench.AnswerHold("n");
+    Serve(bench, ShardOptions{}.max_lease - milliseconds(1000));
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  // An owner of an earlier version may extend leases in spite of the record.
+  void WaitStoredBesideAnEarlierVersionIsTrusted() {
+    ShardBench bench;
+    StoreWaitForSilentWorker(bench);
+    bench.former_owners_need_nodes = false;
+    bench.TakeOver();
+    bench.AddWorker("n");
+    bench.AnswerHold("n");
+    Serve(bench, ShardOptions{}.max_lease);
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
   // Standing tasks never finish, so that nothing resets the count of failures.
   void WorkerIsSetAsideForFailuresFarApart() {
     ShardBench bench;
@@ -168,6 +198,23 @@
     bench.Store();
   }
 
+  // Runs a task on "w", which then does not answer until that is stored.
+  void StoreWaitForSilentWorker(ShardBench& bench) {
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    SubmitStanding(bench, "j");
+    start_ = bench.TakeStarts().at(0);
+    bench.ConfirmStart(start_);
+    lost_ = "w";
+    for (int i = 0; i < 2; ++i) bench.LoseHold("w");
+    bench.AdvanceTime(milliseconds(2200));
+    bench.Store();
+  }
+
+  static bool HasLease(ShardBench& bench) {
+    return bench.core->PlanHold("w", bench.now).order.lease_end.has_value();
+  }
+
   static void TakeAndConfirm(ShardBench& bench,
                              std::map<std::string, SentStart>& running) {
     for (const SentStart& start : bench.TakeStarts()) {
@@ -202,6 +249,7 @@
     }
   }
 
+  SentStart start_;
   std::string lost_;
 };
 
