No start is ordered on a confirmation older than 1 s

A trial of two owners showed a task that ran twice: an owner was paused between the append of an intent and its answer, was replaced, and ordered the start when it resumed. The worker had restarted under its ID meanwhile, had forgotten the successor's token and counted the lease from the arrival of the order, for longer than the successor waited (pauses of 0.5 s to 9 s).

Starts now need a confirmation of the owner, by the store or by witnesses, of the last second. shard_core_test PausedOwnerStartsOnAnOldConfirmation failed before. Left: a pause of less than 1 s in which the owner is replaced, the worker restarts under its ID and the successor does not reach it.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -441,6 +441,7 @@
   impl_->AskAdvice();
   impl_->DropEndedJobs();
   impl_->UpdateWitnesses();
+  impl_->SendQueuedStarts();
   impl_->LogSummary();
 }
 
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -247,6 +247,8 @@
   // Whether no stored record says how long leases on the worker last.
   bool MayGrantLease(const WorkerState& worker) const;
   void OnLeaseWaitsStored();
+  // Whether the owner was confirmed recently enough to order starts.
+  bool MayStart() const;
   // The time from which a lease is counted that is granted now.
   MonotonicTime LeaseStart() const;
   // Whether the owner needs answers of witnesses, because the store does not
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -22,6 +22,10 @@
 // Time after the end of a lease by which the worker has ended all runs under
 // it.
 constexpr milliseconds kLeaseEndMargin{100};
+// A start is not sent when the owner was confirmed longer ago: a worker that
+// has restarted under its ID would count the lease from the arrival of the
+// order, whatever the owner's permission.
+constexpr milliseconds kMaxStartDelay{1000};
 // A worker that answers again sooner goes on without a pause of its leases.
 constexpr milliseconds kRecordLeaseWaitAfter{1000};
 // Workers beyond this size are not recorded: a next owner waits for the longest
@@ -207,6 +211,10 @@
   return now.steady - confirmed_at > kUnconfirmedAfter;
 }
 
+bool ShardCore::Impl::MayStart() const {
+  return now.steady - confirmed_at <= kMaxStartDelay;
+}
+
 MonotonicTime ShardCore::Impl::LeaseStart() const {
   return std::min(now.steady, confirmed_at);
 }
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -93,7 +93,7 @@
 }
 
 void ShardCore::Impl::SendQueuedStarts() {
-  while (!queued_starts.empty() &&
+  while (MayStart() && !queued_starts.empty() &&
          starts_in_flight < options.max_starts_in_flight) {
     const QueuedStart next = std::move(queued_starts.front());
     queued_starts.pop_front();
@@ -240,7 +240,7 @@
       if (now.steady - run.sent_at > kStartTimeout) {
         run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
-      } else if (!IsRegistryStale() && MayGrantLease(worker)) {
+      } else if (!IsRegistryStale() && MayGrantLease(worker) && MayStart()) {
         SendStart(run);
       }
     }
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(NewOwnerDoesNotCountARunningJobAsPending);
   CPPUNIT_TEST(OnlyDueOccurrencesStart);
   CPPUNIT_TEST(QueueWithAdviceStartsOnlyWithATicket);
+  CPPUNIT_TEST(PausedOwnerStartsOnAnOldConfirmation);
   CPPUNIT_TEST(WaitOfANewStandingTaskCountsFromTheOwnersStart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -940,6 +941,26 @@
     CPPUNIT_ASSERT(waits.longest > seconds(1) && waits.longest <= seconds(3));
   }
 
+  // Guards against a start by an owner that may have been replaced while it was
+  // paused, to a worker that has restarted under its ID.
+  void PausedOwnerStartsOnAnOldConfirmation() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    bench.Submit("j", MakeJob(1));
+    const Batch batch = bench.core->TakeBatch(bench.now);
+    bench.now.steady += milliseconds(1500);
+    bench.core->OnStored(batch.number, bench.now);
+    CPPUNIT_ASSERT(bench.starts.empty());
+    bench.AnswerHold("w");
+    bench.AdvanceTime(milliseconds(100));
+    CPPUNIT_ASSERT(bench.starts.empty());
+    // The store confirms the owner.
+    bench.Store();
+    bench.AdvanceTime(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
  private:
   // Submits four tasks that fit on one worker, with a limit of starts in
   // flight.
