A node that lost the store was not asked in vain to take over

Cause: the owner asks nodes that still report the store, as they have not noticed the outage yet. Their claims fail for want of the store.

A request now counts only as long as the node has not reported the loss of the store since. A node that reaches the store all along and does not claim is passed over as before; while a node reports no store, others are asked.

Evidence: election_core_test, NodeAskedInAnOutageIsPassedOverAfterIt failed before (small asked, large expected) and passes. Two tests for the guard: NodeThatRegainsTheStoreAndDoesNotClaimIsAskedForever (failed before as well: the small node was asked first after the outage) and NodeThatKeepsLosingTheStoreIsAskedForever (not run on the code before).

Limit: when an outage ends before the node has reported it, the request stays on record.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -118,7 +118,7 @@
   // be the first to report.
   Duration larger_node_wait = std::chrono::milliseconds(600);
   // A node that has not claimed the shard this long after it was asked to take
-  // over is passed over.
+  // over, and has not reported the loss of the store since, is passed over.
   Duration takeover_timeout = std::chrono::milliseconds(1500);
   // An owner hands over to a much larger node once it has owned the shard, and
   // heard from that node, for this long.
@@ -254,7 +254,8 @@
   MonotonicTime takeover_requested_at_;
   // Since when the owner has known a node to hand over to; the epoch for none.
   MonotonicTime successor_known_since_;
-  // By node, when it was asked to take over; of this ownership.
+  // By node, when it was asked to take over; of this ownership. Without nodes
+  // that have lost the store since.
   std::map<std::string, MonotonicTime> takeover_requests_;
   MonotonicTime owns_since_;
   std::optional<MonotonicTime> store_failing_since_;
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -14,8 +14,8 @@
 // change of owner.
 constexpr std::uint32_t kHandoverRankRatio = 2;
 constexpr Duration kTakeoverRequestInterval = std::chrono::milliseconds(300);
-// A node that was asked in vain is passed over until this many time-outs after
-// the first request.
+// A node that was asked in vain, while it reached the store all along, is
+// passed over until this many time-outs after the first request.
 constexpr int kPassedOverTimeouts = 3;
 
 // A claim older than this can't have a predecessor that still believes it owns
@@ -205,6 +205,9 @@
   member.last_seen_at = now;
   member.store_reached = message.store_reached;
   member.leaving = message.leaving;
+  // A node that loses the store can't have claimed, so it was not asked in
+  // vain. It may have been asked before it noticed the outage.
+  if (!message.store_reached) takeover_requests_.erase(message.sender.name);
   if (message.claim.token > claim_.token) OnClaim(message.claim, now);
   switch (message.kind) {
     case MessageKind::kHello:
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -93,6 +93,9 @@
   CPPUNIT_TEST(FirstNodeToReachTheStoreTakesOverBeforeALargerOne);
   CPPUNIT_TEST(LeavingNodeIsAskedToTakeOver);
   CPPUNIT_TEST(NodeThatDoesNotClaimIsAskedForever);
+  CPPUNIT_TEST(NodeAskedInAnOutageIsPassedOverAfterIt);
+  CPPUNIT_TEST(NodeThatRegainsTheStoreAndDoesNotClaimIsAskedForever);
+  CPPUNIT_TEST(NodeThatKeepsLosingTheStoreIsAskedForever);
   CPPUNIT_TEST(NodeThatRestartsNextTakesOver);
   CPPUNIT_TEST(SmallNodeOwnsTheShardAgainAfterARestart);
   CPPUNIT_TEST(RestartedNodeWaitsForLargerNodesInVain);
@@ -245,6 +248,55 @@
     CPPUNIT_ASSERT_EQUAL(std::string("small"), fixture.successors.back());
   }
 
+  // Guards against handing over to the smallest node after an outage, because
+  // the large one was asked before it had noticed that the store was out.
+  void NodeAskedInAnOutageIsPassedOverAfterIt() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    AskLargeNodeInAnOutage(fixture);
+    for (int i = 0; i < 10; ++i) {
+      const bool large_reaches_store = i >= 2;
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      ReceiveHello(fixture, {.name = "large", .rank = 500},
+                   large_reaches_store);
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(!fixture.successors.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+  }
+
+  void NodeThatRegainsTheStoreAndDoesNotClaimIsAskedForever() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    AskLargeNodeInAnOutage(fixture);
+    for (int i = 0; i < 30; ++i) {
+      ReceiveHello(fixture, {.name = "large", .rank = 500});
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+    CPPUNIT_ASSERT_EQUAL(std::string("small"), fixture.successors.back());
+  }
+
+  void NodeThatKeepsLosingTheStoreIsAskedForever() {
+    NodeFixture fixture;
+    BecomeOwner(fixture);
+    for (int i = 0; i < 30; ++i) {
+      const bool large_reaches_store = i % 10 < 5;
+      ReceiveHello(fixture, {.name = "large", .rank = 500},
+                   large_reaches_store);
+      ReceiveHello(fixture, {.name = "small", .rank = 60});
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+    CPPUNIT_ASSERT(std::find(fixture.successors.begin(),
+                             fixture.successors.end(),
+                             "small") != fixture.successors.end());
+  }
+
   // Guards against one hand-over for each node of a rolling restart: nodes that
   // have come back already stay.
   void NodeThatRestartsNextTakesOver() {
@@ -435,6 +487,21 @@
                             .store_reached = store_reached},
                            fixture.now);
   }
+  // The owner leaves and asks the large node, which still reports that it
+  // reaches the store. Both nodes notice the outage 0.4 s later; it ends 2 s
+  // after the request. Forgets the requests made so far.
+  static void AskLargeNodeInAnOutage(NodeFixture& fixture) {
+    for (int i = 0; i < 20; ++i) {
+      const bool outage_is_noticed = i >= 4;
+      ReceiveHello(fixture, {.name = "large", .rank = 500}, !outage_is_noticed);
+      ReceiveHello(fixture, {.name = "small", .rank = 60}, !outage_is_noticed);
+      fixture.core.Leave(fixture.now);
+      fixture.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(!fixture.successors.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), fixture.successors.front());
+    fixture.successors.clear();
+  }
 
  private:
   // Whether an owner of rank 100 asks a node of rank `rank` to take over.
