The first read of a stream after a failed one does not wait

Cause: a read that waits says nothing until a record comes or the wait is over (0.4 s for the registry, 1 s for the other streams). That held for the first read after an outage as well, which only has to show that the view is current. It was also sent late: after the pause for a failed call (0.2 s) followed the one between two reads (0.25 s for the registry).

PlanNextRead decides on pause and wait. After a failed read the pause is that for a failed call alone, and the next read does not wait. Its time-out stays that of a read that waits, since much may have been stored meanwhile and takes its time on a slow link.

--- a/src/node/internal/stream_follower.cc
+++ b/src/node/internal/stream_follower.cc
@@ -12,6 +12,14 @@
 
 namespace asio = boost::asio;
 
+NextRead PlanNextRead(const StreamFollowerOptions& options,
+                      bool last_read_failed) {
+  if (last_read_failed) {
+    return {.pause = options.retry_delay, .wait = Duration::zero()};
+  }
+  return {.pause = options.read_interval, .wait = options.read_wait};
+}
+
 StreamFollower::StreamFollower(asio::any_io_executor executor,
                                Ref<contracts::KeyedLog> log,
                                StreamFollowerOptions options,
@@ -46,7 +54,9 @@
       continue;
     }
     caught_up = co_await self->ReadNewRecords();
-    if (caught_up) co_await self->Sleep(self->options_.read_interval);
+    if (!caught_up) continue;
+    co_await self->Sleep(
+        PlanNextRead(self->options_, self->last_read_failed_).pause);
   }
 }
 
@@ -89,20 +99,20 @@
 
 asio::awaitable<bool> StreamFollower::ReadNewRecords() {
   const MonotonicTime sent_at = LeaseNow();
-  const contracts::KeyedReadAnswer answer =
-      co_await log_->Read({.stream = options_.stream,
-                           .from = position_.next,
-                           .wait = options_.read_wait,
-                           .timeout = options_.read_wait + options_.timeout});
+  // The time-out does not depend on the wait, since much may have been stored
+  // since the last read that succeeded.
+  const contracts::KeyedReadAnswer answer = co_await log_->Read(
+      {.stream = options_.stream,
+       .from = position_.next,
+       .wait = PlanNextRead(options_, last_read_failed_).wait,
+       .timeout = options_.read_wait + options_.timeout});
   RecordReadTime(sent_at);
   if (stopped_) co_return false;
   hooks_.on_call(answer.outcome != contracts::ReadOutcome::kFailed,
                  answer.error);
+  last_read_failed_ = answer.outcome == contracts::ReadOutcome::kFailed;
   if (answer.outcome == contracts::ReadOutcome::kExpired) co_return false;
-  if (answer.outcome == contracts::ReadOutcome::kFailed) {
-    co_await Sleep(options_.retry_delay);
-    co_return true;
-  }
+  if (last_read_failed_) co_return true;
   for (const contracts::KeyedRecord& record : answer.records) {
     hooks_.on_record(record);
     position_.next = record.offset + 1;
--- a/src/node/stream_follower.h
+++ b/src/node/stream_follower.h
@@ -15,14 +15,25 @@
   // How long one read waits for a record. Bounds the time until a dead
   // connection is detected.
   Duration read_wait = std::chrono::seconds(1);
-  // Pause between two reads.
+  // Pause after a read that succeeded.
   Duration read_interval = std::chrono::milliseconds(20);
-  // Of a call, on top of any `read_wait`.
+  // Of a call, on top of `read_wait` for all reads of new records.
   Duration timeout = std::chrono::milliseconds(600);
   // Pause after a failed call.
   Duration retry_delay = std::chrono::milliseconds(200);
 };
 
+// When the next read of new records is sent, and how long it waits for one.
+struct NextRead {
+  Duration pause{0};
+  Duration wait{0};
+};
+
+// After a failed read the next one does not wait: until it is answered, the
+// view gets older and the store counts as unreachable, although it may be back.
+NextRead PlanNextRead(const StreamFollowerOptions& options,
+                      bool last_read_failed);
+
 // How far a stream has been read.
 struct StreamPosition {
   // Offset of the next record to read, and the end of the stream as last
@@ -76,6 +87,7 @@
   StreamFollowerOptions options_;
   StreamFollowerHooks hooks_;
   StreamPosition position_;
+  bool last_read_failed_ = false;
   bool stopped_ = false;
 };
 
