A VM's maintenance ends only by a list requested after its order

Callers could see more VMs of a wave down at once than max_parallel allows: an order was sent, a VM list that had been requested before it named another worker than the one drained (its process had been replaced meanwhile), and the VM counted as done while its maintenance had just begun. The next VM was then taken down.

Cause: AdvanceVm judged a VM by whatever list was there. Only one request is in flight at a time, so counting the requests tells old lists apart: the count is noted at the order's outcome, and a list that answers one of these requests does not count for the VM.

Found by reading. ListFromBeforeTheOrderEndsTheMaintenance failed before (2 orders, 1 expected) and passes now. AtMostMaxParallelVmsAreDown took the answer to a request from before the order of its last VM for the end of the wave, which is this fault: it now asserts that the wave is still open then, and over after the next list; before the fix it failed there.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -71,6 +71,7 @@
   if (!list.ok) return;
   has_list_ = true;
   list_as_of_ = list_requested_at_;
+  listed_request_ = list_requests_;
   listed_vms_.clear();
   for (const contracts::WorkerVm& vm : list.vms) listed_vms_[vm.name] = vm;
 }
@@ -85,6 +86,7 @@
   if (outcome == contracts::MaintainOutcome::kBegun &&
       state.state == State::kIntentStored) {
     state.state = State::kInMaintenance;
+    state.earlier_list_requests = list_requests_;
   }
   // The VM isn't part of the wave or doesn't exist: nothing is left to do.
   if (outcome == contracts::MaintainOutcome::kNotInWave ||
@@ -96,6 +98,9 @@
 void MaintenanceCore::AdvanceVm(WaveState& wave, const std::string& name,
                                 VmState& vm, std::size_t& down,
                                 std::size_t& draining) {
+  const bool is_list_too_old = vm.state == State::kInMaintenance &&
+                               listed_request_ <= vm.earlier_list_requests;
+  if (is_list_too_old) return;
   const auto listed = listed_vms_.find(name);
   // A VM that no longer exists needs no maintenance.
   if (listed == listed_vms_.end()) {
@@ -177,6 +182,7 @@
   if (!list_in_flight_ && now - list_requested_at_ >= kListInterval) {
     list_requested_at_ = now;
     list_in_flight_ = true;
+    ++list_requests_;
     hooks_.list_vms();
   }
   if (!has_list_) return;
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -26,7 +26,8 @@
 
 // Calls out of MaintenanceCore; all return at once.
 struct MaintenanceHooks {
-  // Asks for the list of VMs; answered with OnVmList, also on failure.
+  // Asks for the list of VMs; answered with OnVmList, also on failure. Not
+  // called again before the answer.
   std::function<void()> list_vms;
   // Orders the maintenance of a VM; answered with OnMaintainOutcome.
   std::function<void(const std::string& vm, std::uint64_t wave)> maintain;
@@ -76,6 +77,9 @@
     // The number of the store call that has the intent of the order.
     std::uint64_t intent_store = 0;
     bool order_in_flight = false;
+    // The number of list requests before the outcome of the order, which show
+    // nothing of its maintenance.
+    std::uint64_t earlier_list_requests = 0;
   };
   struct WaveState {
     Wave wave;
@@ -100,6 +104,10 @@
   // When a list was last requested, and when the one in `listed_vms_` was.
   MonotonicTime list_requested_at_;
   MonotonicTime list_as_of_;
+  // Number of calls of MaintenanceHooks::list_vms, and of the one that
+  // `listed_vms_` answers.
+  std::uint64_t list_requests_ = 0;
+  std::uint64_t listed_request_ = 0;
   // `listed_vms_` is too old to take a VM down.
   bool list_is_stale_ = true;
   bool list_in_flight_ = false;
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -65,6 +65,7 @@
 class MaintenanceCoreTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MaintenanceCoreTest);
   CPPUNIT_TEST(AtMostMaxParallelVmsAreDown);
+  CPPUNIT_TEST(ListFromBeforeTheOrderEndsTheMaintenance);
   CPPUNIT_TEST(WorkerIsDrainedBeforeMaintenance);
   CPPUNIT_TEST(OrderWaitsForStoredIntent);
   CPPUNIT_TEST(OrderGoesOutOnAnEarlierAppend);
@@ -93,11 +94,38 @@
     fixture.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
     fixture.core.OnMaintainOutcome("b", 1, kBegun);
+    // The answer to a request from before the order.
+    fixture.DeliverList("wa2", "wb2");
+    fixture.Tick();
+    CPPUNIT_ASSERT(!fixture.completed);
     fixture.DeliverList("wa2", "wb2");
     fixture.Tick();
     CPPUNIT_ASSERT(fixture.completed);
   }
 
+  // Guards against a second VM that is taken down beside the first: the worker
+  // was replaced before the order, and the list from then names the new one.
+  void ListFromBeforeTheOrderEndsTheMaintenance() {
+    Fixture fixture;
+    fixture.BeginWave({"a", "b"});
+    fixture.core.OnStored(fixture.stores);
+    fixture.Tick();
+    fixture.core.OnMaintainOutcome("a", 1, kBegun);
+    CPPUNIT_ASSERT_EQUAL(2, fixture.list_requests);
+    fixture.DeliverList("wa2", "wb");
+    fixture.Tick();
+    fixture.core.OnStored(fixture.stores);
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    fixture.DeliverList("wa3", "wb");
+    fixture.Tick();
+    fixture.DeliverList("wa3", "wb");
+    fixture.Tick();
+    fixture.core.OnStored(fixture.stores);
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
+  }
+
   void WorkerIsDrainedBeforeMaintenance() {
     Fixture fixture;
     fixture.busy = {"wa"};
