A node's second claim ends its ownership by the first

Two owners could run in one process, the first of them never stopped: it would go on to hold workers and call the store until it was fenced, and its fencing would then have stopped the second.

Cause: a node may have two claim attempts in flight. One that is slow goes on after another node's claim has become known; the node then follows and may be asked to take over, which begins a second attempt. If the store answers late, the second attempt finds the claim of the first one as the newest and stores another behind it, and both are answered. OnClaimed took over the second ownership without ending the first; and a late answer to the older claim was ignored by ElectionCore, but NodeProcess then found that the node owned the shard and started an owner again.

ElectionCore now decides it: OnClaimed ends the former ownership by stop_owning, which logs "ownership over" with the reason, and returns whether an owner is to be started.

Found by reading, not seen in a run. SecondClaimOfANodeStartsASecondOwner (stop_owning was not called) and LateAnswerToAnOldClaimStartsASecondOwner (an owner was to be started) failed before, with OnClaimed returning what NodeProcess went by, and pass now.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -159,8 +159,9 @@
   // The stream of claims has been read to its end. The node claims the shard
   // if nobody has, or if the newest claim is from an earlier run of this node.
   void OnClaimsRead(MonotonicTime now);
-  // Results of hooks.claim.
-  void OnClaimed(const OwnerClaim& claim, MonotonicTime now);
+  // Results of hooks.claim. OnClaimed returns whether this node owns the shard
+  // by this claim from now on; an ownership by an earlier claim is over then.
+  bool OnClaimed(const OwnerClaim& claim, MonotonicTime now);
   void OnClaimFailed(MonotonicTime now);
   // The claim was superseded by one that is not known here yet.
   void OnOwnershipLost(MonotonicTime now);
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -151,8 +151,9 @@
   }
 }
 
-void ElectionCore::OnClaimed(const OwnerClaim& claim, MonotonicTime now) {
-  if (claim.token < claim_.token) return;
+bool ElectionCore::OnClaimed(const OwnerClaim& claim, MonotonicTime now) {
+  if (claim.token < claim_.token) return false;
+  if (owns()) StopOwning("this node has claimed the shard again");
   if (claim.token > claim_.token) hooks_.log_change("owner", claim.node);
   claim_ = claim;
   owner_time_.reset();
@@ -167,6 +168,7 @@
     hooks_.send(member.info.address,
                 MakeMessage(MessageKind::kOwnerState, now));
   }
+  return true;
 }
 
 void ElectionCore::OnClaimFailed(MonotonicTime now) {
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -324,11 +324,12 @@
 
 void NodeProcess::OnClaimStored(std::uint64_t token, FormerOwners former) {
   unanswered_claim_.reset();
-  election_.OnClaimed(
+  const bool owns = election_.OnClaimed(
       {.token = token, .node = settings_.name, .address = settings_.peers},
       LeaseNow());
+  if (!owns) return;
   former_owners_ = std::move(former);
-  if (election_.owns()) StartOwning();
+  StartOwning();
 }
 
 void NodeProcess::StartOwning() {
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -89,6 +89,8 @@
   CPPUNIT_TEST(OwnerHeardByOthersIsNotReplaced);
   CPPUNIT_TEST(IsolatedNodeWaitsBeforeClaiming);
   CPPUNIT_TEST(NewerClaimEndsOwnership);
+  CPPUNIT_TEST(SecondClaimOfANodeStartsASecondOwner);
+  CPPUNIT_TEST(LateAnswerToAnOldClaimStartsASecondOwner);
   CPPUNIT_TEST(OwnerThatLosesTheStoreHandsOver);
   CPPUNIT_TEST(FirstNodeToReachTheStoreTakesOverBeforeALargerOne);
   CPPUNIT_TEST(LeavingNodeIsAskedToTakeOver);
@@ -181,6 +183,29 @@
     CPPUNIT_ASSERT(!fixture.stop_reason.empty());
   }
 
+  // Guards against two owners in one process, the first of which is never
+  // stopped.
+  void SecondClaimOfANodeStartsASecondOwner() {
+    NodeFixture fixture;
+    ClaimTwice(fixture);
+    CPPUNIT_ASSERT(fixture.core.OnClaimed(MakeClaim("b", 6), fixture.now));
+    CPPUNIT_ASSERT(fixture.stop_reason.empty());
+    CPPUNIT_ASSERT(fixture.core.OnClaimed(MakeClaim("b", 7), fixture.now));
+    CPPUNIT_ASSERT(!fixture.stop_reason.empty());
+    CPPUNIT_ASSERT(fixture.core.owns());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fixture.core.claim().token);
+  }
+
+  void LateAnswerToAnOldClaimStartsASecondOwner() {
+    NodeFixture fixture;
+    ClaimTwice(fixture);
+    CPPUNIT_ASSERT(fixture.core.OnClaimed(MakeClaim("b", 7), fixture.now));
+    CPPUNIT_ASSERT(!fixture.core.OnClaimed(MakeClaim("b", 6), fixture.now));
+    CPPUNIT_ASSERT(fixture.stop_reason.empty());
+    CPPUNIT_ASSERT(fixture.core.owns());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fixture.core.claim().token);
+  }
+
   void OwnerThatLosesTheStoreHandsOver() {
     NodeFixture fixture;
     BecomeOwner(fixture);
@@ -461,6 +486,18 @@
                         node.now);
   }
 
+  // The claim of the first attempt is not answered yet when another owner asks
+  // this node to take over.
+  static void ClaimTwice(NodeFixture& fixture) {
+    fixture.core.OnClaimsRead(fixture.now);
+    fixture.core.OnClaim(MakeClaim("a", 5), fixture.now);
+    fixture.core.OnMessage({.kind = MessageKind::kTakeOver,
+                            .sender = MakeNode("a"),
+                            .claim = MakeClaim("a", 5)},
+                           fixture.now);
+    CPPUNIT_ASSERT_EQUAL(2, fixture.claim_attempts);
+  }
+
   static void FollowOwner(NodeFixture& fixture) {
     fixture.core.OnClaim(MakeClaim("a", 1), fixture.now);
     fixture.core.OnClaimsRead(fixture.now);
