A failed compaction is logged with its reason

Operators saw nothing when a compaction could not be appended.

ConfigFollower passes the reason of a failed append, thrown or answered, to on_compaction_failed, and a daemon's follower logs it as "compaction failed"; the next try comes 30 s later. That pause is now part of FollowerTiming, as the test can't wait for it.

--- a/src/config/follower.h
+++ b/src/config/follower.h
@@ -32,6 +32,9 @@
   FollowerCoreOptions core;
   contracts::LogService log;
   CallPeer call_peer;
+  // Called when the append of a compaction failed, which is tried again.
+  std::function<void(const std::string& reason)> on_compaction_failed =
+      [](const std::string&) {};
 };
 
 class ConfigFollower : public RefCounted<ConfigFollower> {
--- a/src/config/follower_core.h
+++ b/src/config/follower_core.h
@@ -44,6 +44,8 @@
   // Age of the last compaction after which the next one is due. Must be well
   // below the retention of the log.
   Duration compact_after = std::chrono::hours(1);
+  // Between two compactions, or tries to write one.
+  Duration compaction_pause = std::chrono::seconds(30);
 };
 
 struct FollowerPeer {
--- a/src/config/internal/daemon_follower.cc
+++ b/src/config/internal/daemon_follower.cc
@@ -42,12 +42,17 @@
       ConfigFollowerOptions{
           .core = MakeCoreOptions(settings, std::move(on_in_force)),
           .log = contracts::MakeHttpLogService(client, settings.log_service),
-          .call_peer = [&daemon](std::size_t peer, std::string method,
-                                 std::string request, Duration timeout) {
-            const net::Address link = daemon.settings().peers[peer].link;
-            return daemon.Peer(link)->Call(std::move(method),
-                                           std::move(request), timeout);
-          }});
+          .call_peer =
+              [&daemon](std::size_t peer, std::string method,
+                        std::string request, Duration timeout) {
+                const net::Address link = daemon.settings().peers[peer].link;
+                return daemon.Peer(link)->Call(std::move(method),
+                                               std::move(request), timeout);
+              },
+          .on_compaction_failed =
+              [log = telemetry::Log("config")](const std::string& reason) {
+                log.Warn("compaction failed", {{"reason", reason}});
+              }});
   daemon.AddCall(kHeadCall, [follower](std::string request) {
     return follower->AnswerHead(std::move(request));
   });
--- a/src/config/internal/follower.cc
+++ b/src/config/internal/follower.cc
@@ -50,12 +50,14 @@
       : executor(std::move(e)),
         core(std::move(options.core), MonotonicClock::now()),
         log(std::move(options.log)),
-        call_peer(std::move(options.call_peer)) {}
+        call_peer(std::move(options.call_peer)),
+        on_compaction_failed(std::move(options.on_compaction_failed)) {}
 
   asio::any_io_executor executor;
   FollowerCore core;
   contracts::LogService log;
   CallPeer call_peer;
+  std::function<void(const std::string& reason)> on_compaction_failed;
   // Timers of the sleeping loops, which Stop cancels.
   std::vector<asio::steady_timer*> sleep_timers;
   bool stopping = false;
@@ -164,10 +166,12 @@
     try {
       const contracts::AppendAnswer answer = co_await log.append(request);
       if (answer.outcome != contracts::AppendOutcome::kAppended) {
+        on_compaction_failed(answer.error);
         co_return false;
       }
-    } catch (const std::exception&) {
+    } catch (const std::exception& error) {
       // Counts as a failed compaction, which the core plans again.
+      on_compaction_failed(error.what());
       co_return false;
     }
   }
--- a/src/config/internal/follower_core.cc
+++ b/src/config/internal/follower_core.cc
@@ -16,7 +16,6 @@
 // Incomplete compactions of which parts are tracked.
 constexpr std::size_t kMaxCompactionGroups = 8;
 constexpr std::uint32_t kMaxBackoffShift = 6;
-constexpr Duration kCompactionRetry = std::chrono::seconds(30);
 
 Duration Backoff(Duration first, Duration last, std::uint32_t failures) {
   const std::uint32_t shift = std::min(failures, kMaxBackoffShift);
@@ -413,7 +412,7 @@
 }
 
 CompactionStep FollowerCore::NextCompaction(MonotonicTime now, WallTime wall) {
-  CompactionStep step{.at = now + kCompactionRetry};
+  CompactionStep step{.at = now + options_.timing.compaction_pause};
   if (now < next_compaction_) step.at = next_compaction_;
   const bool may_write = !compaction_in_flight_ && now >= next_compaction_ &&
                          in_force_.has_value() && replay_.caught_up() &&
@@ -433,7 +432,7 @@
 
 void FollowerCore::OnCompactionEnd(MonotonicTime now, bool appended) {
   compaction_in_flight_ = false;
-  next_compaction_ = now + kCompactionRetry;
+  next_compaction_ = now + options_.timing.compaction_pause;
   if (appended) ++counters_.compactions_written;
 }
 
--- a/src/config/tests/follower_io_test.cc
+++ b/src/config/tests/follower_io_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(FollowerIoTest);
   CPPUNIT_TEST(FollowsTheLogAndStops);
   CPPUNIT_TEST(FetchesSetFromPeerDuringLogOutage);
+  CPPUNIT_TEST(CompactionEndsSilentlyAfterAnAppendThatThrows);
   CPPUNIT_TEST(MalformedPeerMessagesAreErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,20 @@
                          followers_[0]->set().Digest());
   }
 
+  // Guards against records that expire because no compaction is written.
+  void CompactionEndsSilentlyAfterAnAppendThatThrows() {
+    compact_after_ = Duration::zero();
+    appends_to_fail_ = 1;
+    StartAll(1);
+    Append(FirstChange());
+    CPPUNIT_ASSERT(RunUntil([&] { return !compaction_failures_.empty(); }));
+    CPPUNIT_ASSERT(compaction_failures_[0].find("out") != std::string::npos);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return followers_[0]->core().counters().compactions_written > 0;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, compaction_failures_.size());
+  }
+
   void MalformedPeerMessagesAreErrors() {
     CPPUNIT_ASSERT_THROW(DecodeHeadRequest("\xff\xff", "peer"), Error);
     CPPUNIT_ASSERT_THROW(DecodeFetchRequest("\xff\xff", "peer"), Error);
@@ -103,6 +118,10 @@
     };
     service.append = [this](contracts::AppendRequest request)
         -> asio::awaitable<contracts::AppendAnswer> {
+      if (appends_to_fail_ > 0) {
+        --appends_to_fail_;
+        throw Error("log append", "fake", "out");
+      }
       contracts::AppendAnswer answer{.outcome =
                                          contracts::AppendOutcome::kAppended};
       for (const contracts::NewRecord& record : request.records) {
@@ -131,16 +150,22 @@
         .name = std::to_string(i),
         .timing = {.log_wait = std::chrono::milliseconds(50),
                    .log_silence = std::chrono::milliseconds(200),
-                   .peer_interval_urgent = std::chrono::milliseconds(20)},
+                   .peer_interval_urgent = std::chrono::milliseconds(20),
+                   .compact_after = compact_after_,
+                   .compaction_pause = std::chrono::milliseconds(20)},
         .seed = i};
     for (std::size_t peer = 0; peer < followers_.size(); ++peer) {
       if (peer != i) core.peers.push_back({.name = std::to_string(peer)});
     }
     followers_[i] = MakeRef<ConfigFollower>(
         context_.get_executor(),
-        ConfigFollowerOptions{.core = std::move(core),
-                              .log = MakeLog(),
-                              .call_peer = MakeCallPeer(i)});
+        ConfigFollowerOptions{
+            .core = std::move(core),
+            .log = MakeLog(),
+            .call_peer = MakeCallPeer(i),
+            .on_compaction_failed = [this](const std::string& reason) {
+              compaction_failures_.push_back(reason);
+            }});
     followers_[i]->Start();
   }
 
@@ -177,6 +202,9 @@
   asio::io_context context_{1};
   FakeLog log_;
   ConfigFold fold_;
+  Duration compact_after_ = FollowerTiming().compact_after;
+  int appends_to_fail_ = 0;
+  std::vector<std::string> compaction_failures_;
   std::vector<Ref<ConfigFollower>> followers_;
 };
 
