--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -238,6 +238,8 @@
   // Asks the successor, if there is one, to take over.
   void HandOver(MonotonicTime now);
   void RequestTakeover(const Member& member, MonotonicTime now);
+  // Tells all known nodes that this one owns the shard.
+  void AnnounceOwnership(MonotonicTime now);
   void StopOwning(const std::string& reason);
   // Whether `left` is preferred over `right` as owner.
   static bool Outranks(const NodeInfo& left, const NodeInfo& right);
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -164,11 +164,15 @@
   owner_heard_at_ = now;
   deferrals_ = 0;
   pending_counts_.clear();
+  AnnounceOwnership(now);
+  return true;
+}
+
+void ElectionCore::AnnounceOwnership(MonotonicTime now) {
   for (const auto& [name, member] : members_) {
     hooks_.send(member.info.address,
                 MakeMessage(MessageKind::kOwnerState, now));
   }
-  return true;
 }
 
 void ElectionCore::OnClaimFailed(MonotonicTime now) {
