--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -214,6 +214,13 @@
   // shard_waits.cc: why standing tasks are not known to be served.
   // Empty when a worker in contact runs the task.
   std::optional<TaskWait> FindWait(const Task& task) const;
+  struct StandingWait {
+    const Task* task = nullptr;
+    TaskWait wait;
+  };
+  void AddWaits(const Step& step, std::vector<StandingWait>& waits) const;
+  // All standing tasks that wait, the longest waits first.
+  std::vector<StandingWait> FindStandingWaits() const;
   void LogStandingWaits();
 
   // shard_leases.cc: how long this owner may extend leases, and how long those
--- a/src/jobs/internal/shard_waits.cc
+++ b/src/jobs/internal/shard_waits.cc
@@ -60,35 +60,45 @@
                   .worker = worker.id};
 }
 
-void ShardCore::Impl::LogStandingWaits() {
-  std::vector<std::pair<const Task*, TaskWait>> waits;
+void ShardCore::Impl::AddWaits(const Step& step,
+                               std::vector<StandingWait>& waits) const {
+  for (const Task& task : step.tasks) {
+    const std::optional<TaskWait> wait = FindWait(task);
+    if (wait.has_value()) waits.push_back({.task = &task, .wait = *wait});
+  }
+}
+
+std::vector<ShardCore::Impl::StandingWait> ShardCore::Impl::FindStandingWaits()
+    const {
+  std::vector<StandingWait> waits;
   for (const auto& [id, job] : jobs) {
     if (job->IsOver()) continue;
     for (const auto& [number, occurrence] : job->occurrences) {
       for (const Step& step : occurrence->steps) {
-        if (!step.spec->standing) continue;
-        for (const Task& task : step.tasks) {
-          const std::optional<TaskWait> wait = FindWait(task);
-          if (wait.has_value()) waits.emplace_back(&task, *wait);
-        }
+        if (step.spec->standing) AddWaits(step, waits);
       }
     }
   }
   std::sort(waits.begin(), waits.end(),
-            [](const auto& left, const auto& right) {
-              return left.second.since < right.second.since;
+            [](const StandingWait& left, const StandingWait& right) {
+              return left.wait.since < right.wait.since;
             });
+  return waits;
+}
+
+void ShardCore::Impl::LogStandingWaits() {
+  const std::vector<StandingWait> waits = FindStandingWaits();
   standing_waits.count = waits.size();
-  standing_waits.longest = waits.empty()
-                               ? Duration::zero()
-                               : now.steady - waits.front().second.since;
+  standing_waits.longest =
+      waits.empty() ? Duration::zero() : now.steady - waits.front().wait.since;
   for (std::size_t i = 0; i < std::min(waits.size(), kMaxWaitLines); ++i) {
-    const auto& [task, wait] = waits[i];
+    const Task& task = *waits[i].task;
+    const TaskWait& wait = waits[i].wait;
     hooks.decided("standing task waits",
-                  {{"job", task->step->occurrence->job->id},
-                   {"step", task->step->number},
-                   {"task", task->index},
-                   {"attempt", task->attempt},
+                  {{"job", task.step->occurrence->job->id},
+                   {"step", task.step->number},
+                   {"task", task.index},
+                   {"attempt", task.attempt},
                    {"worker", wait.worker},
                    {"for", WaitReasonName(wait.reason)},
                    {"since", now.steady - wait.since}});
