--- a/src/jobs/internal/lease_witnesses.cc
+++ b/src/jobs/internal/lease_witnesses.cc
@@ -87,22 +87,20 @@
       [&id](const Witness& witness) { return witness.id == id; });
 }
 
-void LeaseWitnesses::OnAnswered(const Witness& witness, MonotonicTime sent_at) {
+bool LeaseWitnesses::OnAnswered(const Witness& witness, MonotonicTime sent_at) {
   const bool counts =
       std::find(present_.begin(), present_.end(), witness) != present_.end() ||
       std::find(proposed_.begin(), proposed_.end(), witness) != proposed_.end();
-  if (!counts) return;
+  if (!counts) return false;
   MonotonicTime& latest = answered_[witness];
   latest = std::max(latest, sent_at);
+  return true;
 }
 
 void LeaseWitnesses::OnReplaced(const std::string& id,
                                 std::optional<Witness> living) {
-  for (const Set* set : {&present_, &proposed_}) {
-    for (const Witness& witness : *set) {
-      if (witness.id != id || witness == living) continue;
-      over_.insert(witness);
-    }
+  for (const Witness& witness : present_) {
+    if (witness.id == id && witness != living) over_.insert(witness);
   }
 }
 
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -109,7 +109,7 @@
     listed.insert(entry.id);
     WorkerState& worker = impl_->GetWorker(entry.id);
     const bool was_draining = worker.entry.draining;
-    if (!(worker.entry.address == entry.address)) {
+    if (worker.entry.address != entry.address) {
       worker.address_since = now.steady;
     }
     worker.entry = entry;
@@ -234,8 +234,7 @@
 bool ShardCore::HasChanges() const {
   return impl_->schedule_requested || !impl_->changed_jobs.empty() ||
          !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty() ||
-         impl_->store_witnesses || impl_->store_node_witnesses ||
-         impl_->store_lease_waits;
+         impl_->HasLeaseRecords();
 }
 
 std::uint64_t ShardCore::stored_changes() const {
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -214,13 +214,13 @@
   // shard_waits.cc: why standing tasks are not known to be served.
   // Empty when a worker in contact runs the task.
   std::optional<TaskWait> FindWait(const Task& task) const;
-  struct StandingWait {
+  struct WaitingTask {
     const Task* task = nullptr;
     TaskWait wait;
   };
-  void AddWaits(const Step& step, std::vector<StandingWait>& waits) const;
+  void AddWaits(const Step& step, std::vector<WaitingTask>& waits) const;
   // All standing tasks that wait, the longest waits first.
-  std::vector<StandingWait> FindStandingWaits() const;
+  std::vector<WaitingTask> FindStandingWaits() const;
   void LogStandingWaits();
 
   // shard_leases.cc: how long this owner may extend leases, and how long those
@@ -237,8 +237,6 @@
   void CheckFormerOwners();
   void OnFormerOwnersStopped(const std::string& reason);
   void Confirm(MonotonicTime at);
-  // Whether no predecessor extends leases any more.
-  bool HaveFormerOwnersStopped() const;
   static bool MayWitness(const WorkerState& worker);
   void ProposeWitnesses();
   void ProposeNodeWitnesses();
@@ -247,13 +245,19 @@
   // for the drift of its clock.
   Duration LeaseWait(const WorkerState& worker) const;
   bool RestoreLeaseWaits(const std::string& bytes);
+  // Since when the worker has not answered this owner; empty while it does.
+  std::optional<MonotonicTime> UnansweredSince(const WorkerState& worker) const;
   // Whether the worker has runs and does not answer.
   bool IsLeaseWaitRecorded(const WorkerState& worker) const;
   // Encodes the waits for these workers; from here on they get no leases.
   std::string TakeLeaseWaits();
   // Whether no stored record says how long leases on the worker last.
   bool MayGrantLease(const WorkerState& worker) const;
-  void OnLeaseWaitsStored();
+  // Records about leases: whether there are any to be stored, and their way
+  // into a batch.
+  bool HasLeaseRecords() const;
+  void AddLeaseRecords(Batch& batch);
+  void OnLeaseRecordsStored();
   // Whether the owner was confirmed recently enough to order starts.
   bool MayStart() const;
   // The time from which a lease is counted that is granted now.
@@ -358,7 +362,6 @@
   std::uint64_t batch_changes = 0;
   MonotonicTime batch_taken_at;
   bool batch_has_records = false;
-  bool batch_has_lease_waits = false;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
   // A time at which no later owner was known to the stream or to a majority of
   // the witnesses.
@@ -372,7 +375,7 @@
   // Workers in the stored record of lease waits, and in the one that is being
   // stored.
   std::set<std::string> stored_lease_waits;
-  std::set<std::string> storing_lease_waits;
+  std::optional<std::set<std::string>> storing_lease_waits;
   bool store_lease_waits = false;
   // By worker, the waits that a former owner stored.
   std::map<std::string, Duration> restored_lease_waits;
@@ -402,6 +405,7 @@
   // Since when starts have waited for a current view of the registry.
   std::optional<MonotonicTime> registry_stale_since;
   bool restored = false;
+  // Since when it is known that no predecessor extends leases any more.
   std::optional<MonotonicTime> former_owners_stopped_at;
   MonotonicTime last_summary_at;
   StandingWaits standing_waits;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -1,8 +1,10 @@
 // How long this owner may extend leases, and how long those of its predecessors
 // last.
 #include <algorithm>
+#include <utility>
 
 #include "jobs/internal/shard_impl.h"
+#include "jobs/job_record.h"
 
 namespace carobmast::jobs {
 
@@ -39,11 +41,12 @@
 void ShardCore::Impl::OnWitnessAnswered(const WorkerState& worker,
                                         MonotonicTime sent_at) {
   const Witness witness{.id = worker.id, .incarnation = worker.born_ms};
-  witnesses.OnAnswered(witness, sent_at);
-  // Without the time of its start, the worker's incarnation is not known.
-  if (witness.incarnation != 0) {
-    witnesses.OnReplaced(worker.id, witness);
+  if (!witnesses.OnAnswered(witness, sent_at) &&
+      !witnesses.Contains(worker.id)) {
+    return;
   }
+  // Without the time of its start, the worker's incarnation is not known.
+  if (witness.incarnation != 0) witnesses.OnReplaced(worker.id, witness);
   ConfirmByWitnesses();
   CheckFormerOwners();
 }
@@ -54,7 +57,10 @@
   if (asked_at < answer.asked_at || asked_at > now.steady) return;
   answer = {.node = node, .asked_at = asked_at};
   if (!restored) return;
-  node_witnesses.OnAnswered(node.witness, asked_at);
+  if (!node_witnesses.OnAnswered(node.witness, asked_at) &&
+      !node_witnesses.Contains(node.witness.id)) {
+    return;
+  }
   // Before, a former owner may have chosen an incarnation that began since.
   if (asked_at > restored_at) {
     node_witnesses.OnReplaced(node.witness.id, node.witness);
@@ -130,10 +136,6 @@
   confirmed_at = std::max(confirmed_at, at);
 }
 
-bool ShardCore::Impl::HaveFormerOwnersStopped() const {
-  return former_owners_stopped_at.has_value();
-}
-
 Duration ShardCore::Impl::LeaseWait(const WorkerState& worker) const {
   const auto on_slowest_clock = [](milliseconds lease) {
     return Duration(static_cast<std::int64_t>(
@@ -167,19 +169,23 @@
   return true;
 }
 
+std::optional<MonotonicTime> ShardCore::Impl::UnansweredSince(
+    const WorkerState& worker) const {
+  if (worker.contact_at.has_value()) return worker.silent_since;
+  return std::max(worker.known_since, restored_at);
+}
+
 bool ShardCore::Impl::IsLeaseWaitRecorded(const WorkerState& worker) const {
   if (worker.runs.empty()) return false;
-  if (!worker.contact_at.has_value()) {
-    return restored_lease_waits.contains(worker.id) ||
-           now.steady - std::max(restored_at, worker.known_since) >
-               kRecordLeaseWaitAfter;
-  }
-  return worker.silent_since.has_value() &&
-         now.steady - *worker.silent_since > kRecordLeaseWaitAfter;
+  const std::optional<MonotonicTime> since = UnansweredSince(worker);
+  if (!since.has_value()) return false;
+  const bool is_restored = !worker.contact_at.has_value() &&
+                           restored_lease_waits.contains(worker.id);
+  return is_restored || now.steady - *since > kRecordLeaseWaitAfter;
 }
 
 std::string ShardCore::Impl::TakeLeaseWaits() {
-  store_lease_waits = false;
+  std::set<std::string> taken;
   proto::LeaseWaits record;
   std::size_t bytes = 0;
   for (const auto& [id, worker] : workers) {
@@ -192,18 +198,42 @@
         std::max(std::chrono::ceil<milliseconds>(LeaseWait(*worker)),
                  milliseconds(0))
             .count()));
-    storing_lease_waits.insert(id);
+    taken.insert(id);
   }
+  storing_lease_waits = std::move(taken);
   return record.SerializeAsString();
 }
 
 bool ShardCore::Impl::MayGrantLease(const WorkerState& worker) const {
   return !stored_lease_waits.contains(worker.id) &&
-         !storing_lease_waits.contains(worker.id);
+         !(storing_lease_waits.has_value() &&
+           storing_lease_waits->contains(worker.id));
+}
+
+bool ShardCore::Impl::HasLeaseRecords() const {
+  return store_witnesses || store_node_witnesses || store_lease_waits;
 }
 
-void ShardCore::Impl::OnLeaseWaitsStored() {
-  stored_lease_waits = std::exchange(storing_lease_waits, {});
+void ShardCore::Impl::AddLeaseRecords(Batch& batch) {
+  if (std::exchange(store_witnesses, false)) {
+    witnesses.OnStoring();
+    batch.records.push_back({kWitnessesKey, witnesses.Encode()});
+  }
+  if (std::exchange(store_node_witnesses, false)) {
+    node_witnesses.OnStoring();
+    batch.records.push_back({kNodeWitnessesKey, node_witnesses.Encode()});
+  }
+  if (std::exchange(store_lease_waits, false)) {
+    batch.records.push_back({kLeaseWaitsKey, TakeLeaseWaits()});
+  }
+}
+
+void ShardCore::Impl::OnLeaseRecordsStored() {
+  witnesses.OnStored();
+  node_witnesses.OnStored();
+  if (!storing_lease_waits.has_value()) return;
+  stored_lease_waits = std::move(*storing_lease_waits);
+  storing_lease_waits.reset();
   RequestSchedule();
 }
 
@@ -266,7 +296,7 @@
   witnesses_updated_at = now.steady;
   // Without other changes to store, this record confirms the owner.
   if (IsUnconfirmed() && !workers.empty()) store_witnesses = true;
-  if (HaveFormerOwnersStopped()) {
+  if (former_owners_stopped_at.has_value()) {
     ProposeWitnesses();
     ProposeNodeWitnesses();
   }
@@ -274,10 +304,7 @@
       workers.begin(), workers.end(),
       [this](const auto& entry) { return IsLeaseWaitRecorded(*entry.second); });
   if (has_lease_waits || !stored_lease_waits.empty()) store_lease_waits = true;
-  if ((store_lease_waits || store_witnesses || store_node_witnesses) &&
-      hooks.changed) {
-    hooks.changed();
-  }
+  if (HasLeaseRecords() && hooks.changed) hooks.changed();
 }
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -472,20 +472,7 @@
     interference_stored_at = now.steady;
     batch.records.push_back({kInterferenceKey, interference.Encode()});
   }
-  if (store_witnesses) {
-    store_witnesses = false;
-    witnesses.OnStoring();
-    batch.records.push_back({kWitnessesKey, witnesses.Encode()});
-  }
-  if (store_node_witnesses) {
-    store_node_witnesses = false;
-    node_witnesses.OnStoring();
-    batch.records.push_back({kNodeWitnessesKey, node_witnesses.Encode()});
-  }
-  batch_has_lease_waits = store_lease_waits;
-  if (store_lease_waits) {
-    batch.records.push_back({kLeaseWaitsKey, TakeLeaseWaits()});
-  }
+  AddLeaseRecords(batch);
   batch_taken_at = now.steady;
   batch_has_records = !batch.records.empty();
   batch_changes =
@@ -497,9 +484,7 @@
   now = time;
   stored_changes = std::max(stored_changes, batch_changes);
   if (batch_has_records) Confirm(batch_taken_at);
-  witnesses.OnStored();
-  node_witnesses.OnStored();
-  if (batch_has_lease_waits) OnLeaseWaitsStored();
+  OnLeaseRecordsStored();
   for (const std::pair<std::string, JobState>& stored : batch_jobs) {
     const auto found = jobs.find(stored.first);
     if (found == jobs.end()) continue;
--- a/src/jobs/internal/shard_waits.cc
+++ b/src/jobs/internal/shard_waits.cc
@@ -40,16 +40,13 @@
   }
   const Run& run = task.runs.back();
   const WorkerState& worker = *run.worker;
-  if (!worker.contact_at.has_value()) {
-    return TaskWait{.reason = HaveFormerOwnersStopped()
-                                  ? WaitReason::kLease
-                                  : WaitReason::kFormerOwners,
-                    .since = std::max(worker.known_since, restored_at),
-                    .worker = worker.id};
-  }
-  if (worker.silent_since.has_value()) {
-    return TaskWait{.reason = WaitReason::kLease,
-                    .since = *worker.silent_since,
+  const std::optional<MonotonicTime> unanswered_since = UnansweredSince(worker);
+  if (unanswered_since.has_value()) {
+    const bool only_own_leases =
+        worker.contact_at.has_value() || former_owners_stopped_at.has_value();
+    return TaskWait{.reason = only_own_leases ? WaitReason::kLease
+                                              : WaitReason::kFormerOwners,
+                    .since = *unanswered_since,
                     .worker = worker.id};
   }
   if (run.state == RunState::kRunning) return std::nullopt;
@@ -61,16 +58,16 @@
 }
 
 void ShardCore::Impl::AddWaits(const Step& step,
-                               std::vector<StandingWait>& waits) const {
+                               std::vector<WaitingTask>& waits) const {
   for (const Task& task : step.tasks) {
     const std::optional<TaskWait> wait = FindWait(task);
     if (wait.has_value()) waits.push_back({.task = &task, .wait = *wait});
   }
 }
 
-std::vector<ShardCore::Impl::StandingWait> ShardCore::Impl::FindStandingWaits()
+std::vector<ShardCore::Impl::WaitingTask> ShardCore::Impl::FindStandingWaits()
     const {
-  std::vector<StandingWait> waits;
+  std::vector<WaitingTask> waits;
   for (const auto& [id, job] : jobs) {
     if (job->IsOver()) continue;
     for (const auto& [number, occurrence] : job->occurrences) {
@@ -80,14 +77,14 @@
     }
   }
   std::sort(waits.begin(), waits.end(),
-            [](const StandingWait& left, const StandingWait& right) {
+            [](const WaitingTask& left, const WaitingTask& right) {
               return left.wait.since < right.wait.since;
             });
   return waits;
 }
 
 void ShardCore::Impl::LogStandingWaits() {
-  const std::vector<StandingWait> waits = FindStandingWaits();
+  const std::vector<WaitingTask> waits = FindStandingWaits();
   standing_waits.count = waits.size();
   standing_waits.longest =
       waits.empty() ? Duration::zero() : now.steady - waits.front().wait.since;
--- a/src/jobs/lease_witnesses.h
+++ b/src/jobs/lease_witnesses.h
@@ -68,7 +68,8 @@
   // Whether there never were any, not even ones that may be stored or not.
   bool IsEmpty() const { return present_.empty() && !storing_; }
   // The witness answered an order of this owner that was sent at `sent_at`.
-  void OnAnswered(const Witness& witness, MonotonicTime sent_at);
+  // Returns whether it is one.
+  bool OnAnswered(const Witness& witness, MonotonicTime sent_at);
   // An order to `id` was answered by an incarnation that began after those of
   // all other witnesses of this ID. `living` is that incarnation if it has the
   // same ID.
