--- a/src/jobs/tests/lost_witnesses_test.cc
+++ b/src/jobs/tests/lost_witnesses_test.cc
@@ -92,17 +92,9 @@
   // Runs a task on "w"; the workers "v", "w" and "x" and the nodes "a", "b" and
   // "c" are witnesses.
   static void RunOneTaskWithWitnesses(ShardBench& bench) {
-    const SentStart start = bench.SubmitAndTakeStart();
-    bench.now.steady += milliseconds(1);
-    bench.ConfirmStart(start);
-    for (const char* worker : {"v", "x"}) {
-      bench.AddWorker(worker);
-      bench.AnswerHold(worker);
-    }
+    bench.RunOneTask();
     bench.AnswerFromNodes({"a", "b", "c"});
-    bench.core->OnFormerOwnersStopped(bench.now);
-    bench.AdvanceTime(milliseconds(1100));
-    bench.Store();
+    bench.StoreWitnesses();
   }
 
   static void LoseWorkersWithTheOwner(ShardBench& bench) {
--- a/src/jobs/tests/replaced_incarnation_test.cc
+++ b/src/jobs/tests/replaced_incarnation_test.cc
@@ -19,7 +19,7 @@
  public:
   void TasksOfAReplacedIncarnationWaitForItsLease() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     bench.AnswerHold("v");
     bench.AnswerHoldAsLaterIncarnation("w");
@@ -30,7 +30,7 @@
 
   void NewOwnerWaitsForLeasesOfAReplacedIncarnation() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     bench.TakeOver();
     bench.AnswerHold("v");
@@ -44,14 +44,8 @@
   // witnesses that no longer exist.
   void ReplacedWitnessesCountAsSilent() {
     ShardBench bench;
-    RunOneTask(bench);
-    for (const char* worker : {"v", "x"}) {
-      bench.AddWorker(worker);
-      bench.AnswerHold(worker);
-    }
-    bench.core->OnFormerOwnersStopped(bench.now);
-    bench.AdvanceTime(milliseconds(1100));
-    bench.Store();
+    bench.RunOneTask();
+    bench.StoreWitnesses();
     bench.TakeOver();
     bench.LoseHold("w");
     bench.AnswerHoldAsLaterIncarnation("v");
@@ -87,7 +81,7 @@
 
   void WorkerThatHasMovedIsOver() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     const HoldPlan plan = bench.core->PlanHold("w", bench.now);
     const MonotonicTime sent_at = bench.now.steady;
     bench.AdvanceTime(milliseconds(50));
@@ -99,13 +93,6 @@
   }
 
  private:
-  static void RunOneTask(ShardBench& bench) {
-    const SentStart start = bench.SubmitAndTakeStart();
-    bench.now.steady += milliseconds(1);
-    bench.ConfirmStart(start);
-    bench.now.steady += milliseconds(1);
-  }
-
   static void AssertStartedOn(const ShardBench& bench,
                               const std::string& worker) {
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -185,6 +185,24 @@
   return TakeStarts().at(0);
 }
 
+SentStart ShardBench::RunOneTask() {
+  SentStart start = SubmitAndTakeStart();
+  now.steady += std::chrono::milliseconds(1);
+  ConfirmStart(start);
+  now.steady += std::chrono::milliseconds(1);
+  return start;
+}
+
+void ShardBench::StoreWitnesses() {
+  for (const char* worker : {"v", "x"}) {
+    AddWorker(worker);
+    AnswerHold(worker);
+  }
+  core->OnFormerOwnersStopped(now);
+  AdvanceTime(std::chrono::milliseconds(1100));
+  Store();
+}
+
 void ShardBench::AdvanceTime(std::chrono::milliseconds time) {
   constexpr std::chrono::milliseconds kStep{50};
   for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -96,6 +96,11 @@
   // Adds worker "w", submits job "j" of one task and returns its start, which
   // is not confirmed yet.
   SentStart SubmitAndTakeStart();
+  // Runs the only task of job "j" on worker "w".
+  SentStart RunOneTask();
+  // Adds the workers "v" and "x" and stores all workers and nodes that answer
+  // as witnesses.
+  void StoreWitnesses();
   std::vector<SentStart> TakeStarts() { return std::exchange(starts, {}); }
 
   ShardTime now{.steady = MonotonicTime(std::chrono::seconds(1000)),
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -152,7 +152,7 @@
 
   void EndIsAcknowledgedAfterItIsStored() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {}, {bench.EndedRow(1, start)});
     CPPUNIT_ASSERT_EQUAL(
         std::uint64_t{0},
@@ -165,7 +165,7 @@
 
   void CompletionIsReportedAfterItIsStored() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {}, {bench.EndedRow(1, start)});
     CPPUNIT_ASSERT(JobState::kRunning == StoredStateOfJob(bench));
     bench.Store();
@@ -206,7 +206,7 @@
 
   void TaskThatFailsTooOftenFailsItsJob() {
     ShardBench bench;
-    SentStart start = RunOneTask(bench);
+    SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {},
                      {bench.EndedRow(1, start, contracts::EndKind::kFailed)});
     bench.Store();
@@ -224,7 +224,7 @@
   // route is removed for a while.
   void JobFailsAtOnceWhileItsQueueIsNotConfigured() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.DropQueue();
     AssertFailsAtItsSecondFailure(bench, start);
   }
@@ -232,7 +232,7 @@
   // The same, because a new owner has not read the configuration.
   void JobFailsAtOnceUnderAnOwnerWithoutConfiguration() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.config_unread = true;
     bench.TakeOver();
     AssertFailsAtItsSecondFailure(bench, start);
@@ -274,7 +274,7 @@
 
   void CancelStopsRunningTasks() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     CPPUNIT_ASSERT(bench.core->Cancel("j", bench.now).known);
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
@@ -298,7 +298,7 @@
 
   void SilentWorkerKeepsItsTasksUntilTheLeaseIsOver() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     bench.AnswerHold("v");
     bench.LoseHold("w");
@@ -319,7 +319,7 @@
   // gap in the reports, in which nobody could see their progress.
   void PausedOwnerTakesRunningTasksForStalled() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     contracts::RunningTask row = bench.RunningRow(start);
     row.percent = 10;
     bench.AnswerHold("w", {row});
@@ -335,7 +335,7 @@
 
   void TaskWithoutProgressIsStopped() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     contracts::RunningTask row = bench.RunningRow(start);
     row.percent = 10;
     for (int i = 0; i < 6 && bench.stops.empty(); ++i) {
@@ -382,7 +382,7 @@
 
   void HoldsWithoutAnAnswerRenewNoLease() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     for (int i = 0; i < 40 && bench.starts.empty(); ++i) {
       bench.AnswerHold("v");
@@ -413,7 +413,7 @@
 
   void NewOwnerAdoptsRunningTasks() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.TakeOver();
     bench.AnswerHold("w", {bench.RunningRow(start)});
     bench.Store();
@@ -425,7 +425,7 @@
 
   void NewOwnerRestartsTasksThatNeverArrived() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.TakeOver();
     bench.AnswerHold("w");
     bench.Store();
@@ -435,7 +435,7 @@
 
   void NewOwnerAssumesMaxLeaseAtFirstContact() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AddWorker("v");
     bench.TakeOver();
     bench.AnswerHold("v");
@@ -450,7 +450,7 @@
 
   void OrderAnswerBeforeFirstHoldDoesNotEndLeases() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AddWorker("v");
     bench.TakeOver();
     bench.AnswerHold("v");
@@ -468,7 +468,7 @@
 
   void NewOwnerWaitsOutLeasesOfUnreachedWorker() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     bench.TakeOver();
     bench.AnswerHold("v");
@@ -484,7 +484,7 @@
 
   void StoppedFormerOwnersShortenTheWait() {
     ShardBench bench;
-    RunOneTask(bench);
+    bench.RunOneTask();
     bench.AddWorker("v");
     bench.TakeOver();
     bench.core->OnFormerOwnersStopped(bench.now);
@@ -631,7 +631,7 @@
 
   void UnlistedWorkerIsHeldWhileItRunsTasks() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.core->SetWorkers({}, bench.now.steady, bench.now);
     CPPUNIT_ASSERT(bench.core->Target("w").has_value());
     bench.AnswerHold("w", {}, {bench.EndedRow(1, start)});
@@ -688,7 +688,7 @@
 
   void RestartedWorkerLosesItsTasks() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {bench.RunningRow(start)});
     const HoldPlan plan = bench.core->PlanHold("w", bench.now);
     const MonotonicTime sent_at = bench.now.steady;
@@ -707,7 +707,7 @@
   // answers one order and is lost before the next hold.
   void LeaseOfAFormerLifeLastsByTheNewClock() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {bench.RunningRow(start)});
     bench.core->Cancel("j", bench.now);
     bench.Submit("k", MakeJob(4));
@@ -821,7 +821,7 @@
   // numbers that were acknowledged before.
   void NothingIsAcknowledgedAfterAnUnansweredHold() {
     ShardBench bench;
-    const SentStart start = RunOneTask(bench);
+    const SentStart start = bench.RunOneTask();
     bench.AnswerHold("w", {}, {bench.EndedRow(1, start)});
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(
@@ -1037,14 +1037,8 @@
   // Runs the only task of job "j" on worker "w"; "v", "w" and "x" are the
   // witnesses.
   static void RunOneTaskWithWitnesses(ShardBench& bench) {
-    RunOneTask(bench);
-    for (const char* worker : {"v", "x"}) {
-      bench.AddWorker(worker);
-      bench.AnswerHold(worker);
-    }
-    bench.core->OnFormerOwnersStopped(bench.now);
-    bench.AdvanceTime(milliseconds(1100));
-    bench.Store();
+    bench.RunOneTask();
+    bench.StoreWitnesses();
   }
   // Runs the two tasks of job "j" on worker "w".
   static std::vector<SentStart> RunTwoTasks(ShardBench& bench) {
@@ -1058,14 +1052,6 @@
     bench.now.steady += milliseconds(1);
     return runs;
   }
-  // Runs the only task of job "j" on worker "w".
-  static SentStart RunOneTask(ShardBench& bench) {
-    SentStart start = bench.SubmitAndTakeStart();
-    bench.now.steady += milliseconds(1);
-    bench.ConfirmStart(start);
-    bench.now.steady += milliseconds(1);
-    return start;
-  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShardCoreTest, "shard_core_test");
