Lines and a gauge that tell why a task of a cancelled job runs

The incident's hypotheses could not be told apart: 'answered' did not say whether it was a cancel, the owner wrote nothing about a cancel of a job that it does not know or about a withdrawal, and nothing said that a worker lists a run of a job that is over.

Added: 'call' in 'answered'; the owner's lines 'cancel' (state before, stored, runs, time since the owner was confirmed), 'job withdrawn', 'run not stopped' (stops sent and their error, since when over, asked and confirmed; once a second, 8 for a worker), age and number of stops in 'unknown run'; the gauge carobmast_leftover_runs. No order and no answer changes.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "contracts/task_workers.h"
@@ -31,6 +32,16 @@
   kRunning,  // confirmed
 };
 
+// Identifies a run by task and attempt. Unlike a pointer it stays valid when
+// other runs end.
+using RunKey = std::pair<contracts::TaskKey, std::uint32_t>;
+
+// A run that a worker lists and the owner does not know.
+struct UnknownRun {
+  MonotonicTime since;
+  std::uint32_t stops_sent = 0;
+};
+
 // One execution of a task on one worker, from its stored intent until its end
 // is known.
 struct Run : boost::intrusive::list_base_hook<
@@ -53,7 +64,11 @@
   MonotonicTime retry_at;
   bool stop_requested = false;
   bool stop_in_flight = false;
+  MonotonicTime stop_requested_at;
   std::optional<MonotonicTime> stop_confirmed_at;
+  std::uint32_t stops_sent = 0;
+  // Why the last stop was not confirmed; empty when it was.
+  std::string stop_error;
   // As last reported by the worker: progress in percent, and the measured
   // value, which is the latency in milliseconds of a standing task and the
   // processor use of a filler in thousandths of a processor.
@@ -167,6 +182,8 @@
   // The state as stored, which callers are told.
   JobState stored_state = JobState::kQueued;
   std::int64_t ended_at_ms = 0;
+  // Since when this owner has known the end.
+  MonotonicTime over_since;
   std::map<std::uint32_t, std::unique_ptr<Occurrence>> occurrences;
   std::uint32_t next_occurrence = 0;
   std::uint32_t finished_occurrences = 0;
@@ -226,6 +243,11 @@
   // thousandths of one.
   std::uint64_t critical_milli_cpus = 0;
   boost::intrusive::list<Run, boost::intrusive::constant_time_size<false>> runs;
+  // Of the last report.
+  std::map<RunKey, UnknownRun> unknown_runs;
+  // Runs in the last report that should have been stopped before.
+  std::size_t leftover_runs = 0;
+  MonotonicTime leftover_logged_at;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t seen_end = 0;
   // The number of the change that must be stored before the ends up to
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -196,8 +196,20 @@
 CancelAnswer ShardCore::Cancel(const std::string& id, ShardTime now) {
   impl_->now = now;
   const auto found = impl_->jobs.find(id);
-  if (found == impl_->jobs.end()) return {};
+  if (found == impl_->jobs.end()) {
+    impl_->hooks.decided("cancel",
+                         {{"job", id},
+                          {"state", "unknown job"},
+                          {"confirmed", now.steady - impl_->confirmed_at}});
+    return {};
+  }
   Job& job = *found->second;
+  impl_->hooks.decided("cancel",
+                       {{"job", id},
+                        {"state", StateName(job.state)},
+                        {"stored", job.spec_written},
+                        {"runs", job.run_count},
+                        {"confirmed", now.steady - impl_->confirmed_at}});
   if (!job.IsOver()) {
     job.cancelled = true;
     impl_->EndJob(job, JobState::kCancelled);
@@ -216,6 +228,8 @@
   if (found == impl_->jobs.end()) return false;
   Job& job = *found->second;
   if (job.spec_written || --job.waiting_submissions > 0) return false;
+  impl_->hooks.decided("job withdrawn",
+                       {{"job", id}, {"state", StateName(job.state)}});
   std::erase_if(impl_->ended_jobs,
                 [&id](const auto& ended) { return ended.second == id; });
   impl_->ForgetJob(job, "withdrawn");
@@ -388,6 +402,7 @@
   Run* run = impl_->FindRun(*found->second, order.task, order.attempt);
   if (run == nullptr) return;
   run->stop_in_flight = false;
+  run->stop_error = answer.error;
   impl_->OnOrderAnswer(*found->second, answer);
   if (answer.outcome == OrderOutcome::kDone) {
     run->stop_confirmed_at = now.steady;
@@ -450,6 +465,14 @@
   return impl_->standing_waits;
 }
 
+std::size_t ShardCore::leftover_runs() const {
+  std::size_t runs = 0;
+  for (const auto& [id, worker] : impl_->workers) {
+    runs += worker->leftover_runs + worker->unknown_runs.size();
+  }
+  return runs;
+}
+
 std::size_t ShardCore::open_jobs() const {
   return static_cast<std::size_t>(
       std::count_if(impl_->jobs.begin(), impl_->jobs.end(),
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -196,6 +196,15 @@
   void SetSilent(WorkerState& worker, const std::string& error);
   void OnRunningList(WorkerState& worker, const contracts::HoldAnswer& answer,
                      MonotonicTime sent_at);
+  // Stops a run that the worker lists and this owner does not know.
+  void StopUnknownRun(WorkerState& worker, const contracts::RunningTask& row,
+                      const std::map<RunKey, UnknownRun>& known_before);
+  // Whether the run, listed in an answer to a hold sent at `sent_at`, should
+  // have ended before.
+  bool IsLeftover(const Run& run, MonotonicTime sent_at) const;
+  // Logs the runs that should have ended, at most once a second for a worker.
+  void LogLeftoverRuns(WorkerState& worker,
+                       const std::vector<const Run*>& leftover);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
   // Keeps the checkpoint of a task whose step makes some.
@@ -421,9 +430,6 @@
 // The key that identifies the task in orders to workers.
 contracts::TaskKey KeyOfTask(const Task& task);
 
-// Identifies a run by task and attempt. Unlike a pointer it stays valid when
-// other runs end.
-using RunKey = std::pair<contracts::TaskKey, std::uint32_t>;
 RunKey KeyOfRun(const Run& run);
 
 }  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -202,6 +202,7 @@
   if (job.IsOver()) return;
   job.state = state;
   job.ended_at_ms = ToMilliseconds(now.wall);
+  job.over_since = now.steady;
   ended_jobs.emplace_back(job.ended_at_ms, job.id);
   if (state == JobState::kCompleted) ++counters.jobs_completed;
   if (state == JobState::kFailed) ++counters.jobs_failed;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -118,6 +118,7 @@
   }
   if (run.stop_requested) return;
   run.stop_requested = true;
+  run.stop_requested_at = now.steady;
   ++counters.stops;
   hooks.decided("stop", {{"job", run.task->step->occurrence->job->id},
                          {"step", run.task->step->number},
@@ -131,6 +132,7 @@
 void ShardCore::Impl::SendStop(Run& run) {
   if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
   run.stop_in_flight = true;
+  ++run.stops_sent;
   hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
              {.task = KeyOfTask(*run.task),
               .attempt = run.attempt,
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -305,7 +305,9 @@
     job->restored_progress.clear();
     RestoreOccurrences(*job, progress);
     job->stored_state = job->state;
-    if (job->IsOver()) ended_jobs.emplace_back(job->ended_at_ms, id);
+    if (!job->IsOver()) continue;
+    job->over_since = now.steady;
+    ended_jobs.emplace_back(job->ended_at_ms, id);
   }
   // Blocks of jobs that were dropped in part.
   for (const auto& [id, blocks] : restored_blocks) {
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -1,7 +1,9 @@
 // Reports of workers about their runs, and the health of workers.
 #include <algorithm>
+#include <utility>
 
 #include "jobs/internal/shard_impl.h"
+#include "jobs/job_record.h"
 
 namespace carobmast::jobs {
 
@@ -29,6 +31,10 @@
 constexpr std::uint32_t kMinJudgedPace = 60;
 // Interval between log lines with the state of the shard.
 constexpr milliseconds kSummaryInterval{1000};
+// Interval between log lines about runs of a worker that were not stopped, and
+// their maximum number.
+constexpr milliseconds kLeftoverLogInterval{1000};
+constexpr std::size_t kMaxLeftoverLines = 8;
 
 RunEnd ToRunEnd(contracts::EndKind kind) {
   switch (kind) {
@@ -230,25 +236,87 @@
       {{"worker", worker.id}, {"reason", reason}, {"pause", Duration(pause)}});
 }
 
+void ShardCore::Impl::StopUnknownRun(
+    WorkerState& worker, const contracts::RunningTask& row,
+    const std::map<RunKey, UnknownRun>& known_before) {
+  UnknownRun& unknown =
+      worker.unknown_runs
+          .try_emplace({row.task, row.attempt}, UnknownRun{.since = now.steady})
+          .first->second;
+  const auto before = known_before.find({row.task, row.attempt});
+  if (before != known_before.end()) unknown = before->second;
+  const auto job = jobs.find(row.task.job);
+  hooks.decided("unknown run",
+                {{"job", row.task.job},
+                 {"step", row.task.step},
+                 {"task", row.task.index},
+                 {"attempt", row.attempt},
+                 {"worker", worker.id},
+                 {"state", job == jobs.end() ? "unknown job"
+                                             : StateName(job->second->state)},
+                 {"since", now.steady - unknown.since},
+                 {"stops", unknown.stops_sent}});
+  ++unknown.stops_sent;
+  hooks.stop(
+      {.id = worker.id, .address = worker.entry.address},
+      {.task = row.task, .attempt = row.attempt, .token = options.token});
+}
+
+bool ShardCore::Impl::IsLeftover(const Run& run, MonotonicTime sent_at) const {
+  if (run.stop_confirmed_at.has_value()) {
+    return sent_at - *run.stop_confirmed_at > options.stop_time;
+  }
+  const Job& job = *run.task->step->occurrence->job;
+  return job.IsOver() && sent_at - job.over_since > options.stop_time;
+}
+
+void ShardCore::Impl::LogLeftoverRuns(WorkerState& worker,
+                                      const std::vector<const Run*>& leftover) {
+  worker.leftover_runs = leftover.size();
+  if (leftover.empty() ||
+      now.steady - worker.leftover_logged_at < kLeftoverLogInterval) {
+    return;
+  }
+  worker.leftover_logged_at = now.steady;
+  std::size_t lines = 0;
+  for (const Run* run : leftover) {
+    if (++lines > kMaxLeftoverLines) break;
+    const Job& job = *run->task->step->occurrence->job;
+    std::vector<telemetry::Field> fields = {{"job", job.id},
+                                            {"step", run->task->step->number},
+                                            {"task", run->task->index},
+                                            {"attempt", run->attempt},
+                                            {"worker", worker.id},
+                                            {"state", StateName(job.state)},
+                                            {"stops", run->stops_sent},
+                                            {"error", run->stop_error}};
+    if (job.IsOver()) fields.emplace_back("over", now.steady - job.over_since);
+    if (run->stop_requested) {
+      fields.emplace_back("asked", now.steady - run->stop_requested_at);
+    }
+    if (run->stop_confirmed_at.has_value()) {
+      fields.emplace_back("confirmed", now.steady - *run->stop_confirmed_at);
+    }
+    hooks.decided("run not stopped", fields);
+  }
+}
+
 void ShardCore::Impl::OnRunningList(WorkerState& worker,
                                     const contracts::HoldAnswer& answer,
                                     MonotonicTime sent_at) {
   std::set<const Run*> listed;
+  std::vector<const Run*> leftover;
+  const std::map<RunKey, UnknownRun> unknown_before =
+      std::exchange(worker.unknown_runs, {});
   worker.reported_clock = answer.clock.value_or(worker.reported_clock);
   for (const contracts::RunningTask& row : answer.running) {
     Run* run = FindRun(worker, row.task, row.attempt);
     if (run == nullptr) {
-      hooks.decided("unknown run", {{"job", row.task.job},
-                                    {"step", row.task.step},
-                                    {"task", row.task.index},
-                                    {"attempt", row.attempt},
-                                    {"worker", worker.id}});
-      hooks.stop(
-          {.id = worker.id, .address = worker.entry.address},
-          {.task = row.task, .attempt = row.attempt, .token = options.token});
+      StopUnknownRun(worker, row, unknown_before);
       continue;
     }
     listed.insert(run);
+    if (IsLeftover(*run, sent_at)) leftover.push_back(run);
     run->task->step->occurrence->job->started = true;
     if (run->state != RunState::kRunning) {
       run->state = RunState::kRunning;
@@ -266,6 +334,7 @@
     run->measured = row.measured;
     SetCheckpoint(*run->task, row.checkpoint);
   }
+  LogLeftoverRuns(worker, leftover);
   std::set<RunKey> ended;
   for (const contracts::EndedTask& row : answer.ended) {
     ended.emplace(row.task, row.attempt);
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -105,6 +105,9 @@
   const StandingWaits& standing_waits() const;
   // The number of jobs that have not ended.
   std::size_t open_jobs() const;
+  // The number of runs that workers listed last although they should have been
+  // stopped before, or although this owner does not know them.
+  std::size_t leftover_runs() const;
 
  private:
   struct Impl;
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -42,6 +42,8 @@
   std::chrono::milliseconds keep_ended{120000};
   // Delay before an order without an answer is repeated.
   std::chrono::milliseconds order_retry_interval{50};
+  // Maximum time that a worker takes to end a run once it has confirmed a stop.
+  std::chrono::milliseconds stop_time{500};
   // A worker that has not answered for this long gets no new tasks.
   std::chrono::milliseconds silence_timeout{700};
   // No start is sent when the view of the registry is older than this. The
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -70,6 +70,20 @@
   }
 }
 
+const char* KindName(FrontKind kind) {
+  switch (kind) {
+    case FrontKind::kSubmit:
+      return "submit";
+    case FrontKind::kCancel:
+      return "cancel";
+    case FrontKind::kState:
+      return "state";
+    case FrontKind::kOther:
+      return "other";
+  }
+  return "other";
+}
+
 const char* OutcomeName(FrontOutcome outcome) {
   switch (outcome) {
     case FrontOutcome::kAccepted:
@@ -119,7 +133,8 @@
                         answer.outcome == FrontOutcome::kPendingCount;
   if (!is_query) {
     log_.Write("answered",
-               {{"path", path},
+               {{"call", KindName(kind)},
+                {"path", path},
                 {"outcome", OutcomeName(answer.outcome)},
                 {"reason", answer.reason},
                 {"owner", election_.claim().node},
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -71,6 +71,7 @@
           .former_owners_need_nodes = former_owners_need_nodes,
           .max_lease = std::min(settings.max_lease, kMaxLease),
           .keep_ended = settings.keep_ended,
+          .stop_time = settings.stop_time,
           .max_registry_age = MaxRegistryAge(settings),
           .far_factor = settings.far_factor};
 }
@@ -504,6 +505,7 @@
     // and known jobs are based on the former values.
     settings_.max_lease = new_settings.max_lease;
     settings_.keep_ended = new_settings.keep_ended;
+    settings_.stop_time = new_settings.stop_time;
     settings_.far_factor = new_settings.far_factor;
     if (owner_ != nullptr) owner_->SetMaxRegistryAge(MaxRegistryAge(settings_));
     log_.Write("reloaded", {{"stop_grace", settings_.stop_grace},
@@ -597,6 +599,9 @@
             counters.moves);
   set_gauge("carobmast_open_jobs", "Jobs that are not over",
             owner_->core().open_jobs());
+  set_gauge("carobmast_leftover_runs",
+            "Runs that workers list although they should have ended",
+            owner_->core().leftover_runs());
   const jobs::StandingWaits& waits = owner_->core().standing_waits();
   set_gauge("carobmast_standing_tasks_waiting",
             "Standing tasks that no worker in contact runs", waits.count);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds max_lease{6000};
   // How long the state of an ended job is kept.
   std::chrono::milliseconds keep_ended{120000};
+  // Maximum time that a worker takes to end a run once it has confirmed a stop.
+  std::chrono::milliseconds stop_time{500};
   // How many times as long a task takes outside the rack of its data.
   double far_factor = 1;
   // Longest time after a worker has announced that it leaves in which it may
