A cancel that overtakes its submission is remembered

Cause: a cancel of an ID that the owner did not know was answered 'no such job' at once, and callers take that for an acknowledgement. Nothing was kept. A submission of that ID that arrived later, held up in a paused node, in a link, or in a front that tried again after a change of owner, started the job.

Change: the owner remembers such an ID (CancelledIds) and answers once that is stored. A submission that arrives later is accepted as a cancelled job, under this owner and its successors, for as long as an ended job is known. The answer now needs an append under the owner's epoch, so an owner that was replaced can't give it for a job of its successor.

--- /dev/null
+++ b/src/jobs/internal/cancelled_ids.cc
@@ -0,0 +1,108 @@
+#include "jobs/internal/cancelled_ids.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+#include "framework/base/error.h"
+#include "jobs/generated/jobs.pb.h"
+#include "jobs/job_record.h"
+
+namespace carobmast::jobs {
+
+namespace {
+
+// A record is written again with each ID that is added to it: 13 KB at most, at
+// 200 bytes an ID.
+constexpr std::size_t kMaxIdsPerPage = 64;
+// How long IDs are added to the same page. The first of them is remembered for
+// this much longer than necessary.
+constexpr std::chrono::seconds kPageTime{10};
+
+std::string KeyOfPage(std::uint64_t number) {
+  return kCancelledIdsPrefix + std::to_string(number);
+}
+
+}  // namespace
+
+CancelledIds::CancelledIds(CancelledIdsOptions options) : options_(options) {}
+
+CancelledIds::Page& CancelledIds::OpenPage(MonotonicTime now) {
+  if (!pages_.empty()) {
+    Page& last = pages_.rbegin()->second;
+    if (last.ids.size() < kMaxIdsPerPage && now - last.begun_at < kPageTime) {
+      return last;
+    }
+  }
+  const std::uint64_t number = pages_.empty() ? 0 : pages_.rbegin()->first + 1;
+  Page& page = pages_[number];
+  page.begun_at = now;
+  return page;
+}
+
+bool CancelledIds::Add(const std::string& id, MonotonicTime now) {
+  if (Contains(id)) return true;
+  if (pages_by_id_.size() >= options_.max_ids) return false;
+  Page& page = OpenPage(now);
+  page.ids.push_back(id);
+  page.last_added_at = now;
+  page.changed = true;
+  pages_by_id_.emplace(id, pages_.rbegin()->first);
+  return true;
+}
+
+void CancelledIds::Expire(MonotonicTime now) {
+  while (!pages_.empty()) {
+    const auto first = pages_.begin();
+    if (now - first->second.last_added_at <= options_.keep) return;
+    for (const std::string& id : first->second.ids) pages_by_id_.erase(id);
+    dropped_keys_.push_back(KeyOfPage(first->first));
+    pages_.erase(first);
+  }
+}
+
+void CancelledIds::Restore(const contracts::KeyedRecord& record) {
+  if (!record.value.has_value()) return;
+  const std::string_view digits =
+      std::string_view(record.key)
+          .substr(std::string_view(kCancelledIdsPrefix).size());
+  std::uint64_t number = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  proto::CancelledIds page;
+  if (parsed.ec != std::errc() || !page.ParseFromString(*record.value)) {
+    throw Error("restore", record.key, "malformed record of cancelled IDs");
+  }
+  pages_[number].ids.assign(page.ids().begin(), page.ids().end());
+  for (const std::string& id : page.ids()) pages_by_id_[id] = number;
+}
+
+void CancelledIds::FinishRestore(MonotonicTime now) {
+  for (auto& [number, page] : pages_) {
+    page.begun_at = now;
+    page.last_added_at = now;
+  }
+}
+
+bool CancelledIds::HasChanges() const {
+  return !dropped_keys_.empty() ||
+         std::any_of(pages_.begin(), pages_.end(),
+                     [](const auto& entry) { return entry.second.changed; });
+}
+
+void CancelledIds::TakeRecords(std::vector<contracts::KeyedRecord>& records) {
+  for (std::string& key : dropped_keys_) {
+    records.push_back({.key = std::move(key), .value = std::nullopt});
+  }
+  dropped_keys_.clear();
+  for (auto& [number, page] : pages_) {
+    if (!page.changed) continue;
+    page.changed = false;
+    proto::CancelledIds record;
+    for (const std::string& id : page.ids) record.add_ids(id);
+    records.push_back(
+        {.key = KeyOfPage(number), .value = record.SerializeAsString()});
+  }
+}
+
+}  // namespace carobmast::jobs
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -171,8 +171,10 @@
   }
   const auto policy = impl_->queues.find(queue);
   if (policy == impl_->queues.end()) return {};
+  const bool is_cancelled = impl_->cancelled_ids.Contains(id);
   const std::optional<milliseconds> retry_after =
-      impl_->RejectForLoad(id, policy->second, spec);
+      is_cancelled ? std::nullopt
+                   : impl_->RejectForLoad(id, policy->second, spec);
   if (retry_after.has_value()) {
     return {.outcome = SubmitOutcome::kNoRoom, .retry_after = *retry_after};
   }
@@ -184,12 +186,17 @@
   job.accepted_at_ms = now.wall.time_since_epoch().count();
   impl_->SetPolicy(job);
   impl_->MarkChanged(job);
-  impl_->BeginDueOccurrences(job, now);
   ++impl_->counters.accepted;
   impl_->hooks.decided("job taken", {{"job", id},
                                      {"queue", queue},
                                      {"steps", spec.steps.size()},
-                                     {"priority", job.priority}});
+                                     {"priority", job.priority},
+                                     {"cancelled", is_cancelled}});
+  if (is_cancelled) {
+    impl_->CancelJob(job);
+  } else {
+    impl_->BeginDueOccurrences(job, now);
+  }
   return {SubmitOutcome::kNewJob, impl_->changes};
 }
 
@@ -200,8 +207,12 @@
     impl_->hooks.decided("cancel",
                          {{"job", id},
                           {"state", "unknown job"},
+                          {"remembered", impl_->cancelled_ids.size()},
                           {"confirmed", now.steady - impl_->confirmed_at}});
-    return {};
+    const bool remembered = impl_->RememberCancelled(id);
+    return {.outcome = remembered ? CancelOutcome::kUnknownJob
+                                  : CancelOutcome::kNoRoom,
+            .change = impl_->changes};
   }
   Job& job = *found->second;
   impl_->hooks.decided("cancel",
@@ -210,11 +221,9 @@
                         {"stored", job.spec_written},
                         {"runs", job.run_count},
                         {"confirmed", now.steady - impl_->confirmed_at}});
-  if (!job.IsOver()) {
-    job.cancelled = true;
-    impl_->EndJob(job, JobState::kCancelled);
-  }
-  return {true, job.change == 0 ? impl_->batch_changes : impl_->changes};
+  impl_->CancelJob(job);
+  return {.outcome = CancelOutcome::kCancelled,
+          .change = job.change == 0 ? impl_->batch_changes : impl_->changes};
 }
 
 std::optional<JobState> ShardCore::StoredState(const std::string& id) const {
@@ -248,7 +257,7 @@
 bool ShardCore::HasChanges() const {
   return impl_->schedule_requested || !impl_->changed_jobs.empty() ||
          !impl_->dropped_keys.empty() || !impl_->dropped_block_keys.empty() ||
-         impl_->HasLeaseRecords();
+         impl_->cancelled_ids.HasChanges() || impl_->HasLeaseRecords();
 }
 
 std::uint64_t ShardCore::stored_changes() const {
@@ -454,6 +463,7 @@
   impl_->Rebalance();
   impl_->AskAdvice();
   impl_->DropEndedJobs();
+  impl_->cancelled_ids.Expire(now.steady);
   impl_->UpdateWitnesses();
   impl_->SendQueuedStarts();
   impl_->LogSummary();
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -13,6 +13,7 @@
 
 #include "jobs/admission.h"
 #include "jobs/generated/jobs.pb.h"
+#include "jobs/internal/cancelled_ids.h"
 #include "jobs/internal/model.h"
 #include "jobs/lease_witnesses.h"
 #include "jobs/shard_core.h"
@@ -65,6 +66,10 @@
   void FinishTask(Task& task);
   void FinishStep(Step& step);
   void EndJob(Job& job, JobState state);
+  void CancelJob(Job& job);
+  // Remembers that a job of this ID was cancelled. Returns false when there is
+  // no room for it.
+  bool RememberCancelled(const std::string& id);
   void StopAll(Job& job, const std::string& reason);
   void StopTask(Task& task, const std::string& reason);
   // Stops the job's runs and removes the job with all that points to it, but
@@ -352,6 +357,8 @@
   std::vector<std::string> dropped_block_keys;
   // Blocks by job ID, between Restore and FinishRestore only.
   std::map<std::string, std::vector<proto::Block>> restored_blocks;
+  // Cancelled IDs that no known job has, or had when it was cancelled.
+  CancelledIds cancelled_ids;
   // Ended jobs that are still known, by the time of their end.
   std::deque<std::pair<std::int64_t, std::string>> ended_jobs;
   // Numbers of the last change made and of the last change stored.
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -216,6 +216,20 @@
   MarkChanged(job);
 }
 
+void ShardCore::Impl::CancelJob(Job& job) {
+  if (job.IsOver()) return;
+  job.cancelled = true;
+  EndJob(job, JobState::kCancelled);
+}
+
+bool ShardCore::Impl::RememberCancelled(const std::string& id) {
+  if (cancelled_ids.Contains(id)) return true;
+  if (!cancelled_ids.Add(id, now.steady)) return false;
+  ++changes;
+  if (hooks.changed) hooks.changed();
+  return true;
+}
+
 void ShardCore::Impl::StopAll(Job& job, const std::string& reason) {
   for (const auto& [number, occurrence] : job.occurrences) {
     for (Step& step : occurrence->steps) {
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -131,6 +131,10 @@
     RestoreBlock(record);
     return;
   }
+  if (key.starts_with(kCancelledIdsPrefix)) {
+    cancelled_ids.Restore(record);
+    return;
+  }
   if (key == kWitnessesKey) {
     if (record.value.has_value() && !witnesses.Decode(*record.value)) {
       throw Error(kRestoreStep, record.key, "malformed record of witnesses");
@@ -299,6 +303,7 @@
   interference_stored_at = now.steady;
   restored_at = now.steady;
   confirmed_at = options.confirmed_at.value_or(now.steady);
+  cancelled_ids.FinishRestore(now.steady);
   for (const auto& [id, job] : jobs) {
     proto::Progress progress;
     progress.ParseFromString(job->restored_progress);
@@ -474,6 +479,7 @@
     interference_stored_at = now.steady;
     batch.records.push_back({kInterferenceKey, interference.Encode()});
   }
+  cancelled_ids.TakeRecords(batch.records);
   AddLeaseRecords(batch);
   batch_taken_at = now.steady;
   batch_has_records = !batch.records.empty();
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -513,6 +513,8 @@
 }
 
 ShardCore::Impl::Impl(ShardOptions shard_options, ShardHooks shard_hooks)
-    : options(shard_options), hooks(std::move(shard_hooks)) {}
+    : options(shard_options),
+      hooks(std::move(shard_hooks)),
+      cancelled_ids({.keep = shard_options.keep_ended}) {}
 
 }  // namespace carobmast::jobs
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -16,6 +16,8 @@
 inline constexpr char kJobPrefix[] = "j/";
 inline constexpr char kProgressPrefix[] = "p/";
 inline constexpr char kBlockPrefix[] = "b/";
+// Of the records of CancelledIds.
+inline constexpr char kCancelledIdsPrefix[] = "x/";
 inline constexpr char kInterferenceKey[] = "m/interference";
 inline constexpr char kWitnessesKey[] = "m/witnesses";
 inline constexpr char kNodeWitnessesKey[] = "m/node-witnesses";
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -59,6 +59,8 @@
   // stored_changes() has reached the `change` of the answer.
   SubmitAnswer Submit(const std::string& id, const std::string& queue,
                       const JobSpec& spec, ShardTime now);
+  // A job of an unknown ID is cancelled before it is submitted: it will not
+  // run.
   CancelAnswer Cancel(const std::string& id, ShardTime now);
   // The state of the job as stored; empty when there is no such job.
   std::optional<JobState> StoredState(const std::string& id) const;
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -1,27 +1,36 @@
 // Cancelled jobs, and what arrives after their cancellation.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
+#include "jobs/job_record.h"
 #include "shard_bench.h"
 
 namespace carobmast::jobs {
 namespace {
 
-using contracts::OrderOutcome;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Whether a submission of job "j" that arrives now starts a task, under this
-// owner or under the next one.
+constexpr seconds kKeepEnded{120};
+
+bool HasStartOfJob(const std::vector<SentStart>& starts) {
+  return std::any_of(starts.begin(), starts.end(), [](const SentStart& start) {
+    return start.order.task.job == "j";
+  });
+}
+
+// Whether a submission of job "j" that arrives now starts a task of it, under
+// this owner or under the next one.
 bool RunsWhenSubmitted(ShardBench& bench) {
   bench.AddWorker("w");
   bench.AnswerHold("w");
   bench.Submit("j", MakeJob(1));
   bench.Store();
-  if (!bench.TakeStarts().empty()) return true;
+  if (HasStartOfJob(bench.TakeStarts())) return true;
   bench.TakeOver();
   bench.AnswerHold("w");
   bench.Store();
-  return !bench.TakeStarts().empty();
+  return HasStartOfJob(bench.TakeStarts());
 }
 
 }  // namespace
@@ -32,6 +41,11 @@
   CPPUNIT_TEST(JobRunsUnderANewOwnerThatWasCancelledBeforeItArrived);
   CPPUNIT_TEST(CancelledAndWithdrawnJobRunsWhenSubmittedAgain);
   CPPUNIT_TEST(CancelledAndWithdrawnJobRunsUnderANewOwner);
+  CPPUNIT_TEST(CancelOfAnUnknownJobIsAnsweredBeforeItIsStored);
+  CPPUNIT_TEST(CancelledUnknownJobIsShown);
+  CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
+  CPPUNIT_TEST(CancelledIdsAreKeptForEver);
+  CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,7 +77,80 @@
     CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
   }
 
+  // An owner that was replaced must not answer for jobs of its successor.
+  void CancelOfAnUnknownJobIsAnsweredBeforeItIsStored() {
+    ShardBench bench;
+    bench.Store();
+    const CancelAnswer cancelled = bench.core->Cancel("j", bench.now);
+    CPPUNIT_ASSERT(CancelOutcome::kUnknownJob == cancelled.outcome);
+    CPPUNIT_ASSERT(bench.core->stored_changes() < cancelled.change);
+    CPPUNIT_ASSERT(bench.core->HasChanges());
+    bench.Store();
+    CPPUNIT_ASSERT(bench.core->stored_changes() >= cancelled.change);
+  }
+
+  void CancelledUnknownJobIsShown() {
+    ShardBench bench;
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    CPPUNIT_ASSERT(!bench.core->StoredState("j").has_value());
+    CPPUNIT_ASSERT(SubmitOutcome::kNewJob ==
+                   bench.Submit("j", MakeJob(1)).outcome);
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kCancelled == bench.core->StoredState("j"));
+    CPPUNIT_ASSERT_EQUAL(0U, bench.core->PendingCounts().at("queue"));
+  }
+
+  void CancelledIdIsForgottenBeforeAnEndedJob() {
+    ShardBench bench;
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    for (int i = 0; i < 3; ++i) {
+      bench.AdvanceTime(kKeepEnded - seconds(1));
+      bench.Store();
+      bench.TakeOver();
+    }
+    CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
+  }
+
+  void CancelledIdsAreKeptForEver() {
+    ShardBench bench;
+    for (int i = 0; i < 200; ++i) {
+      bench.core->Cancel("j" + std::to_string(i), bench.now);
+      bench.Store();
+    }
+    CPPUNIT_ASSERT(CountCancelledRecords(bench) >= 1);
+    bench.AdvanceTime(kKeepEnded + seconds(1));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, CountCancelledRecords(bench));
+  }
+
+  void FloodOfCancelsDropsAnEarlierOne() {
+    ShardBench bench;
+    bench.core->Cancel("j", bench.now);
+    int refused = 0;
+    for (int i = 0; i < 100000; ++i) {
+      const CancelAnswer cancelled =
+          bench.core->Cancel("flood-" + std::to_string(i), bench.now);
+      if (cancelled.outcome == CancelOutcome::kNoRoom) ++refused;
+    }
+    CPPUNIT_ASSERT(refused > 0);
+    bench.Store();
+    CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
+    // A job that is known can still be cancelled.
+    bench.Submit("k", MakeJob(1));
+    CPPUNIT_ASSERT(CancelOutcome::kCancelled ==
+                   bench.core->Cancel("k", bench.now).outcome);
+  }
+
  private:
+  static std::ptrdiff_t CountCancelledRecords(const ShardBench& bench) {
+    return std::count_if(bench.stored.begin(), bench.stored.end(),
+                         [](const auto& record) {
+                           return record.first.starts_with(kCancelledIdsPrefix);
+                         });
+  }
+
   // The cancellation counts as stored afterwards.
   static void CancelAndWithdraw(ShardBench& bench) {
     bench.Submit("j", MakeJob(1));
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -275,11 +275,13 @@
   void CancelStopsRunningTasks() {
     ShardBench bench;
     bench.RunOneTask();
-    CPPUNIT_ASSERT(bench.core->Cancel("j", bench.now).known);
+    CPPUNIT_ASSERT(CancelOutcome::kCancelled ==
+                   bench.core->Cancel("j", bench.now).outcome);
     bench.Store();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.stops.size());
     CPPUNIT_ASSERT(JobState::kCancelled == StoredStateOfJob(bench));
-    CPPUNIT_ASSERT(!bench.core->Cancel("unknown", bench.now).known);
+    CPPUNIT_ASSERT(CancelOutcome::kUnknownJob ==
+                   bench.core->Cancel("unknown", bench.now).outcome);
   }
 
   void UnansweredStartIsRepeatedUnderItsAttempt() {
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -103,8 +103,16 @@
   std::chrono::milliseconds retry_after{0};
 };
 
+enum class CancelOutcome {
+  kCancelled,   // or ended before; in force once the change is stored
+  kUnknownJob,  // no such job; one that is submitted later does not run, once
+                // the change is stored
+  kNoRoom,      // nothing was done, as too many unknown IDs were cancelled
+};
+
 struct CancelAnswer {
-  bool known = false;
+  CancelOutcome outcome = CancelOutcome::kNoRoom;
+  // The change that must be stored before the caller is answered.
   std::uint64_t change = 0;
 };
 
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -40,6 +40,8 @@
 // the pause must stay below the age at which starts are held.
 constexpr milliseconds kRegistryReadWait{400};
 constexpr milliseconds kRegistryLogInterval{1000};
+// When callers may cancel unknown jobs again after too many of them.
+constexpr milliseconds kCancelRetryAfter{5000};
 // New jobs are refused at once when the store has failed for this long.
 constexpr milliseconds kRefuseJobsAfter{300};
 
@@ -586,9 +588,16 @@
 asio::awaitable<JobAnswer> Owner::Cancel(std::string id, Duration timeout) {
   if (!ready()) co_return MakeAnswer(JobAnswer::NOT_DONE, "not restored yet");
   const jobs::CancelAnswer cancelled = core_->Cancel(id, ShardNow());
-  if (!cancelled.known) co_return MakeAnswer(JobAnswer::UNKNOWN_JOB);
+  if (cancelled.outcome == jobs::CancelOutcome::kNoRoom) {
+    JobAnswer answer =
+        MakeAnswer(JobAnswer::NOT_DONE, "too many unknown jobs were cancelled");
+    answer.set_retry_after_ms(kCancelRetryAfter.count());
+    co_return answer;
+  }
   if (co_await WaitStored(cancelled.change, timeout)) {
-    co_return MakeAnswer(JobAnswer::DONE);
+    co_return MakeAnswer(cancelled.outcome == jobs::CancelOutcome::kCancelled
+                             ? JobAnswer::DONE
+                             : JobAnswer::UNKNOWN_JOB);
   }
   co_return MakeAnswer(JobAnswer::UNDECIDED, "not known to be stored");
 }
