A withdrawn submission takes no cancel with it

Cause: a job that was submitted, cancelled, and withdrawn because the store did not answer was forgotten with its cancellation. The cancel then counted as stored with the next change of another job, and was acknowledged; a copy of the submission started the job.

Change: the ID of a cancelled job that is withdrawn is remembered like one that was cancelled before its submission. The batch that the cancel waits for contains it: it was taken after the withdrawal.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -237,6 +237,7 @@
   if (found == impl_->jobs.end()) return false;
   Job& job = *found->second;
   if (job.spec_written || --job.waiting_submissions > 0) return false;
+  if (job.cancelled && !impl_->RememberCancelled(id)) return false;
   impl_->hooks.decided("job withdrawn",
                        {{"job", id}, {"state", StateName(job.state)}});
   std::erase_if(impl_->ended_jobs,
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -65,7 +65,8 @@
   // The state of the job as stored; empty when there is no such job.
   std::optional<JobState> StoredState(const std::string& id) const;
   // Gives up one submission of a job. Removes the job when it is in no batch
-  // yet and no other submission waits for it; only then returns true.
+  // yet and no other submission waits for it; only then returns true. A
+  // cancellation of the job stays in force.
   bool Withdraw(const std::string& id);
   // The number of accepted jobs, by queue, of which no task has started.
   std::map<std::string, std::uint32_t> PendingCounts() const;
