A replaced owner no longer denies jobs of its successor

The same cause elsewhere: a state request for a job that the owner does not know was answered 'no such job' without any proof that it still owns the shard.

Change: it says so only if it was confirmed in the last 2 s, below the 3 s after which an accepted job must be known. Otherwise the node tries again.

The answer itself has no test.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -31,6 +31,9 @@
 constexpr milliseconds kWitnessHoldWait{250};
 // Like kHoldWait, while a stop or an unanswered start is pending on the worker.
 constexpr milliseconds kUncertainHoldWait{100};
+// Below the 3 s after which operators expect every node to know an accepted
+// job. An idle owner is confirmed every 1.5 s.
+constexpr milliseconds kMaxDenialAge{2000};
 // Waiting steps are scheduled again at least this often.
 constexpr milliseconds kScheduleInterval{400};
 constexpr std::uint32_t kUnansweredHoldsToSilent = 2;
@@ -232,6 +235,10 @@
   return job->second->stored_state;
 }
 
+bool ShardCore::MayDenyJobs(ShardTime now) const {
+  return now.steady - impl_->confirmed_at <= kMaxDenialAge;
+}
+
 bool ShardCore::Withdraw(const std::string& id) {
   const auto found = impl_->jobs.find(id);
   if (found == impl_->jobs.end()) return false;
--- a/src/jobs/shard_core.h
+++ b/src/jobs/shard_core.h
@@ -64,6 +64,9 @@
   CancelAnswer Cancel(const std::string& id, ShardTime now);
   // The state of the job as stored; empty when there is no such job.
   std::optional<JobState> StoredState(const std::string& id) const;
+  // Whether no later owner existed so recently that a job which this one does
+  // not know may be said not to exist.
+  bool MayDenyJobs(ShardTime now) const;
   // Gives up one submission of a job. Removes the job when it is in no batch
   // yet and no other submission waits for it; only then returns true. A
   // cancellation of the job stays in force.
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -9,6 +9,7 @@
 namespace carobmast::jobs {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr seconds kKeepEnded{120};
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(CancelledAndWithdrawnJobRunsUnderANewOwner);
   CPPUNIT_TEST(CancelOfAnUnknownJobIsAnsweredBeforeItIsStored);
   CPPUNIT_TEST(CancelledUnknownJobIsShown);
+  CPPUNIT_TEST(ReplacedOwnerDeniesJobsOfItsSuccessor);
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
   CPPUNIT_TEST(CancelledIdsAreKeptForEver);
   CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
@@ -101,6 +103,19 @@
     CPPUNIT_ASSERT_EQUAL(0U, bench.core->PendingCounts().at("queue"));
   }
 
+  void ReplacedOwnerDeniesJobsOfItsSuccessor() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    for (int i = 0; i < 5; ++i) {
+      bench.AdvanceTime(milliseconds(1000));
+      CPPUNIT_ASSERT(bench.core->MayDenyJobs(bench.now));
+      bench.Store();
+    }
+    // The store refuses its appends from here on.
+    bench.AdvanceTime(seconds(3));
+    CPPUNIT_ASSERT(!bench.core->MayDenyJobs(bench.now));
+  }
+
   void CancelledIdIsForgottenBeforeAnEndedJob() {
     ShardBench bench;
     bench.core->Cancel("j", bench.now);
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -605,7 +605,11 @@
 JobAnswer Owner::State(const std::string& id) const {
   if (!ready()) return MakeAnswer(JobAnswer::NOT_DONE, "not restored yet");
   const std::optional<jobs::JobState> state = core_->StoredState(id);
-  if (!state.has_value()) return MakeAnswer(JobAnswer::UNKNOWN_JOB);
+  if (!state.has_value()) {
+    return core_->MayDenyJobs(ShardNow())
+               ? MakeAnswer(JobAnswer::UNKNOWN_JOB)
+               : MakeAnswer(JobAnswer::NOT_DONE, "the owner is not confirmed");
+  }
   JobAnswer answer = MakeAnswer(JobAnswer::DONE);
   answer.set_state(static_cast<std::uint32_t>(*state));
   return answer;
