A run that outlives its stop is stopped again

If the worker went on listing the run, whatever made the confirmation false, the owner sent no further stop and took the run for one that is ending. And a job whose ID is on record as cancelled could be restored as running.

Change: a run that is listed more than stop-ms after its stop was confirmed, or after its job was over, is stopped again until a list shows it gone. A restored job whose cancel is on record is cancelled.

RunIsNotStoppedAgainThatOutlivesAConfirmedStop and RestoredJobRunsWhoseCancelIsOnRecord fail without these lines (2 of 2) and pass.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -179,6 +179,8 @@
   void SendQueuedStarts();
   void SendStop(Run& run);
   void RequestStop(Run& run, const std::string& reason);
+  // For a run that goes on although it should have been stopped.
+  void StopAgain(Run& run);
   // The end of the longest lease to ask for now; also recorded as sent.
   contracts::WorkerClock LeaseEndFor(WorkerState& worker) const;
   void OnStart(const std::string& worker_id, const contracts::StartOrder& order,
@@ -208,8 +210,7 @@
   // have ended before.
   bool IsLeftover(const Run& run, MonotonicTime sent_at) const;
   // Logs the runs that should have ended, at most once a second for a worker.
-  void LogLeftoverRuns(WorkerState& worker,
-                       const std::vector<const Run*>& leftover);
+  void LogLeftoverRuns(WorkerState& worker, const std::vector<Run*>& leftover);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
   // Keeps the checkpoint of a task whose step makes some.
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -129,6 +129,16 @@
   SendStop(run);
 }
 
+void ShardCore::Impl::StopAgain(Run& run) {
+  if (!run.stop_requested) {
+    RequestStop(run, "job over");
+    return;
+  }
+  // Whatever confirmed the last stop, it did not end this run.
+  run.stop_confirmed_at.reset();
+  SendStop(run);
+}
+
 void ShardCore::Impl::SendStop(Run& run) {
   if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
   run.stop_in_flight = true;
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -326,6 +326,7 @@
   for (const auto& [id, job] : jobs) {
     job->idle_since = now.steady;
     SetPolicy(*job);
+    if (cancelled_ids.Contains(id)) CancelJob(*job);
     if (job->IsOver()) {
       StopAll(*job, "job over");
       continue;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -271,7 +271,7 @@
 }
 
 void ShardCore::Impl::LogLeftoverRuns(WorkerState& worker,
-                                      const std::vector<const Run*>& leftover) {
+                                      const std::vector<Run*>& leftover) {
   worker.leftover_runs = leftover.size();
   if (leftover.empty() ||
       now.steady - worker.leftover_logged_at < kLeftoverLogInterval) {
@@ -305,7 +305,7 @@
                                     const contracts::HoldAnswer& answer,
                                     MonotonicTime sent_at) {
   std::set<const Run*> listed;
-  std::vector<const Run*> leftover;
+  std::vector<Run*> leftover;
   const std::map<RunKey, UnknownRun> unknown_before =
       std::exchange(worker.unknown_runs, {});
   worker.reported_clock = answer.clock.value_or(worker.reported_clock);
@@ -335,6 +335,7 @@
     SetCheckpoint(*run->task, row.checkpoint);
   }
   LogLeftoverRuns(worker, leftover);
+  for (Run* run : leftover) StopAgain(*run);
   std::set<RunKey> ended;
   for (const contracts::EndedTask& row : answer.ended) {
     ended.emplace(row.task, row.attempt);
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(CancelOfAnUnknownJobIsAnsweredBeforeItIsStored);
   CPPUNIT_TEST(CancelledUnknownJobIsShown);
   CPPUNIT_TEST(ReplacedOwnerDeniesJobsOfItsSuccessor);
+  CPPUNIT_TEST(RunIsNotStoppedAgainThatOutlivesAConfirmedStop);
+  CPPUNIT_TEST(RestoredJobRunsWhoseCancelIsOnRecord);
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
   CPPUNIT_TEST(CancelledIdsAreKeptForEver);
   CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
@@ -116,6 +118,44 @@
     CPPUNIT_ASSERT(!bench.core->MayDenyJobs(bench.now));
   }
 
+  void RunIsNotStoppedAgainThatOutlivesAConfirmedStop() {
+    ShardBench bench;
+    const SentStart start = bench.RunOneTask();
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    for (std::size_t stops = 1; stops < 4; ++stops) {
+      CPPUNIT_ASSERT_EQUAL(stops, bench.stops.size());
+      bench.core->OnStop(
+          "w", bench.stops.back().order,
+          {.outcome = contracts::OrderOutcome::kDone, .clock = bench.Clock()},
+          bench.now);
+      // The worker may still be ending it.
+      bench.AnswerHold("w", {bench.RunningRow(start)});
+      bench.AdvanceTime(milliseconds(100));
+      CPPUNIT_ASSERT_EQUAL(stops, bench.stops.size());
+      bench.AdvanceTime(ShardOptions{}.stop_time);
+      bench.AnswerHold("w", {bench.RunningRow(start)});
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.core->leftover_runs());
+    }
+    bench.AnswerHold("w");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench.core->leftover_runs());
+  }
+
+  void RestoredJobRunsWhoseCancelIsOnRecord() {
+    ShardBench other;
+    other.core->Cancel("j", other.now);
+    other.Store();
+    ShardBench bench;
+    bench.SubmitAndTakeStart();
+    bench.stored.insert(other.stored.begin(), other.stored.end());
+    bench.TakeOver();
+    bench.AnswerHold("w");
+    bench.AdvanceTime(seconds(12));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.TakeStarts().empty());
+    CPPUNIT_ASSERT(JobState::kCancelled == bench.core->StoredState("j"));
+  }
+
   void CancelledIdIsForgottenBeforeAnEndedJob() {
     ShardBench bench;
     bench.core->Cancel("j", bench.now);
