A job call carries the time that its caller still waits

A call that was held up in a link or in a paused owner was carried out as if it had just been sent, for 2.5 s more, whatever was left of its caller's time: a submission took effect after its caller had left and cancelled.

Change: a call says how much time was left when it was sent, and when that ends on the owner's clock. The sender knows a time that this clock has reached from the owner's last state, so an error makes the call expire early, by the delay of that datagram. An owner answers an expired call 'not done' and writes 'call expired'. A node calls a new owner only after it has heard its state. Calls of earlier versions keep the former time.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -184,6 +184,11 @@
   bool owns() const;
   // Whether the owner, which may be this node, was heard from recently enough.
   bool HearsOwner(MonotonicTime now) const;
+  // A time that the clock of the owner has reached, unless the owner is of a
+  // version that does not tell it.
+  std::optional<MonotonicTime> OwnerClock(MonotonicTime now) const;
+  // Whether the owner has been heard from since its claim became known.
+  bool HasHeardClaim() const { return owns() || owner_state_at_.has_value(); }
   // False once calls to the store have failed for `store_unreachable_after`.
   bool StoreReached(MonotonicTime now) const;
   // The delay after which a refused caller should retry: the length of the
@@ -277,6 +282,8 @@
   std::map<std::string, std::uint32_t> pending_counts_;
   // Of the last state received under the present claim.
   std::optional<MonotonicTime> owner_time_;
+  // When that state was received.
+  std::optional<MonotonicTime> owner_state_at_;
 };
 
 }  // namespace carobmast::node
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -50,6 +50,14 @@
                     now - owner_heard_at_ < options_.suspect_after);
 }
 
+std::optional<MonotonicTime> ElectionCore::OwnerClock(MonotonicTime now) const {
+  if (owns()) return now;
+  if (!owner_time_.has_value() || !owner_state_at_.has_value()) {
+    return std::nullopt;
+  }
+  return *owner_time_ + (now - *owner_state_at_);
+}
+
 Duration ElectionCore::RetryAfter(MonotonicTime now) const {
   MonotonicTime outage_start = now;
   if (store_failing_since_.has_value()) outage_start = *store_failing_since_;
@@ -95,6 +103,7 @@
   if (owns()) StopOwning("another node has claimed the shard");
   claim_ = claim;
   owner_time_.reset();
+  owner_state_at_.reset();
   owner_heard_at_ = now + options_.new_owner_grace;
   deferrals_ = 0;
   pending_counts_.clear();
@@ -157,6 +166,7 @@
   if (claim.token > claim_.token) hooks_.log_change("owner", claim.node);
   claim_ = claim;
   owner_time_.reset();
+  owner_state_at_.reset();
   state_ = State::kOwning;
   successor_known_since_ = MonotonicTime();
   takeover_requests_.clear();
@@ -284,6 +294,7 @@
   owner_heard_at_ = now;
   const bool is_first = !owner_time_.has_value();
   owner_time_ = message.owner_time;
+  owner_state_at_ = now;
   // A new owner waits for the nodes to stand by it.
   if (is_first && owner_time_.has_value()) SendHello(now);
   if (message.has_details) pending_counts_ = message.pending_counts;
--- a/src/node/internal/node_front.cc
+++ b/src/node/internal/node_front.cc
@@ -5,6 +5,7 @@
 
 #include "framework/base/error.h"
 #include "jobs/job_record.h"
+#include "node/call_time.h"
 #include "node/internal/node_process.h"
 #include "node/lease_clock.h"
 
@@ -229,7 +230,6 @@
 asio::awaitable<JobAnswer> NodeProcess::CallOwnerWithRetries(
     FrontKind kind, JobCall call, Duration time_limit) {
   const MonotonicTime deadline = LeaseNow() + time_limit;
-  const std::string message = call.SerializeAsString();
   JobAnswer last_answer = MakeAnswer(JobAnswer::NOT_DONE, "no owner heard");
   bool undecided = false;
   while (true) {
@@ -240,8 +240,9 @@
         !election_.StoreReached(LeaseNow())) {
       break;
     }
-    if (election_.HearsOwner(LeaseNow())) {
-      last_answer = co_await CallOwner(kind, message, call, remaining);
+    if (election_.HearsOwner(LeaseNow()) && election_.HasHeardClaim()) {
+      SetTimeLeft(call, remaining, election_.OwnerClock(LeaseNow()));
+      last_answer = co_await CallOwner(kind, call, remaining);
       if (last_answer.outcome() == JobAnswer::DONE ||
           last_answer.outcome() == JobAnswer::UNKNOWN_JOB) {
         co_return last_answer;
@@ -273,14 +274,13 @@
 }
 
 asio::awaitable<JobAnswer> NodeProcess::CallOwner(FrontKind kind,
-                                                  const std::string& message,
                                                   const JobCall& call,
                                                   Duration timeout) {
   if (election_.owns()) co_return co_await ServeJobCall(kind, call, timeout);
   const Ref<link::LinkClient> link = OwnerLink();
   try {
     const std::string bytes =
-        co_await link->Call(CallName(kind), message, timeout);
+        co_await link->Call(CallName(kind), call.SerializeAsString(), timeout);
     JobAnswer answer;
     if (answer.ParseFromString(bytes)) co_return answer;
     co_return MakeAnswer(JobAnswer::UNDECIDED, "malformed answer of the owner");
@@ -321,8 +321,17 @@
       if (!call.ParseFromString(request)) {
         throw Error("job call", "peer", "malformed call");
       }
+      const Duration time_left =
+          TimeLeft(call, LeaseNow(), kDefaultCallerTimeout);
+      if (time_left <= Duration::zero()) {
+        log_.Write("call expired", {{"call", KindName(kind)},
+                                    {"job", call.id()},
+                                    {"late", -time_left}});
+        co_return MakeAnswer(JobAnswer::NOT_DONE, "the call arrived too late")
+            .SerializeAsString();
+      }
       const JobAnswer answer =
-          co_await ServeJobCall(kind, std::move(call), kDefaultCallerTimeout);
+          co_await ServeJobCall(kind, std::move(call), time_left);
       co_return answer.SerializeAsString();
     };
   }
--- a/src/node/internal/node_process.h
+++ b/src/node/internal/node_process.h
@@ -76,7 +76,6 @@
                                                          JobCall call,
                                                          Duration time_limit);
   boost::asio::awaitable<JobAnswer> CallOwner(FrontKind kind,
-                                              const std::string& message,
                                               const JobCall& call,
                                               Duration timeout);
   boost::asio::awaitable<JobAnswer> ServeJobCall(FrontKind kind, JobCall call,
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(NewerClaimEndsOwnership);
   CPPUNIT_TEST(SecondClaimOfANodeStartsASecondOwner);
   CPPUNIT_TEST(LateAnswerToAnOldClaimStartsASecondOwner);
+  CPPUNIT_TEST(ClockOfAFormerOwnerIsTakenForThatOfItsSuccessor);
   CPPUNIT_TEST(OwnerThatLosesTheStoreHandsOver);
   CPPUNIT_TEST(FirstNodeToReachTheStoreTakesOverBeforeALargerOne);
   CPPUNIT_TEST(LeavingNodeIsAskedToTakeOver);
@@ -206,6 +207,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, fixture.core.claim().token);
   }
 
+  void ClockOfAFormerOwnerIsTakenForThatOfItsSuccessor() {
+    NodeFixture fixture;
+    FollowOwner(fixture);
+    const MonotonicTime owner_time{std::chrono::hours(7)};
+    fixture.core.OnMessage({.kind = MessageKind::kOwnerState,
+                            .sender = MakeNode("a"),
+                            .claim = MakeClaim("a", 1),
+                            .owner_time = owner_time},
+                           fixture.now);
+    CPPUNIT_ASSERT(fixture.core.HasHeardClaim());
+    CPPUNIT_ASSERT(owner_time + milliseconds(300) ==
+                   fixture.core.OwnerClock(fixture.now + milliseconds(300)));
+    fixture.core.OnClaim(MakeClaim("c", 2), fixture.now);
+    CPPUNIT_ASSERT(!fixture.core.HasHeardClaim());
+    CPPUNIT_ASSERT(!fixture.core.OwnerClock(fixture.now).has_value());
+  }
+
   void OwnerThatLosesTheStoreHandsOver() {
     NodeFixture fixture;
     BecomeOwner(fixture);
