Only the store's answers let an owner deny a job

And an idle owner without workers appended nothing, was not confirmed, and denied nothing: requests for unknown jobs failed.

Change: the time of the last append that was stored counts alone, and an idle owner appends once a second whether it has workers or not.

WitnessesLetAReplacedOwnerDenyJobs and IdleOwnerWithoutWorkersMayNotDenyJobs failed before (2 of 2) and pass.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -236,7 +236,7 @@
 }
 
 bool ShardCore::MayDenyJobs(ShardTime now) const {
-  return now.steady - impl_->confirmed_at <= kMaxDenialAge;
+  return now.steady - impl_->store_confirmed_at <= kMaxDenialAge;
 }
 
 bool ShardCore::Withdraw(const std::string& id) {
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -380,8 +380,10 @@
   MonotonicTime batch_taken_at;
   bool batch_has_records = false;
   std::vector<std::pair<std::string, JobState>> batch_jobs;
+  // A time at which no later owner had written to the stream.
+  MonotonicTime store_confirmed_at;
   // A time at which no later owner was known to the stream or to a majority of
-  // the witnesses.
+  // the witnesses. Those know only of owners that use workers.
   MonotonicTime confirmed_at;
   LeaseWitnesses witnesses;
   bool store_witnesses = false;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -295,7 +295,9 @@
   if (now.steady - witnesses_updated_at < kWitnessInterval) return;
   witnesses_updated_at = now.steady;
   // Without other changes to store, this record confirms the owner.
-  if (IsUnconfirmed() && !workers.empty()) store_witnesses = true;
+  if (now.steady - store_confirmed_at > kUnconfirmedAfter) {
+    store_witnesses = true;
+  }
   if (former_owners_stopped_at.has_value()) {
     ProposeWitnesses();
     ProposeNodeWitnesses();
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -303,6 +303,7 @@
   interference_stored_at = now.steady;
   restored_at = now.steady;
   confirmed_at = options.confirmed_at.value_or(now.steady);
+  store_confirmed_at = confirmed_at;
   cancelled_ids.FinishRestore(now.steady);
   for (const auto& [id, job] : jobs) {
     proto::Progress progress;
@@ -492,7 +493,10 @@
 void ShardCore::Impl::OnStored(std::uint64_t number, ShardTime time) {
   now = time;
   stored_changes = std::max(stored_changes, batch_changes);
-  if (batch_has_records) Confirm(batch_taken_at);
+  if (batch_has_records) {
+    store_confirmed_at = batch_taken_at;
+    Confirm(batch_taken_at);
+  }
   OnLeaseRecordsStored();
   for (const std::pair<std::string, JobState>& stored : batch_jobs) {
     const auto found = jobs.find(stored.first);
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(CancelOfAnUnknownJobIsAnsweredBeforeItIsStored);
   CPPUNIT_TEST(CancelledUnknownJobIsShown);
   CPPUNIT_TEST(ReplacedOwnerDeniesJobsOfItsSuccessor);
+  CPPUNIT_TEST(WitnessesLetAReplacedOwnerDenyJobs);
+  CPPUNIT_TEST(IdleOwnerWithoutWorkersMayNotDenyJobs);
   CPPUNIT_TEST(RunIsNotStoppedAgainThatOutlivesAConfirmedStop);
   CPPUNIT_TEST(RestoredJobRunsWhoseCancelIsOnRecord);
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
@@ -118,6 +120,28 @@
     CPPUNIT_ASSERT(!bench.core->MayDenyJobs(bench.now));
   }
 
+  // Witnesses show that no later owner has used workers, not that none has
+  // accepted jobs.
+  void WitnessesLetAReplacedOwnerDenyJobs() {
+    ShardBench bench;
+    bench.StoreWitnesses();
+    // The store refuses its appends from here on.
+    for (int i = 0; i < 50; ++i) {
+      bench.AdvanceTime(milliseconds(100));
+      for (const char* worker : {"v", "x"}) bench.AnswerHold(worker);
+    }
+    CPPUNIT_ASSERT(!bench.core->MayDenyJobs(bench.now));
+  }
+
+  void IdleOwnerWithoutWorkersMayNotDenyJobs() {
+    ShardBench bench;
+    for (int i = 0; i < 5; ++i) {
+      bench.AdvanceTime(milliseconds(1000));
+      CPPUNIT_ASSERT(bench.core->MayDenyJobs(bench.now));
+      bench.Store();
+    }
+  }
+
   void RunIsNotStoppedAgainThatOutlivesAConfirmedStop() {
     ShardBench bench;
     const SentStart start = bench.RunOneTask();
