A repeated cancel of an unknown job is remembered from then on

Found by two reviews: a second cancel of a remembered ID was acknowledged without a change, and the ID was forgotten 120 s after the first one. A submission that arrived 2 s after that second cancel could start the job.

Change: an ID that is cancelled again later than 10 s after its record was last extended is added to a new one.

SecondCancelOfAnUnknownJobIsForgottenEarly failed before and passes.

--- a/src/jobs/internal/cancelled_ids.cc
+++ b/src/jobs/internal/cancelled_ids.cc
@@ -16,7 +16,8 @@
 // 200 bytes an ID.
 constexpr std::size_t kMaxIdsPerPage = 64;
 // How long IDs are added to the same page. The first of them is remembered for
-// this much longer than necessary.
+// this much longer than necessary, and one that is cancelled again sooner for
+// this much shorter.
 constexpr std::chrono::seconds kPageTime{10};
 
 std::string KeyOfPage(std::uint64_t number) {
@@ -40,22 +41,33 @@
   return page;
 }
 
-bool CancelledIds::Add(const std::string& id, MonotonicTime now) {
-  if (Contains(id)) return true;
-  if (pages_by_id_.size() >= options_.max_ids) return false;
+CancelledIds::AddResult CancelledIds::Add(const std::string& id,
+                                          MonotonicTime now) {
+  const auto known = pages_by_id_.find(id);
+  if (known == pages_by_id_.end()) {
+    if (pages_by_id_.size() >= options_.max_ids) return AddResult::kNoRoom;
+  } else if (now - pages_.at(known->second).last_added_at < kPageTime) {
+    return AddResult::kKnown;
+  }
   Page& page = OpenPage(now);
   page.ids.push_back(id);
   page.last_added_at = now;
   page.changed = true;
-  pages_by_id_.emplace(id, pages_.rbegin()->first);
-  return true;
+  pages_by_id_[id] = pages_.rbegin()->first;
+  return AddResult::kStoring;
 }
 
 void CancelledIds::Expire(MonotonicTime now) {
   while (!pages_.empty()) {
     const auto first = pages_.begin();
     if (now - first->second.last_added_at <= options_.keep) return;
-    for (const std::string& id : first->second.ids) pages_by_id_.erase(id);
+    for (const std::string& id : first->second.ids) {
+      // A later page may hold it too.
+      const auto known = pages_by_id_.find(id);
+      if (known != pages_by_id_.end() && known->second == first->first) {
+        pages_by_id_.erase(known);
+      }
+    }
     dropped_keys_.push_back(KeyOfPage(first->first));
     pages_.erase(first);
   }
@@ -74,7 +86,11 @@
     throw Error("restore", record.key, "malformed record of cancelled IDs");
   }
   pages_[number].ids.assign(page.ids().begin(), page.ids().end());
-  for (const std::string& id : page.ids()) pages_by_id_[id] = number;
+  for (const std::string& id : page.ids()) {
+    std::uint64_t& last_page =
+        pages_by_id_.try_emplace(id, number).first->second;
+    last_page = std::max(last_page, number);
+  }
 }
 
 void CancelledIds::FinishRestore(MonotonicTime now) {
--- a/src/jobs/internal/cancelled_ids.h
+++ b/src/jobs/internal/cancelled_ids.h
@@ -24,8 +24,13 @@
  public:
   explicit CancelledIds(CancelledIdsOptions options);
 
-  // Remembers the ID. Returns false when there is no room for it.
-  bool Add(const std::string& id, MonotonicTime now);
+  enum class AddResult {
+    kStoring,  // TakeRecords returns the record that holds it
+    kKnown,    // remembered, and added so recently that nothing changes
+    kNoRoom,
+  };
+  // Remembers the ID from now on.
+  AddResult Add(const std::string& id, MonotonicTime now);
   bool Contains(const std::string& id) const {
     return pages_by_id_.contains(id);
   }
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -223,11 +223,12 @@
 }
 
 bool ShardCore::Impl::RememberCancelled(const std::string& id) {
-  if (cancelled_ids.Contains(id)) return true;
-  if (!cancelled_ids.Add(id, now.steady)) return false;
-  ++changes;
-  if (hooks.changed) hooks.changed();
-  return true;
+  const CancelledIds::AddResult result = cancelled_ids.Add(id, now.steady);
+  if (result == CancelledIds::AddResult::kStoring) {
+    ++changes;
+    if (hooks.changed) hooks.changed();
+  }
+  return result != CancelledIds::AddResult::kNoRoom;
 }
 
 void ShardCore::Impl::StopAll(Job& job, const std::string& reason) {
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(RunIsNotStoppedAgainThatOutlivesAConfirmedStop);
   CPPUNIT_TEST(RestoredJobRunsWhoseCancelIsOnRecord);
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
+  CPPUNIT_TEST(SecondCancelOfAnUnknownJobIsForgottenEarly);
   CPPUNIT_TEST(CancelledIdsAreKeptForEver);
   CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
   CPPUNIT_TEST_SUITE_END();
@@ -192,6 +193,20 @@
     CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
   }
 
+  void SecondCancelOfAnUnknownJobIsForgottenEarly() {
+    ShardBench bench;
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    bench.AdvanceTime(kKeepEnded - seconds(1));
+    const CancelAnswer again = bench.core->Cancel("j", bench.now);
+    CPPUNIT_ASSERT(CancelOutcome::kUnknownJob == again.outcome);
+    bench.Store();
+    CPPUNIT_ASSERT(bench.core->stored_changes() >= again.change);
+    bench.AdvanceTime(seconds(30));
+    bench.Store();
+    CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
+  }
+
   void CancelledIdsAreKeptForEver() {
     ShardBench bench;
     for (int i = 0; i < 200; ++i) {
