A successor whose wall clock is ahead keeps ended jobs for their time

Ended jobs are forgotten by the wall time of their end. A new owner whose clock was 10 s ahead forgot a cancelled job 5 s early; a copy of its submission could then start it.

Change: ended jobs of a former owner are kept for 15 s more, the difference of clocks that is allowed for. A larger one still shortens their time.

Found by a review; NewOwnerWhoseClockIsAheadForgetsACancelledJob failed before and passes.

--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -14,6 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr char kRestoreStep[] = "restore";
+// By how much the wall clocks of two nodes may differ. Ended jobs of a former
+// owner are kept for this much longer.
+constexpr milliseconds kMaxClockDifference{15000};
 // The interference model is stored with the first batch after this interval.
 constexpr milliseconds kStoreInterferenceInterval{2000};
 
@@ -313,7 +316,7 @@
     job->stored_state = job->state;
     if (!job->IsOver()) continue;
     job->over_since = now.steady;
-    ended_jobs.emplace_back(job->ended_at_ms, id);
+    ended_jobs.emplace_back(job->ended_at_ms + kMaxClockDifference.count(), id);
   }
   // Blocks of jobs that were dropped in part.
   for (const auto& [id, blocks] : restored_blocks) {
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
   CPPUNIT_TEST(SecondCancelOfAnUnknownJobIsForgottenEarly);
   CPPUNIT_TEST(CancelledIdsAreKeptForEver);
+  CPPUNIT_TEST(NewOwnerWhoseClockIsAheadForgetsACancelledJob);
   CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +208,19 @@
     CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
   }
 
+  void NewOwnerWhoseClockIsAheadForgetsACancelledJob() {
+    ShardBench bench;
+    bench.SubmitAndTakeStart();
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    bench.AdvanceTime(kKeepEnded - seconds(5));
+    bench.now.wall += seconds(10);
+    bench.TakeOver();
+    bench.AdvanceTime(milliseconds(100));
+    bench.Store();
+    CPPUNIT_ASSERT(bench.core->StoredState("j").has_value());
+  }
+
   void CancelledIdsAreKeptForEver() {
     ShardBench bench;
     for (int i = 0; i < 200; ++i) {
