An ended job with a change that is not stored is forgotten later, not never

DropEndedJobs passed over a job that had an unstored change when its time was over, and did not return to it: the job stayed in memory and in the store until the next owner.

Change: it waits until the change is stored. EndedJobWithAnUnstoredChangeIsKeptForEver failed before and passes. Found by reading.

--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -350,8 +350,10 @@
       now.wall.time_since_epoch().count() - options.keep_ended.count();
   while (!ended_jobs.empty() && ended_jobs.front().first < before) {
     const auto job = jobs.find(ended_jobs.front().second);
+    // Its last change is stored first.
+    if (job != jobs.end() && job->second->change != 0) return;
     ended_jobs.pop_front();
-    if (job == jobs.end() || job->second->change != 0) continue;
+    if (job == jobs.end()) continue;
     dropped_keys.push_back(kJobPrefix + job->first);
     dropped_keys.push_back(kProgressPrefix + job->first);
     for (const auto& [number, occurrence] : job->second->occurrences) {
--- a/src/jobs/tests/cancel_test.cc
+++ b/src/jobs/tests/cancel_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(CancelledIdIsForgottenBeforeAnEndedJob);
   CPPUNIT_TEST(SecondCancelOfAnUnknownJobIsForgottenEarly);
   CPPUNIT_TEST(CancelledIdsAreKeptForEver);
+  CPPUNIT_TEST(EndedJobWithAnUnstoredChangeIsKeptForEver);
   CPPUNIT_TEST(NewOwnerWhoseClockIsAheadForgetsACancelledJob);
   CPPUNIT_TEST(FloodOfCancelsDropsAnEarlierOne);
   CPPUNIT_TEST_SUITE_END();
@@ -208,6 +209,22 @@
     CPPUNIT_ASSERT(!RunsWhenSubmitted(bench));
   }
 
+  void EndedJobWithAnUnstoredChangeIsKeptForEver() {
+    ShardBench bench;
+    const SentStart start = bench.RunOneTask();
+    bench.core->Cancel("j", bench.now);
+    bench.Store();
+    bench.AdvanceTime(kKeepEnded - milliseconds(100));
+    bench.Store();
+    bench.AnswerHold("w", {},
+                     {bench.EndedRow(1, start, contracts::EndKind::kStopped)});
+    bench.AdvanceTime(milliseconds(200));
+    bench.Store();
+    bench.AdvanceTime(milliseconds(100));
+    bench.Store();
+    CPPUNIT_ASSERT(!bench.stored.contains(kJobPrefix + std::string("j")));
+  }
+
   void NewOwnerWhoseClockIsAheadForgetsACancelledJob() {
     ShardBench bench;
     bench.SubmitAndTakeStart();
