A wave is not completed on a list from before it

A wave whose only open VM was newer than the last list was reported as completed without its maintenance.

Change: only a list that was requested after the wave became known shows that a VM does not exist. ListFromBeforeTheWaveCompletesIt failed before and passes. Open: a list that answers without VMs.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -24,6 +24,7 @@
   if (waves_.contains(wave.number)) return;
   WaveState& state = waves_[wave.number];
   state.wave = wave;
+  state.earlier_list_requests = list_requests_;
   for (const std::string& vm : wave.vms) state.vms[vm];
   const auto restored = restored_progress_.find(wave.number);
   if (restored == restored_progress_.end()) return;
@@ -102,9 +103,10 @@
                                listed_request_ <= vm.earlier_list_requests;
   if (is_list_too_old) return;
   const auto listed = listed_vms_.find(name);
-  // A VM that no longer exists needs no maintenance.
+  // A VM that no longer exists needs no maintenance. An earlier list may lack a
+  // VM that is newer.
   if (listed == listed_vms_.end()) {
-    vm.state = State::kDone;
+    if (listed_request_ > wave.earlier_list_requests) vm.state = State::kDone;
     return;
   }
   const contracts::WorkerVm& entry = listed->second;
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -84,6 +84,8 @@
   struct WaveState {
     Wave wave;
     std::map<std::string, VmState> vms;
+    // The number of list requests before the wave was known.
+    std::uint64_t earlier_list_requests = 0;
     bool running_reported = false;
     bool completed = false;
   };
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -71,9 +71,22 @@
   CPPUNIT_TEST(OrderGoesOutOnAnEarlierAppend);
   CPPUNIT_TEST(NewOwnerRepeatsUnconfirmedOrder);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
+  CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // VM "c" is newer than the only list, which was read for an earlier wave.
+  void ListFromBeforeTheWaveCompletesIt() {
+    Fixture fixture;
+    fixture.BeginWave({"z"});
+    CPPUNIT_ASSERT(fixture.completed);
+    fixture.completed = false;
+    fixture.now += std::chrono::minutes(10);
+    fixture.core.SetWave({.number = 2, .vms = {"c"}});
+    fixture.Tick();
+    CPPUNIT_ASSERT(!fixture.completed);
+  }
+
   void AtMostMaxParallelVmsAreDown() {
     Fixture fixture;
     fixture.BeginWave({"a", "b"});
