The first changes of an owner have a sequence number of their own

Found by a review (an acknowledgement that rests on no proof): an owner begins with an append without records, which sets its epoch, and used the same sequence number for its first records. If it does, the records are taken for its repetition, answered like it and not stored: the first changes of each owner would be acknowledged and lost.

Change: the first records have the next number; a store that does not count the first append answers 409 with the number that it expects, which was handled before.

e2e.node_first_changes_of_an_owner_repeat_its_first_sequence_number, on a stand-in that counts it: failed on this commit, passes. Whether the users' store counts it is not known (docs/QUESTIONS.md).

--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -370,10 +370,10 @@
   }
   switch (answer.outcome) {
     case contracts::KeyedAppendOutcome::kStored:
-      if (!only_epoch) {
-        ++sequence_;
-        first_append_done_ = true;
-      }
+      // The store may count an append without records, and would take the next
+      // one for its repetition.
+      ++sequence_;
+      if (!only_epoch) first_append_done_ = true;
       return AppendResult::kStored;
     case contracts::KeyedAppendOutcome::kUnknown:
       return AppendResult::kRetryNow;
@@ -385,8 +385,7 @@
         ++sequence_;
         return AppendResult::kStored;
       }
-      // The store may or may not count an append without records, so the
-      // sequence is only known from the answer to the first one with records.
+      // It does not count an append without records.
       if (!first_append_done_ && answer.expected_sequence.has_value()) {
         first_append_done_ = true;
         sequence_ = *answer.expected_sequence;
