The soak cancels jobs beside overlapping faults

Eight clients on open connections submit, leave without an answer, repeat at another node, and cancel at any moment, also jobs never submitted or already over; copies of submissions arrive up to 6 s later. Faults come in series, two at a time, pauses and owners preferred; after each series 9 s of calm. From what workers saw: a start later than 4 s after the acknowledged cancel, or a run 4.5 s after it, both in calm; a start that no client sent, or with another spec. Besides the former checks: cancelled jobs are told as ended, and no accepted job is denied in calm.

Not covered: faults of the way between nodes alone. A node listens on the address that it announces, so a proxy can't stand between without a change of the product.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,7 +2,7 @@
 """Randomized soak test that injects faults into node processes from outside.
 
 Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
-               [--overlap | --losses] [--nodes N] [--workers N]
+               [--overlap | --losses | --cancels] [--nodes N] [--workers N]
 Each seed is one round: jobs are submitted through all nodes while nodes are killed,
 paused, stopped gracefully and restarted, workers are drained, the configuration is
 changed and reloaded, and connections to the store are delayed, reset, cut in one
@@ -14,6 +14,9 @@
 With --losses most workers crash at once, together with the owner, while jobs with
 standing tasks run; the workers are back at their addresses as new incarnations, or
 replaced by others. No standing task may have no run for more than MAX_AWAY_SECONDS.
+With --cancels, clients cancel jobs at any moment and leave submissions unanswered, and
+copies of submissions arrive late, while overlapping faults come in series. In the calm
+after a series, no task of a job may start or run whose cancel was acknowledged.
 Prints one line per seed; exits with 1 if an invariant was violated.
 """
 
@@ -33,8 +36,9 @@
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 from node_cluster import Client, Cluster, make_job  # noqa: E402
 from platform_standin import (  # noqa: E402
-    DRAIN_SECONDS, HOLD_MAX_MS, REGISTRY, find_doubled, find_gaps,
-    find_starts_while_leaving, put_config)
+    CANCEL_SECONDS, CONTACT_SECONDS, DRAIN_SECONDS, HOLD_MAX_MS, LATE_SECONDS, REGISTRY,
+    STOP_SECONDS, calm_periods, find_doubled, find_gaps, find_starts_while_leaving,
+    find_unasked, find_unsent_starts, put_config)
 
 # Time after the faults within which every accepted job must complete: the leases of
 # the stand-in, the longest time that an owner acts without proof of its ownership,
@@ -53,8 +57,8 @@
 MAX_AWAY_SECONDS = 9.0
 # Time without losses after which each longer absence shows.
 QUIET_SECONDS = MAX_AWAY_SECONDS + 1
-# With --losses, workers grant leases as long as those of real deployments.
-LOSSES_HOLD_MAX_MS = 6000
+# With --losses and --cancels, workers grant leases as long as in real deployments.
+REAL_HOLD_MAX_MS = 6000
 STANDING_JOBS, STANDING_TASKS = 4, 4
 # Nodes and workers of a round by default. With --losses a majority of the nodes is
 # left although the owner and another node are lost.
@@ -63,14 +67,35 @@
 OWNER_LOSSES = ("kill", "pause", "replace")
 QUIET_FAULTS = ("configuration", "reload")
 
+# With --cancels nodes and workers are as many as needed to have former owners, and room
+# for the tasks of jobs that are cancelled late.
+CANCELS_SIZE = (5, 8)
+CLIENTS = 8
+# Faults that hold calls up occur most often: they make calls overtake one another.
+CANCELS_FAULTS = FAULT_KINDS + STORE_FAULT_KINDS + ("pause",) * 4 + ("reset",)
+# These neither interrupt a node nor the way to the store.
+HARMLESS_FAULTS = ("configuration", "reload", "drain")
+OWNER_SHARE = 0.6
+SERIES_SECONDS = (5, 9)
+# The calm after a series, in which each task of a cancelled job must be gone.
+CALM_SECONDS = CONTACT_SECONDS + CANCEL_SECONDS + STOP_SECONDS + 0.5
+# Longer than what is left of a round: such a task ends only by a stop.
+LONG_MILLISECONDS = 120000
+# An accepted job must be known after this time.
+VISIBLE_SECONDS = 3.0
+# Callers' submissions and cancels are repeated at most so often.
+SUBMIT_ATTEMPTS, CANCEL_ATTEMPTS = 4, 60
+
 
 class Round:
     def __init__(self, program, seed, options):
         self.random = random.Random(seed)
-        nodes, workers = LOSSES_SIZE if options.losses else DEFAULT_SIZE
+        nodes, workers = (LOSSES_SIZE if options.losses
+                          else CANCELS_SIZE if options.cancels else DEFAULT_SIZE)
         self.cluster = Cluster(
             program, nodes=options.nodes or nodes, workers=options.workers or workers,
-            hold_max_ms=LOSSES_HOLD_MAX_MS if options.losses else HOLD_MAX_MS)
+            hold_max_ms=(REAL_HOLD_MAX_MS if options.losses or options.cancels
+                         else HOLD_MAX_MS))
         self.seconds = options.seconds
         self.overlap = options.overlap
         self.locks = collections.defaultdict(threading.Lock)
@@ -105,7 +130,9 @@
         node = generator.choice(self.cluster.nodes)
         kind = generator.choice(kinds)
         self.faults.append(kind)
-        length = generator.uniform(0.2, 3)
+        self.apply_fault(generator, kind, node, generator.uniform(0.2, 3))
+
+    def apply_fault(self, generator, kind, node, length):
         if kind == "kill":
             self.restart([node], signal.SIGKILL, length / 3)
         elif kind == "kill_all":
@@ -199,6 +226,10 @@
             thread.join()
         return self.check_invariants()
 
+    def counts(self):
+        return (f"{len(self.accepted)} accepted, {len(self.refused)} refused, "
+                f"{len(self.unknown)} open")
+
     def check_invariants(self):
         """Waits for the accepted jobs, then returns the violated invariants."""
         deadline = time.monotonic() + SETTLE_SECONDS
@@ -367,6 +398,262 @@
         self.wait_standing(0, "have stopped")
 
 
+class CancelJob:
+    """A job of --cancels, as its client knows it."""
+
+    def __init__(self, name, generator, is_cancelled):
+        self.name = name
+        # Status of each attempt to submit it, None if there was no valid answer.
+        self.answers = []
+        self.accepted_at = self.cancelled_at = None
+        self.cancel_status = None
+        # When a state request was sent that was answered "no such job" too late.
+        self.denied_at = None
+        self.is_cancelled = is_cancelled
+        milliseconds = generator.choice((50, 300, 1500))
+        is_standing = False
+        if is_cancelled and generator.random() < 0.7:
+            milliseconds = generator.choice((4000, LONG_MILLISECONDS))
+            is_standing = generator.random() < 0.2
+        # A standing task runs until it is stopped, whatever its estimate says.
+        spec = json.dumps({"job": name,
+                           **({} if is_standing else {"ms": milliseconds})})
+        counts = [generator.randint(1, 3)
+                  for _ in range(1 if is_standing else generator.randint(1, 3))]
+        steps = [{"count": count, "cpu": 1000, "mem-mb": 64,
+                  "estimate-ms": milliseconds,
+                  **({"depends-on": [step - 1]} if step else {}),
+                  **({"long-running": True} if is_standing else {})}
+                 for step, count in enumerate(counts)]
+        self.body = json.dumps({"spec": spec, "steps": steps})
+        self.specs = {f"{name}.0.{step}.{index}": spec
+                      for step, count in enumerate(counts) for index in range(count)}
+
+    def add_answer(self, answer):
+        self.answers.append(None if answer is None else answer[0])
+        if self.answers[-1] == 200 and self.accepted_at is None:
+            self.accepted_at = time.monotonic()
+
+
+class CancelsClient:
+    """A client with open connections to two nodes, which it keeps until they break. It
+    submits, leaves, repeats, cancels and asks, one job after the other."""
+
+    def __init__(self, cluster, number, seed):
+        self.cluster, self.number = cluster, number
+        self.random = random.Random(f"client {seed} {number}")
+        self.connections = [
+            Client(cluster, random.Random(f"connection {seed} {number} {index}"))
+            for index in range(2)]
+        self.jobs, self.threads, self.violations = [], [], []
+
+    def run(self, deadline):
+        while time.monotonic() < deadline:
+            name = f"{self.number:04x}{len(self.jobs):012x}"
+            job = CancelJob(name, self.random, self.random.random() < 0.7)
+            self.jobs.append(job)
+            self.handle_job(job)
+            self.ask(self.random.choice(self.jobs))
+            time.sleep(self.random.uniform(0, 0.2))
+        for thread in self.threads:
+            thread.join()
+
+    def call(self, method, job, body=None):
+        return self.random.choice(self.connections).call(method, job.name, body)
+
+    def later(self, call, *arguments):
+        self.threads.append(threading.Thread(target=call, args=arguments))
+        self.threads[-1].start()
+
+    def handle_job(self, job):
+        kind = self.random.choices(("submit", "leave", "never"), (60, 35, 5))[0]
+        if kind == "never":
+            job.specs, job.is_cancelled = {}, True
+        elif kind == "leave":
+            job.answers.append(None)
+            self.later(self.random.choice(self.cluster.nodes).send_and_leave, "POST",
+                       self.cluster.path(job.name), job.body,
+                       self.random.uniform(0, 0.3))
+        else:
+            self.submit(job)
+        if kind != "never" and self.random.random() < 0.4:
+            self.later(self.send_copy, job, self.random.choice(self.cluster.nodes),
+                       self.random.uniform(0, 6))
+        if not job.is_cancelled:
+            return
+        delay = self.random.choices(
+            (0, self.random.uniform(0, 0.2), self.random.uniform(0.2, 6)),
+            (30, 50, 20))[0]
+        if delay > 0.2:
+            client = Client(self.cluster, random.Random(self.random.random()))
+            self.later(self.cancel, job, client.call, delay)
+        else:
+            self.cancel(job, lambda method, _: self.call(method, job), delay)
+
+    def submit(self, job):
+        for _ in range(self.random.randint(1, SUBMIT_ATTEMPTS)):
+            job.add_answer(self.call("POST", job, job.body))
+            if job.answers[-1] == 200:
+                return
+            time.sleep(0.1)
+
+    def send_copy(self, job, node, delay):
+        """A copy of the submission arrives at any time and node."""
+        time.sleep(delay)
+        job.add_answer(node.call("POST", self.cluster.path(job.name), job.body))
+
+    def cancel(self, job, call, delay):
+        time.sleep(delay)
+        for _ in range(CANCEL_ATTEMPTS):
+            answer = call("DELETE", job.name)
+            if answer is not None and answer[0] in (200, 410):
+                job.cancelled_at, job.cancel_status = time.monotonic(), answer[0]
+                return
+            time.sleep(0.2)
+        self.violations.append(f"the cancel of {job.name} was never acknowledged")
+
+    def ask(self, job):
+        """Asks for the state, and cancels some jobs again that are cancelled."""
+        if job.cancelled_at is not None and self.random.random() < 0.2:
+            self.call("DELETE", job)
+            return
+        sent_at = time.monotonic()
+        answer = self.call("GET", job)
+        if (answer is not None and answer[0] == 410 and not job.is_cancelled
+                and job.accepted_at is not None
+                and job.accepted_at + VISIBLE_SECONDS < sent_at):
+            job.denied_at = sent_at
+
+
+class CancelsRound(Round):
+    """Jobs are cancelled at any moment, beside series of overlapping faults."""
+
+    def __init__(self, program, seed, options):
+        super().__init__(program, seed, options)
+        self.fault_random = random.Random(f"cancels {seed}")
+        self.clients = [CancelsClient(self.cluster, number, seed)
+                        for number in range(CLIENTS)]
+        # Begin and end of each fault that interrupts something.
+        self.disturbances = []
+
+    def jobs(self):
+        return [job for client in self.clients for job in list(client.jobs)]
+
+    def submit_jobs(self, deadline):
+        threads = [threading.Thread(target=client.run, args=(deadline,))
+                   for client in self.clients]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def inject_fault(self, generator, kinds=CANCELS_FAULTS):
+        kind, is_owner = generator.choice(kinds), generator.random() < OWNER_SHARE
+        node, length = generator.choice(self.cluster.nodes), generator.uniform(0.2, 3.5)
+        own = random.Random(generator.random())
+        if is_owner:
+            node = self.cluster.owner()
+        self.faults.append(kind)
+        if kind in HARMLESS_FAULTS:
+            self.apply_fault(own, kind, node, length)
+            return
+        disturbance = [time.monotonic(), None]
+        self.disturbances.append(disturbance)
+        self.apply_fault(own, kind, node, length)
+        disturbance[1] = time.monotonic() + (LATE_SECONDS if kind == "late" else 0)
+
+    def inject_series(self, generator, until):
+        while time.monotonic() < until:
+            self.inject_fault(generator)
+            time.sleep(generator.uniform(0.05, 0.8))
+
+    def inject_faults(self, deadline, _generator):
+        """Series of overlapping faults. After each, a calm in which tasks of cancelled
+        jobs must be gone."""
+        while time.monotonic() < deadline and not self.violations:
+            until = time.monotonic() + self.fault_random.uniform(*SERIES_SECONDS)
+            threads = [threading.Thread(
+                target=self.inject_series,
+                args=(random.Random(self.fault_random.random()), until))
+                for _ in range(2)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            time.sleep(max(0, max([until] + [end for _, end in self.disturbances])
+                           + CALM_SECONDS - time.monotonic()))
+            self.check_cancels()
+
+    def check_cancels(self):
+        history = list(self.cluster.history)
+        jobs = {job.name: job for job in self.jobs()}
+        cancelled = {name: job.cancelled_at for name, job in jobs.items()
+                     if job.cancelled_at is not None}
+        for run in find_unasked(history, cancelled, self.disturbances):
+            job = jobs[run["task"].split(".")[0]]
+            end = run["end"] or time.monotonic()
+            self.violations.append(
+                f"{run['task']} of a cancelled job ran from "
+                f"{run['start'] - job.cancelled_at:.1f} to "
+                f"{end - job.cancelled_at:.1f} s after the answer {job.cancel_status}: "
+                f"{run['worker']} {run['end_kind'] or 'runs on'}, "
+                f"submission answered {job.answers}")
+
+    def counts(self):
+        statuses = collections.Counter(job.cancel_status for job in self.jobs())
+        return (f"{super().counts()}, {statuses[200]} cancelled, "
+                f"{statuses[410]} cancelled as unknown")
+
+    def check_invariants(self):
+        jobs = self.jobs()
+        for job in jobs:
+            kind = (self.accepted if job.accepted_at is not None
+                    else self.refused if job.answers and set(job.answers) <= {429, 503}
+                    else self.unknown)
+            kind.add(job.name)
+        accepted = self.accepted
+        self.accepted = {job.name for job in jobs
+                         if job.name in accepted and not job.is_cancelled}
+        super().check_invariants()
+        self.accepted = accepted
+        for client in self.clients:
+            self.violations += client.violations
+        self.check_cancels()
+        self.check_states(jobs)
+        sent = {task: spec for job in jobs for task, spec in job.specs.items()}
+        self.violations += [f"{run['task']} was started, which no client sent: {run}"
+                            for run in find_unsent_starts(list(self.cluster.history),
+                                                          sent)]
+        # Texts of a run that was found in more than one calm.
+        self.violations = list(dict.fromkeys(self.violations))
+        return self.violations
+
+    def check_states(self, jobs):
+        """Cancelled jobs are told as ended, and accepted ones are known."""
+        periods = calm_periods(self.disturbances, time.monotonic())
+        self.violations += [
+            f"accepted job {job.name} was denied" for job in jobs
+            if job.denied_at is not None
+            and any(begin + CONTACT_SECONDS < job.denied_at < until
+                    for begin, until in periods)]
+        over = {(200, state) for state in ("cancelled", "completed", "failed")}
+        for job in jobs:
+            if job.cancelled_at is None:
+                continue
+            answer = None
+            for _ in range(SUBMIT_ATTEMPTS):
+                node = self.random.choice(self.cluster.nodes)
+                answer = node.call("GET", self.cluster.path(job.name))
+                if answer is not None and answer[0] in (200, 410):
+                    break
+                time.sleep(0.2)
+            told = answer and (answer[0], answer[1].get("state"))
+            if told in over or (job.accepted_at is None and told == (410, None)):
+                continue
+            self.violations.append(f"cancelled job {job.name} is told as {answer}, its "
+                                   f"submission was answered {job.answers}")
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("program")
@@ -376,12 +663,14 @@
     modes = parser.add_mutually_exclusive_group()
     modes.add_argument("--overlap", action="store_true")
     modes.add_argument("--losses", action="store_true")
+    modes.add_argument("--cancels", action="store_true")
     parser.add_argument("--nodes", type=int)
     parser.add_argument("--workers", type=int)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        kind = LossesRound if options.losses else Round
+        kind = (LossesRound if options.losses
+                else CancelsRound if options.cancels else Round)
         soak_round = kind(options.program, seed, options)
         threading.excepthook = soak_round.on_thread_failed
         try:
@@ -389,8 +678,7 @@
         finally:
             soak_round.cluster.close()
         failed += bool(broken)
-        print(f"seed {seed}: {len(soak_round.accepted)} accepted, "
-              f"{len(soak_round.refused)} refused, {len(soak_round.unknown)} open, "
+        print(f"seed {seed}: {soak_round.counts()}, "
               f"{len(soak_round.cluster.history)} runs, "
               f"faults {' '.join(soak_round.faults)}: "
               f"{'BROKEN, logs in ' + soak_round.cluster.folder if broken else 'ok'}",
