Fuzz of jobs: cancels of any ID, late copies, and checks of cancelled jobs

The fuzz cancelled only accepted jobs and asked only for their final state.

Change: cancels also have IDs that are unknown, not stored, withdrawn or over, may reach a former owner, and count as acknowledged as Owner::Cancel answers them. Submissions of any fate arrive up to 8 s later again. New faults: late copies; the owner is replaced while a submission and its cancel wait there; a cancelled submission is given up and arrives again; workers confirm stops that they don't carry out. New checks: after the acknowledgement the newest owner orders no start of the job (no time is allowed for it: the cancel was stored before), in a calm time no task of it runs after 4.5 s, and it is stored as cancelled or as it had ended before.

The check of withdrawn jobs covers those that arrived once: a copy that arrives later may run.

--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -173,6 +173,13 @@
   return Answer(OrderOutcome::kDone);
 }
 
+contracts::OrderAnswer FuzzWorker::ConfirmStop(
+    const contracts::StopOrder& order) {
+  if (order.token < token_) return Answer(OrderOutcome::kFenced);
+  token_ = order.token;
+  return Answer(OrderOutcome::kDone);
+}
+
 void FuzzWorker::Acknowledge(std::uint64_t number) {
   while (!ends_.empty() && ends_.front().number <= number) {
     if (ends_.front().number > lapsed_end_) {
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -57,6 +57,8 @@
 
   contracts::OrderAnswer Start(const contracts::StartOrder& order);
   contracts::OrderAnswer Stop(const contracts::StopOrder& order);
+  // Confirms a stop that is not carried out.
+  contracts::OrderAnswer ConfirmStop(const contracts::StopOrder& order);
   contracts::HoldAnswer Hold(const contracts::HoldOrder& order);
 
   const std::string& id() const { return id_; }
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -4,10 +4,14 @@
 // acknowledged finish, not before the step that it depends on, not beyond its
 // attempts, and is not started on a worker that announced long before that it
 // leaves; no accepted job is lost, and jobs that have not started are counted
-// as pending. Once the faults are over, all jobs end.
+// as pending. Once a cancel is acknowledged, no owner in force starts the job,
+// its tasks stop in a calm time, and it ends as cancelled or as it had ended
+// before, whenever its submissions arrive. Once the faults are over, all jobs
+// end.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 #include <functional>
@@ -16,6 +20,7 @@
 #include <random>
 
 #include "fuzz_worker.h"
+#include "jobs/job_record.h"
 #include "jobs/shard_core.h"
 
 namespace carobmast::jobs {
@@ -46,6 +51,21 @@
 constexpr milliseconds kKeepEnded{3600000};
 // Time after which the registry drops the entry of a worker that is gone.
 constexpr milliseconds kEntryTimeout{4500};
+// Time after which tasks of a cancelled job no longer run in a calm time, with
+// a margin for the way of the orders.
+constexpr milliseconds kCancelBound{4000};
+constexpr milliseconds kCancelMargin{500};
+// Calls of callers arrive this much later at most, and those that find no owner
+// are repeated after a pause from this range.
+constexpr int kMaxCallDelayMs = 8000;
+constexpr int kMinCallPauseMs = 50;
+constexpr int kMaxCallPauseMs = 150;
+// Below the 120 s for which the ID of an unknown job stays cancelled.
+constexpr milliseconds kMaxCancelAge{100000};
+// Part of the calls that reach a former owner while there is one.
+constexpr double kFormerOwnerCalls = 0.3;
+// Much less than a long task takes, so that it outlives this and the bound.
+constexpr milliseconds kMaxUnheededTime{2000};
 // A replaced worker is unreachable for this part of the fault's time.
 constexpr int kDownTimeDivisor = 8;
 constexpr int kWorkers = 4;
@@ -81,17 +101,25 @@
                     // store, and each of them reaches some of the workers
                     // and nodes
   kRestartNode,     // it forgets which owners it knew
+  kLateCopies,      // an earlier submission arrives twice more
+  kReplaceBetween,  // the owner is replaced while a submission and its cancel
+                    // wait there; both are tried again, in either order
+  kWithdrawCancelled,  // a cancelled submission is given up and arrives again
+  kUnheededStops,      // a running job is cancelled, and workers confirm stops
+                       // that they don't carry out
   kCount,
 };
 
 constexpr const char* kFaultNames[] = {
-    "submit",          "submit failing", "cancel",
-    "withdraw",        "take over",      "kill owner",
-    "pause owner",     "store out",      "lose append answers",
-    "cut worker",      "lose messages",  "late orders",
-    "crash worker",    "replace worker", "drain worker",
-    "registry silent", "config unread",  "drop queue",
-    "die in append",   "split owners",   "restart node"};
+    "submit",          "submit failing",  "cancel",
+    "withdraw",        "take over",       "kill owner",
+    "pause owner",     "store out",       "lose append answers",
+    "cut worker",      "lose messages",   "late orders",
+    "crash worker",    "replace worker",  "drain worker",
+    "registry silent", "config unread",   "drop queue",
+    "die in append",   "split owners",    "restart node",
+    "late copies",     "replace between", "withdraw cancelled",
+    "unheeded stops"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -144,7 +172,7 @@
         Submit(step);
         break;
       case Fault::kCancel:
-        Cancel(target);
+        CancelAny(target);
         break;
       case Fault::kWithdraw:
         Withdraw(target);
@@ -203,6 +231,18 @@
       case Fault::kRestartNode:
         RestartNode(target % kNodes);
         break;
+      case Fault::kLateCopies:
+        SendLateCopies(target);
+        break;
+      case Fault::kReplaceBetween:
+        ReplaceBetween(step);
+        break;
+      case Fault::kWithdrawCancelled:
+        WithdrawCancelled(step);
+        break;
+      case Fault::kUnheededStops:
+        LeaveStopsUnheeded(step);
+        break;
       case Fault::kCount:
         break;
     }
@@ -217,7 +257,8 @@
   void EndFaultsAndSettle() {
     split_until_ = store_unavailable_until_ = append_answers_lost_until_ =
         lossy_until_ = orders_late_until_ = registry_unread_until_ =
-            config_unread_until_ = queue_dropped_until_ = now_.steady;
+            config_unread_until_ = queue_dropped_until_ =
+                stops_unheeded_until_ = now_.steady;
     // A worker that has just crashed stays away for its minimum time.
     for (auto& [worker, until] : unreachable_until_) {
       until = std::min(until, now_.steady + kMinDownTime);
@@ -247,9 +288,19 @@
         RC_FAIL("job " + id + " failed before all its attempts had");
       }
     }
+    for (const auto& [id, cancel] : acknowledged_cancels_) {
+      if (history_.IsRunning(id)) RC_FAIL("cancelled job " + id + " runs");
+    }
   }
 
  private:
+  // A cancel that its caller takes for done.
+  struct AcknowledgedCancel {
+    MonotonicTime at;
+    // The state in which the job is stored from then on, if it is.
+    JobState state = JobState::kCancelled;
+  };
+
   // The latest owner that the process of a node knows.
   struct FuzzNode {
     std::int64_t incarnation = 1;
@@ -275,6 +326,8 @@
     // Submitted jobs, with the change that must be stored before they are
     // accepted.
     std::vector<std::pair<std::string, std::uint64_t>> submissions;
+    // Like submissions: cancels that are not acknowledged.
+    std::vector<std::pair<std::string, std::uint64_t>> cancels;
   };
 
   // An action at a point in time.
@@ -308,6 +361,7 @@
     owner->node = owner->token % kNodes;
     LearnOwner(owner->node, owner->token);
     owner->last_proof_at = now_.steady;
+    calm_since_ = now_.steady;
     store_epoch_ = owner->token;
     owner->core = std::make_unique<ShardCore>(
         ShardOptions{.token = owner->token,
@@ -472,10 +526,21 @@
                                   " was started on a worker that leaves");
   }
 
+  // The cancel was stored before it was acknowledged, so that the newest owner
+  // knows it.
+  void CheckOrder(const OwnerInstance& owner, const std::string& job) {
+    if (!acknowledged_cancels_.contains(job)) return;
+    if (&owner != owners_.back().get() || owner.dead) return;
+    if (owner.paused_until > now_.steady) return;
+    history_.violations.push_back(
+        job + " was started after its cancel was acknowledged");
+  }
+
   ShardHooks MakeHooks(OwnerInstance* owner) {
     return {.start =
                 [this, owner](const contracts::WorkerTarget& target,
                               const contracts::StartOrder& order) {
+                  CheckOrder(*owner, order.task.job);
                   Send(
                       owner, target.id,
                       [this, order](FuzzWorker& worker, bool late) {
@@ -496,8 +561,13 @@
                               const contracts::StopOrder& order) {
                   Send(
                       owner, target.id,
-                      [order](FuzzWorker& worker, bool) {
-                        return worker.Stop(order);
+                      [this, order](FuzzWorker& worker, bool) {
+                        // Only what the owner does about cancelled jobs is
+                        // checked under such workers.
+                        return stops_unheeded_until_ > now_.steady &&
+                                       cancelled_.contains(order.task.job)
+                                   ? worker.ConfirmStop(order)
+                                   : worker.Stop(order);
                       },
                       [this, owner, target,
                        order](const contracts::OrderAnswer& answer) {
@@ -543,20 +613,23 @@
     const bool answer_lost =
         lost || late || (lossy && HappensWithProbability(0.3));
     if (!lost) {
-      After(late ? Delay(2000, 9000) : Delay(0, 30),
-            [this, owner, index, id, execute, on_answer, answer_lost, late,
-             incarnation = workers_[index]->incarnation()] {
-              contracts::OrderAnswer answer;
-              if (workers_[index]->id() != id) {
-                answer.outcome = OrderOutcome::kOtherIncarnation;
-              } else if (workers_[index]->incarnation() == incarnation) {
-                answer = execute(*workers_[index], late);
-              }
-              if (answer_lost) return;
-              After(Delay(0, 30), [owner, on_answer, answer] {
-                if (!owner->dead) on_answer(answer);
-              });
-            });
+      const milliseconds delay = late ? Delay(2000, 9000) : Delay(0, 30);
+      if (late) {
+        late_order_at_ = std::max(late_order_at_, now_.steady + delay);
+      }
+      After(delay, [this, owner, index, id, execute, on_answer, answer_lost,
+                    late, incarnation = workers_[index]->incarnation()] {
+        contracts::OrderAnswer answer;
+        if (workers_[index]->id() != id) {
+          answer.outcome = OrderOutcome::kOtherIncarnation;
+        } else if (workers_[index]->incarnation() == incarnation) {
+          answer = execute(*workers_[index], late);
+        }
+        if (answer_lost) return;
+        After(Delay(0, 30), [owner, on_answer, answer] {
+          if (!owner->dead) on_answer(answer);
+        });
+      });
     }
     if (answer_lost) {
       After(kOrderTimeout, [owner, on_answer] {
@@ -660,6 +733,11 @@
       accepted_[waiting.first] = true;
       return true;
     });
+    std::erase_if(owner.cancels, [this, &owner](const auto& waiting) {
+      if (owner.core->stored_changes() < waiting.second) return false;
+      AcknowledgeCancel(owner, waiting.first);
+      return true;
+    });
   }
 
   void Tick() {
@@ -694,6 +772,53 @@
       AskNodes(*owner);
     }
     CheckPendingCount(*owners_.back());
+    if (IsDisturbed()) calm_since_ = now_.steady;
+    CheckCancelledJobs(*owners_.back());
+  }
+
+  bool IsDisturbed() const {
+    for (const MonotonicTime until :
+         {store_unavailable_until_, append_answers_lost_until_, lossy_until_,
+          orders_late_until_, late_order_at_, split_until_,
+          registry_unread_until_, config_unread_until_, queue_dropped_until_,
+          stops_unheeded_until_}) {
+      if (until > now_.steady) return true;
+    }
+    for (const auto& [worker, until] : unreachable_until_) {
+      if (until > now_.steady) return true;
+    }
+    for (const std::unique_ptr<OwnerInstance>& owner : owners_) {
+      const bool is_newest = owner == owners_.back();
+      if (owner->dead == is_newest) return true;
+      if (is_newest && owner->paused_until > now_.steady) return true;
+    }
+    return false;
+  }
+
+  // StoredState also names a state of a job that is not stored yet.
+  std::optional<JobState> StateInStore(const OwnerInstance& owner,
+                                       const std::string& id) const {
+    if (!stored_.contains(kProgressPrefix + id)) return std::nullopt;
+    return owner.core->StoredState(id);
+  }
+
+  // In a calm time.
+  void CheckCancelledJobs(const OwnerInstance& owner) {
+    constexpr milliseconds kBound = kCancelBound + kCancelMargin;
+    if (now_.steady - calm_since_ <= kBound) return;
+    for (const auto& [id, cancel] : acknowledged_cancels_) {
+      if (now_.steady - cancel.at <= kBound) continue;
+      if (history_.IsRunning(id)) {
+        history_.violations.push_back(
+            id + " runs after its cancel was acknowledged");
+      }
+      const std::optional<JobState> state = StateInStore(owner, id);
+      if (state.has_value() && *state != cancel.state) {
+        history_.violations.push_back(id + " is stored as " +
+                                      std::to_string(static_cast<int>(*state)) +
+                                      " after its cancel was acknowledged");
+      }
+    }
   }
 
   // The owner counts at least all accepted jobs of which no worker has started
@@ -713,8 +838,9 @@
     }
   }
 
-  void Submit(const FaultStep& step) {
-    OwnerInstance& owner = *owners_.back();
+  // Makes a submission, which is not sent yet.
+  std::string MakeSubmission(const FaultStep& step) {
+    while (WasCancelledLongAgo("j" + std::to_string(submitted_))) ++submitted_;
     const std::string id = "j" + std::to_string(submitted_++);
     const std::uint32_t count = 1 + static_cast<std::uint32_t>(step.target % 3);
     // Some tasks last longer than a successor waits for leases.
@@ -733,30 +859,184 @@
       job.steps.push_back(spec);
     }
     history_.first_step_tasks[id] = count;
-    const SubmitAnswer answer = owner.core->Submit(id, "queue", job, now_);
-    if (answer.outcome != SubmitOutcome::kNewJob) return;
-    owner.submissions.emplace_back(id, answer.change);
+    jobs_[id] = job;
+    return id;
+  }
+
+  void Submit(const FaultStep& step) {
+    SubmitTo(*owners_.back(), MakeSubmission(step));
+  }
+
+  // Whether the ID may be forgotten if no job of it was stored.
+  bool WasCancelledLongAgo(const std::string& id) const {
+    const auto first = first_cancels_.find(id);
+    return first != first_cancels_.end() &&
+           now_.steady - first->second > kMaxCancelAge;
+  }
+
+  void SubmitTo(OwnerInstance& owner, const std::string& id) {
+    if (WasCancelledLongAgo(id)) return;
+    // A submission that arrives again may run although its copy was withdrawn.
+    if (++arrivals_[id] > 1) history_.withdrawn.erase(id);
+    const SubmitAnswer answer =
+        owner.core->Submit(id, "queue", jobs_.at(id), now_);
+    if (answer.outcome != SubmitOutcome::kNewJob &&
+        answer.outcome != SubmitOutcome::kKnownJob) {
+      return;
+    }
+    if (owner.dead || owner.core->stored_changes() < answer.change) {
+      owner.submissions.emplace_back(id, answer.change);
+    } else {
+      accepted_[id] = true;
+    }
+  }
+
+  void CancelAt(OwnerInstance& owner, const std::string& id) {
+    first_cancels_.emplace(id, now_.steady);
+    // A former owner can store nothing.
+    if (owner.token == store_epoch_) cancelled_.insert(id);
+    const CancelAnswer answer = owner.core->Cancel(id, now_);
+    if (answer.outcome == CancelOutcome::kNoRoom) return;
+    if (owner.dead || owner.core->stored_changes() < answer.change) {
+      owner.cancels.emplace_back(id, answer.change);
+    } else {
+      AcknowledgeCancel(owner, id);
+    }
+  }
+
+  void AcknowledgeCancel(const OwnerInstance& owner, const std::string& id) {
+    const JobState state =
+        StateInStore(owner, id).value_or(JobState::kCancelled);
+    if (state != JobState::kCancelled && state != JobState::kCompleted &&
+        state != JobState::kFailed) {
+      history_.violations.push_back("the cancel of " + id +
+                                    " was acknowledged, but it has not ended");
+    }
+    acknowledged_cancels_.emplace(
+        id, AcknowledgedCancel{.at = now_.steady, .state = state});
+  }
+
+  // An owner that a call reaches now: not always the newest.
+  OwnerInstance* ReachedOwner() {
+    std::vector<OwnerInstance*> former;
+    for (const std::unique_ptr<OwnerInstance>& owner : owners_) {
+      if (owner->dead || owner->paused_until > now_.steady) continue;
+      if (owner != owners_.back()) former.push_back(owner.get());
+    }
+    if (!former.empty() && HappensWithProbability(kFormerOwnerCalls)) {
+      return former[random_() % former.size()];
+    }
+    OwnerInstance& newest = *owners_.back();
+    return newest.dead || newest.paused_until > now_.steady ? nullptr : &newest;
+  }
+
+  // A call that finds no owner is repeated, and may be overtaken meanwhile.
+  void Call(std::function<void(OwnerInstance&)> call) {
+    OwnerInstance* owner = ReachedOwner();
+    if (owner != nullptr) {
+      call(*owner);
+      return;
+    }
+    After(Delay(kMinCallPauseMs, kMaxCallPauseMs),
+          [this, call = std::move(call)] { Call(call); });
+  }
+
+  void SubmitLater(const std::string& id) {
+    After(Delay(0, kMaxCallDelayMs), [this, id] {
+      Call([this, id](OwnerInstance& owner) { SubmitTo(owner, id); });
+    });
+  }
+
+  void CancelLater(const std::string& id) {
+    After(Delay(0, kMaxCallDelayMs), [this, id] {
+      Call([this, id](OwnerInstance& owner) { CancelAt(owner, id); });
+    });
+  }
+
+  void SendLateCopies(std::size_t target) {
+    if (jobs_.empty()) return;
+    const std::string id = Pick(jobs_, target);
+    SubmitLater(id);
+    SubmitLater(id);
+  }
+
+  void ReplaceBetween(const FaultStep& step) {
+    const std::string id = MakeSubmission(step);
+    OwnerInstance& former = *owners_.back();
+    // Nothing of it is stored.
+    if (step.target % 4 == 0) SubmitTo(former, id);
+    if (step.target % 4 <= 1) CancelAt(former, id);
+    if (step.target % 4 == 1) SubmitTo(former, id);
+    TakeOver();
+    SubmitLater(id);
+    CancelLater(id);
+  }
+
+  void WithdrawCancelled(const FaultStep& step) {
+    const std::string id = MakeSubmission(step);
+    OwnerInstance& owner = *owners_.back();
+    SubmitTo(owner, id);
+    CancelAt(owner, id);
+    const auto submission = std::find_if(
+        owner.submissions.begin(), owner.submissions.end(),
+        [&id](const auto& waiting) { return waiting.first == id; });
+    if (submission != owner.submissions.end()) {
+      WithdrawFrom(owner, submission);
+    }
+    SubmitLater(id);
+    SubmitLater(id);
   }
 
   void Withdraw(std::size_t target) {
     OwnerInstance& owner = *owners_.back();
     if (owner.submissions.empty()) return;
-    const auto submission =
-        owner.submissions.begin() +
-        static_cast<std::ptrdiff_t>(target % owner.submissions.size());
-    if (owner.core->Withdraw(submission->first)) {
-      history_.withdrawn.insert(submission->first);
-    }
+    WithdrawFrom(owner, owner.submissions.begin() +
+                            static_cast<std::ptrdiff_t>(
+                                target % owner.submissions.size()));
+  }
+
+  void WithdrawFrom(
+      OwnerInstance& owner,
+      std::vector<std::pair<std::string, std::uint64_t>>::iterator submission) {
+    const std::string id = submission->first;
     owner.submissions.erase(submission);
+    if (owner.core->Withdraw(id) && arrivals_[id] == 1) {
+      history_.withdrawn.insert(id);
+    }
   }
 
-  void Cancel(std::size_t target) {
-    if (accepted_.empty()) return;
-    const auto job =
-        std::next(accepted_.begin(),
-                  static_cast<std::ptrdiff_t>(target % accepted_.size()));
-    owners_.back()->core->Cancel(job->first, now_);
-    cancelled_.insert(job->first);
+  void LeaveStopsUnheeded(const FaultStep& step) {
+    stops_unheeded_until_ =
+        now_.steady + std::min(milliseconds(step.length_ms), kMaxUnheededTime);
+    std::map<std::string, bool> running;
+    for (const auto& [id, job] : accepted_) {
+      if (history_.IsRunning(id)) running[id] = true;
+    }
+    if (running.empty()) return;
+    const std::string id = Pick(running, static_cast<std::size_t>(step.target));
+    Call([this, id](OwnerInstance& owner) { CancelAt(owner, id); });
+  }
+
+  template <typename Map>
+  static std::string Pick(const Map& map, std::size_t target) {
+    return std::next(map.begin(),
+                     static_cast<std::ptrdiff_t>(target % map.size()))
+        ->first;
+  }
+
+  // Half of the cancels are for accepted jobs. The others may have any ID that
+  // was sent, or one that is not sent yet.
+  void CancelAny(std::size_t target) {
+    std::string id;
+    if (target % 2 == 0) {
+      if (accepted_.empty()) return;
+      id = Pick(accepted_, target / 2);
+    } else if (target % 4 == 1 && !jobs_.empty()) {
+      id = Pick(jobs_, target / 4);
+    } else {
+      id = "j" + std::to_string(submitted_ + target / 4 % 3);
+    }
+    Call([this, id](OwnerInstance& owner) { CancelAt(owner, id); });
   }
 
   std::mt19937 random_;
@@ -788,7 +1068,18 @@
   std::map<std::size_t, MonotonicTime> unreachable_until_;
   std::uint32_t submitted_ = 0;
   std::map<std::string, bool> accepted_;
+  // Every submission that was made, by ID, and how often it has arrived.
+  std::map<std::string, JobSpec> jobs_;
+  std::map<std::string, int> arrivals_;
+  // Jobs whose cancel has reached an owner in force.
   std::set<std::string> cancelled_;
+  std::map<std::string, MonotonicTime> first_cancels_;
+  std::map<std::string, AcknowledgedCancel> acknowledged_cancels_;
+  MonotonicTime stops_unheeded_until_;
+  // The last arrival of an order that was delayed.
+  MonotonicTime late_order_at_;
+  // Since when no fault has been in effect, with one owner only.
+  MonotonicTime calm_since_;
   // By ID, until when the registry lists an incarnation that is over.
   std::map<std::string, MonotonicTime> former_entries_;
   std::uint32_t replaced_ = 0;
