--- a/src/jobs/internal/cancelled_ids.cc
+++ b/src/jobs/internal/cancelled_ids.cc
@@ -75,9 +75,9 @@
 
 void CancelledIds::Restore(const contracts::KeyedRecord& record) {
   if (!record.value.has_value()) return;
-  const std::string_view digits =
-      std::string_view(record.key)
-          .substr(std::string_view(kCancelledIdsPrefix).size());
+  const std::string_view prefix = kCancelledIdsPrefix;
+  std::string_view digits = record.key;
+  digits.remove_prefix(prefix.size());
   std::uint64_t number = 0;
   const std::from_chars_result parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), number);
