--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -844,7 +844,7 @@
   // Makes a submission, which is not sent yet.
   std::string MakeSubmission(const FaultStep& step) {
     while (WasCancelledLongAgo("j" + std::to_string(submitted_))) ++submitted_;
-    const std::string id = "j" + std::to_string(submitted_++);
+    std::string id = "j" + std::to_string(submitted_++);
     const std::uint32_t count = 1 + static_cast<std::uint32_t>(step.target % 3);
     // Some tasks last longer than a successor waits for leases.
     const int length_ms = step.target % 5 == 0
