Lines that tell why a run on a restarted worker counts as lost

A run on a worker that had restarted under its ID was given up while it ran on. No line told which of three causes acts: a lease or an acknowledgement that was meant for the former incarnation, or a start. Now 'worker reborn' has what the answered hold carried, both clocks and the starts sent since the last answer of the former incarnation; 'runs lost' has the reason and the lease as the owner knows it; 'end of unknown run' and 'ends missing' tell of ends that came too late or never. Two gauges count the latter. No decision changes: the tests of jobs pass as before.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -339,7 +339,7 @@
 }
 
 void ShardCore::OnHold(const std::string& worker_id,
-                       const contracts::HoldOrder&,
+                       const contracts::HoldOrder& order,
                        const contracts::HoldAnswer& answer,
                        MonotonicTime sent_at, ShardTime now) {
   impl_->now = now;
@@ -367,8 +367,7 @@
   worker.unanswered_holds_in_row = 0;
   if (!worker.contact_at.has_value() || worker.born_ms != answer.born_ms) {
     if (worker.contact_at.has_value()) {
-      impl_->hooks.decided("worker reborn", {{"worker", worker_id},
-                                             {"born_ms", answer.born_ms}});
+      impl_->LogRestart(worker, order, answer);
     }
     worker.born_ms = answer.born_ms;
     worker.acknowledged_end = 0;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -211,6 +211,16 @@
   bool IsLeftover(const Run& run, MonotonicTime sent_at) const;
   // Logs the runs that should have ended, at most once a second for a worker.
   void LogLeftoverRuns(WorkerState& worker, const std::vector<Run*>& leftover);
+  // Logs that the hold was answered by another incarnation than the last one,
+  // and which lease and acknowledgement it carried for that.
+  void LogRestart(const WorkerState& worker, const contracts::HoldOrder& order,
+                  const contracts::HoldAnswer& answer) const;
+  // Logs why runs of the worker count as over, and what the owner knows of its
+  // leases.
+  void LogLostRuns(const WorkerState& worker, std::size_t runs,
+                   const std::string& reason) const;
+  void LogUnknownEnd(const WorkerState& worker,
+                     const contracts::EndedTask& end);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
   // Keeps the checkpoint of a task whose step makes some.
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -104,6 +104,7 @@
     if (run.state == RunState::kPlanned || run.ordered_at > sent_at) continue;
     over.push_back(KeyOfRun(run));
   }
+  if (!over.empty()) LogLostRuns(worker, over.size(), "replaced");
   for (const RunKey& run_key : over) {
     Run* run = FindRun(worker, run_key.first, run_key.second);
     if (run != nullptr) EndRun(*run, RunEnd::kLost, "");
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -35,6 +35,8 @@
 // their maximum number.
 constexpr milliseconds kLeftoverLogInterval{1000};
 constexpr std::size_t kMaxLeftoverLines = 8;
+// Maximum number of lines about unknown runs for one list of ends.
+constexpr std::size_t kMaxUnknownEndLines = 8;
 
 RunEnd ToRunEnd(contracts::EndKind kind) {
   switch (kind) {
@@ -356,6 +358,7 @@
         run.stop_confirmed_at.has_value() && *run.stop_confirmed_at < sent_at;
     if (confirmed_before || stopped_before) missing.push_back(KeyOfRun(run));
   }
+  if (!missing.empty()) LogLostRuns(worker, missing.size(), "not listed");
   // Ending a run may end others, so each run is looked up again.
   for (const RunKey& run_key : missing) {
     Run* run = FindRun(worker, run_key.first, run_key.second);
@@ -367,14 +370,90 @@
   }
 }
 
+void ShardCore::Impl::LogRestart(const WorkerState& worker,
+                                 const contracts::HoldOrder& order,
+                                 const contracts::HoldAnswer& answer) const {
+  // The new incarnation may have received these: the former one has not
+  // answered since.
+  const std::ptrdiff_t starts = std::count_if(
+      worker.runs.begin(), worker.runs.end(), [&worker](const Run& run) {
+        return run.state != RunState::kPlanned &&
+               run.ordered_at >= worker.clock_at;
+      });
+  std::vector<telemetry::Field> fields = {
+      {"worker", worker.id},
+      {"born_ms", answer.born_ms},
+      {"former_born_ms", worker.born_ms},
+      {"acknowledged", order.acknowledged_end},
+      {"ends", answer.ended.size()},
+      {"runs", answer.running.size()},
+      {"starts_before", starts}};
+  if (order.lease_end.has_value()) {
+    fields.emplace_back("lease_end", order.lease_end->count());
+  }
+  if (answer.clock.has_value()) {
+    fields.emplace_back("clock", answer.clock->count());
+  }
+  if (worker.clock.has_value()) {
+    fields.emplace_back("former_clock", worker.clock->count());
+  }
+  hooks.decided("worker reborn", fields);
+}
+
+void ShardCore::Impl::LogLostRuns(const WorkerState& worker, std::size_t runs,
+                                  const std::string& reason) const {
+  std::vector<telemetry::Field> fields = {
+      {"worker", worker.id},
+      {"born_ms", worker.born_ms},
+      {"runs", runs},
+      {"reason", reason},
+      {"lease_end", worker.lease_end.count()}};
+  if (worker.clock.has_value()) {
+    fields.emplace_back("clock", worker.clock->count());
+    fields.emplace_back("clock_age", now.steady - worker.clock_at);
+  }
+  if (worker.silent_since.has_value()) {
+    fields.emplace_back("silent", now.steady - *worker.silent_since);
+  }
+  hooks.decided("runs lost", fields);
+}
+
+void ShardCore::Impl::LogUnknownEnd(const WorkerState& worker,
+                                    const contracts::EndedTask& end) {
+  const Task* task = FindTask(end.task);
+  hooks.decided("end of unknown run",
+                {{"job", end.task.job},
+                 {"step", end.task.step},
+                 {"task", end.task.index},
+                 {"attempt", end.attempt},
+                 {"worker", worker.id},
+                 {"born_ms", worker.born_ms},
+                 {"number", end.number},
+                 {"how", RunEndName(ToRunEnd(end.kind))},
+                 {"latest_attempt", task == nullptr ? 0 : task->attempt}});
+}
+
 void ShardCore::Impl::OnEndedList(WorkerState& worker,
                                   const contracts::HoldAnswer& answer) {
+  std::size_t unknown = 0;
   for (const contracts::EndedTask& row : answer.ended) {
     if (row.number <= worker.seen_end) continue;
+    if (row.number > worker.seen_end + 1) {
+      ++counters.end_gaps;
+      hooks.decided("ends missing", {{"worker", worker.id},
+                                     {"born_ms", worker.born_ms},
+                                     {"after", worker.seen_end},
+                                     {"before", row.number}});
+    }
     worker.seen_end = row.number;
     Run* run = FindRun(worker, row.task, row.attempt);
     // A run that was given up before is unknown, and its end changes nothing.
-    if (run != nullptr) EndRun(*run, ToRunEnd(row.kind), row.checkpoint);
+    if (run != nullptr) {
+      EndRun(*run, ToRunEnd(row.kind), row.checkpoint);
+      continue;
+    }
+    ++counters.ends_unknown;
+    if (++unknown <= kMaxUnknownEndLines) LogUnknownEnd(worker, row);
   }
   worker.ends_change = changes;
   if (worker.seen_end > worker.acknowledged_end &&
@@ -407,6 +486,10 @@
       ended_runs.push_back(KeyOfRun(run));
     }
   }
+  if (!ended_runs.empty()) {
+    LogLostRuns(worker, ended_runs.size(),
+                lease_over ? "leases over" : "not delivered");
+  }
   for (const RunKey& run_key : ended_runs) {
     Run* run = FindRun(worker, run_key.first, run_key.second);
     if (run == nullptr) continue;
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -140,6 +140,10 @@
   std::uint64_t ends_failed = 0;
   std::uint64_t ends_stopped = 0;
   std::uint64_t runs_lost = 0;
+  // Ends of runs that were given up before, and gaps in the numbers of listed
+  // ends: the worker has forgotten ends that this owner has not seen.
+  std::uint64_t ends_unknown = 0;
+  std::uint64_t end_gaps = 0;
   std::uint64_t copies = 0;
   std::uint64_t quarantines = 0;
   // Standing tasks stopped in order to be moved to a better worker.
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -593,6 +593,11 @@
             counters.ends_stopped);
   set_gauge("carobmast_runs_lost", "Tasks lost with their worker or lease",
             counters.runs_lost);
+  set_gauge("carobmast_ends_unknown", "Ends of tasks that were given up before",
+            counters.ends_unknown);
+  set_gauge("carobmast_end_gaps",
+            "Lists of workers that lack ends which nobody has seen",
+            counters.end_gaps);
   set_gauge("carobmast_copies", "Copies of slow tasks", counters.copies);
   set_gauge("carobmast_quarantines", "Workers set aside", counters.quarantines);
   set_gauge("carobmast_moves", "Standing tasks moved to others like them",
