--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -10,11 +10,20 @@
 using contracts::OrderOutcome;
 using std::chrono::milliseconds;
 
-constexpr contracts::WorkerClock kMaxLease{6000};
+// Longer than the leases that owners ask for.
+constexpr contracts::WorkerClock kMaxLease{10000};
 constexpr std::size_t kSlots = 4;
 // Maximum number of ends in one answer.
 constexpr std::size_t kListedEnds = 2;
 
+// The clock of a new incarnation begins at a time that says nothing of that of
+// the former one.
+contracts::WorkerClock FirstClock(std::int64_t incarnation) {
+  constexpr std::int64_t kStrideMs = 7919000;
+  constexpr std::int64_t kRangeMs = 9000000;
+  return contracts::WorkerClock(incarnation * kStrideMs % kRangeMs);
+}
+
 std::string Describe(const contracts::TaskKey& task) {
   return task.job + "." + std::to_string(task.step) + "." +
          std::to_string(task.index);
@@ -88,7 +97,7 @@
 }
 
 FuzzWorker::FuzzWorker(std::string id, RunHistory& history)
-    : id_(std::move(id)), history_(history) {}
+    : id_(std::move(id)), history_(history), clock_(FirstClock(born_ms_)) {}
 
 void FuzzWorker::AdvanceTime(milliseconds time) {
   clock_ += time;
@@ -114,9 +123,9 @@
   last_end_ = 0;
   lapsed_end_ = 0;
   token_ = 0;
-  clock_ = contracts::WorkerClock(0);
-  lease_end_ = contracts::WorkerClock(0);
   ++born_ms_;
+  clock_ = FirstClock(born_ms_);
+  lease_end_ = contracts::WorkerClock(0);
 }
 
 void FuzzWorker::Replace(const std::string& id) {
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -62,8 +62,7 @@
   contracts::HoldAnswer Hold(const contracts::HoldOrder& order);
 
   const std::string& id() const { return id_; }
-  // Number of the current incarnation. Orders in transit are lost when the
-  // incarnation that they were sent to ends, as their connections are.
+  // Number of the current incarnation.
   std::int64_t incarnation() const { return born_ms_; }
 
  private:
@@ -77,8 +76,8 @@
 
   std::string id_;
   RunHistory& history_;
-  contracts::WorkerClock clock_{0};
   std::int64_t born_ms_ = 1;
+  contracts::WorkerClock clock_;
   contracts::FencingToken token_ = 0;
   contracts::WorkerClock lease_end_{0};
   // The time left of a run, and whether it then fails.
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -40,11 +40,6 @@
 // Time in which all accepted jobs must end after the faults: the timeout of an
 // unconfirmed claim, the longest lease and the work, one after the other.
 constexpr milliseconds kSettleTime{120000};
-// Minimum time for which a crashed worker is unreachable. A shorter absence may
-// fall between two holds, and the next hold then acknowledges ends of the new
-// incarnation: the protocol can't express which incarnation an acknowledgement
-// is for.
-constexpr milliseconds kMinDownTime{1000};
 // Time after its announcement for which a leaving worker may still get starts.
 constexpr milliseconds kDrainBound{2000};
 // Longer than a test run, so that ended jobs stay known.
@@ -66,8 +61,11 @@
 constexpr double kFormerOwnerCalls = 0.3;
 // Much less than a long task takes, so that it outlives this and the bound.
 constexpr milliseconds kMaxUnheededTime{2000};
-// A replaced worker is unreachable for this part of the fault's time.
+// A restarted or replaced worker is unreachable for this part of the fault's
+// time.
 constexpr int kDownTimeDivisor = 8;
+// A worker that restarts is cut off this much later at most.
+constexpr int kMaxTimeToCutMs = 3000;
 constexpr int kWorkers = 4;
 constexpr std::size_t kNodes = 4;
 constexpr int kLongTaskFactor = 2;
@@ -89,7 +87,8 @@
   kUnreachableWorker,
   kLoseMessages,
   kLateOrders,
-  kCrashWorker,
+  kCrashWorker,     // it restarts under its ID
+  kRestartAndCut,   // like kCrashWorker; it is cut off soon after
   kReplaceWorker,   // it crashes; an incarnation of another ID takes its place,
                     // while the registry still lists the former one
   kDrainWorker,     // it announces that it leaves, and is replaced later
@@ -110,16 +109,32 @@
   kCount,
 };
 
-constexpr const char* kFaultNames[] = {
-    "submit",          "submit failing",  "cancel",
-    "withdraw",        "take over",       "kill owner",
-    "pause owner",     "store out",       "lose append answers",
-    "cut worker",      "lose messages",   "late orders",
-    "crash worker",    "replace worker",  "drain worker",
-    "registry silent", "config unread",   "drop queue",
-    "die in append",   "split owners",    "restart node",
-    "late copies",     "replace between", "withdraw cancelled",
-    "unheeded stops"};
+constexpr const char* kFaultNames[] = {"submit",
+                                       "submit failing",
+                                       "cancel",
+                                       "withdraw",
+                                       "take over",
+                                       "kill owner",
+                                       "pause owner",
+                                       "store out",
+                                       "lose append answers",
+                                       "cut worker",
+                                       "lose messages",
+                                       "late orders",
+                                       "crash worker",
+                                       "restart and cut",
+                                       "replace worker",
+                                       "drain worker",
+                                       "registry silent",
+                                       "config unread",
+                                       "drop queue",
+                                       "die in append",
+                                       "split owners",
+                                       "restart node",
+                                       "late copies",
+                                       "replace between",
+                                       "withdraw cancelled",
+                                       "unheeded stops"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -203,9 +218,14 @@
         orders_late_until_ = until.steady;
         break;
       case Fault::kCrashWorker:
-        workers_[target % kWorkers]->Crash();
-        unreachable_until_[target % kWorkers] =
-            now_.steady + std::max(milliseconds(step.length_ms), kMinDownTime);
+        Restart(target % kWorkers, milliseconds(step.length_ms));
+        break;
+      case Fault::kRestartAndCut:
+        Restart(target % kWorkers, milliseconds(step.length_ms));
+        After(Delay(0, kMaxTimeToCutMs), [this, worker = target % kWorkers,
+                                          cut = milliseconds(step.length_ms)] {
+          unreachable_until_[worker] = now_.steady + cut;
+        });
         break;
       case Fault::kReplaceWorker:
         Replace(target % kWorkers, milliseconds(step.length_ms));
@@ -259,9 +279,8 @@
         lossy_until_ = orders_late_until_ = registry_unread_until_ =
             config_unread_until_ = queue_dropped_until_ =
                 stops_unheeded_until_ = now_.steady;
-    // A worker that has just crashed stays away for its minimum time.
     for (auto& [worker, until] : unreachable_until_) {
-      until = std::min(until, now_.steady + kMinDownTime);
+      until = std::min(until, now_.steady);
     }
     owners_.back()->paused_until = now_.steady;
     Run(kSettleTime);
@@ -484,6 +503,11 @@
         .draining = draining};
   }
 
+  void Restart(std::size_t worker, milliseconds time) {
+    workers_[worker]->Crash();
+    unreachable_until_[worker] = now_.steady + time / kDownTimeDivisor;
+  }
+
   void Replace(std::size_t worker, milliseconds time) {
     former_entries_[workers_[worker]->id()] =
         now_.steady + std::min(time, kEntryTimeout);
@@ -514,7 +538,6 @@
     After(time, [this, worker] {
       draining_since_.erase(worker);
       workers_[worker]->Crash();
-      unreachable_until_[worker] = now_.steady + kMinDownTime;
     });
   }
 
@@ -617,19 +640,19 @@
       if (late) {
         late_order_at_ = std::max(late_order_at_, now_.steady + delay);
       }
-      After(delay, [this, owner, index, id, execute, on_answer, answer_lost,
-                    late, incarnation = workers_[index]->incarnation()] {
-        contracts::OrderAnswer answer;
-        if (workers_[index]->id() != id) {
-          answer.outcome = OrderOutcome::kOtherIncarnation;
-        } else if (workers_[index]->incarnation() == incarnation) {
-          answer = execute(*workers_[index], late);
-        }
-        if (answer_lost) return;
-        After(Delay(0, 30), [owner, on_answer, answer] {
-          if (!owner->dead) on_answer(answer);
-        });
-      });
+      After(delay,
+            [this, owner, index, id, execute, on_answer, answer_lost, late] {
+              contracts::OrderAnswer answer;
+              if (workers_[index]->id() != id) {
+                answer.outcome = OrderOutcome::kOtherIncarnation;
+              } else {
+                answer = execute(*workers_[index], late);
+              }
+              if (answer_lost) return;
+              After(Delay(0, 30), [owner, on_answer, answer] {
+                if (!owner->dead) on_answer(answer);
+              });
+            });
     }
     if (answer_lost) {
       After(kOrderTimeout, [owner, on_answer] {
@@ -666,12 +689,11 @@
           owner.core->OnHold(id, order, answer, sent_at, now_);
         };
     if (!lost) {
-      After(Delay(0, 100), [this, id, index, order, answer_lost, on_answer,
-                            incarnation = workers_[index]->incarnation()] {
+      After(Delay(0, 100), [this, id, index, order, answer_lost, on_answer] {
         contracts::HoldAnswer answer;
         if (workers_[index]->id() != id) {
           answer.outcome = OrderOutcome::kOtherIncarnation;
-        } else if (workers_[index]->incarnation() == incarnation) {
+        } else {
           answer = workers_[index]->Hold(order);
         }
         if (answer_lost) return;
