Orders reach only the incarnation that they were computed for

A start that was sent to a worker which had just restarted under its ID was carried out by its new incarnation. The start carried a lease end on the clock of the former one, which was hours ahead, so the worker granted its longest lease, 10 s, where the owner counted 5 s. When the worker was cut off, the owner started its tasks elsewhere while they ran on, or after they had ended as done. In the same way an acknowledgement for the former incarnation made the new one forget ends that nobody had seen.

Now an order names the incarnation that it was computed for, and is sent only over a connection on which this incarnation has answered; a new connection is asked first. A hold after an unanswered one names none and carries neither lease nor acknowledgement. A connection does not outlive a process, so no order can reach a later one (ADR 0038).

--- a/src/contracts/task_workers.h
+++ b/src/contracts/task_workers.h
@@ -34,7 +34,15 @@
   net::Address address;
 };
 
+// The time of birth of one incarnation of a worker in milliseconds since the
+// Unix epoch; 0 where an order may be carried out by any, or where it is not
+// known. A worker that restarts may keep its ID.
+using Incarnation = std::int64_t;
+
+// Each order is carried out by its incarnation only: another one does not
+// receive it, and the outcome is kNotSent.
 struct StartOrder {
+  Incarnation incarnation = 0;
   TaskKey task;
   std::uint32_t attempt = 0;
   // Description of the work, passed on unchanged from the caller.
@@ -48,6 +56,7 @@
 };
 
 struct StopOrder {
+  Incarnation incarnation = 0;
   TaskKey task;
   std::uint32_t attempt = 0;
   FencingToken token = 0;
@@ -55,6 +64,7 @@
 
 // Sets the speed of a running task.
 struct PaceOrder {
+  Incarnation incarnation = 0;
   TaskKey task;
   std::uint32_t attempt = 0;
   // Percentage of full speed, 0 to 100.
@@ -65,6 +75,8 @@
 // Renews the leases of all tasks on the worker and requests the list of running
 // and ended tasks.
 struct HoldOrder {
+  // 0 for an order without a lease and acknowledgement.
+  Incarnation incarnation = 0;
   std::optional<WorkerClock> lease_end;
   FencingToken token = 0;
   // The worker may discard the ended tasks up to this EndedTask::number.
@@ -83,8 +95,8 @@
   kBadTicket,         // the worker rejected the ticket
   kUnhealthy,         // the worker is unhealthy; the order had no effect
   kInvalid,           // the worker doesn't understand the order
-  kOtherIncarnation,  // a different worker answers at this address
-  kNotSent,           // no byte of the order was sent
+  kOtherIncarnation,  // a worker of another ID answers at this address
+  kNotSent,           // the worker has not received the order
   kUnknown,           // no answer: the order may take effect now or later
 };
 
@@ -129,9 +141,7 @@
 struct HoldAnswer {
   OrderOutcome outcome = OrderOutcome::kUnknown;
   std::optional<WorkerClock> clock;
-  // Wall time at which the worker last started, in milliseconds since the Unix
-  // epoch; 0 if the worker did not report it.
-  std::int64_t born_ms = 0;
+  Incarnation born_ms = 0;
   std::vector<RunningTask> running;
   // In the order of their numbers, from the first that is not acknowledged.
   std::vector<EndedTask> ended;
--- a/src/framework/net/http_client.h
+++ b/src/framework/net/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -55,10 +56,22 @@
   std::string error;
 };
 
+// Tells apart the processes that answer at one address one after the other. A
+// connection belongs to one of them for its whole life.
+struct PeerCheck {
+  // The process that must receive the call; empty for any.
+  std::string expected;
+  // Makes a call without effect that is sent first over a connection whose peer
+  // is not known.
+  std::function<HttpCall()> make_question;
+  // Reads the name of the process from an answer; empty if it has none.
+  std::function<std::string(const HttpAnswer&)> read_name;
+};
+
 struct HttpClientOptions {
   // A response with a longer body fails the call with kUnknown.
   std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
-  // For each address; further connections are closed after their call.
+  // For each address; beyond it the one that was idle for longest is closed.
   std::size_t max_idle_connections = 8;
 };
 
@@ -73,6 +86,10 @@
   // the peer are returned, not thrown. `address` must hold a numeric IP.
   // Requests are never retried.
   boost::asio::awaitable<HttpAnswer> Call(Address address, HttpCall call);
+  // Like Call. If another process than the expected one answers, or none tells
+  // its name, the outcome is kNotSent.
+  boost::asio::awaitable<HttpAnswer> CallPeer(Address address, HttpCall call,
+                                              PeerCheck check);
 
   // Closes the idle connections; calls in flight go on.
   void Close();
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -1,12 +1,12 @@
 #include "framework/net/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
 #include <map>
-#include <optional>
 
 #include "framework/net/internal/message_reader.h"
 
@@ -53,17 +53,48 @@
         : stream(executor) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    // The process at the other end; empty while it is not known.
+    std::string peer_name;
   };
 
-  // Returns an idle connection that the peer has not closed, or null.
-  Ref<Connection> TakeIdle(const Address& address) {
+  // Returns an idle connection to the peer, or else to one that is not known,
+  // that was not closed there; null if there is none. Any peer will do when the
+  // name is empty.
+  Ref<Connection> TakeIdle(const Address& address,
+                           const std::string& peer_name) {
     std::list<Ref<Connection>>& idle_connections = idle[address];
-    while (!idle_connections.empty()) {
-      Ref<Connection> connection = idle_connections.back();
-      idle_connections.pop_back();
-      if (IsReusable(*connection)) return connection;
-    }
-    return nullptr;
+    std::erase_if(idle_connections, [](const Ref<Connection>& connection) {
+      return !IsReusable(*connection);
+    });
+    const auto take_last = [&idle_connections](const auto& is_suitable) {
+      const auto last = std::find_if(idle_connections.rbegin(),
+                                     idle_connections.rend(), is_suitable);
+      if (last == idle_connections.rend()) return Ref<Connection>();
+      Ref<Connection> connection = *last;
+      idle_connections.erase(std::next(last).base());
+      return connection;
+    };
+    Ref<Connection> connection =
+        take_last([&peer_name](const Ref<Connection>& each) {
+          return peer_name.empty() || each->peer_name == peer_name;
+        });
+    if (connection != nullptr) return connection;
+    return take_last(
+        [](const Ref<Connection>& each) { return each->peer_name.empty(); });
+  }
+
+  // Connects within `deadline`.
+  asio::awaitable<Ref<Connection>> Connect(const Address& address,
+                                           MonotonicTime deadline,
+                                           error_code& error) {
+    Ref<Connection> connection = MakeRef<Connection>(executor);
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(
+        ToEndpoint(address), asio::redirect_error(asio::use_awaitable, error));
+    error_code option_error;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                           option_error);
+    co_return connection;
   }
 
   // Returns false if data or the end of the stream has arrived on an idle
@@ -80,11 +111,49 @@
 
   void ReturnToPool(const Address& address, Ref<Connection> connection) {
     std::list<Ref<Connection>>& idle_connections = idle[address];
-    if (idle_connections.size() >= options.max_idle_connections) return;
+    if (idle_connections.size() >= options.max_idle_connections) {
+      idle_connections.pop_front();
+    }
     connection->stream.expires_never();
     idle_connections.push_back(std::move(connection));
   }
 
+  // Sends one request over the connection. Sets `reusable` to whether the
+  // connection can be used for another one.
+  asio::awaitable<HttpAnswer> Exchange(const Ref<Connection>& connection,
+                                       const Address& address, HttpCall&& call,
+                                       MonotonicTime deadline, bool reused,
+                                       bool& reusable) {
+    reusable = false;
+    connection->stream.expires_at(deadline);
+    const http::request<http::string_body> request =
+        MakeRequest(address, std::move(call));
+    error_code error;
+    const std::size_t written = co_await http::async_write(
+        connection->stream, request,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return Failure(
+          written == 0 ? CallOutcome::kNotSent : CallOutcome::kUnknown, "send",
+          address, error);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(options.max_answer_bytes);
+    co_await ReadMessage(connection->stream, connection->buffer, parser,
+                         deadline, error);
+    if (error) {
+      // The other idle connections to this peer may be dead as well, and each
+      // of them would cost one call its whole timeout.
+      if (reused) idle.erase(address);
+      co_return Failure(CallOutcome::kUnknown, "receive", address, error);
+    }
+    http::response<http::string_body> response = parser.release();
+    reusable = response.keep_alive();
+    co_return HttpAnswer{.outcome = CallOutcome::kAnswered,
+                         .status = static_cast<int>(response.result_int()),
+                         .body = std::move(response.body())};
+  }
+
   asio::any_io_executor executor;
   HttpClientOptions options;
   std::map<Address, std::list<Ref<Connection>>> idle;
@@ -102,50 +171,44 @@
 void HttpClient::Close() { impl_->idle.clear(); }
 
 asio::awaitable<HttpAnswer> HttpClient::Call(Address address, HttpCall call) {
+  return CallPeer(std::move(address), std::move(call), {});
+}
+
+asio::awaitable<HttpAnswer> HttpClient::CallPeer(Address address, HttpCall call,
+                                                 PeerCheck check) {
   const Ref<Impl> impl = impl_;
   const MonotonicTime deadline = MonotonicClock::now() + call.timeout;
-  error_code error;
-  Ref<Impl::Connection> connection = impl->TakeIdle(address);
+  Ref<Impl::Connection> connection = impl->TakeIdle(address, check.expected);
   const bool reused = connection != nullptr;
   if (!reused) {
-    connection = MakeRef<Impl::Connection>(impl->executor);
-    connection->stream.expires_at(deadline);
-    co_await connection->stream.async_connect(
-        ToEndpoint(address), asio::redirect_error(asio::use_awaitable, error));
+    error_code error;
+    connection = co_await impl->Connect(address, deadline, error);
     if (error) {
       co_return Failure(CallOutcome::kNotSent, "connect", address, error);
     }
-    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true),
-                                           error);
-  }
-  connection->stream.expires_at(deadline);
-  const http::request<http::string_body> request =
-      MakeRequest(address, std::move(call));
-  const std::size_t written = co_await http::async_write(
-      connection->stream, request,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_return Failure(
-        written == 0 ? CallOutcome::kNotSent : CallOutcome::kUnknown, "send",
-        address, error);
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(impl->options.max_answer_bytes);
-  co_await ReadMessage(connection->stream, connection->buffer, parser, deadline,
-                       error);
-  if (error) {
-    // The other idle connections to this peer may be dead as well, and each of
-    // them would cost one call its whole timeout.
-    if (reused) impl->idle.erase(address);
-    co_return Failure(CallOutcome::kUnknown, "receive", address, error);
+  bool reusable = true;
+  if (connection->peer_name != check.expected && !check.expected.empty()) {
+    const HttpAnswer named = co_await impl->Exchange(
+        connection, address, check.make_question(), deadline, reused, reusable);
+    connection->peer_name = check.read_name(named);
+    if (connection->peer_name != check.expected) {
+      if (reusable) impl->ReturnToPool(address, std::move(connection));
+      co_return HttpAnswer{.error = "identify with " + address.ToString() +
+                                    ": " +
+                                    (named.outcome == CallOutcome::kAnswered
+                                         ? "not the expected process, status " +
+                                               std::to_string(named.status)
+                                         : named.error)};
+    }
   }
-  http::response<http::string_body> response = parser.release();
-  if (response.keep_alive()) {
-    impl->ReturnToPool(address, std::move(connection));
+  const HttpAnswer answer = co_await impl->Exchange(
+      connection, address, std::move(call), deadline, reused, reusable);
+  if (check.read_name && connection->peer_name.empty()) {
+    connection->peer_name = check.read_name(answer);
   }
-  co_return HttpAnswer{.outcome = CallOutcome::kAnswered,
-                       .status = static_cast<int>(response.result_int()),
-                       .body = std::move(response.body())};
+  if (reusable) impl->ReturnToPool(address, std::move(connection));
+  co_return answer;
 }
 
 }  // namespace carobmast::net
--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -83,6 +83,8 @@
   CPPUNIT_TEST(DrainingServerKeepsConnectionsOpen);
   CPPUNIT_TEST(HandlerErrorsBecomeStatus400);
   CPPUNIT_TEST(SilentIdleConnectionsFailOneCallOnly);
+  CPPUNIT_TEST(CallReachesAnotherProcessThanExpected);
+  CPPUNIT_TEST(ConnectionsOfFormerProcessesFillThePool);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -223,6 +225,55 @@
     });
   }
 
+  // Guards against a call that is carried out by the successor of the process
+  // that it was meant for, at the same address.
+  void CallReachesAnotherProcessThanExpected() {
+    std::string name = "first";
+    std::vector<std::string> received;
+    Ref<HttpServer> server =
+        loopback_.Serve([&name, &received](ServerRequest request) {
+          received.push_back(request.path);
+          return AnswerText(name);
+        });
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      CPPUNIT_ASSERT((co_await CallPeer(*server, "first")).outcome ==
+                     CallOutcome::kAnswered);
+      // Later calls over the same connection need no question.
+      CPPUNIT_ASSERT((co_await CallPeer(*server, "first")).outcome ==
+                     CallOutcome::kAnswered);
+      loopback_.client->Close();
+      name = "second";
+      CPPUNIT_ASSERT((co_await CallPeer(*server, "first")).outcome ==
+                     CallOutcome::kNotSent);
+      CPPUNIT_ASSERT((co_await CallPeer(*server, "second")).outcome ==
+                     CallOutcome::kAnswered);
+    });
+    const std::vector<std::string> expected = {"/question", "/order", "/order",
+                                               "/question", "/order"};
+    CPPUNIT_ASSERT(expected == received);
+  }
+
+  // Guards against a new connection for each call once a process has restarted
+  // while many connections were idle.
+  void ConnectionsOfFormerProcessesFillThePool() {
+    std::string name = "first";
+    std::vector<std::string> received;
+    Ref<HttpServer> server =
+        loopback_.Serve([&name, &received](ServerRequest request) {
+          received.push_back(request.path);
+          return AnswerText(name);
+        });
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      for (int i = 0; i < 20; ++i) {
+        name = std::to_string(i);
+        co_await CallPeer(*server, name);
+      }
+      received.clear();
+      co_await CallPeer(*server, name);
+    });
+    CPPUNIT_ASSERT(received == std::vector<std::string>{"/order"});
+  }
+
  private:
   // A connection with a request on it. The event loop is not run meanwhile.
   asio::ip::tcp::socket ConnectAndSend(const Address& server) {
@@ -238,6 +289,18 @@
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
     co_await timer.async_wait(asio::use_awaitable);
   }
+  static asio::awaitable<ServerAnswer> AnswerText(std::string text) {
+    co_return ServerAnswer{.body = std::move(text)};
+  }
+
+  asio::awaitable<HttpAnswer> CallPeer(HttpServer& server, std::string name) {
+    return loopback_.client->CallPeer(
+        server.address(), {.target = "/order"},
+        {.expected = std::move(name),
+         .make_question = [] { return HttpCall{.target = "/question"}; },
+         .read_name = [](const HttpAnswer& answer) { return answer.body; }});
+  }
+
   static asio::awaitable<ServerAnswer> Echo(ServerRequest request) {
     co_return ServerAnswer{.body = request.method + " " + request.path + " " +
                                    request.QueryOr("x", "") + " " +
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -301,17 +301,16 @@
   WorkerState& worker = impl_->GetWorker(worker_id);
   HoldPlan plan;
   plan.order.token = impl_->options.token;
-  // After a hold without an answer the worker may have restarted and reuse the
-  // numbers of ends: none of the new ends may be acknowledged before it was
-  // seen.
-  if (!worker.silent_since.has_value() && worker.unanswered_holds_in_row == 0) {
+  // After a hold without an answer the worker may have restarted, so the next
+  // one is for any incarnation. One that may get no answer must not extend the
+  // lease: otherwise the lease of an unreachable worker would never expire.
+  if (worker.contact_at.has_value() && !worker.silent_since.has_value() &&
+      worker.unanswered_holds_in_row == 0) {
+    plan.order.incarnation = worker.born_ms;
     plan.order.acknowledged_end = worker.acknowledged_end;
-  }
-  // A hold that may get no answer must not extend the lease: otherwise the
-  // lease of an unreachable worker would never expire.
-  if (worker.clock.has_value() && !worker.silent_since.has_value() &&
-      worker.unanswered_holds_in_row == 0 && impl_->MayGrantLease(worker)) {
-    plan.order.lease_end = impl_->LeaseEndFor(worker);
+    if (worker.clock.has_value() && impl_->MayGrantLease(worker)) {
+      plan.order.lease_end = impl_->LeaseEndFor(worker);
+    }
   }
   if (worker.silent_since.has_value()) {
     plan.pause = kSilentHoldPause;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -54,7 +54,8 @@
   run.order_in_flight = true;
   ++starts_in_flight;
   hooks.start({.id = worker.id, .address = worker.entry.address},
-              {.task = KeyOfTask(task),
+              {.incarnation = worker.born_ms,
+               .task = KeyOfTask(task),
                .attempt = run.attempt,
                .spec = task.step->occurrence->job->spec.text,
                .lease_end = LeaseEndFor(worker),
@@ -144,7 +145,8 @@
   run.stop_in_flight = true;
   ++run.stops_sent;
   hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
-             {.task = KeyOfTask(*run.task),
+             {.incarnation = run.worker->born_ms,
+              .task = KeyOfTask(*run.task),
               .attempt = run.attempt,
               .token = options.token});
 }
@@ -197,8 +199,7 @@
                                     const contracts::OrderAnswer& answer) {
   // Only the answer to a hold shows how long leases of former owners may last.
   if (!worker.contact_at.has_value()) return;
-  // A worker whose clock has gone back was restarted; the next hold shows its
-  // new incarnation. Its former leases must not be compared with the new clock.
+  // Answers may overtake each other.
   if (answer.clock.has_value() && answer.clock >= worker.clock) {
     OnClock(worker, *answer.clock);
   }
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -246,7 +246,8 @@
   run.progress_clock.reset();
   ++counters.paces;
   hooks.pace({.id = run.worker->id, .address = run.worker->entry.address},
-             {.task = KeyOfTask(*run.task),
+             {.incarnation = run.worker->born_ms,
+              .task = KeyOfTask(*run.task),
               .attempt = run.attempt,
               .percent = run.pace,
               .token = options.token});
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -259,9 +259,11 @@
                  {"since", now.steady - unknown.since},
                  {"stops", unknown.stops_sent}});
   ++unknown.stops_sent;
-  hooks.stop(
-      {.id = worker.id, .address = worker.entry.address},
-      {.task = row.task, .attempt = row.attempt, .token = options.token});
+  hooks.stop({.id = worker.id, .address = worker.entry.address},
+             {.incarnation = worker.born_ms,
+              .task = row.task,
+              .attempt = row.attempt,
+              .token = options.token});
 }
 
 bool ShardCore::Impl::IsLeftover(const Run& run, MonotonicTime sent_at) const {
--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -18,7 +18,7 @@
 
 // The clock of a new incarnation begins at a time that says nothing of that of
 // the former one.
-contracts::WorkerClock FirstClock(std::int64_t incarnation) {
+contracts::WorkerClock FirstClock(contracts::Incarnation incarnation) {
   constexpr std::int64_t kStrideMs = 7919000;
   constexpr std::int64_t kRangeMs = 9000000;
   return contracts::WorkerClock(incarnation * kStrideMs % kRangeMs);
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -62,8 +62,10 @@
   contracts::HoldAnswer Hold(const contracts::HoldOrder& order);
 
   const std::string& id() const { return id_; }
-  // Number of the current incarnation.
-  std::int64_t incarnation() const { return born_ms_; }
+  // Whether an order for this incarnation reaches the present one.
+  bool Receives(contracts::Incarnation incarnation) const {
+    return incarnation == 0 || incarnation == born_ms_;
+  }
 
  private:
   using RunId = std::pair<contracts::TaskKey, std::uint32_t>;
@@ -76,7 +78,7 @@
 
   std::string id_;
   RunHistory& history_;
-  std::int64_t born_ms_ = 1;
+  contracts::Incarnation born_ms_ = 1;
   contracts::WorkerClock clock_;
   contracts::FencingToken token_ = 0;
   contracts::WorkerClock lease_end_{0};
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -565,7 +565,7 @@
                               const contracts::StartOrder& order) {
                   CheckOrder(*owner, order.task.job);
                   Send(
-                      owner, target.id,
+                      owner, target.id, order.incarnation,
                       [this, order](FuzzWorker& worker, bool late) {
                         if (!late) CheckStart(IndexOf(worker.id()), order);
                         contracts::OrderAnswer answer = worker.Start(order);
@@ -583,7 +583,7 @@
                 [this, owner](const contracts::WorkerTarget& target,
                               const contracts::StopOrder& order) {
                   Send(
-                      owner, target.id,
+                      owner, target.id, order.incarnation,
                       [this, order](FuzzWorker& worker, bool) {
                         // Only what the owner does about cancelled jobs is
                         // checked under such workers.
@@ -625,6 +625,7 @@
   // answered; a late one is carried out seconds later and not answered.
   void Send(
       OwnerInstance* owner, const std::string& id,
+      contracts::Incarnation incarnation,
       std::function<contracts::OrderAnswer(FuzzWorker&, bool late)> execute,
       std::function<void(const contracts::OrderAnswer&)> on_answer) {
     const std::size_t index = IndexOf(id);
@@ -640,19 +641,21 @@
       if (late) {
         late_order_at_ = std::max(late_order_at_, now_.steady + delay);
       }
-      After(delay,
-            [this, owner, index, id, execute, on_answer, answer_lost, late] {
-              contracts::OrderAnswer answer;
-              if (workers_[index]->id() != id) {
-                answer.outcome = OrderOutcome::kOtherIncarnation;
-              } else {
-                answer = execute(*workers_[index], late);
-              }
-              if (answer_lost) return;
-              After(Delay(0, 30), [owner, on_answer, answer] {
-                if (!owner->dead) on_answer(answer);
-              });
-            });
+      After(delay, [this, owner, index, id, incarnation, execute, on_answer,
+                    answer_lost, late] {
+        contracts::OrderAnswer answer;
+        if (workers_[index]->id() != id) {
+          answer.outcome = OrderOutcome::kOtherIncarnation;
+        } else if (workers_[index]->Receives(incarnation)) {
+          answer = execute(*workers_[index], late);
+        } else {
+          answer.outcome = OrderOutcome::kNotSent;
+        }
+        if (answer_lost) return;
+        After(Delay(0, 30), [owner, on_answer, answer] {
+          if (!owner->dead) on_answer(answer);
+        });
+      });
     }
     if (answer_lost) {
       After(kOrderTimeout, [owner, on_answer] {
@@ -693,8 +696,10 @@
         contracts::HoldAnswer answer;
         if (workers_[index]->id() != id) {
           answer.outcome = OrderOutcome::kOtherIncarnation;
-        } else {
+        } else if (workers_[index]->Receives(order.incarnation)) {
           answer = workers_[index]->Hold(order);
+        } else {
+          answer.outcome = OrderOutcome::kNotSent;
         }
         if (answer_lost) return;
         After(Delay(0, 30), [on_answer, answer] { on_answer(answer); });
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -58,6 +58,8 @@
     const SentStart start = SubmitTask("former", "runs 100");
     const contracts::OrderAnswer answer = worker_->Start(start.order);
     worker_->Crash();
+    // The first one is meant for the former incarnation.
+    Hold();
     Hold();
     bench_->core->OnStart(start.worker, start.order, answer, bench_->now);
     Deliver(SubmitTask("j", "runs 60000"));
@@ -79,14 +81,22 @@
   }
 
   void Deliver(const SentStart& start) {
-    bench_->core->OnStart(start.worker, start.order,
-                          worker_->Start(start.order), bench_->now);
+    const contracts::OrderAnswer answer =
+        worker_->Receives(start.order.incarnation)
+            ? worker_->Start(start.order)
+            : contracts::OrderAnswer{.outcome =
+                                         contracts::OrderOutcome::kNotSent};
+    bench_->core->OnStart(start.worker, start.order, answer, bench_->now);
   }
 
   void Hold() {
     const HoldPlan plan = bench_->core->PlanHold("w", bench_->now);
     const MonotonicTime sent_at = bench_->now.steady;
-    const contracts::HoldAnswer answer = worker_->Hold(plan.order);
+    const contracts::HoldAnswer answer =
+        worker_->Receives(plan.order.incarnation)
+            ? worker_->Hold(plan.order)
+            : contracts::HoldAnswer{.outcome =
+                                        contracts::OrderOutcome::kNotSent};
     Advance(kStep);
     bench_->core->OnHold("w", plan.order, answer, sent_at, bench_->now);
   }
