A late answer of a former incarnation does not set the clock of the next

An answer to an order of the former incarnation of a restarted worker that came after the first one of the new incarnation set the worker's clock, if it was ahead. The owner then took the lease for one that ends hours later: when the worker was cut off, its tasks were never started again. Answers now count only for the incarnation that the order was for.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -418,7 +418,7 @@
   if (run == nullptr) return;
   run->stop_in_flight = false;
   run->stop_error = answer.error;
-  impl_->OnOrderAnswer(*found->second, answer);
+  impl_->OnOrderAnswer(*found->second, order.incarnation, answer);
   if (answer.outcome == OrderOutcome::kDone) {
     run->stop_confirmed_at = now.steady;
     impl_->HoldNow(*found->second);
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -185,7 +185,8 @@
   contracts::WorkerClock LeaseEndFor(WorkerState& worker) const;
   void OnStart(const std::string& worker_id, const contracts::StartOrder& order,
                const contracts::OrderAnswer& answer);
-  void OnOrderAnswer(WorkerState& worker, const contracts::OrderAnswer& answer);
+  void OnOrderAnswer(WorkerState& worker, contracts::Incarnation incarnation,
+                     const contracts::OrderAnswer& answer);
   void OnStartRefused(Run& run, const contracts::OrderAnswer& answer);
   void RepeatOrders(WorkerState& worker);
   // Ends or stops the runs that a leaving worker has not confirmed.
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -161,7 +161,7 @@
   if (run == nullptr) return;
   run->order_in_flight = false;
   run->retry_at = now.steady;
-  OnOrderAnswer(worker, answer);
+  OnOrderAnswer(worker, order.incarnation, answer);
   if (run->state != RunState::kSent) return;
   switch (answer.outcome) {
     case OrderOutcome::kDone:
@@ -196,9 +196,12 @@
 }
 
 void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
+                                    contracts::Incarnation incarnation,
                                     const contracts::OrderAnswer& answer) {
   // Only the answer to a hold shows how long leases of former owners may last.
   if (!worker.contact_at.has_value()) return;
+  // It says nothing of the present incarnation and its clock.
+  if (incarnation != worker.born_ms) return;
   // Answers may overtake each other.
   if (answer.clock.has_value() && answer.clock >= worker.clock) {
     OnClock(worker, *answer.clock);
