Soak: workers restart silently under their IDs and are cut off soon after

The soak had no worker that restarts while orders for it are on their way: all its crashes reset connections at once. Clocks of incarnations are unrelated, and workers grant longer leases than nodes ask for.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,7 +2,7 @@
 """Randomized soak test that injects faults into node processes from outside.
 
 Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
-               [--overlap | --losses | --cancels] [--nodes N] [--workers N]
+               [--overlap | --losses | --cancels | --restarts] [--nodes N] [--workers N]
 Each seed is one round: jobs are submitted through all nodes while nodes are killed,
 paused, stopped gracefully and restarted, workers are drained, the configuration is
 changed and reloaded, and connections to the store are delayed, reset, cut in one
@@ -17,6 +17,9 @@
 With --cancels, clients cancel jobs at any moment and leave submissions unanswered, and
 copies of submissions arrive late, while overlapping faults come in series. In the calm
 after a series, no task of a job may start or run whose cancel was acknowledged.
+With --restarts, workers restart silently under their names while long tasks run, so that
+orders for one incarnation reach the next, and some of them are cut off soon after; nodes
+and the store fail beside that.
 Prints one line per seed; exits with 1 if an invariant was violated.
 """
 
@@ -59,6 +62,14 @@
 QUIET_SECONDS = MAX_AWAY_SECONDS + 1
 # With --losses and --cancels, workers grant leases as long as in real deployments.
 REAL_HOLD_MAX_MS = 6000
+# With --restarts they grant longer ones than nodes ask for, which is 5 s.
+LONG_HOLD_MAX_MS = 10000
+RESTARTS_SIZE = (3, 6)
+RESTARTS_MILLISECONDS = (50, 300, 1500, 8000)
+# Ranges of how long a worker that restarts is silent, how long after that it is cut off,
+# and for how long.
+DOWN_SECONDS, UNTIL_CUT_SECONDS, CUT_SECONDS = (0.05, 0.7), (0, 2.5), (2, 9)
+CUT_SHARE = 0.7
 STANDING_JOBS, STANDING_TASKS = 4, 4
 # Nodes and workers of a round by default. With --losses a majority of the nodes is
 # left although the owner and another node are lost.
@@ -91,11 +102,13 @@
     def __init__(self, program, seed, options):
         self.random = random.Random(seed)
         nodes, workers = (LOSSES_SIZE if options.losses
-                          else CANCELS_SIZE if options.cancels else DEFAULT_SIZE)
+                          else CANCELS_SIZE if options.cancels
+                          else RESTARTS_SIZE if options.restarts else DEFAULT_SIZE)
         self.cluster = Cluster(
             program, nodes=options.nodes or nodes, workers=options.workers or workers,
             hold_max_ms=(REAL_HOLD_MAX_MS if options.losses or options.cancels
-                         else HOLD_MAX_MS))
+                         else LONG_HOLD_MAX_MS if options.restarts else HOLD_MAX_MS))
+        self.milliseconds = (50, 300, 1500)
         self.seconds = options.seconds
         self.overlap = options.overlap
         self.locks = collections.defaultdict(threading.Lock)
@@ -112,7 +125,7 @@
             job = f"{number:016x}"
             number += 1
             body = make_job(self.random.randint(1, 2), self.random.randint(1, 4),
-                            self.random.choice((50, 300, 1500)))
+                            self.random.choice(self.milliseconds))
             answer = self.send("POST", job, body)
             if answer is not None and answer[0] == 200:
                 self.accepted.add(job)
@@ -255,6 +268,45 @@
         return broken
 
 
+class RestartsRound(Round):
+    """Workers restart silently, and some are cut off soon after."""
+
+    def __init__(self, program, seed, options):
+        super().__init__(program, seed, options)
+        self.milliseconds = RESTARTS_MILLISECONDS
+
+    def inject_faults(self, deadline, generator):
+        restarts = threading.Thread(
+            target=self.restart_workers,
+            args=(deadline, random.Random(generator.random())))
+        restarts.start()
+        super().inject_faults(deadline, generator)
+        restarts.join()
+
+    def restart_workers(self, deadline, generator):
+        while time.monotonic() < deadline:
+            live = [worker for worker in self.cluster.workers
+                    if not worker.crashed and not worker.silent
+                    and worker.name not in self.draining]
+            chosen = generator.sample(live, round(generator.uniform(0.3, 0.7) * len(live)))
+            self.faults.append(f"restart-{len(chosen)}")
+            threads = [threading.Thread(target=self.restart_worker, args=(
+                worker, random.Random(generator.random()))) for worker in chosen]
+            for thread in threads:
+                thread.start()
+            time.sleep(generator.uniform(1, 5))
+            self.drains += threads
+
+    def restart_worker(self, worker, generator):
+        successor = self.cluster.restart_silently(worker,
+                                                  generator.uniform(*DOWN_SECONDS))
+        if generator.random() < CUT_SHARE:
+            time.sleep(generator.uniform(*UNTIL_CUT_SECONDS))
+            successor.set_silent(True)
+            time.sleep(generator.uniform(*CUT_SECONDS))
+            successor.set_silent(False)
+
+
 class LossesRound(Round):
     """Most workers are lost together with the owner, while standing tasks run."""
 
@@ -664,13 +716,15 @@
     modes.add_argument("--overlap", action="store_true")
     modes.add_argument("--losses", action="store_true")
     modes.add_argument("--cancels", action="store_true")
+    modes.add_argument("--restarts", action="store_true")
     parser.add_argument("--nodes", type=int)
     parser.add_argument("--workers", type=int)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         kind = (LossesRound if options.losses
-                else CancelsRound if options.cancels else Round)
+                else CancelsRound if options.cancels
+                else RestartsRound if options.restarts else Round)
         soak_round = kind(options.program, seed, options)
         threading.excepthook = soak_round.on_thread_failed
         try:
