A label of a former incarnation is not taken for one of the next

Found by looking for the cause of the runs on restarted workers elsewhere: a worker that restarts under its ID may be of another kind, and until its new registration is read, the registry still describes the former incarnation. A task that requires a label could be started by that. Entries now say which incarnation they describe, and a step with a required label goes to a worker only while its entry describes the incarnation that answers. Other steps are not held back: their starts are refused by the worker where they don't fit.

TaskStartsByALabelOfTheFormerIncarnation: 2 starts where 1 is expected without the check, passes with it.

--- a/src/contracts/task_workers.h
+++ b/src/contracts/task_workers.h
@@ -34,11 +34,6 @@
   net::Address address;
 };
 
-// The time of birth of one incarnation of a worker in milliseconds since the
-// Unix epoch; 0 where an order may be carried out by any, or where it is not
-// known. A worker that restarts may keep its ID.
-using Incarnation = std::int64_t;
-
 // Each order is carried out by its incarnation only: another one does not
 // receive it, and the outcome is kNotSent.
 struct StartOrder {
--- a/src/contracts/types/worker.h
+++ b/src/contracts/types/worker.h
@@ -15,6 +15,11 @@
 // record.
 using FencingToken = std::uint64_t;
 
+// The time of birth of one incarnation of a worker in milliseconds since the
+// Unix epoch; 0 where it is not known, or where an order may be carried out by
+// any. A worker that restarts may keep its ID.
+using Incarnation = std::int64_t;
+
 // Resources that a task needs or a worker offers. `milli_cpus` is in
 // thousandths of a processor.
 struct Resources {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -342,6 +342,11 @@
   if (worker.entry.pool != step.occurrence->job->policy.pool) return false;
   const std::string& label = step.spec->required_label;
   if (label.empty()) return true;
+  // The next incarnation of a worker may be of another kind.
+  if (worker.entry.incarnation != 0 &&
+      worker.entry.incarnation != worker.born_ms) {
+    return false;
+  }
   return std::find(worker.entry.labels.begin(), worker.entry.labels.end(),
                    label) != worker.entry.labels.end();
 }
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(StartForTheFormerIncarnationOutlivesItsLease);
   CPPUNIT_TEST(AcknowledgementForTheFormerIncarnationHidesAnEnd);
   CPPUNIT_TEST(AnswerOfTheFormerIncarnationDelaysTheNextRun);
+  CPPUNIT_TEST(TaskStartsByALabelOfTheFormerIncarnation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,6 +68,25 @@
     CPPUNIT_ASSERT(started_elsewhere_.contains("j"));
   }
 
+  void TaskStartsByALabelOfTheFormerIncarnation() {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.SetEntryIncarnation("w", 2);
+    bench.AnswerHold("w");
+    JobSpec spec = MakeJob(1);
+    spec.steps.front().required_label = "a";
+    bench.Submit("j", spec);
+    bench.Submit("k", MakeJob(1));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("k"),
+                         bench.TakeStarts().front().order.task.job);
+    bench.SetEntryIncarnation("w", 1);
+    bench.AdvanceTime(milliseconds(500));
+    bench.Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -93,6 +93,12 @@
   SetWorkers();
 }
 
+void ShardBench::SetEntryIncarnation(const std::string& worker,
+                                     contracts::Incarnation incarnation) {
+  entries_[worker].incarnation = incarnation;
+  SetWorkers();
+}
+
 void ShardBench::MoveWorker(const std::string& worker) {
   ++entries_[worker].address.port;
   SetWorkers();
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -54,6 +54,10 @@
   // Nodes that know no later owner now.
   void AnswerFromNodes(const std::vector<std::string>& nodes,
                        std::int64_t incarnation = 1);
+  // The entry of the worker describes this incarnation from here on. That which
+  // answers is 1.
+  void SetEntryIncarnation(const std::string& worker,
+                           contracts::Incarnation incarnation);
   // Registers the worker at another address.
   void MoveWorker(const std::string& worker);
   void Drain(const std::string& worker);
--- a/src/jobs/types/job.h
+++ b/src/jobs/types/job.h
@@ -106,6 +106,8 @@
 // A worker as the registry describes it.
 struct WorkerEntry {
   std::string id;
+  // That the entry describes.
+  contracts::Incarnation incarnation = 0;
   net::Address address;
   std::string pool;
   std::string zone;
