--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -63,24 +63,23 @@
   Ref<Connection> TakeIdle(const Address& address,
                            const std::string& peer_name) {
     std::list<Ref<Connection>>& idle_connections = idle[address];
-    std::erase_if(idle_connections, [](const Ref<Connection>& connection) {
-      return !IsReusable(*connection);
-    });
     const auto take_last = [&idle_connections](const auto& is_suitable) {
-      const auto last = std::find_if(idle_connections.rbegin(),
-                                     idle_connections.rend(), is_suitable);
-      if (last == idle_connections.rend()) return Ref<Connection>();
-      Ref<Connection> connection = *last;
-      idle_connections.erase(std::next(last).base());
-      return connection;
+      auto each = idle_connections.end();
+      while (each != idle_connections.begin()) {
+        --each;
+        if (!is_suitable((*each)->peer_name)) continue;
+        const Ref<Connection> connection = *each;
+        each = idle_connections.erase(each);
+        if (IsReusable(*connection)) return connection;
+      }
+      return Ref<Connection>();
     };
-    Ref<Connection> connection =
-        take_last([&peer_name](const Ref<Connection>& each) {
-          return peer_name.empty() || each->peer_name == peer_name;
+    const Ref<Connection> connection =
+        take_last([&peer_name](const std::string& name) {
+          return peer_name.empty() || name == peer_name;
         });
     if (connection != nullptr) return connection;
-    return take_last(
-        [](const Ref<Connection>& each) { return each->peer_name.empty(); });
+    return take_last([](const std::string& name) { return name.empty(); });
   }
 
   // Connects within `deadline`.
