A worker that refuses the question about its incarnation refuses the order

An order over a new connection to a worker that answers with an error (an unhealthy one, another ID at the address, a higher token) came back as not sent, so the owner tried again for 1.5 s and did not set the worker aside (found on reading the fix afresh). The answer to the question is now the outcome of the order. platform.worker_client_test: an order is told as unhealthy and as other incarnation (not sent before); 25 tests pass.

--- a/src/framework/net/http_client.h
+++ b/src/framework/net/http_client.h
@@ -86,8 +86,10 @@
   // the peer are returned, not thrown. `address` must hold a numeric IP.
   // Requests are never retried.
   boost::asio::awaitable<HttpAnswer> Call(Address address, HttpCall call);
-  // Like Call. If another process than the expected one answers, or none tells
-  // its name, the outcome is kNotSent.
+  // Like Call, but only the expected process receives it; the outcome is
+  // kNotSent if another one answers at the address. An answer to the question
+  // with another status than 200 is returned in place of one to the call, which
+  // is not sent then.
   boost::asio::awaitable<HttpAnswer> CallPeer(Address address, HttpCall call,
                                               PeerCheck check);
 
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr int kStatusOk = 200;
+
 asio::ip::tcp::endpoint ToEndpoint(const Address& address) {
   return {asio::ip::make_address(address.ip), address.port};
 }
@@ -193,12 +195,12 @@
     connection->peer_name = check.read_name(named);
     if (connection->peer_name != check.expected) {
       if (reusable) impl->ReturnToPool(address, std::move(connection));
+      if (named.outcome != CallOutcome::kAnswered) {
+        co_return HttpAnswer{.error = "identify: " + named.error};
+      }
+      if (named.status != kStatusOk) co_return named;
       co_return HttpAnswer{.error = "identify with " + address.ToString() +
-                                    ": " +
-                                    (named.outcome == CallOutcome::kAnswered
-                                         ? "not the expected process, status " +
-                                               std::to_string(named.status)
-                                         : named.error)};
+                                    ": not the expected process"};
     }
   }
   const HttpAnswer answer = co_await impl->Exchange(
