--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -70,13 +70,13 @@
       while (each != idle_connections.begin()) {
         --each;
         if (!is_suitable((*each)->peer_name)) continue;
-        const Ref<Connection> connection = *each;
+        Ref<Connection> connection = *each;
         each = idle_connections.erase(each);
         if (IsReusable(*connection)) return connection;
       }
       return Ref<Connection>();
     };
-    const Ref<Connection> connection =
+    Ref<Connection> connection =
         take_last([&peer_name](const std::string& name) {
           return peer_name.empty() || name == peer_name;
         });
