A gap in the ends is told only where this owner knows the last one

After a change of owner, 'ends missing' was written for each worker whose ends a former owner had acknowledged (found on reading the change as a newcomer). EndsSeenByAFormerOwnerCountAsMissing: 1 gap counted without the check, 0 with it, and 1 for a real gap.

--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -230,11 +230,7 @@
   void CallReachesAnotherProcessThanExpected() {
     std::string name = "first";
     std::vector<std::string> received;
-    Ref<HttpServer> server =
-        loopback_.Serve([&name, &received](ServerRequest request) {
-          received.push_back(request.path);
-          return AnswerText(name);
-        });
+    Ref<HttpServer> server = ServeNamed(name, received);
     loopback_.Run([&]() -> asio::awaitable<void> {
       CPPUNIT_ASSERT((co_await CallPeer(*server, "first")).outcome ==
                      CallOutcome::kAnswered);
@@ -258,11 +254,7 @@
   void ConnectionsOfFormerProcessesFillThePool() {
     std::string name = "first";
     std::vector<std::string> received;
-    Ref<HttpServer> server =
-        loopback_.Serve([&name, &received](ServerRequest request) {
-          received.push_back(request.path);
-          return AnswerText(name);
-        });
+    Ref<HttpServer> server = ServeNamed(name, received);
     loopback_.Run([&]() -> asio::awaitable<void> {
       for (int i = 0; i < 20; ++i) {
         name = std::to_string(i);
@@ -293,6 +285,15 @@
     co_return ServerAnswer{.body = std::move(text)};
   }
 
+  // Answers with the name, and records the paths.
+  Ref<HttpServer> ServeNamed(const std::string& name,
+                             std::vector<std::string>& received) {
+    return loopback_.Serve([&name, &received](ServerRequest request) {
+      received.push_back(request.path);
+      return AnswerText(name);
+    });
+  }
+
   asio::awaitable<HttpAnswer> CallPeer(HttpServer& server, std::string name) {
     return loopback_.client->CallPeer(
         server.address(), {.target = "/order"},
--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -226,7 +226,9 @@
   std::uint32_t unanswered_holds_in_row = 0;
   std::optional<contracts::WorkerClock> clock;
   MonotonicTime clock_at;
-  std::int64_t born_ms = 0;
+  contracts::Incarnation born_ms = 0;
+  // Whether no former owner can have acknowledged ends of this incarnation.
+  bool followed_from_birth = false;
   // The latest lease end sent to the worker, on the worker's clock.
   contracts::WorkerClock lease_end{0};
   MonotonicTime known_since;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -368,6 +368,7 @@
     if (worker.contact_at.has_value()) {
       impl_->LogRestart(worker, order, answer);
     }
+    worker.followed_from_birth = worker.contact_at.has_value();
     worker.born_ms = answer.born_ms;
     worker.acknowledged_end = 0;
     worker.seen_end = 0;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -440,7 +440,8 @@
   std::size_t unknown = 0;
   for (const contracts::EndedTask& row : answer.ended) {
     if (row.number <= worker.seen_end) continue;
-    if (row.number > worker.seen_end + 1) {
+    const bool knows_last = worker.seen_end > 0 || worker.followed_from_birth;
+    if (knows_last && row.number > worker.seen_end + 1) {
       ++counters.end_gaps;
       hooks.decided("ends missing", {{"worker", worker.id},
                                      {"born_ms", worker.born_ms},
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(AcknowledgementForTheFormerIncarnationHidesAnEnd);
   CPPUNIT_TEST(AnswerOfTheFormerIncarnationDelaysTheNextRun);
   CPPUNIT_TEST(TaskStartsByALabelOfTheFormerIncarnation);
+  CPPUNIT_TEST(EndsSeenByAFormerOwnerCountAsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,6 +88,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  void EndsSeenByAFormerOwnerCountAsMissing() {
+    ShardBench bench;
+    const SentStart start = bench.RunOneTask();
+    bench.TakeOver();
+    bench.AnswerHold("w", {}, {bench.EndedRow(5, start)});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.core->counters().end_gaps);
+    bench.AnswerHold("w", {}, {bench.EndedRow(8, start)});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, bench.core->counters().end_gaps);
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
