Lines that tell what a worker was sent before it restarted

The record does not tell which runs were given up although their start had no answer, nor that an order was answered by another incarnation than it was meant for. A run that counts as lost now tells whether it was confirmed and when its start was last ordered; an answer with a clock that the known incarnation can't show is a line and a gauge; a restart tells for how long nothing was answered.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -67,6 +67,7 @@
   MonotonicTime stop_requested_at;
   std::optional<MonotonicTime> stop_confirmed_at;
   std::uint32_t stops_sent = 0;
+  MonotonicTime stop_sent_at;
   // Why the last stop was not confirmed; empty when it was.
   std::string stop_error;
   // As last reported by the worker: progress in percent, and the measured
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -363,7 +363,6 @@
     }
     return;
   }
-  worker.unanswered_holds_in_row = 0;
   if (!worker.contact_at.has_value() || worker.born_ms != answer.born_ms) {
     if (worker.contact_at.has_value()) {
       impl_->LogRestart(worker, order, answer);
@@ -380,6 +379,7 @@
       worker.silent_since.has_value() || !worker.contact_at.has_value();
   worker.contact_at = now.steady;
   worker.silent_since.reset();
+  worker.unanswered_holds_in_row = 0;
   worker.unanswered_orders_in_row = 0;
   if (answer.clock.has_value()) impl_->OnClock(worker, *answer.clock);
   if (answer.running.size() > kRunsWithoutPause) {
@@ -419,7 +419,8 @@
   if (run == nullptr) return;
   run->stop_in_flight = false;
   run->stop_error = answer.error;
-  impl_->OnOrderAnswer(*found->second, order.incarnation, answer);
+  impl_->OnOrderAnswer(*found->second, order.incarnation, run->stop_sent_at,
+                       answer);
   if (answer.outcome == OrderOutcome::kDone) {
     run->stop_confirmed_at = now.steady;
     impl_->HoldNow(*found->second);
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -186,7 +186,12 @@
   void OnStart(const std::string& worker_id, const contracts::StartOrder& order,
                const contracts::OrderAnswer& answer);
   void OnOrderAnswer(WorkerState& worker, contracts::Incarnation incarnation,
+                     MonotonicTime sent_at,
                      const contracts::OrderAnswer& answer);
+  // Whether the clock of the known incarnation may have shown this time between
+  // `sent_at` and now.
+  bool MayShow(const WorkerState& worker, contracts::WorkerClock clock,
+               MonotonicTime sent_at) const;
   void OnStartRefused(Run& run, const contracts::OrderAnswer& answer);
   void RepeatOrders(WorkerState& worker);
   // Ends or stops the runs that a leaving worker has not confirmed.
@@ -224,6 +229,9 @@
                      const contracts::EndedTask& end);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
+  // Logs the end of a run that did not finish. For one that counts as lost,
+  // also what the owner knew of its start.
+  void LogRunOver(const Run& run, RunEnd end) const;
   // Keeps the checkpoint of a task whose step makes some.
   void SetCheckpoint(Task& task, const std::string& checkpoint);
   void StopGang(Step& step, const std::string& reason);
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -20,6 +20,12 @@
 // Time after which a start without an answer from a worker in contact is given
 // up.
 constexpr milliseconds kStartTimeout{1500};
+// A worker's clock gains or loses one part in this many at most.
+constexpr int kClockDriftDivisor = 50;
+// The clock is told in whole milliseconds, and not at the moment of the answer.
+constexpr milliseconds kClockTolerance{20};
+// The answer with the last known clock may have been held up for this long.
+constexpr milliseconds kMaxAnswerDelay{1000};
 // Maximum number of tasks in one log line about starts.
 constexpr std::size_t kMaxTasksPerLogLine = 32;
 // Consecutive unanswered orders after which a worker counts as silent.
@@ -143,6 +149,7 @@
 void ShardCore::Impl::SendStop(Run& run) {
   if (run.stop_in_flight || run.worker->entry.address.port == 0) return;
   run.stop_in_flight = true;
+  run.stop_sent_at = now.steady;
   ++run.stops_sent;
   hooks.stop({.id = run.worker->id, .address = run.worker->entry.address},
              {.incarnation = run.worker->born_ms,
@@ -161,7 +168,7 @@
   if (run == nullptr) return;
   run->order_in_flight = false;
   run->retry_at = now.steady;
-  OnOrderAnswer(worker, order.incarnation, answer);
+  OnOrderAnswer(worker, order.incarnation, run->ordered_at, answer);
   if (run->state != RunState::kSent) return;
   switch (answer.outcome) {
     case OrderOutcome::kDone:
@@ -197,11 +204,22 @@
 
 void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
                                     contracts::Incarnation incarnation,
+                                    MonotonicTime sent_at,
                                     const contracts::OrderAnswer& answer) {
   // Only the answer to a hold shows how long leases of former owners may last.
   if (!worker.contact_at.has_value()) return;
   // It says nothing of the present incarnation and its clock.
   if (incarnation != worker.born_ms) return;
+  if (answer.clock.has_value() && !MayShow(worker, *answer.clock, sent_at)) {
+    ++counters.clock_mismatches;
+    hooks.decided("clock of another incarnation",
+                  {{"worker", worker.id},
+                   {"born_ms", worker.born_ms},
+                   {"clock", answer.clock->count()},
+                   {"last_clock", worker.clock->count()},
+                   {"last_clock_age", now.steady - worker.clock_at},
+                   {"took", now.steady - sent_at}});
+  }
   // Answers may overtake each other.
   if (answer.clock.has_value() && answer.clock >= worker.clock) {
     OnClock(worker, *answer.clock);
@@ -219,6 +237,18 @@
   }
 }
 
+bool ShardCore::Impl::MayShow(const WorkerState& worker, WorkerClock clock,
+                              MonotonicTime sent_at) const {
+  if (!worker.clock.has_value()) return true;
+  const Duration elapsed = Duration(clock - *worker.clock);
+  const Duration until_sent = sent_at - worker.clock_at;
+  const Duration until_now = now.steady - worker.clock_at;
+  const Duration drift = std::max(until_sent, -until_sent) / kClockDriftDivisor;
+  return elapsed >= until_sent - drift - kClockTolerance &&
+         elapsed <=
+             until_now + until_now / kClockDriftDivisor + kMaxAnswerDelay;
+}
+
 void ShardCore::Impl::OnStartRefused(Run& run,
                                      const contracts::OrderAnswer& answer) {
   WorkerState& worker = *run.worker;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -129,6 +129,23 @@
        {"error", error}});
 }
 
+void ShardCore::Impl::LogRunOver(const Run& run, RunEnd end) const {
+  const Step& step = *run.task->step;
+  std::vector<telemetry::Field> fields = {
+      {"job", step.occurrence->job->id}, {"step", step.number},
+      {"task", run.task->index},         {"attempt", run.attempt},
+      {"worker", run.worker->id},        {"how", RunEndName(end)}};
+  if (end == RunEnd::kLost || end == RunEnd::kNeverStarted) {
+    fields.emplace_back("born_ms", run.worker->born_ms);
+    fields.emplace_back("confirmed", run.state == RunState::kRunning);
+    fields.emplace_back("arrived", run.may_have_arrived);
+    if (run.state != RunState::kPlanned) {
+      fields.emplace_back("ordered", now.steady - run.ordered_at);
+    }
+  }
+  hooks.decided("run over", fields);
+}
+
 void ShardCore::Impl::EndRun(Run& run, RunEnd end,
                              const std::string& checkpoint) {
   Task& task = *run.task;
@@ -143,12 +160,7 @@
   if (end == RunEnd::kStopped) ++counters.ends_stopped;
   if (end == RunEnd::kLost) ++counters.runs_lost;
   if (end != RunEnd::kFinished) {
-    hooks.decided("run over", {{"job", job.id},
-                               {"step", step.number},
-                               {"task", task.index},
-                               {"attempt", run.attempt},
-                               {"worker", worker.id},
-                               {"how", RunEndName(end)}});
+    LogRunOver(run, end);
   }
   // The state that the members of a gang share is kept by the first one.
   Task& keeper = step.spec->gang ? step.tasks.front() : task;
@@ -254,6 +266,7 @@
                  {"task", row.task.index},
                  {"attempt", row.attempt},
                  {"worker", worker.id},
+                 {"born_ms", worker.born_ms},
                  {"state", job == jobs.end() ? "unknown job"
                                              : StateName(job->second->state)},
                  {"since", now.steady - unknown.since},
@@ -389,7 +402,10 @@
       {"acknowledged", order.acknowledged_end},
       {"ends", answer.ended.size()},
       {"runs", answer.running.size()},
-      {"starts_before", starts}};
+      {"starts_before", starts},
+      {"last_answer", now.steady - worker.clock_at},
+      {"unanswered_holds", worker.unanswered_holds_in_row},
+      {"unanswered_orders", worker.unanswered_orders_in_row}};
   if (order.lease_end.has_value()) {
     fields.emplace_back("lease_end", order.lease_end->count());
   }
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -144,6 +144,9 @@
   // ends: the worker has forgotten ends that this owner has not seen.
   std::uint64_t ends_unknown = 0;
   std::uint64_t end_gaps = 0;
+  // Answers to orders with a clock that the incarnation which they were meant
+  // for can't have shown.
+  std::uint64_t clock_mismatches = 0;
   std::uint64_t copies = 0;
   std::uint64_t quarantines = 0;
   // Standing tasks stopped in order to be moved to a better worker.
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -598,6 +598,9 @@
   set_gauge("carobmast_end_gaps",
             "Lists of workers that lack ends which nobody has seen",
             counters.end_gaps);
+  set_gauge("carobmast_clock_mismatches",
+            "Answers of another incarnation of a worker than was meant",
+            counters.clock_mismatches);
   set_gauge("carobmast_copies", "Copies of slow tasks", counters.copies);
   set_gauge("carobmast_quarantines", "Workers set aside", counters.quarantines);
   set_gauge("carobmast_moves", "Standing tasks moved to others like them",
