Failing tests: orders that a later incarnation carries out all the same

Orders for one incarnation reach the next over a connection that outlives its process, or seconds later. Five cases of jobs.restarted_worker_test fail: three leases that outlive the owner's count, two ends that an acknowledgement hides.

--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -16,6 +16,11 @@
   CPPUNIT_TEST(AnswerOfTheFormerIncarnationDelaysTheNextRun);
   CPPUNIT_TEST(TaskStartsByALabelOfTheFormerIncarnation);
   CPPUNIT_TEST(EndsSeenByAFormerOwnerCountAsMissing);
+  CPPUNIT_TEST(StartOverAnOpenConnectionOutlivesItsLease);
+  CPPUNIT_TEST(LateStartOutlivesItsLease);
+  CPPUNIT_TEST(LateHoldExtendsTheLeaseOfTheNextIncarnation);
+  CPPUNIT_TEST(StartOvertakenByAnAcknowledgementRunsTwice);
+  CPPUNIT_TEST(LateAcknowledgementHidesAnEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,28 +103,122 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, bench.core->counters().end_gaps);
   }
 
+  // Guards against a connection that outlives the process at its other end.
+  void StartOverAnOpenConnectionOutlivesItsLease() {
+    const SentStart start = SubmitTask("j", "runs 60000");
+    worker_->Crash();
+    DeliverToAny(start);
+    RunOnceAndCutOff();
+  }
+
+  // Guards against a start that is carried out seconds later.
+  void LateStartOutlivesItsLease() {
+    const SentStart start = SubmitTask("j", "runs 60000");
+    LoseAnswer(start);
+    worker_->Crash();
+    bench_->SetEntryIncarnation("w", 2);
+    CutOff(milliseconds(3000));
+    worker_->Start(start.order);
+    CutOff(2 * kLongestLease);
+    CheckHistory();
+  }
+
+  void LateHoldExtendsTheLeaseOfTheNextIncarnation() {
+    Hold();
+    const HoldPlan late = LoseHold();
+    worker_->Crash();
+    Hold();
+    Hold();
+    Hold();
+    Deliver(SubmitTask("j", "runs 60000"));
+    Hold();
+    worker_->Hold(late.order);
+    CutOff(2 * kLongestLease);
+    CheckHistory();
+    CPPUNIT_ASSERT(started_elsewhere_.contains("j"));
+  }
+
+  // Guards against a start that is sent while an acknowledgement is on its way.
+  void StartOvertakenByAnAcknowledgementRunsTwice() {
+    RunToAnUnacknowledgedEnd();
+    const HoldPlan plan = bench_->core->PlanHold("w", bench_->now);
+    const MonotonicTime sent_at = bench_->now.steady;
+    SubmitJob("j", "runs 100");
+    worker_->Crash();
+    for (const SentStart& start : bench_->TakeStarts()) DeliverToAny(start);
+    Advance(milliseconds(150));
+    const contracts::HoldAnswer answer = worker_->Hold(plan.order);
+    bench_->core->OnHold("w", plan.order, answer, sent_at, bench_->now);
+    RunOnceAndCutOff();
+  }
+
+  void LateAcknowledgementHidesAnEnd() {
+    RunToAnUnacknowledgedEnd();
+    const HoldPlan late = LoseHold();
+    Hold();
+    const SentStart start = SubmitTask("j", "runs 100");
+    worker_->Crash();
+    DeliverToAny(start);
+    Advance(milliseconds(150));
+    worker_->Hold(late.order);
+    RunOnceAndCutOff();
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
   static constexpr milliseconds kStep{50};
 
-  SentStart SubmitTask(const std::string& job, const std::string& work) {
+  void SubmitJob(const std::string& job, const std::string& work) {
     JobSpec spec = MakeJob(1);
     spec.text = work;
     bench_->Submit(job, spec);
     bench_->Store();
+  }
+
+  SentStart SubmitTask(const std::string& job, const std::string& work) {
+    SubmitJob(job, work);
     return bench_->TakeStarts().at(0);
   }
 
-  void Deliver(const SentStart& start) {
-    const contracts::OrderAnswer answer =
-        worker_->Receives(start.order.incarnation)
-            ? worker_->Start(start.order)
-            : contracts::OrderAnswer{.outcome =
-                                         contracts::OrderOutcome::kNotSent};
+  // Leaves the worker with an end that is stored and not acknowledged.
+  void RunToAnUnacknowledgedEnd() {
+    Deliver(SubmitTask("former", "runs 100"));
+    Advance(milliseconds(150));
+    Hold();
+    bench_->Store();
+  }
+
+  void Answer(const SentStart& start, const contracts::OrderAnswer& answer) {
     bench_->core->OnStart(start.worker, start.order, answer, bench_->now);
   }
 
+  // Delivers the start to the incarnation that it is for.
+  void Deliver(const SentStart& start) {
+    if (worker_->Receives(start.order.incarnation)) {
+      DeliverToAny(start);
+    } else {
+      Answer(start, {.outcome = contracts::OrderOutcome::kNotSent});
+    }
+  }
+
+  void DeliverToAny(const SentStart& start) {
+    Answer(start, worker_->Start(start.order));
+  }
+
+  void LoseAnswer(const SentStart& start) {
+    Answer(start, {.outcome = contracts::OrderOutcome::kUnknown});
+  }
+
+  // Returns a hold that got no answer.
+  HoldPlan LoseHold() {
+    HoldPlan plan = bench_->core->PlanHold("w", bench_->now);
+    bench_->core->OnHold("w", plan.order,
+                         {.outcome = contracts::OrderOutcome::kUnknown},
+                         bench_->now.steady, bench_->now);
+    return plan;
+  }
+
   void Hold() {
     const HoldPlan plan = bench_->core->PlanHold("w", bench_->now);
     const MonotonicTime sent_at = bench_->now.steady;
@@ -144,7 +243,12 @@
     Hold();
     for (const SentStart& start : bench_->TakeStarts()) Deliver(start);
     Hold();
-    for (milliseconds passed{0}; passed < 2 * kLongestLease; passed += kStep) {
+    CutOff(2 * kLongestLease);
+    CheckHistory();
+  }
+
+  void CutOff(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kStep) {
       Advance(kStep);
       bench_->LoseHold("w");
       bench_->AnswerHold("v");
@@ -155,6 +259,9 @@
         started_elsewhere_.insert(start.order.task.job);
       }
     }
+  }
+
+  void CheckHistory() const {
     for (const std::string& violation : history_.violations) {
       CPPUNIT_FAIL(violation);
     }
