Orders for a former incarnation are refused once the next one was noticed

Cause: nothing that the platform gives tells incarnations of one ID apart, and an order without an answer may be carried out by a later one, over a connection that outlives its process or seconds later. Until now such an order was accepted.

A claim now takes up 256 offsets of its stream, which are the owner's fencing tokens. When a worker restarts, its orders get the next of them, and nothing that ran before is given up until the new incarnation has carried out one of these: from then on it refuses what was meant for the former one.

A refusal of an order that a later one of the same owner has overtaken does not end the owner.

RestartedWorkerLosesItsTasks expects the next attempt one hold later, and none before it.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -228,6 +228,9 @@
   std::optional<contracts::WorkerClock> clock;
   MonotonicTime clock_at;
   contracts::Incarnation born_ms = 0;
+  // Whether this incarnation refuses orders for former ones: it has carried out
+  // one with the worker's present token.
+  bool is_fenced = false;
   // Whether no former owner can have acknowledged ends of this incarnation.
   bool followed_from_birth = false;
   // The latest lease end sent to the worker, on the worker's clock.
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -300,7 +300,7 @@
   impl_->now = now;
   WorkerState& worker = impl_->GetWorker(worker_id);
   HoldPlan plan;
-  plan.order.token = impl_->options.token;
+  plan.order.token = impl_->TokenOf(worker);
   // After a hold without an answer the worker may have restarted, so the next
   // one is for any incarnation. One that may get no answer must not extend the
   // lease: otherwise the lease of an unreachable worker would never expire.
@@ -317,7 +317,7 @@
   } else if (worker.seen_end > worker.acknowledged_end) {
     plan.pause = kUnstoredEndsPause;
   } else if (!worker.contact_at.has_value() ||
-             worker.unanswered_holds_in_row > 0) {
+             worker.unanswered_holds_in_row > 0 || !worker.is_fenced) {
     plan.order.wait = milliseconds(0);
   } else if (HasUncertainRun(worker)) {
     plan.order.wait = kUncertainHoldWait;
@@ -346,7 +346,9 @@
   if (found == impl_->workers.end()) return;
   WorkerState& worker = *found->second;
   if (answer.outcome == OrderOutcome::kFenced) {
-    impl_->hooks.fenced(worker_id);
+    if (impl_->IsFencedByAnother(worker, order.token)) {
+      impl_->hooks.fenced(worker_id);
+    }
     return;
   }
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
@@ -367,14 +369,18 @@
     if (worker.contact_at.has_value()) {
       impl_->LogRestart(worker, order, answer);
     }
-    worker.followed_from_birth = worker.contact_at.has_value();
+    const bool has_restarted = worker.contact_at.has_value();
+    worker.followed_from_birth = has_restarted;
     worker.born_ms = answer.born_ms;
+    worker.is_fenced =
+        !has_restarted || !impl_->RaiseToken(worker, "worker restarted");
     worker.acknowledged_end = 0;
     worker.seen_end = 0;
     // Runs that a former owner started may have the longest lease.
     worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0)) +
                        impl_->options.max_lease;
   }
+  if (order.token == impl_->TokenOf(worker)) worker.is_fenced = true;
   const bool contact_regained =
       worker.silent_since.has_value() || !worker.contact_at.has_value();
   worker.contact_at = now.steady;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -172,6 +172,17 @@
   void RequestSchedule();
 
   // shard_orders.cc: orders to workers and their answers.
+  // The token of orders to the worker.
+  contracts::FencingToken TokenOf(const WorkerState& worker) const;
+  // From here on the worker refuses earlier orders, once it has carried out a
+  // later one. Returns false when this owner has no higher token.
+  bool RaiseToken(WorkerState& worker, const std::string& reason);
+  // Whether a worker that refused this token has seen that of another owner,
+  // not a later one of this owner.
+  bool IsFencedByAnother(const WorkerState& worker,
+                         contracts::FencingToken token) const {
+    return token >= TokenOf(worker);
+  }
   void SendStart(Run& run);
   // Queues the starts of a step whose intents were stored with this batch.
   void QueueStarts(Step& step, std::uint64_t batch);
@@ -346,6 +357,9 @@
   std::map<std::string, QueuePolicy> queues;
   std::map<std::string, std::unique_ptr<Job>> jobs;
   std::map<std::string, std::unique_ptr<WorkerState>> workers;
+  // By worker ID: by how much its token exceeds `options.token`. Kept for
+  // workers that are forgotten, as they may come back.
+  std::map<std::string, std::uint32_t> token_raises;
   // IDs of workers under maintenance, whether they are known or not.
   std::set<std::string> cordoned;
   std::map<ReadyKey, Step*> ready;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -33,6 +33,25 @@
 
 }  // namespace
 
+contracts::FencingToken ShardCore::Impl::TokenOf(
+    const WorkerState& worker) const {
+  const auto raises = token_raises.find(worker.id);
+  return options.token + (raises == token_raises.end() ? 0 : raises->second);
+}
+
+bool ShardCore::Impl::RaiseToken(WorkerState& worker,
+                                 const std::string& reason) {
+  std::uint32_t& raises = token_raises[worker.id];
+  const bool is_raised = raises + 1 < options.token_count;
+  if (is_raised) ++raises;
+  hooks.decided("token raised", {{"worker", worker.id},
+                                 {"born_ms", worker.born_ms},
+                                 {"token", TokenOf(worker)},
+                                 {"left", options.token_count - raises - 1},
+                                 {"reason", reason}});
+  return is_raised;
+}
+
 WorkerClock ShardCore::Impl::LeaseEndFor(WorkerState& worker) const {
   // The worker's clock is unknown before its first answer: the lease is then
   // computed from 0.
@@ -65,7 +84,7 @@
                .attempt = run.attempt,
                .spec = task.step->occurrence->job->spec.text,
                .lease_end = LeaseEndFor(worker),
-               .token = options.token,
+               .token = TokenOf(worker),
                .checkpoint = task.checkpoint,
                .ticket = run.ticket});
 }
@@ -155,7 +174,7 @@
              {.incarnation = run.worker->born_ms,
               .task = KeyOfTask(*run.task),
               .attempt = run.attempt,
-              .token = options.token});
+              .token = TokenOf(*run.worker)});
 }
 
 void ShardCore::Impl::OnStart(const std::string& worker_id,
@@ -190,7 +209,7 @@
       run->retry_at = now.steady + options.order_retry_interval;
       return;
     case OrderOutcome::kFenced:
-      hooks.fenced(worker_id);
+      if (IsFencedByAnother(worker, order.token)) hooks.fenced(worker_id);
       return;
     case OrderOutcome::kInvalid:
     case OrderOutcome::kOtherIncarnation:
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -250,7 +250,7 @@
               .task = KeyOfTask(*run.task),
               .attempt = run.attempt,
               .percent = run.pace,
-              .token = options.token});
+              .token = TokenOf(*run.worker)});
 }
 
 void ShardCore::Impl::MovePausedFillers(WorkerState& worker) {
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -276,7 +276,7 @@
              {.incarnation = worker.born_ms,
               .task = row.task,
               .attempt = row.attempt,
-              .token = options.token});
+              .token = TokenOf(worker)});
 }
 
 bool ShardCore::Impl::IsLeftover(const Run& run, MonotonicTime sent_at) const {
@@ -367,6 +367,8 @@
       run.progress_clock.reset();
       continue;
     }
+    // A former incarnation's start may still be carried out.
+    if (!worker.is_fenced) continue;
     const bool confirmed_before =
         run.state == RunState::kRunning && run.confirmed_at < sent_at;
     const bool stopped_before =
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -25,7 +25,10 @@
 };
 
 struct ShardOptions {
+  // The first fencing token of this owner, and how many it may use from there
+  // on; those of a successor are higher.
   contracts::FencingToken token = 1;
+  std::uint32_t token_count = 1;
   // A time at which no later owner had written to the stream; the start of the
   // owner when empty.
   std::optional<MonotonicTime> confirmed_at;
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -23,6 +23,11 @@
 constexpr char kClaimStream[] = "keyed.claims";
 constexpr char kShardStream[] = "keyed.shard";
 constexpr char kShardKey[] = "s/0";
+// The key of records that only take up offsets, and so tokens.
+constexpr char kReservedKey[] = "reserved";
+// Fencing tokens of one claim. The owner uses a higher one for a worker each
+// time that the worker restarts.
+constexpr std::uint32_t kTokensPerClaim = 256;
 constexpr milliseconds kTickInterval{50};
 // With longer leases, standing tasks could be missing after a change of owner
 // for longer than operators allow, which is 6 s plus 3 s without disturbance.
@@ -66,6 +71,7 @@
                                     std::int64_t incarnation,
                                     bool former_owners_need_nodes) {
   return {.token = token,
+          .token_count = kTokensPerClaim,
           .confirmed_at = LeaseNow(),
           .node = {.id = settings.name, .incarnation = incarnation},
           .former_owners_need_nodes = former_owners_need_nodes,
@@ -304,9 +310,12 @@
                    .needs_nodes = true,
                    .former_need_nodes = former.need_nodes},
                   settings_.rank);
+  std::vector<contracts::KeyedRecord> records(kTokensPerClaim,
+                                              {.key = kReservedKey});
+  records.front() = {.key = kShardKey, .value = value};
   const contracts::KeyedAppendAnswer answer =
       co_await store_->Append({.stream = stream,
-                               .records = {{.key = kShardKey, .value = value}},
+                               .records = std::move(records),
                                .expected_end = newest.end,
                                .timeout = kClaimTimeout});
   if (answer.outcome == contracts::KeyedAppendOutcome::kStored) {
