A restarted worker counts as holding the longest lease until it is fenced

Cause: an order for the former incarnation asks the next one for a lease on an unrelated clock, so that it grants its longest (hold-max-ms), where the owner counted the 5 s that it asks for.

From the first answer of a new incarnation its leases count until the last order for the former one, 12 s for its way and the longest lease; from its first answer to an order with the higher token, for the longest lease. A new owner counts the longest lease of a worker that was born within the last minute or so. An order that is answered with a clock which the known incarnation can't show counts as unanswered, and the worker gets no start until a hold has told its incarnation.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -233,8 +233,14 @@
   bool is_fenced = false;
   // Whether no former owner can have acknowledged ends of this incarnation.
   bool followed_from_birth = false;
-  // The latest lease end sent to the worker, on the worker's clock.
+  // The latest lease end sent to the worker, on the worker's clock, and when it
+  // was sent.
   contracts::WorkerClock lease_end{0};
+  MonotonicTime leased_at;
+  // Until when leases may last that orders for a former incarnation have set.
+  MonotonicTime foreign_leases_until;
+  // Whether the last answer showed the clock of another incarnation.
+  bool restart_suspected = false;
   MonotonicTime known_since;
   // Since when its registry entry has had this address.
   MonotonicTime address_since;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -305,7 +305,7 @@
   // one is for any incarnation. One that may get no answer must not extend the
   // lease: otherwise the lease of an unreachable worker would never expire.
   if (worker.contact_at.has_value() && !worker.silent_since.has_value() &&
-      worker.unanswered_holds_in_row == 0) {
+      worker.unanswered_holds_in_row == 0 && !worker.restart_suspected) {
     plan.order.incarnation = worker.born_ms;
     plan.order.acknowledged_end = worker.acknowledged_end;
     if (worker.clock.has_value() && impl_->MayGrantLease(worker)) {
@@ -317,7 +317,8 @@
   } else if (worker.seen_end > worker.acknowledged_end) {
     plan.pause = kUnstoredEndsPause;
   } else if (!worker.contact_at.has_value() ||
-             worker.unanswered_holds_in_row > 0 || !worker.is_fenced) {
+             worker.unanswered_holds_in_row > 0 || worker.restart_suspected ||
+             !worker.is_fenced) {
     plan.order.wait = milliseconds(0);
   } else if (HasUncertainRun(worker)) {
     plan.order.wait = kUncertainHoldWait;
@@ -372,19 +373,25 @@
     const bool has_restarted = worker.contact_at.has_value();
     worker.followed_from_birth = has_restarted;
     worker.born_ms = answer.born_ms;
-    worker.is_fenced =
-        !has_restarted || !impl_->RaiseToken(worker, "worker restarted");
+    if (has_restarted) impl_->OnRestarted(worker);
     worker.acknowledged_end = 0;
     worker.seen_end = 0;
+    worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0));
     // Runs that a former owner started may have the longest lease.
-    worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0)) +
-                       impl_->options.max_lease;
+    if (!has_restarted) {
+      worker.lease_end += impl_->IsNewborn(answer.born_ms)
+                              ? impl_->options.longest_lease
+                              : impl_->options.max_lease;
+    }
+  }
+  if (!worker.is_fenced && order.token == impl_->TokenOf(worker)) {
+    impl_->OnFenced(worker);
   }
-  if (order.token == impl_->TokenOf(worker)) worker.is_fenced = true;
   const bool contact_regained =
       worker.silent_since.has_value() || !worker.contact_at.has_value();
   worker.contact_at = now.steady;
   worker.silent_since.reset();
+  worker.restart_suspected = false;
   worker.unanswered_holds_in_row = 0;
   worker.unanswered_orders_in_row = 0;
   if (answer.clock.has_value()) impl_->OnClock(worker, *answer.clock);
@@ -425,9 +432,9 @@
   if (run == nullptr) return;
   run->stop_in_flight = false;
   run->stop_error = answer.error;
-  impl_->OnOrderAnswer(*found->second, order.incarnation, run->stop_sent_at,
-                       answer);
-  if (answer.outcome == OrderOutcome::kDone) {
+  const bool is_from_known = impl_->OnOrderAnswer(
+      *found->second, order.incarnation, run->stop_sent_at, answer);
+  if (answer.outcome == OrderOutcome::kDone && is_from_known) {
     run->stop_confirmed_at = now.steady;
     impl_->HoldNow(*found->second);
   } else {
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -196,7 +196,9 @@
   contracts::WorkerClock LeaseEndFor(WorkerState& worker) const;
   void OnStart(const std::string& worker_id, const contracts::StartOrder& order,
                const contracts::OrderAnswer& answer);
-  void OnOrderAnswer(WorkerState& worker, contracts::Incarnation incarnation,
+  // Returns false if another incarnation of the worker answered than the known
+  // one.
+  bool OnOrderAnswer(WorkerState& worker, contracts::Incarnation incarnation,
                      MonotonicTime sent_at,
                      const contracts::OrderAnswer& answer);
   // Whether the clock of the known incarnation may have shown this time between
@@ -289,6 +291,14 @@
   // How long leases on a worker that does not answer may still last, allowing
   // for the drift of its clock.
   Duration LeaseWait(const WorkerState& worker) const;
+  // Whether an order for a former incarnation may still be carried out, or the
+  // lease that it set may last.
+  bool IsNewborn(contracts::Incarnation incarnation) const;
+  // A new incarnation has answered. Orders for the former one may have set its
+  // lease, and may do so until it refuses them.
+  void OnRestarted(WorkerState& worker);
+  // From here on the worker refuses orders for former incarnations.
+  void OnFenced(WorkerState& worker);
   bool RestoreLeaseWaits(const std::string& bytes);
   // Since when the worker has not answered this owner; empty while it does.
   std::optional<MonotonicTime> UnansweredSince(const WorkerState& worker) const;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -36,6 +36,14 @@
 // Of an entry of the record, besides the worker's ID.
 constexpr std::size_t kLeaseWaitBytes = 10;
 
+// How far the wall clocks of a worker and a node differ at most.
+constexpr milliseconds kWallClockMargin{30000};
+
+Duration OnSlowestClock(milliseconds lease) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(Duration(lease).count()) / kMinClockRate));
+}
+
 }  // namespace
 
 void ShardCore::Impl::OnWitnessAnswered(const WorkerState& worker,
@@ -137,21 +145,41 @@
   confirmed_at = std::max(confirmed_at, at);
 }
 
+bool ShardCore::Impl::IsNewborn(contracts::Incarnation incarnation) const {
+  if (incarnation == 0) return false;
+  const WallTime born{milliseconds(incarnation)};
+  return now.wall - born <
+         options.max_order_delay + options.longest_lease + kWallClockMargin;
+}
+
+void ShardCore::Impl::OnRestarted(WorkerState& worker) {
+  worker.foreign_leases_until = worker.leased_at + options.max_order_delay +
+                                OnSlowestClock(options.longest_lease) +
+                                kLeaseEndMargin;
+  worker.is_fenced = !RaiseToken(worker, "worker restarted");
+}
+
+void ShardCore::Impl::OnFenced(WorkerState& worker) {
+  worker.is_fenced = true;
+  worker.foreign_leases_until = std::min(
+      worker.foreign_leases_until,
+      now.steady + OnSlowestClock(options.longest_lease) + kLeaseEndMargin);
+}
+
 Duration ShardCore::Impl::LeaseWait(const WorkerState& worker) const {
-  const auto on_slowest_clock = [](milliseconds lease) {
-    return Duration(static_cast<std::int64_t>(
-        static_cast<double>(Duration(lease).count()) / kMinClockRate));
-  };
   if (worker.clock.has_value()) {
-    return worker.clock_at +
-           on_slowest_clock(worker.lease_end + kLeaseEndMargin -
-                            *worker.clock) -
-           now.steady;
+    const MonotonicTime own_leases_until =
+        worker.clock_at +
+        OnSlowestClock(worker.lease_end + kLeaseEndMargin - *worker.clock);
+    return std::max(own_leases_until, worker.foreign_leases_until) - now.steady;
   }
   const MonotonicTime last_order = former_owners_stopped_at.value_or(
       restored_at + options.former_owner_timeout);
-  const Duration wait = last_order + on_slowest_clock(options.max_lease) +
-                        kLeaseEndMargin - now.steady;
+  const Duration wait =
+      last_order +
+      OnSlowestClock(IsNewborn(worker.entry.incarnation) ? options.longest_lease
+                                                         : options.max_lease) +
+      kLeaseEndMargin - now.steady;
   const auto stored = restored_lease_waits.find(worker.id);
   if (stored == restored_lease_waits.end()) return wait;
   return std::min(wait, restored_at + stored->second - now.steady);
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -62,6 +62,7 @@
           : milliseconds(0);
   const WorkerClock end = base + passed + options.max_lease - kLeaseMargin;
   worker.lease_end = std::max(worker.lease_end, end);
+  worker.leased_at = now.steady;
   return end;
 }
 
@@ -187,9 +188,10 @@
   if (run == nullptr) return;
   run->order_in_flight = false;
   run->retry_at = now.steady;
-  OnOrderAnswer(worker, order.incarnation, run->ordered_at, answer);
+  const bool is_from_known =
+      OnOrderAnswer(worker, order.incarnation, run->ordered_at, answer);
   if (run->state != RunState::kSent) return;
-  switch (answer.outcome) {
+  switch (is_from_known ? answer.outcome : OrderOutcome::kUnknown) {
     case OrderOutcome::kDone:
       run->may_have_arrived = true;
       run->state = RunState::kRunning;
@@ -221,14 +223,14 @@
   }
 }
 
-void ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
+bool ShardCore::Impl::OnOrderAnswer(WorkerState& worker,
                                     contracts::Incarnation incarnation,
                                     MonotonicTime sent_at,
                                     const contracts::OrderAnswer& answer) {
   // Only the answer to a hold shows how long leases of former owners may last.
-  if (!worker.contact_at.has_value()) return;
+  if (!worker.contact_at.has_value()) return true;
   // It says nothing of the present incarnation and its clock.
-  if (incarnation != worker.born_ms) return;
+  if (incarnation != worker.born_ms) return true;
   if (answer.clock.has_value() && !MayShow(worker, *answer.clock, sent_at)) {
     ++counters.clock_mismatches;
     hooks.decided("clock of another incarnation",
@@ -238,6 +240,9 @@
                    {"last_clock", worker.clock->count()},
                    {"last_clock_age", now.steady - worker.clock_at},
                    {"took", now.steady - sent_at}});
+    worker.restart_suspected = true;
+    HoldNow(worker);
+    return false;
   }
   // Answers may overtake each other.
   if (answer.clock.has_value() && answer.clock >= worker.clock) {
@@ -247,13 +252,14 @@
       answer.outcome != OrderOutcome::kNotSent) {
     worker.unanswered_orders_in_row = 0;
     if (!worker.silent_since.has_value()) worker.contact_at = now.steady;
-    return;
+    return true;
   }
   if (++worker.unanswered_orders_in_row >= kUnansweredToSilent &&
       worker.contact_at.has_value() &&
       now.steady - *worker.contact_at > options.silence_timeout) {
     SetSilent(worker, answer.error);
   }
+  return true;
 }
 
 bool ShardCore::Impl::MayShow(const WorkerState& worker, WorkerClock clock,
@@ -305,7 +311,8 @@
       if (now.steady - run.sent_at > kStartTimeout) {
         run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
-      } else if (!IsRegistryStale() && MayGrantLease(worker) && MayStart()) {
+      } else if (!IsRegistryStale() && !worker.restart_suspected &&
+                 MayGrantLease(worker) && MayStart()) {
         SendStart(run);
       }
     }
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -333,7 +333,8 @@
 bool ShardCore::Impl::AcceptsTasks(const WorkerState& worker) const {
   return !IsRegistryStale() && !IsLeaving(worker) &&
          worker.contact_at.has_value() && !worker.silent_since.has_value() &&
-         worker.quarantined_until <= now.steady && MayGrantLease(worker);
+         !worker.restart_suspected && worker.quarantined_until <= now.steady &&
+         MayGrantLease(worker);
 }
 
 bool ShardCore::Impl::IsUsable(const WorkerState& worker,
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -37,6 +37,8 @@
 constexpr milliseconds kUnprovenOwnershipTimeout{10000};
 constexpr milliseconds kOrderTimeout{250};
 constexpr milliseconds kMaxHoldPause{100};
+// That workers grant.
+constexpr milliseconds kLongestLease{10000};
 // Time in which all accepted jobs must end after the faults: the timeout of an
 // unconfirmed claim, the longest lease and the work, one after the other.
 constexpr milliseconds kSettleTime{120000};
@@ -390,6 +392,7 @@
                      .token_count = kTokensPerOwner,
                      .node = WitnessOf(owner->node),
                      .former_owners_need_nodes = true,
+                     .longest_lease = kLongestLease,
                      .keep_ended = kKeepEnded,
                      .max_batch_bytes = max_batch_bytes_,
                      .max_undivided_bytes = max_undivided_bytes_},
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -38,6 +38,7 @@
                    .node = own_node.value_or(
                        Witness{.id = "node-" + std::to_string(token)}),
                    .former_owners_need_nodes = former_owners_need_nodes,
+                   .longest_lease = std::chrono::milliseconds(10000),
                    .max_starts_in_flight = max_starts_in_flight,
                    .max_batch_bytes = max_batch_bytes,
                    .max_undivided_bytes = max_undivided_bytes,
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -36,8 +36,13 @@
   Witness node;
   // Whether no former owner extends leases without being confirmed by nodes.
   bool former_owners_need_nodes = false;
-  // Maximum lease that workers grant.
+  // Longest lease that this owner asks for.
   std::chrono::milliseconds max_lease{6000};
+  // Longest lease that workers grant. An order for a former incarnation of a
+  // worker asks for one, since the clocks of incarnations are unrelated.
+  std::chrono::milliseconds longest_lease{6000};
+  // Longest time after which an order without an answer is still carried out.
+  std::chrono::milliseconds max_order_delay{12000};
   // Maximum time for which a former owner may keep renewing leases without
   // noticing that it was replaced.
   std::chrono::milliseconds former_owner_timeout{10000};
