A start without an answer on a lost worker counts for the longest lease

Cause: a start that was on its way when its worker restarted, unnoticed, and was cut off is carried out with the longest lease. The owner gave it up with the other runs, after the 5 s that it had asked for.

A start that nothing confirms counts until it was last ordered, its usual way (0.5 s) and the longest lease; where the registry tells a later incarnation, with 12 s for its way. Without that sign standing tasks keep the present count: with leases of 10 s they would be away for longer than the 9 s that operators accept. What is stored for a successor includes these waits.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -82,6 +82,11 @@
   std::uint32_t pace = 100;
   std::uint32_t pace_sent = 100;
   bool pace_in_flight = false;
+  // Whether a start may have arrived, or may yet, and nothing shows that the
+  // run has begun.
+  bool IsStartInDoubt() const {
+    return state != RunState::kRunning && (order_in_flight || may_have_arrived);
+  }
   // The last time that the filler was not paused.
   MonotonicTime idle_since;
   // The filler's processor use at full speed, in thousandths of a processor; 0
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -299,11 +299,16 @@
   void OnRestarted(WorkerState& worker);
   // From here on the worker refuses orders for former incarnations.
   void OnFenced(WorkerState& worker);
+  // How long a run on a worker that does not answer may still last, or begin:
+  // its start may be carried out by an incarnation that is not known yet.
+  Duration RunWait(const Run& run) const;
   bool RestoreLeaseWaits(const std::string& bytes);
   // Since when the worker has not answered this owner; empty while it does.
   std::optional<MonotonicTime> UnansweredSince(const WorkerState& worker) const;
   // Whether the worker has runs and does not answer.
   bool IsLeaseWaitRecorded(const WorkerState& worker) const;
+  // The longest RunWait of the worker's runs.
+  Duration LongestWait(const WorkerState& worker) const;
   // Encodes the waits for these workers; from here on they get no leases.
   std::string TakeLeaseWaits();
   // Whether no stored record says how long leases on the worker last.
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -36,6 +36,8 @@
 // Of an entry of the record, besides the worker's ID.
 constexpr std::size_t kLeaseWaitBytes = 10;
 
+// An order that is neither lost nor held up arrives within this time.
+constexpr milliseconds kUsualOrderDelay{500};
 // How far the wall clocks of a worker and a node differ at most.
 constexpr milliseconds kWallClockMargin{30000};
 
@@ -185,6 +187,22 @@
   return std::min(wait, restored_at + stored->second - now.steady);
 }
 
+Duration ShardCore::Impl::RunWait(const Run& run) const {
+  const WorkerState& worker = *run.worker;
+  const Duration lease_wait = LeaseWait(worker);
+  if (!run.IsStartInDoubt() || run.ordered_at == MonotonicTime()) {
+    return lease_wait;
+  }
+  const bool has_restarted = worker.entry.incarnation > worker.born_ms;
+  // Nothing shows a restart, and a standing task must not be away for long.
+  if (!has_restarted && run.task->step->spec->standing) return lease_wait;
+  const milliseconds delay =
+      has_restarted ? options.max_order_delay : kUsualOrderDelay;
+  return std::max(lease_wait, run.ordered_at + delay +
+                                  OnSlowestClock(options.longest_lease) +
+                                  kLeaseEndMargin - now.steady);
+}
+
 bool ShardCore::Impl::RestoreLeaseWaits(const std::string& bytes) {
   proto::LeaseWaits record;
   if (!record.ParseFromString(bytes)) return false;
@@ -213,6 +231,12 @@
   return is_restored || now.steady - *since > kRecordLeaseWaitAfter;
 }
 
+Duration ShardCore::Impl::LongestWait(const WorkerState& worker) const {
+  Duration longest = LeaseWait(worker);
+  for (const Run& run : worker.runs) longest = std::max(longest, RunWait(run));
+  return longest;
+}
+
 std::string ShardCore::Impl::TakeLeaseWaits() {
   std::set<std::string> taken;
   proto::LeaseWaits record;
@@ -224,7 +248,7 @@
     proto::LeaseWaits::Worker& entry = *record.add_workers();
     entry.set_id(id);
     entry.set_remaining_ms(static_cast<std::uint32_t>(
-        std::max(std::chrono::ceil<milliseconds>(LeaseWait(*worker)),
+        std::max(std::chrono::ceil<milliseconds>(LongestWait(*worker)),
                  milliseconds(0))
             .count()));
     taken.insert(id);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -503,7 +503,8 @@
   for (Run& run : worker.runs) {
     const bool never_delivered = run.state == RunState::kSent &&
                                  !run.may_have_arrived && !run.order_in_flight;
-    if (run.state == RunState::kPlanned || lease_over || never_delivered) {
+    const bool is_over = lease_over && RunWait(run) < Duration::zero();
+    if (run.state == RunState::kPlanned || is_over || never_delivered) {
       ended_runs.push_back(KeyOfRun(run));
     }
   }
