Acknowledgements and starts do not overtake each other on a worker

Cause: an acknowledgement names ends by the numbers of one incarnation. When the next one carries out a start that was on its way, and then an acknowledgement that was, it forgets the end of that run unseen; the run counts as lost and its task runs again although its end was acknowledged.

An acknowledgement goes in a hold of its own that does not wait, and only while no start to the worker is unanswered; no start goes while it is on its way, and none once it has waited for 200 ms. Other holds acknowledge nothing. After one without an answer the token rises, so that an incarnation which has carried out a later start refuses it.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -3,6 +3,7 @@
 #ifndef CAROBMAST_JOBS_INTERNAL_MODEL_H_
 #define CAROBMAST_JOBS_INTERNAL_MODEL_H_
 
+#include <algorithm>
 #include <boost/icl/interval_set.hpp>
 #include <boost/intrusive/list.hpp>
 #include <list>
@@ -265,7 +266,14 @@
   // Runs in the last report that should have been stopped before.
   std::size_t leftover_runs = 0;
   MonotonicTime leftover_logged_at;
+  // The last end that may be acknowledged, and the last that this incarnation
+  // was seen to take as acknowledged.
   std::uint64_t acknowledged_end = 0;
+  std::uint64_t forgotten_end = 0;
+  // Whether a hold with an acknowledgement is on its way, and since when one
+  // has waited for the answers to starts.
+  bool acknowledgement_in_flight = false;
+  std::optional<MonotonicTime> acknowledgement_waits_since;
   std::uint64_t seen_end = 0;
   // The number of the change that must be stored before the ends up to
   // `seen_end` may be acknowledged.
@@ -286,6 +294,10 @@
   double worst_latency_ratio = 0;
   std::optional<MonotonicTime> over_since;
 
+  bool HasStartInDoubt() const {
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const Run& run) { return run.IsStartInDoubt(); });
+  }
   // Whether the owner holds the worker. A worker whose registry entry has
   // expired is still held while it has runs, to follow them to their end.
   bool NeedsHold() const {
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -39,6 +39,9 @@
 constexpr std::uint32_t kUnansweredHoldsToSilent = 2;
 // Pause between holds of a silent worker.
 constexpr milliseconds kSilentHoldPause{250};
+// Pause while an acknowledgement waits for the answers to starts; the last of
+// them cuts it short.
+constexpr milliseconds kBlockedAcknowledgementPause{100};
 // Pause while ends wait to be stored; OnStored cuts it short.
 constexpr milliseconds kUnstoredEndsPause{1000};
 
@@ -301,19 +304,27 @@
   WorkerState& worker = impl_->GetWorker(worker_id);
   HoldPlan plan;
   plan.order.token = impl_->TokenOf(worker);
+  worker.acknowledgement_in_flight = false;
   // After a hold without an answer the worker may have restarted, so the next
   // one is for any incarnation. One that may get no answer must not extend the
   // lease: otherwise the lease of an unreachable worker would never expire.
   if (worker.contact_at.has_value() && !worker.silent_since.has_value() &&
       worker.unanswered_holds_in_row == 0 && !worker.restart_suspected) {
     plan.order.incarnation = worker.born_ms;
-    plan.order.acknowledged_end = worker.acknowledged_end;
+    if (impl_->MayAcknowledge(worker)) {
+      plan.order.acknowledged_end = worker.acknowledged_end;
+    }
     if (worker.clock.has_value() && impl_->MayGrantLease(worker)) {
       plan.order.lease_end = impl_->LeaseEndFor(worker);
     }
   }
   if (worker.silent_since.has_value()) {
     plan.pause = kSilentHoldPause;
+  } else if (plan.order.acknowledged_end > 0) {
+    plan.order.wait = milliseconds(0);
+  } else if (worker.acknowledged_end > worker.forgotten_end) {
+    plan.order.wait = milliseconds(0);
+    plan.pause = kBlockedAcknowledgementPause;
   } else if (worker.seen_end > worker.acknowledged_end) {
     plan.pause = kUnstoredEndsPause;
   } else if (!worker.contact_at.has_value() ||
@@ -335,6 +346,9 @@
   const milliseconds until_next_report =
       std::chrono::ceil<milliseconds>(worker.next_report_at - now.steady);
   plan.pause = std::max(plan.pause, until_next_report);
+  // The plan is made again after a pause.
+  if (plan.pause > milliseconds(0)) plan.order.acknowledged_end = 0;
+  worker.acknowledgement_in_flight = plan.order.acknowledged_end > 0;
   return plan;
 }
 
@@ -346,6 +360,7 @@
   const auto found = impl_->workers.find(worker_id);
   if (found == impl_->workers.end()) return;
   WorkerState& worker = *found->second;
+  impl_->OnAcknowledgement(worker, order, answer);
   if (answer.outcome == OrderOutcome::kFenced) {
     if (impl_->IsFencedByAnother(worker, order.token)) {
       impl_->hooks.fenced(worker_id);
@@ -375,6 +390,7 @@
     worker.born_ms = answer.born_ms;
     if (has_restarted) impl_->OnRestarted(worker);
     worker.acknowledged_end = 0;
+    worker.forgotten_end = 0;
     worker.seen_end = 0;
     worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0));
     // Runs that a former owner started may have the longest lease.
@@ -411,6 +427,7 @@
         {{"worker", worker_id}, {"runs", answer.running.size()}});
     impl_->RequestSchedule();
   }
+  impl_->SendQueuedStarts();
 }
 
 void ShardCore::OnStart(const std::string& worker_id,
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -241,6 +241,13 @@
   void LogUnknownEnd(const WorkerState& worker,
                      const contracts::EndedTask& end);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
+  // Whether the next hold acknowledges ends. While a start has no answer the
+  // worker may restart, carry it out and forget its end.
+  bool MayAcknowledge(WorkerState& worker);
+  // Whether no start may be sent to the worker, for the same reason.
+  bool IsAcknowledging(const WorkerState& worker) const;
+  void OnAcknowledgement(WorkerState& worker, const contracts::HoldOrder& order,
+                         const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
   // Logs the end of a run that did not finish. For one that counts as lost,
   // also what the owner knew of its start.
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -198,7 +198,9 @@
   if (!has_restarted && run.task->step->spec->standing) return lease_wait;
   const milliseconds delay =
       has_restarted ? options.max_order_delay : kUsualOrderDelay;
-  return std::max(lease_wait, run.ordered_at + delay +
+  // A later order may extend the lease with which the start was carried out.
+  return std::max(lease_wait, std::max(run.ordered_at, worker.leased_at) +
+                                  delay +
                                   OnSlowestClock(options.longest_lease) +
                                   kLeaseEndMargin - now.steady);
 }
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -120,6 +120,7 @@
 }
 
 void ShardCore::Impl::SendQueuedStarts() {
+  std::vector<QueuedStart> deferred;
   while (MayStart() && !queued_starts.empty() &&
          starts_in_flight < options.max_starts_in_flight) {
     const QueuedStart next = std::move(queued_starts.front());
@@ -128,6 +129,10 @@
     if (worker == workers.end()) continue;
     Run* run = FindRun(*worker->second, next.task, next.attempt);
     if (run == nullptr || run->state != RunState::kPlanned) continue;
+    if (AcceptsTasks(*worker->second) && IsAcknowledging(*worker->second)) {
+      deferred.push_back(next);
+      continue;
+    }
     // The worker may have become silent, quarantined or draining since it was
     // chosen.
     if (AcceptsTasks(*worker->second)) {
@@ -136,6 +141,7 @@
       EndRun(*run, RunEnd::kNeverStarted, "");
     }
   }
+  queued_starts.insert(queued_starts.begin(), deferred.begin(), deferred.end());
 }
 
 void ShardCore::Impl::RequestStop(Run& run, const std::string& reason) {
@@ -197,6 +203,7 @@
       run->state = RunState::kRunning;
       run->confirmed_at = now.steady;
       run->task->step->occurrence->job->started = true;
+      if (worker.acknowledgement_waits_since.has_value()) HoldNow(worker);
       return;
     case OrderOutcome::kSuperseded:
     case OrderOutcome::kLeaseOver:
@@ -312,6 +319,7 @@
         run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
       } else if (!IsRegistryStale() && !worker.restart_suspected &&
+                 (run.IsStartInDoubt() || !IsAcknowledging(worker)) &&
                  MayGrantLease(worker) && MayStart()) {
         SendStart(run);
       }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -35,6 +35,8 @@
 // their maximum number.
 constexpr milliseconds kLeftoverLogInterval{1000};
 constexpr std::size_t kMaxLeftoverLines = 8;
+// Time after which an acknowledgement goes before further starts.
+constexpr milliseconds kMaxAcknowledgementWait{200};
 // Maximum number of lines about unknown runs for one list of ends.
 constexpr std::size_t kMaxUnknownEndLines = 8;
 
@@ -483,6 +485,42 @@
   }
 }
 
+bool ShardCore::Impl::MayAcknowledge(WorkerState& worker) {
+  const bool is_due = worker.acknowledged_end > worker.forgotten_end;
+  if (!is_due || !worker.HasStartInDoubt()) {
+    worker.acknowledgement_waits_since.reset();
+    return is_due;
+  }
+  if (!worker.acknowledgement_waits_since.has_value()) {
+    worker.acknowledgement_waits_since = now.steady;
+  }
+  return false;
+}
+
+bool ShardCore::Impl::IsAcknowledging(const WorkerState& worker) const {
+  return worker.acknowledgement_in_flight ||
+         (worker.acknowledgement_waits_since.has_value() &&
+          now.steady - *worker.acknowledgement_waits_since >
+              kMaxAcknowledgementWait);
+}
+
+void ShardCore::Impl::OnAcknowledgement(WorkerState& worker,
+                                        const contracts::HoldOrder& order,
+                                        const contracts::HoldAnswer& answer) {
+  worker.acknowledgement_in_flight = false;
+  if (order.acknowledged_end == 0 || worker.born_ms != order.incarnation) {
+    return;
+  }
+  if (answer.outcome == contracts::OrderOutcome::kDone &&
+      answer.born_ms == worker.born_ms) {
+    worker.forgotten_end =
+        std::max(worker.forgotten_end, order.acknowledged_end);
+  } else if (answer.outcome == contracts::OrderOutcome::kUnknown) {
+    // A later incarnation that has carried out a later start refuses it.
+    RaiseToken(worker, "acknowledgement without an answer");
+  }
+}
+
 void ShardCore::Impl::TickWorker(WorkerState& worker) {
   if (worker.quarantined_until != MonotonicTime() &&
       worker.quarantined_until <= now.steady) {
