A start that may be carried out once more delays acknowledgements and attempts

Cause: a start without an answer may be carried out seconds later by the next incarnation, also when a repeated one has begun the run, or when the run was stopped. Then the task runs again after its end was acknowledged, or beside its next attempt. Found by jobs_fuzz and by a model of incarnations.

Standing tasks do not wait, as they must not be away for as long. An end as done of a run that was given up finishes its task, since it is acknowledged. Half of an owner's tokens for a worker are kept for restarts.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -175,8 +175,9 @@
   // The token of orders to the worker.
   contracts::FencingToken TokenOf(const WorkerState& worker) const;
   // From here on the worker refuses earlier orders, once it has carried out a
-  // later one. Returns false when this owner has no higher token.
-  bool RaiseToken(WorkerState& worker, const std::string& reason);
+  // later one. Returns false when it has used as many tokens as `limit`.
+  bool RaiseToken(WorkerState& worker, std::uint32_t limit,
+                  const std::string& reason);
   // Whether a worker that refused this token has seen that of another owner,
   // not a later one of this owner.
   bool IsFencedByAnother(const WorkerState& worker,
@@ -238,17 +239,28 @@
   // leases.
   void LogLostRuns(const WorkerState& worker, std::size_t runs,
                    const std::string& reason) const;
+  // A task ended on a worker under an attempt that was given up.
+  void OnUnknownEnd(const WorkerState& worker, const contracts::EndedTask& end);
   void LogUnknownEnd(const WorkerState& worker,
                      const contracts::EndedTask& end);
   void OnEndedList(WorkerState& worker, const contracts::HoldAnswer& answer);
   // Whether the next hold acknowledges ends. While a start has no answer the
   // worker may restart, carry it out and forget its end.
   bool MayAcknowledge(WorkerState& worker);
+  // Whether a start is on its way or may still be carried out, of a run that is
+  // not known to have begun.
+  bool HasStartInDoubt(const WorkerState& worker) const;
+  // Whether starts without an answer may be carried out once more, although
+  // their runs have begun or ended.
+  bool HasSpareStarts(const WorkerState& worker) const;
   // Whether no start may be sent to the worker, for the same reason.
   bool IsAcknowledging(const WorkerState& worker) const;
   void OnAcknowledgement(WorkerState& worker, const contracts::HoldOrder& order,
                          const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
+  // What is left to be done about starts of an ended run that may still be
+  // carried out.
+  void KeepSpareStarts(const Run& run, RunEnd end);
   // Logs the end of a run that did not finish. For one that counts as lost,
   // also what the owner knew of its start.
   void LogRunOver(const Run& run, RunEnd end) const;
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -158,7 +158,8 @@
   worker.foreign_leases_until = worker.leased_at + options.max_order_delay +
                                 OnSlowestClock(options.longest_lease) +
                                 kLeaseEndMargin;
-  worker.is_fenced = !RaiseToken(worker, "worker restarted");
+  worker.is_fenced =
+      !RaiseToken(worker, options.token_count, "worker restarted");
 }
 
 void ShardCore::Impl::OnFenced(WorkerState& worker) {
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -39,10 +39,10 @@
   return options.token + (raises == token_raises.end() ? 0 : raises->second);
 }
 
-bool ShardCore::Impl::RaiseToken(WorkerState& worker,
+bool ShardCore::Impl::RaiseToken(WorkerState& worker, std::uint32_t limit,
                                  const std::string& reason) {
   std::uint32_t& raises = token_raises[worker.id];
-  const bool is_raised = raises + 1 < options.token_count;
+  const bool is_raised = raises + 1 < limit;
   if (is_raised) ++raises;
   hooks.decided("token raised", {{"worker", worker.id},
                                  {"born_ms", worker.born_ms},
@@ -196,6 +196,12 @@
   run->retry_at = now.steady;
   const bool is_from_known =
       OnOrderAnswer(worker, order.incarnation, run->ordered_at, answer);
+  if (!is_from_known || answer.outcome == OrderOutcome::kUnknown) {
+    ++run->unanswered_starts;
+    run->unanswered_start_at = run->ordered_at;
+  } else if (answer.outcome == OrderOutcome::kDone) {
+    ++run->answered_starts;
+  }
   if (run->state != RunState::kSent) return;
   switch (is_from_known ? answer.outcome : OrderOutcome::kUnknown) {
     case OrderOutcome::kDone:
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -210,8 +210,13 @@
   std::vector<Candidate> candidates = Rank(step);
   bool all_placed = true;
   bool any_placed = false;
+  bool some_must_wait = false;
   for (Task& task : step.tasks) {
     if (task.finished || !task.runs.empty()) continue;
+    if (task.not_before > now.steady) {
+      some_must_wait = true;
+      continue;
+    }
     Candidate* best = Best(candidates, task);
     if (best == nullptr && IsStarved(*step.occurrence->job)) {
       ignore_slowdown = true;
@@ -233,7 +238,7 @@
     }
   }
   ignore_slowdown = false;
-  if (all_placed) RemoveReady(step);
+  if (all_placed && !some_must_wait) RemoveReady(step);
   if (step.spec->standing) return;
   const std::string& queue = step.occurrence->job->queue;
   if (any_placed) {
@@ -260,7 +265,10 @@
   const bool runs_left =
       std::any_of(step.tasks.begin(), step.tasks.end(),
                   [](const Task& task) { return !task.runs.empty(); });
-  if (runs_left || step.finished == step.tasks.size()) return;
+  const bool must_wait = std::any_of(
+      step.tasks.begin(), step.tasks.end(),
+      [this](const Task& task) { return task.not_before > now.steady; });
+  if (runs_left || must_wait || step.finished == step.tasks.size()) return;
   std::uint32_t attempt = 0;
   for (const Task& task : step.tasks) attempt = std::max(attempt, task.attempt);
   // An empty rack name stands for workers of any rack.
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -168,6 +168,7 @@
   Task& keeper = step.spec->gang ? step.tasks.front() : task;
   SetCheckpoint(keeper, checkpoint);
   ReleaseResources(run);
+  KeepSpareStarts(run, end);
   const bool was_stalled = run.stop_requested;
   if (--job.run_count == 0) job.idle_since = now.steady;
   task.runs.remove_if([&run](const Run& each) { return &each == &run; });
@@ -440,6 +441,28 @@
   hooks.decided("runs lost", fields);
 }
 
+void ShardCore::Impl::OnUnknownEnd(const WorkerState& worker,
+                                   const contracts::EndedTask& end) {
+  Task* task = FindTask(end.task);
+  if (task == nullptr || task->finished || end.attempt > task->attempt ||
+      end.kind != contracts::EndKind::kFinished || task->step->spec->standing ||
+      task->step->occurrence->job->IsOver()) {
+    return;
+  }
+  // Once this end is acknowledged the task must not run again.
+  hooks.decided("task finished by an earlier attempt",
+                {{"job", end.task.job},
+                 {"step", end.task.step},
+                 {"task", end.task.index},
+                 {"attempt", end.attempt},
+                 {"worker", worker.id}});
+  if (!task->step->spec->gang) {
+    FinishTask(*task);
+    return;
+  }
+  for (Task& member : task->step->tasks) FinishTask(member);
+}
+
 void ShardCore::Impl::LogUnknownEnd(const WorkerState& worker,
                                     const contracts::EndedTask& end) {
   const Task* task = FindTask(end.task);
@@ -470,13 +493,13 @@
     }
     worker.seen_end = row.number;
     Run* run = FindRun(worker, row.task, row.attempt);
-    // A run that was given up before is unknown, and its end changes nothing.
     if (run != nullptr) {
       EndRun(*run, ToRunEnd(row.kind), row.checkpoint);
       continue;
     }
     ++counters.ends_unknown;
     if (++unknown <= kMaxUnknownEndLines) LogUnknownEnd(worker, row);
+    OnUnknownEnd(worker, row);
   }
   worker.ends_change = changes;
   if (worker.seen_end > worker.acknowledged_end &&
@@ -487,9 +510,9 @@
 
 bool ShardCore::Impl::MayAcknowledge(WorkerState& worker) {
   const bool is_due = worker.acknowledged_end > worker.forgotten_end;
-  if (!is_due || !worker.HasStartInDoubt()) {
+  if (!is_due || !HasStartInDoubt(worker)) {
     worker.acknowledgement_waits_since.reset();
-    return is_due;
+    return is_due && !HasSpareStarts(worker);
   }
   if (!worker.acknowledgement_waits_since.has_value()) {
     worker.acknowledgement_waits_since = now.steady;
@@ -497,6 +520,40 @@
   return false;
 }
 
+bool ShardCore::Impl::HasStartInDoubt(const WorkerState& worker) const {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(), [this](const Run& run) {
+        return run.order_in_flight ||
+               (run.IsStartInDoubt() &&
+                run.ordered_at + options.max_order_delay > now.steady);
+      });
+}
+
+bool ShardCore::Impl::HasSpareStarts(const WorkerState& worker) const {
+  if (worker.spare_starts_until > now.steady) return true;
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(), [this](const Run& run) {
+        return run.HasSpareStart(run.state == RunState::kRunning) &&
+               run.unanswered_start_at + options.max_order_delay > now.steady;
+      });
+}
+
+void ShardCore::Impl::KeepSpareStarts(const Run& run, RunEnd end) {
+  const bool has_begun =
+      end != RunEnd::kNeverStarted &&
+      (end != RunEnd::kLost || run.state == RunState::kRunning);
+  const std::uint32_t in_flight = run.order_in_flight ? 1 : 0;
+  if (!run.HasSpareStart(has_begun) && in_flight == 0) return;
+  const MonotonicTime until =
+      (in_flight > 0 ? run.ordered_at : run.unanswered_start_at) +
+      options.max_order_delay;
+  WorkerState& worker = *run.worker;
+  worker.spare_starts_until = std::max(worker.spare_starts_until, until);
+  // A standing task must not be away for as long.
+  if (run.task->step->spec->standing) return;
+  run.task->not_before = std::max(run.task->not_before, until);
+}
+
 bool ShardCore::Impl::IsAcknowledging(const WorkerState& worker) const {
   return worker.acknowledgement_in_flight ||
          (worker.acknowledgement_waits_since.has_value() &&
@@ -517,7 +574,9 @@
         std::max(worker.forgotten_end, order.acknowledged_end);
   } else if (answer.outcome == contracts::OrderOutcome::kUnknown) {
     // A later incarnation that has carried out a later start refuses it.
-    RaiseToken(worker, "acknowledgement without an answer");
+    // Half of the tokens are left for restarts.
+    RaiseToken(worker, options.token_count / 2,
+               "acknowledgement without an answer");
   }
 }
 
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -23,6 +23,9 @@
   CPPUNIT_TEST(LateHoldExtendsTheLeaseOfTheNextIncarnation);
   CPPUNIT_TEST(StartOvertakenByAnAcknowledgementRunsTwice);
   CPPUNIT_TEST(LateAcknowledgementHidesAnEnd);
+  CPPUNIT_TEST(LateCopyOfAStartRunsAgainAfterItsEndWasAcknowledged);
+  CPPUNIT_TEST(LateStartRunsBesideTheNextAttempt);
+  CPPUNIT_TEST(FinishedTaskOfAGivenUpRunRunsAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -187,6 +190,50 @@
     RunOnceAndCutOff();
   }
 
+  void LateCopyOfAStartRunsAgainAfterItsEndWasAcknowledged() {
+    const SentStart start = SubmitTask("j", "runs 100");
+    LoseAnswer(start);
+    Advance(milliseconds(100));
+    Deliver(bench_->TakeStarts().at(0));
+    Advance(milliseconds(150));
+    Hold();
+    bench_->Store();
+    Hold();
+    worker_->Crash();
+    worker_->Start(start.order);
+    CheckHistory();
+  }
+
+  void LateStartRunsBesideTheNextAttempt() {
+    const SentStart start = SubmitTask("j", "runs 60000");
+    LoseAnswer(start);
+    for (int i = 0; i < 60 && bench_->stops.empty(); ++i) {
+      Hold();
+      for (const SentStart& copy : bench_->TakeStarts()) LoseAnswer(copy);
+    }
+    bench_->core->OnStop("w", bench_->stops.at(0).order,
+                         worker_->Stop(bench_->stops.at(0).order), bench_->now);
+    Advance(kStep);
+    Hold();
+    worker_->Crash();
+    worker_->Start(start.order);
+    CutOff(milliseconds(5000));
+    CheckHistory();
+  }
+
+  // Guards against running a task again whose end is then acknowledged.
+  void FinishedTaskOfAGivenUpRunRunsAgain() {
+    ShardBench bench;
+    const SentStart start = bench.RunOneTask();
+    bench.AnswerHold("w", {bench.RunningRow(start)});
+    // The worker has dropped the run, or so it seems.
+    bench.AnswerHold("w");
+    bench.AnswerHold("w", {}, {bench.EndedRow(1, start)});
+    bench.AdvanceTime(milliseconds(500));
+    bench.Store();
+    CPPUNIT_ASSERT(JobState::kCompleted == bench.core->StoredState("j"));
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
