Fuzz of jobs: any order reaches any later incarnation of its worker

- late starts and stops, and also holds with a lease or an acknowledgement, are carried out 2 to 12 s later by whichever incarnation is there;
- for a time connections outlive restarts: orders reach the present incarnation, which answers them with its clock;
- workers restart several times in a row and are cut off after the last time;
- times of birth are wall times, the registry tells them up to 2 s late, and clocks begin at 0 for half of the incarnations, so that they resemble the former ones.

The oracles are unchanged.

--- a/src/jobs/tests/fuzz_worker.cc
+++ b/src/jobs/tests/fuzz_worker.cc
@@ -21,7 +21,7 @@
 contracts::WorkerClock FirstClock(contracts::Incarnation incarnation) {
   constexpr std::int64_t kStrideMs = 7919000;
   constexpr std::int64_t kRangeMs = 9000000;
-  return contracts::WorkerClock(incarnation * kStrideMs % kRangeMs);
+  return contracts::WorkerClock(incarnation % kRangeMs * kStrideMs % kRangeMs);
 }
 
 std::string Describe(const contracts::TaskKey& task) {
@@ -96,8 +96,14 @@
       [&job](const auto& entry) { return entry.first.job == job; });
 }
 
-FuzzWorker::FuzzWorker(std::string id, RunHistory& history)
-    : id_(std::move(id)), history_(history), clock_(FirstClock(born_ms_)) {}
+FuzzWorker::FuzzWorker(std::string id, RunHistory& history,
+                       contracts::Incarnation born_ms)
+    : id_(std::move(id)),
+      history_(history),
+      born_ms_(born_ms),
+      clock_(FirstClock(born_ms_)) {}
+
+void FuzzWorker::Crash() { Crash(born_ms_ + 1, FirstClock(born_ms_ + 1)); }
 
 void FuzzWorker::AdvanceTime(milliseconds time) {
   clock_ += time;
@@ -115,7 +121,8 @@
   for (const auto& [run_name, kind] : over) EndRun(run_name, kind);
 }
 
-void FuzzWorker::Crash() {
+void FuzzWorker::Crash(contracts::Incarnation born_ms,
+                       contracts::WorkerClock clock) {
   for (const auto& [run_name, work] : runs_) history_.OnLost(run_name.first);
   runs_.clear();
   over_.clear();
@@ -123,13 +130,14 @@
   last_end_ = 0;
   lapsed_end_ = 0;
   token_ = 0;
-  ++born_ms_;
-  clock_ = FirstClock(born_ms_);
+  born_ms_ = std::max(born_ms, born_ms_ + 1);
+  clock_ = clock;
   lease_end_ = contracts::WorkerClock(0);
 }
 
-void FuzzWorker::Replace(const std::string& id) {
-  Crash();
+void FuzzWorker::Replace(const std::string& id, contracts::Incarnation born_ms,
+                         contracts::WorkerClock clock) {
+  Crash(born_ms, clock);
   id_ = id;
 }
 
--- a/src/jobs/tests/fuzz_worker.h
+++ b/src/jobs/tests/fuzz_worker.h
@@ -46,14 +46,19 @@
 
 class FuzzWorker {
  public:
-  FuzzWorker(std::string id, RunHistory& history);
+  FuzzWorker(std::string id, RunHistory& history,
+             contracts::Incarnation born_ms = 1);
 
   // Advances the worker's clock: tasks progress and leases expire.
   void AdvanceTime(std::chrono::milliseconds time);
-  // Loses all state and begins a new incarnation.
+  // Loses all state and begins a new incarnation. Its clock says nothing of
+  // that of the former one.
   void Crash();
+  // Like Crash; the clock of the new incarnation shows `clock`.
+  void Crash(contracts::Incarnation born_ms, contracts::WorkerClock clock);
   // Like Crash; the new incarnation has another ID.
-  void Replace(const std::string& id);
+  void Replace(const std::string& id, contracts::Incarnation born_ms,
+               contracts::WorkerClock clock);
 
   contracts::OrderAnswer Start(const contracts::StartOrder& order);
   contracts::OrderAnswer Stop(const contracts::StopOrder& order);
@@ -62,7 +67,9 @@
   contracts::HoldAnswer Hold(const contracts::HoldOrder& order);
 
   const std::string& id() const { return id_; }
-  // Whether an order for this incarnation reaches the present one.
+  contracts::Incarnation born_ms() const { return born_ms_; }
+  // Whether an order for this incarnation reaches the present one over a
+  // connection that belongs to one process.
   bool Receives(contracts::Incarnation incarnation) const {
     return incarnation == 0 || incarnation == born_ms_;
   }
@@ -78,7 +85,7 @@
 
   std::string id_;
   RunHistory& history_;
-  contracts::Incarnation born_ms_ = 1;
+  contracts::Incarnation born_ms_;
   contracts::WorkerClock clock_;
   contracts::FencingToken token_ = 0;
   contracts::WorkerClock lease_end_{0};
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -68,6 +68,21 @@
 constexpr int kDownTimeDivisor = 8;
 // A worker that restarts is cut off this much later at most.
 constexpr int kMaxTimeToCutMs = 3000;
+// A worker restarts this often in a row, after pauses of at most this length.
+constexpr int kMinRestartsInRow = 2;
+constexpr int kMaxRestartsInRow = 4;
+constexpr int kMaxRestartPauseMs = 2000;
+// The registry tells of a restart this much later at most.
+constexpr int kMaxEntryDelayMs = 2000;
+// Orders without an answer are carried out this late.
+constexpr int kMinLateOrderMs = 2000;
+constexpr int kMaxLateOrderMs = 12000;
+constexpr double kLateOrderShare = 0.4;
+// A clock that says nothing of that of the former incarnation begins below
+// this time.
+constexpr int kMaxFirstClockMs = 9000000;
+// Of a worker that no order for a former incarnation can reach any more.
+constexpr milliseconds kOldAge{3600000};
 constexpr int kWorkers = 4;
 constexpr std::size_t kNodes = 4;
 // Few, so that owners also run out of them.
@@ -90,8 +105,13 @@
   kLoseAppendAnswers,
   kUnreachableWorker,
   kLoseMessages,
+  // Orders are not answered, and are carried out seconds later by whichever
+  // incarnation there is.
   kLateOrders,
+  // Connections outlive restarts: orders reach whichever incarnation there is.
+  kOpenConnections,
   kCrashWorker,     // it restarts under its ID
+  kRestartInRow,    // it restarts several times, and is cut off after the last
   kRestartAndCut,   // like kCrashWorker; it is cut off soon after
   kReplaceWorker,   // it crashes; an incarnation of another ID takes its place,
                     // while the registry still lists the former one
@@ -113,32 +133,17 @@
   kCount,
 };
 
-constexpr const char* kFaultNames[] = {"submit",
-                                       "submit failing",
-                                       "cancel",
-                                       "withdraw",
-                                       "take over",
-                                       "kill owner",
-                                       "pause owner",
-                                       "store out",
-                                       "lose append answers",
-                                       "cut worker",
-                                       "lose messages",
-                                       "late orders",
-                                       "crash worker",
-                                       "restart and cut",
-                                       "replace worker",
-                                       "drain worker",
-                                       "registry silent",
-                                       "config unread",
-                                       "drop queue",
-                                       "die in append",
-                                       "split owners",
-                                       "restart node",
-                                       "late copies",
-                                       "replace between",
-                                       "withdraw cancelled",
-                                       "unheeded stops"};
+constexpr const char* kFaultNames[] = {
+    "submit",           "submit failing",  "cancel",
+    "withdraw",         "take over",       "kill owner",
+    "pause owner",      "store out",       "lose append answers",
+    "cut worker",       "lose messages",   "late orders",
+    "open connections", "crash worker",    "restart in row",
+    "restart and cut",  "replace worker",  "drain worker",
+    "registry silent",  "config unread",   "drop queue",
+    "die in append",    "split owners",    "restart node",
+    "late copies",      "replace between", "withdraw cancelled",
+    "unheeded stops"};
 
 // A fault, its target, its duration, and the time until the next fault.
 struct FaultStep {
@@ -176,8 +181,11 @@
     // In half of them each batch contains one job.
     if (random_() % 2 == 0) max_batch_bytes_ = 1;
     for (int i = 0; i < kWorkers; ++i) {
-      workers_.push_back(
-          std::make_unique<FuzzWorker>("w" + std::to_string(i), history_));
+      const contracts::Incarnation born_ms =
+          WallMs() - (random_() % 2 == 0 ? kOldAge.count() : 0);
+      workers_.push_back(std::make_unique<FuzzWorker>("w" + std::to_string(i),
+                                                      history_, born_ms));
+      listed_births_.push_back(born_ms);
     }
     TakeOver();
   }
@@ -221,15 +229,19 @@
       case Fault::kLateOrders:
         orders_late_until_ = until.steady;
         break;
+      case Fault::kOpenConnections:
+        connections_open_until_ = until.steady;
+        break;
       case Fault::kCrashWorker:
         Restart(target % kWorkers, milliseconds(step.length_ms));
         break;
       case Fault::kRestartAndCut:
         Restart(target % kWorkers, milliseconds(step.length_ms));
-        After(Delay(0, kMaxTimeToCutMs), [this, worker = target % kWorkers,
-                                          cut = milliseconds(step.length_ms)] {
-          unreachable_until_[worker] = now_.steady + cut;
-        });
+        CutLater(target % kWorkers, milliseconds(0),
+                 milliseconds(step.length_ms));
+        break;
+      case Fault::kRestartInRow:
+        RestartInRow(target % kWorkers, milliseconds(step.length_ms));
         break;
       case Fault::kReplaceWorker:
         Replace(target % kWorkers, milliseconds(step.length_ms));
@@ -280,9 +292,9 @@
   // Ends all faults; all accepted jobs must then end.
   void EndFaultsAndSettle() {
     split_until_ = store_unavailable_until_ = append_answers_lost_until_ =
-        lossy_until_ = orders_late_until_ = registry_unread_until_ =
-            config_unread_until_ = queue_dropped_until_ =
-                stops_unheeded_until_ = now_.steady;
+        lossy_until_ = orders_late_until_ = connections_open_until_ =
+            registry_unread_until_ = config_unread_until_ =
+                queue_dropped_until_ = stops_unheeded_until_ = now_.steady;
     for (auto& [worker, until] : unreachable_until_) {
       until = std::min(until, now_.steady);
     }
@@ -330,6 +342,12 @@
     contracts::FencingToken token = 0;
   };
 
+  // A registry entry of a worker that is gone, and until when it is listed.
+  struct FormerEntry {
+    MonotonicTime until;
+    contracts::Incarnation born_ms = 0;
+  };
+
   struct OwnerInstance {
     contracts::FencingToken token = 0;
     std::size_t node = 0;
@@ -489,18 +507,21 @@
     std::vector<WorkerEntry> entries;
     entries.reserve(workers_.size());
     for (std::size_t i = 0; i < workers_.size(); ++i) {
-      entries.push_back(
-          MakeEntry(workers_[i]->id(), draining_since_.contains(i)));
+      entries.push_back(MakeEntry(workers_[i]->id(), listed_births_[i],
+                                  draining_since_.contains(i)));
     }
-    for (const auto& [id, until] : former_entries_) {
-      if (until > now_.steady) entries.push_back(MakeEntry(id, false));
+    for (const auto& [id, entry] : former_entries_) {
+      if (entry.until <= now_.steady) continue;
+      entries.push_back(MakeEntry(id, entry.born_ms, false));
     }
     owner.core->SetWorkers(entries, now_.steady, now_);
   }
 
-  WorkerEntry MakeEntry(const std::string& id, bool draining) const {
+  WorkerEntry MakeEntry(const std::string& id, contracts::Incarnation born_ms,
+                        bool draining) const {
     return {
         .id = id,
+        .incarnation = born_ms,
         .address = {.ip = "127.0.0.1",
                     .port = static_cast<std::uint16_t>(1 + IndexOf(id))},
         .pool = "pool",
@@ -510,16 +531,58 @@
         .draining = draining};
   }
 
+  contracts::Incarnation WallMs() const {
+    return std::chrono::floor<milliseconds>(now_.wall.time_since_epoch())
+        .count();
+  }
+
+  // Begins at 0 for half of the incarnations: then it may show what the clock
+  // of the former one showed shortly before.
+  contracts::WorkerClock FirstClock() {
+    return HappensWithProbability(0.5) ? milliseconds(0)
+                                       : Delay(0, kMaxFirstClockMs);
+  }
+
+  void Crash(std::size_t worker) {
+    workers_[worker]->Crash(WallMs(), FirstClock());
+    After(Delay(0, kMaxEntryDelayMs),
+          [this, worker, id = workers_[worker]->id(),
+           born_ms = workers_[worker]->born_ms()] {
+            if (workers_[worker]->id() != id) return;
+            listed_births_[worker] = std::max(listed_births_[worker], born_ms);
+          });
+  }
+
   void Restart(std::size_t worker, milliseconds time) {
-    workers_[worker]->Crash();
+    Crash(worker);
     unreachable_until_[worker] = now_.steady + time / kDownTimeDivisor;
   }
 
+  void CutLater(std::size_t worker, milliseconds after, milliseconds time) {
+    After(after + Delay(0, kMaxTimeToCutMs), [this, worker, time] {
+      unreachable_until_[worker] = now_.steady + time;
+    });
+  }
+
+  void RestartInRow(std::size_t worker, milliseconds time) {
+    const std::int64_t restarts =
+        Delay(kMinRestartsInRow, kMaxRestartsInRow).count();
+    milliseconds after{0};
+    for (std::int64_t i = 0; i < restarts; ++i) {
+      After(after, [this, worker] { Crash(worker); });
+      after += Delay(0, kMaxRestartPauseMs);
+    }
+    CutLater(worker, after, time);
+  }
+
   void Replace(std::size_t worker, milliseconds time) {
-    former_entries_[workers_[worker]->id()] =
-        now_.steady + std::min(time, kEntryTimeout);
-    workers_[worker]->Replace("w" + std::to_string(worker) + "-" +
-                              std::to_string(++replaced_));
+    former_entries_[workers_[worker]->id()] = {
+        .until = now_.steady + std::min(time, kEntryTimeout),
+        .born_ms = listed_births_[worker]};
+    workers_[worker]->Replace(
+        "w" + std::to_string(worker) + "-" + std::to_string(++replaced_),
+        WallMs(), FirstClock());
+    listed_births_[worker] = workers_[worker]->born_ms();
     unreachable_until_[worker] = now_.steady + time / kDownTimeDivisor;
   }
 
@@ -544,7 +607,7 @@
     if (!draining_since_.emplace(worker, now_.steady).second) return;
     After(time, [this, worker] {
       draining_since_.erase(worker);
-      workers_[worker]->Crash();
+      Crash(worker);
     });
   }
 
@@ -628,6 +691,26 @@
     return cut != unreachable_until_.end() && cut->second > now_.steady;
   }
 
+  bool IsOrderLate() {
+    return orders_late_until_ > now_.steady &&
+           HappensWithProbability(kLateOrderShare);
+  }
+
+  milliseconds OrderDelay(bool late, int max_ms) {
+    if (!late) return Delay(0, max_ms);
+    const milliseconds delay = Delay(kMinLateOrderMs, kMaxLateOrderMs);
+    late_order_at_ = std::max(late_order_at_, now_.steady + delay);
+    return delay;
+  }
+
+  // Whether the process behind the connection, or the one that is there when a
+  // late order is carried out, gets an order for this incarnation.
+  bool Receives(std::size_t worker, contracts::Incarnation incarnation,
+                bool late) const {
+    return late || connections_open_until_ > now_.steady ||
+           workers_[worker]->Receives(incarnation);
+  }
+
   // Sends an order to a worker, and its answer back. A lost order is never
   // answered; a late one is carried out seconds later and not answered.
   void Send(
@@ -637,23 +720,18 @@
       std::function<void(const contracts::OrderAnswer&)> on_answer) {
     const std::size_t index = IndexOf(id);
     const bool lossy = lossy_until_ > now_.steady;
-    const bool late =
-        orders_late_until_ > now_.steady && HappensWithProbability(0.4);
+    const bool late = IsOrderLate();
     const bool lost =
         IsUnreachable(index, *owner) || (lossy && HappensWithProbability(0.3));
     const bool answer_lost =
         lost || late || (lossy && HappensWithProbability(0.3));
     if (!lost) {
-      const milliseconds delay = late ? Delay(2000, 9000) : Delay(0, 30);
-      if (late) {
-        late_order_at_ = std::max(late_order_at_, now_.steady + delay);
-      }
-      After(delay, [this, owner, index, id, incarnation, execute, on_answer,
-                    answer_lost, late] {
+      After(OrderDelay(late, 30), [this, owner, index, id, incarnation, execute,
+                                   on_answer, answer_lost, late] {
         contracts::OrderAnswer answer;
         if (workers_[index]->id() != id) {
           answer.outcome = OrderOutcome::kOtherIncarnation;
-        } else if (workers_[index]->Receives(incarnation)) {
+        } else if (Receives(index, incarnation, late)) {
           answer = execute(*workers_[index], late);
         } else {
           answer.outcome = OrderOutcome::kNotSent;
@@ -688,9 +766,11 @@
     const contracts::HoldOrder order = owner.core->PlanHold(id, now_).order;
     const MonotonicTime sent_at = now_.steady;
     const bool lossy = lossy_until_ > now_.steady;
+    const bool late = IsOrderLate();
     const bool lost =
         IsUnreachable(index, owner) || (lossy && HappensWithProbability(0.3));
-    const bool answer_lost = lost || (lossy && HappensWithProbability(0.3));
+    const bool answer_lost =
+        lost || late || (lossy && HappensWithProbability(0.3));
     const std::function<void(const contracts::HoldAnswer&)> on_answer =
         [this, &owner, id, order,
          sent_at](const contracts::HoldAnswer& answer) {
@@ -699,18 +779,19 @@
           owner.core->OnHold(id, order, answer, sent_at, now_);
         };
     if (!lost) {
-      After(Delay(0, 100), [this, id, index, order, answer_lost, on_answer] {
-        contracts::HoldAnswer answer;
-        if (workers_[index]->id() != id) {
-          answer.outcome = OrderOutcome::kOtherIncarnation;
-        } else if (workers_[index]->Receives(order.incarnation)) {
-          answer = workers_[index]->Hold(order);
-        } else {
-          answer.outcome = OrderOutcome::kNotSent;
-        }
-        if (answer_lost) return;
-        After(Delay(0, 30), [on_answer, answer] { on_answer(answer); });
-      });
+      After(OrderDelay(late, 100),
+            [this, id, index, order, answer_lost, late, on_answer] {
+              contracts::HoldAnswer answer;
+              if (workers_[index]->id() != id) {
+                answer.outcome = OrderOutcome::kOtherIncarnation;
+              } else if (Receives(index, order.incarnation, late)) {
+                answer = workers_[index]->Hold(order);
+              } else {
+                answer.outcome = OrderOutcome::kNotSent;
+              }
+              if (answer_lost) return;
+              After(Delay(0, 30), [on_answer, answer] { on_answer(answer); });
+            });
     }
     if (answer_lost) {
       After(kOrderTimeout,
@@ -813,9 +894,9 @@
   bool IsDisturbed() const {
     for (const MonotonicTime until :
          {store_unavailable_until_, append_answers_lost_until_, lossy_until_,
-          orders_late_until_, late_order_at_, split_until_,
-          registry_unread_until_, config_unread_until_, queue_dropped_until_,
-          stops_unheeded_until_}) {
+          orders_late_until_, late_order_at_, connections_open_until_,
+          split_until_, registry_unread_until_, config_unread_until_,
+          queue_dropped_until_, stops_unheeded_until_}) {
       if (until > now_.steady) return true;
     }
     for (const auto& [worker, until] : unreachable_until_) {
@@ -1092,6 +1173,7 @@
   MonotonicTime append_answers_lost_until_;
   MonotonicTime lossy_until_;
   MonotonicTime orders_late_until_;
+  MonotonicTime connections_open_until_;
   MonotonicTime split_until_;
   // One bit for each worker or node.
   std::size_t reached_by_newest_ = 0;
@@ -1117,8 +1199,10 @@
   MonotonicTime late_order_at_;
   // Since when no fault has been in effect, with one owner only.
   MonotonicTime calm_since_;
-  // By ID, until when the registry lists an incarnation that is over.
-  std::map<std::string, MonotonicTime> former_entries_;
+  // By worker, the time of birth that the registry tells.
+  std::vector<contracts::Incarnation> listed_births_;
+  // By ID, incarnations that are over and still listed by the registry.
+  std::map<std::string, FormerEntry> former_entries_;
   std::uint32_t replaced_ = 0;
   // Jobs of which a worker has started a task.
   std::set<std::string> started_jobs_;
