Soak: orders that a later incarnation of a worker carries out

Until now all that was sent over the open connections of a worker that restarted silently was lost, so the rounds could not show orders for one incarnation that the next one carries out over them, or seconds later.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,7 +2,8 @@
 """Randomized soak test that injects faults into node processes from outside.
 
 Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
-               [--overlap | --losses | --cancels | --restarts] [--nodes N] [--workers N]
+               [--overlap | --losses | --cancels | --restarts] [--orders KIND]
+               [--nodes N] [--workers N]
 Each seed is one round: jobs are submitted through all nodes while nodes are killed,
 paused, stopped gracefully and restarted, workers are drained, the configuration is
 changed and reloaded, and connections to the store are delayed, reset, cut in one
@@ -19,7 +20,9 @@
 after a series, no task of a job may start or run whose cancel was acknowledged.
 With --restarts, workers restart silently under their names while long tasks run, so that
 orders for one incarnation reach the next, and some of them are cut off soon after; nodes
-and the store fail beside that.
+and the store fail beside that. Each restart draws whether open connections to the worker
+outlive it, and whether calls before it are late: they get no answer, and are carried out
+by whichever incarnation is there seconds later. --orders fixes what is drawn.
 Prints one line per seed; exits with 1 if an invariant was violated.
 """
 
@@ -70,6 +73,12 @@
 # and for how long.
 DOWN_SECONDS, UNTIL_CUT_SECONDS, CUT_SECONDS = (0.05, 0.7), (0, 2.5), (2, 9)
 CUT_SHARE = 0.7
+# Whether connections outlive a restart, and whether calls before it are late.
+RESTART_KINDS = {"end": (False, False), "outlive": (True, False), "late": (False, True),
+                 "both": (True, True)}
+# How often a worker restarts in a row, how long after one another, and how long before a
+# restart calls are late.
+RESTARTS_IN_ROW, BETWEEN_SECONDS, LATE_FOR_SECONDS = (1, 1, 1, 2, 3), (0, 1.5), (0.5, 2)
 STANDING_JOBS, STANDING_TASKS = 4, 4
 # Nodes and workers of a round by default. With --losses a majority of the nodes is
 # left although the owner and another node are lost.
@@ -274,6 +283,8 @@
     def __init__(self, program, seed, options):
         super().__init__(program, seed, options)
         self.milliseconds = RESTARTS_MILLISECONDS
+        self.kinds = [options.orders] if options.orders else list(RESTART_KINDS)
+        self.restarting, self.restarts = set(), []
 
     def inject_faults(self, deadline, generator):
         restarts = threading.Thread(
@@ -287,8 +298,9 @@
         while time.monotonic() < deadline:
             live = [worker for worker in self.cluster.workers
                     if not worker.crashed and not worker.silent
-                    and worker.name not in self.draining]
+                    and worker.name not in self.draining | self.restarting]
             chosen = generator.sample(live, round(generator.uniform(0.3, 0.7) * len(live)))
+            self.restarting |= {worker.name for worker in chosen}
             self.faults.append(f"restart-{len(chosen)}")
             threads = [threading.Thread(target=self.restart_worker, args=(
                 worker, random.Random(generator.random()))) for worker in chosen]
@@ -298,13 +310,48 @@
             self.drains += threads
 
     def restart_worker(self, worker, generator):
-        successor = self.cluster.restart_silently(worker,
-                                                  generator.uniform(*DOWN_SECONDS))
+        for number in range(generator.choice(RESTARTS_IN_ROW)):
+            if number:
+                time.sleep(generator.uniform(*BETWEEN_SECONDS))
+            worker = self.restart_once(worker, generator)
         if generator.random() < CUT_SHARE:
             time.sleep(generator.uniform(*UNTIL_CUT_SECONDS))
-            successor.set_silent(True)
+            worker.set_silent(True)
             time.sleep(generator.uniform(*CUT_SECONDS))
-            successor.set_silent(False)
+            worker.set_silent(False)
+        self.restarting.discard(worker.name)
+
+    def restart_once(self, worker, generator):
+        kind = generator.choice(self.kinds)
+        is_outlived, is_late = RESTART_KINDS[kind]
+        if is_late:
+            worker.late_calls = random.Random(generator.random())
+            time.sleep(generator.uniform(*LATE_FOR_SECONDS))
+        self.restarts.append(kind)
+        return self.cluster.restart_silently(
+            worker, generator.uniform(*DOWN_SECONDS), is_outlived)
+
+    def counts(self):
+        kinds = collections.Counter(self.restarts)
+        return f"{super().counts()}, " + ", ".join(
+            f"{kinds[kind]} restarts {kind}" for kind in self.kinds)
+
+    def check_invariants(self):
+        broken = super().check_invariants()
+        if broken:
+            self.write_orders()
+        return broken
+
+    def write_orders(self):
+        """Writes what each incarnation was sent, and its runs, beside the logs."""
+        wall = time.time() - time.monotonic()
+        with open(f"{self.cluster.folder}/workers.log", "w", encoding="utf-8") as log:
+            rows = [(order["at"], worker.name, worker.number, order)
+                    for worker in self.cluster.workers for order in list(worker.orders)]
+            rows += [(run["start"], run["worker"], run["born"], run)
+                     for run in list(self.cluster.history)]
+            for at, *row in sorted(rows, key=lambda row: row[0]):
+                print(f"{wall + at:.3f}", *row, file=log)
 
 
 class LossesRound(Round):
@@ -717,6 +764,7 @@
     modes.add_argument("--losses", action="store_true")
     modes.add_argument("--cancels", action="store_true")
     modes.add_argument("--restarts", action="store_true")
+    parser.add_argument("--orders", choices=list(RESTART_KINDS))
     parser.add_argument("--nodes", type=int)
     parser.add_argument("--workers", type=int)
     options = parser.parse_args()
