A connection that another process answers on counts as leading to it

Cause: a connection's peer was named once, by its first answer, and kept that name for its life. Behind a proxy or balancer it may lead to the next process meanwhile; answers showed it and were not looked at.

Change: an answer that names another process renames the connection, so no later call for the former process goes over it. An answer without a name changes nothing. The header no longer claims that a connection belongs to one process; the call that finds the change out still reaches the other one.

--- a/src/framework/net/http_client.h
+++ b/src/framework/net/http_client.h
@@ -57,9 +57,13 @@
 };
 
 // Tells apart the processes that answer at one address one after the other. A
-// connection belongs to one of them for its whole life.
+// connection counts as leading to the process that answered over it last. It
+// may lead to another one meanwhile, as behind a proxy: the call that finds
+// this out has reached the other process. The check thus spares most calls from
+// reaching the wrong process and does not rule it out; the called process must
+// be able to refuse, or the answer must be looked at.
 struct PeerCheck {
-  // The process that must receive the call; empty for any.
+  // The process that the call is meant for; empty for any.
   std::string expected;
   // Makes a call without effect that is sent first over a connection whose peer
   // is not known.
@@ -86,8 +90,8 @@
   // the peer are returned, not thrown. `address` must hold a numeric IP.
   // Requests are never retried.
   boost::asio::awaitable<HttpAnswer> Call(Address address, HttpCall call);
-  // Like Call, but only the expected process receives it; the outcome is
-  // kNotSent if another one answers at the address. An answer to the question
+  // Like Call, but meant for the expected process; the outcome is kNotSent if
+  // another one is known to answer at the address. An answer to the question
   // with another status than 200 is returned in place of one to the call, which
   // is not sent then.
   boost::asio::awaitable<HttpAnswer> CallPeer(Address address, HttpCall call,
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -55,7 +55,7 @@
         : stream(executor) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    // The process at the other end; empty while it is not known.
+    // The process that answered last; empty while it is not known.
     std::string peer_name;
   };
 
@@ -205,8 +205,10 @@
   }
   const HttpAnswer answer = co_await impl->Exchange(
       connection, address, std::move(call), deadline, reused, reusable);
-  if (check.read_name && connection->peer_name.empty()) {
-    connection->peer_name = check.read_name(answer);
+  if (check.read_name) {
+    // Something on the way may have led the connection to another process.
+    std::string name = check.read_name(answer);
+    if (!name.empty()) connection->peer_name = std::move(name);
   }
   if (reusable) impl->ReturnToPool(address, std::move(connection));
   co_return answer;
--- a/src/framework/net/tests/http_test.cc
+++ b/src/framework/net/tests/http_test.cc
@@ -84,6 +84,8 @@
   CPPUNIT_TEST(HandlerErrorsBecomeStatus400);
   CPPUNIT_TEST(SilentIdleConnectionsFailOneCallOnly);
   CPPUNIT_TEST(CallReachesAnotherProcessThanExpected);
+  CPPUNIT_TEST(PeerChangesBehindAConnection);
+  CPPUNIT_TEST(AnswerWithoutANameMakesThePeerUnknown);
   CPPUNIT_TEST(ConnectionsOfFormerProcessesFillThePool);
   CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +251,43 @@
     CPPUNIT_ASSERT(expected == received);
   }
 
+  // Guards against further calls for a former process over a connection that is
+  // known to lead to its successor, as behind a proxy.
+  void PeerChangesBehindAConnection() {
+    std::string name = "first";
+    std::vector<std::string> received;
+    Ref<HttpServer> server = ServeNamed(name, received);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      co_await CallPeer(*server, "first");
+      name = "second";
+      // Only the answer shows the change.
+      const HttpAnswer answer = co_await CallPeer(*server, "first");
+      CPPUNIT_ASSERT_EQUAL(std::string("second"), answer.body);
+      received.clear();
+      CPPUNIT_ASSERT((co_await CallPeer(*server, "first")).outcome ==
+                     CallOutcome::kNotSent);
+      CPPUNIT_ASSERT(received == std::vector<std::string>{"/question"});
+      received.clear();
+      co_await CallPeer(*server, "second");
+      CPPUNIT_ASSERT(received == std::vector<std::string>{"/order"});
+    });
+  }
+
+  // Guards against a question before each call once an answer had no name.
+  void AnswerWithoutANameMakesThePeerUnknown() {
+    std::string name = "first";
+    std::vector<std::string> received;
+    Ref<HttpServer> server = ServeNamed(name, received);
+    loopback_.Run([&]() -> asio::awaitable<void> {
+      co_await CallPeer(*server, "first");
+      name.clear();
+      co_await CallPeer(*server, "first");
+      received.clear();
+      co_await CallPeer(*server, "first");
+    });
+    CPPUNIT_ASSERT(received == std::vector<std::string>{"/order"});
+  }
+
   // Guards against a new connection for each call once a process has restarted
   // while many connections were idle.
   void ConnectionsOfFormerProcessesFillThePool() {
