A node that reaches the store again looks for the owner before it claims

Cause: a node that was cut off from everything probed on and on.

Ruled out: reading the claims first (the claim read before each append was still that of the living owner); isolated_wait (the other nodes of the zone answer, so the node is not isolated).

Change: on regaining the store such a node says hello to the owner and begins its probe anew. A node alone with the store claims one probe wait after it is back, where it was up to a pause and a wait before.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -230,6 +230,8 @@
   // that has said hello.
   void Reclaim(MonotonicTime now);
   void StartProbe(MonotonicTime now);
+  // Says hello to an owner that is not heard, and begins its probe anew.
+  void LookForOwner(MonotonicTime now);
   void EndProbe(MonotonicTime now);
   void Claim(MonotonicTime now);
   // Whether a much larger node has been available for `stability_period`.
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -215,7 +215,9 @@
 
 void ElectionCore::OnStoreResult(bool reached, MonotonicTime now) {
   if (reached) {
+    const bool regained = !StoreReached(now);
     store_failing_since_.reset();
+    if (regained) LookForOwner(now);
   } else if (!store_failing_since_.has_value()) {
     store_failing_since_ = now;
   }
@@ -339,6 +341,15 @@
   }
 }
 
+// A node that was cut off from the store was probably cut off from the other
+// nodes as well, so nobody could answer its last probe.
+void ElectionCore::LookForOwner(MonotonicTime now) {
+  if (state_ != State::kFollowing && state_ != State::kProbing) return;
+  if (HearsOwner(now) || reclaim_at_.has_value()) return;
+  if (claim_.token > 0) SendHello(now);
+  StartProbe(now);
+}
+
 void ElectionCore::EndProbe(MonotonicTime now) {
   state_ = State::kFollowing;
   next_probe_step_at_ = now + options_.probe_pause;
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -88,6 +88,8 @@
   CPPUNIT_TEST(SilentOwnerIsReplacedAfterProbe);
   CPPUNIT_TEST(OwnerHeardByOthersIsNotReplaced);
   CPPUNIT_TEST(IsolatedNodeWaitsBeforeClaiming);
+  CPPUNIT_TEST(NodeThatWasCutOffClaimsBesideALivingOwner);
+  CPPUNIT_TEST(NodeAloneWithTheStoreWaitsForAnswersForever);
   CPPUNIT_TEST(NewerClaimEndsOwnership);
   CPPUNIT_TEST(SecondClaimOfANodeStartsASecondOwner);
   CPPUNIT_TEST(LateAnswerToAnOldClaimStartsASecondOwner);
@@ -177,6 +179,41 @@
     CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
   }
 
+  // Guards against a probe that was sent while the node was cut off and ends
+  // once the store is back: nobody could answer it.
+  void NodeThatWasCutOffClaimsBesideALivingOwner() {
+    for (int phase = 0; phase < kProbePhases; ++phase) {
+      for (const bool owner_answers : {false, true}) {
+        NodeFixture fixture;
+        RegainStore(fixture, phase);
+        fixture.Advance(milliseconds(50));
+        const auto hello =
+            std::find_if(fixture.sent.begin(), fixture.sent.end(),
+                         [](const NodeMessage& message) {
+                           return message.kind == MessageKind::kHello;
+                         });
+        CPPUNIT_ASSERT(hello != fixture.sent.end());
+        if (owner_answers) {
+          fixture.ReceiveOwnerState("a", 1);
+        } else {
+          fixture.AnswerProbe("c", true);
+        }
+        fixture.Advance(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(0, fixture.claim_attempts);
+      }
+    }
+  }
+
+  void NodeAloneWithTheStoreWaitsForAnswersForever() {
+    const ElectionOptions options;
+    for (int phase = 0; phase < kProbePhases; ++phase) {
+      NodeFixture fixture;
+      RegainStore(fixture, phase);
+      fixture.Advance(options.probe_pause + options.probe_wait);
+      CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+    }
+  }
+
   void NewerClaimEndsOwnership() {
     NodeFixture fixture;
     BecomeOwner(fixture);
@@ -517,6 +554,9 @@
   }
 
  private:
+  // Ticks in which a node that does not hear the owner probes once.
+  static constexpr int kProbePhases = 7;
+
   static void SendOwnerTime(NodeFixture& node, const std::string& owner,
                             std::uint64_t token, MonotonicTime owner_time) {
     node.core.OnMessage({.kind = MessageKind::kOwnerState,
@@ -544,6 +584,16 @@
     fixture.Advance(milliseconds(1000));
     fixture.ReceiveOwnerState("a", 1, {MakeNode("b"), MakeNode("c", 1)});
   }
+  // A node that has been cut off from all others and the store for 5 s, and
+  // `phase` ticks more, reaches the store again. Forgets what it sent before.
+  static void RegainStore(NodeFixture& fixture, int phase) {
+    FollowOwner(fixture);
+    fixture.core.OnStoreResult(false, fixture.now);
+    fixture.Advance(milliseconds(5000 + 50 * phase));
+    CPPUNIT_ASSERT_EQUAL(0, fixture.claim_attempts);
+    fixture.sent.clear();
+    fixture.core.OnStoreResult(true, fixture.now);
+  }
   // The newest claim is from an earlier run of this node, which knew a node of
   // rank 500.
   static void RestartAsOwner(NodeFixture& fixture) {
