--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -141,6 +141,11 @@
     state.listed = false;
     const bool is_idle = state.runs.empty();
     if (is_idle) {
+      if (state.acknowledgement_in_flight ||
+          state.spare_starts_until > now.steady) {
+        impl_->RaiseToken(state, impl_->options.token_count,
+                          "worker not registered");
+      }
       worker = impl_->workers.erase(worker);
     } else {
       ++worker;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -255,9 +255,14 @@
   bool HasSpareStarts(const WorkerState& worker) const;
   // Whether no start may be sent to the worker, for the same reason.
   bool IsAcknowledging(const WorkerState& worker) const;
+  // Whether an acknowledgement has waited for longer than `time` for the
+  // answers to starts, and does so now.
+  bool AcknowledgementWaits(const WorkerState& worker, Duration time) const;
   void OnAcknowledgement(WorkerState& worker, const contracts::HoldOrder& order,
                          const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
+  // Returns whether the job has failed with this failure.
+  bool CountFailure(Task& task);
   // What is left to be done about starts of an ended run that may still be
   // carried out.
   void KeepSpareStarts(const Run& run, RunEnd end);
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -42,14 +42,14 @@
 bool ShardCore::Impl::RaiseToken(WorkerState& worker, std::uint32_t limit,
                                  const std::string& reason) {
   std::uint32_t& raises = token_raises[worker.id];
-  const bool is_raised = raises + 1 < limit;
-  if (is_raised) ++raises;
+  if (raises + 1 >= limit) return false;
+  ++raises;
   hooks.decided("token raised", {{"worker", worker.id},
                                  {"born_ms", worker.born_ms},
                                  {"token", TokenOf(worker)},
                                  {"left", options.token_count - raises - 1},
                                  {"reason", reason}});
-  return is_raised;
+  return true;
 }
 
 WorkerClock ShardCore::Impl::LeaseEndFor(WorkerState& worker) const {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -25,6 +25,8 @@
 // No filler starts beside a task that has been over its target for this long,
 // whatever the model predicts. A quarter of the operators' bound for harm.
 constexpr milliseconds kMaxOverTargetForStart{1000};
+// A worker whose starts are held back for longer gets no further ones.
+constexpr milliseconds kMaxStartDeferral{1000};
 // Weight of the predicted slowdown against free processors in the score of a
 // worker.
 constexpr double kSlowdownWeight = 4;
@@ -341,8 +343,9 @@
 bool ShardCore::Impl::AcceptsTasks(const WorkerState& worker) const {
   return !IsRegistryStale() && !IsLeaving(worker) &&
          worker.contact_at.has_value() && !worker.silent_since.has_value() &&
-         !worker.restart_suspected && worker.quarantined_until <= now.steady &&
-         MayGrantLease(worker);
+         !worker.restart_suspected &&
+         !AcknowledgementWaits(worker, kMaxStartDeferral) &&
+         worker.quarantined_until <= now.steady && MayGrantLease(worker);
 }
 
 bool ShardCore::Impl::IsUsable(const WorkerState& worker,
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -169,6 +169,10 @@
   SetCheckpoint(keeper, checkpoint);
   ReleaseResources(run);
   KeepSpareStarts(run, end);
+  if (run.may_have_arrived &&
+      (end == RunEnd::kLost || end == RunEnd::kNeverStarted)) {
+    task.given_up.insert(run.attempt);
+  }
   const bool was_stalled = run.stop_requested;
   if (--job.run_count == 0) job.idle_since = now.steady;
   task.runs.remove_if([&run](const Run& each) { return &each == &run; });
@@ -189,19 +193,24 @@
   if (end == RunEnd::kFailed) {
     task.avoided_worker = worker.id;
     if (!was_stalled) RecordFailure(worker, task);
-    if (!step.spec->standing) {
-      ++keeper.failures;
-      const std::uint32_t attempt_limit = job.policy.max_attempts;
-      if (attempt_limit > 0 && keeper.failures >= attempt_limit) {
-        EndJob(job, JobState::kFailed);
-        return;
-      }
-    }
+    if (!step.spec->standing && CountFailure(task)) return;
   }
   if (step.spec->gang) StopGang(step, "another gang member ended");
   if (HasWaitingTasks(step)) AddReady(step);
 }
 
+bool ShardCore::Impl::CountFailure(Task& task) {
+  Step& step = *task.step;
+  Job& job = *step.occurrence->job;
+  Task& keeper = step.spec->gang ? step.tasks.front() : task;
+  ++keeper.failures;
+  MarkChanged(keeper);
+  const std::uint32_t attempt_limit = job.policy.max_attempts;
+  if (attempt_limit == 0 || keeper.failures < attempt_limit) return false;
+  EndJob(job, JobState::kFailed);
+  return true;
+}
+
 // A longer checkpoint would let a block exceed one record.
 void ShardCore::Impl::SetCheckpoint(Task& task, const std::string& checkpoint) {
   if (!task.step->spec->checkpoints || checkpoint.empty()) return;
@@ -445,10 +454,15 @@
                                    const contracts::EndedTask& end) {
   Task* task = FindTask(end.task);
   if (task == nullptr || task->finished || end.attempt > task->attempt ||
-      end.kind != contracts::EndKind::kFinished || task->step->spec->standing ||
-      task->step->occurrence->job->IsOver()) {
+      task->step->spec->standing || task->step->occurrence->job->IsOver()) {
     return;
   }
+  // An end that a former owner has counted may be listed once more.
+  const bool was_given_up = task->given_up.erase(end.attempt) > 0;
+  if (end.kind == contracts::EndKind::kFailed && was_given_up) {
+    CountFailure(*task);
+  }
+  if (end.kind != contracts::EndKind::kFinished) return;
   // Once this end is acknowledged the task must not run again.
   hooks.decided("task finished by an earlier attempt",
                 {{"job", end.task.job},
@@ -509,15 +523,17 @@
 }
 
 bool ShardCore::Impl::MayAcknowledge(WorkerState& worker) {
-  const bool is_due = worker.acknowledged_end > worker.forgotten_end;
-  if (!is_due || !HasStartInDoubt(worker)) {
+  if (worker.acknowledged_end <= worker.forgotten_end) {
     worker.acknowledgement_waits_since.reset();
-    return is_due && !HasSpareStarts(worker);
+    return false;
   }
   if (!worker.acknowledgement_waits_since.has_value()) {
     worker.acknowledgement_waits_since = now.steady;
   }
-  return false;
+  // Starts may be left without an answer again and again.
+  const bool has_waited = now.steady - *worker.acknowledgement_waits_since >
+                          options.max_order_delay;
+  return !HasStartInDoubt(worker) && (has_waited || !HasSpareStarts(worker));
 }
 
 bool ShardCore::Impl::HasStartInDoubt(const WorkerState& worker) const {
@@ -556,9 +572,14 @@
 
 bool ShardCore::Impl::IsAcknowledging(const WorkerState& worker) const {
   return worker.acknowledgement_in_flight ||
-         (worker.acknowledgement_waits_since.has_value() &&
-          now.steady - *worker.acknowledgement_waits_since >
-              kMaxAcknowledgementWait);
+         AcknowledgementWaits(worker, kMaxAcknowledgementWait);
+}
+
+bool ShardCore::Impl::AcknowledgementWaits(const WorkerState& worker,
+                                           Duration time) const {
+  return worker.acknowledgement_waits_since.has_value() &&
+         now.steady - *worker.acknowledgement_waits_since > time &&
+         HasStartInDoubt(worker);
 }
 
 void ShardCore::Impl::OnAcknowledgement(WorkerState& worker,
@@ -572,6 +593,7 @@
       answer.born_ms == worker.born_ms) {
     worker.forgotten_end =
         std::max(worker.forgotten_end, order.acknowledged_end);
+    worker.acknowledgement_waits_since.reset();
   } else if (answer.outcome == contracts::OrderOutcome::kUnknown) {
     // A later incarnation that has carried out a later start refuses it.
     // Half of the tokens are left for restarts.
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(LateCopyOfAStartRunsAgainAfterItsEndWasAcknowledged);
   CPPUNIT_TEST(LateStartRunsBesideTheNextAttempt);
   CPPUNIT_TEST(FinishedTaskOfAGivenUpRunRunsAgain);
+  CPPUNIT_TEST(FailureOfAGivenUpRunIsNotCounted);
+  CPPUNIT_TEST(LateAcknowledgementReachesAWorkerThatWasForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -234,6 +236,54 @@
     CPPUNIT_ASSERT(JobState::kCompleted == bench.core->StoredState("j"));
   }
 
+  void LateAcknowledgementReachesAWorkerThatWasForgotten() {
+    RunToAnUnacknowledgedEnd();
+    const HoldPlan late = bench_->core->PlanHold("w", bench_->now);
+    CPPUNIT_ASSERT(late.order.acknowledged_end > 0);
+    // Its registry entry expires, and then it is back.
+    bench_->core->SetWorkers({}, bench_->now.steady, bench_->now);
+    bench_->core->OnHold("w", late.order,
+                         {.outcome = contracts::OrderOutcome::kUnknown},
+                         bench_->now.steady, bench_->now);
+    worker_->Crash();
+    Advance(kStep);
+    Hold();
+    Hold();
+    const SentStart start = SubmitTask("j", "runs 100");
+    DeliverToAny(start);
+    Advance(milliseconds(150));
+    worker_->Hold(late.order);
+    RunOnceAndCutOff();
+  }
+
+  // Guards against more attempts than the queue allows: the end is
+  // acknowledged.
+  void FailureOfAGivenUpRunIsNotCounted() {
+    ShardBench bench;
+    const SentStart start = bench.RunOneTask();
+    bench.AnswerHold("w", {bench.RunningRow(start)});
+    // The worker has dropped the run, or so it seems.
+    bench.AnswerHold("w");
+    std::uint64_t number = 0;
+    bench.AnswerHold(
+        "w", {},
+        {bench.EndedRow(++number, start, contracts::EndKind::kFailed)});
+    std::size_t later_attempts = 0;
+    for (int i = 0; i < 20; ++i) {
+      bench.AdvanceTime(milliseconds(500));
+      bench.AnswerHold("w");
+      bench.Store();
+      for (const SentStart& next : bench.TakeStarts()) {
+        ++later_attempts;
+        bench.ConfirmStart(next);
+        bench.AnswerHold(
+            "w", {},
+            {bench.EndedRow(++number, next, contracts::EndKind::kFailed)});
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later_attempts);
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
