--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -30,7 +30,7 @@
 using std::chrono::milliseconds;
 
 constexpr char kDefaultSeed[] = "20261204";
-constexpr char kDefaultRuns[] = "150";
+constexpr char kDefaultRuns[] = "300";
 constexpr std::uint32_t kMaxAttempts = 2;
 constexpr milliseconds kTick{25};
 // An owner that has not confirmed its claim in the store for this long stops.
@@ -158,15 +158,38 @@
              << ", " << step.length_ms << " ms), " << step.wait_ms << " ms";
 }
 
-rc::Gen<FaultStep> ArbitraryStep() {
+// Faults that restarts of workers are combined with in half of the runs.
+constexpr Fault kRestartFaults[] = {Fault::kSubmit,
+                                    Fault::kSubmit,
+                                    Fault::kLateOrders,
+                                    Fault::kLateOrders,
+                                    Fault::kOpenConnections,
+                                    Fault::kOpenConnections,
+                                    Fault::kCrashWorker,
+                                    Fault::kRestartInRow,
+                                    Fault::kRestartInRow,
+                                    Fault::kRestartAndCut,
+                                    Fault::kUnreachableWorker,
+                                    Fault::kLoseMessages,
+                                    Fault::kTakeOver,
+                                    Fault::kKillOwner,
+                                    Fault::kSplitOwners,
+                                    Fault::kStoreUnavailable};
+
+rc::Gen<Fault> ArbitraryFault(bool combines_restarts) {
+  if (combines_restarts) {
+    return rc::gen::elementOf(std::vector<Fault>(std::begin(kRestartFaults),
+                                                 std::end(kRestartFaults)));
+  }
+  return rc::gen::map(rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
+                      [](int fault) { return static_cast<Fault>(fault); });
+}
+
+rc::Gen<FaultStep> ArbitraryStep(bool combines_restarts) {
   return rc::gen::resize(
       rc::kNominalSize,
       rc::gen::build<FaultStep>(
-          rc::gen::set(
-              &FaultStep::fault,
-              rc::gen::map(
-                  rc::gen::inRange(0, static_cast<int>(Fault::kCount)),
-                  [](int fault) { return static_cast<Fault>(fault); })),
+          rc::gen::set(&FaultStep::fault, ArbitraryFault(combines_restarts)),
           rc::gen::set(&FaultStep::target, rc::gen::inRange(0, 100)),
           rc::gen::set(&FaultStep::length_ms, rc::gen::inRange(100, 9000)),
           rc::gen::set(&FaultStep::wait_ms, rc::gen::inRange(0, 4000))));
@@ -1231,7 +1254,8 @@
     const bool holds = rc::check("invariants of jobs hold", [] {
       FuzzWorld world(*rc::gen::arbitrary<std::uint32_t>());
       const std::vector<FaultStep> steps =
-          *rc::gen::container<std::vector<FaultStep>>(ArbitraryStep());
+          *rc::gen::container<std::vector<FaultStep>>(
+              ArbitraryStep(*rc::gen::arbitrary<bool>()));
       for (const FaultStep& step : steps) {
         world.Apply(step);
         world.AssertInvariants();
