--- a/soak/soak.py
+++ b/soak/soak.py
@@ -283,10 +283,13 @@
     def __init__(self, program, seed, options):
         super().__init__(program, seed, options)
         self.milliseconds = RESTARTS_MILLISECONDS
+        # The restarts and faults of a seed don't depend on how often other threads draw.
+        self.restart_random = random.Random(f"restarts {seed}")
         self.kinds = [options.orders] if options.orders else list(RESTART_KINDS)
         self.restarting, self.restarts = set(), []
 
-    def inject_faults(self, deadline, generator):
+    def inject_faults(self, deadline, _generator):
+        generator = self.restart_random
         restarts = threading.Thread(
             target=self.restart_workers,
             args=(deadline, random.Random(generator.random())))
