Model: a run that is known to have begun leaves no doubt if its start has one copy

With starts that are never repeated (ONE_COPY) the variant UNTIL_CONFIRMED holds: 3,721,377 states with two restarts, and 2,873,881 with one and DELAY=2. With repeated starts it fails.

--- a/models/incarnations.pml
+++ b/models/incarnations.pml
@@ -46,7 +46,8 @@
  *   NO_RAISE            these are over the longest lease after any answer, and the
  *                       token does not rise
  *   ANY_INCARNATION     answers of any incarnation count as of the known one
- * Two rules hold on narrower premises, and must fail without these:
+ * Three rules hold on narrower premises, and must fail without these:
+ *   UNTIL_CONFIRMED     holds if O never repeats a start (ONE_COPY)
  *   FENCE_ENDS_DOUBT    holds with one restart (INCARNATIONS=2)
  *   REGISTRY            the doubt on a lost worker lasts for the longest lease, and for
  *                       the time in transit only if the registry shows a later
@@ -175,6 +176,11 @@
 #else
 #define MAY_ACK (!in_doubt)
 #endif
+#ifdef ONE_COPY
+#define MAY_REPEAT false
+#else
+#define MAY_REPEAT true
+#endif
 #ifdef START_BESIDE_ACK
 #define NO_ACK_AWAITED true
 #else
@@ -618,7 +624,7 @@
   :: atomic {
       ANY(IS_FREE) && !silent && NO_ACK_AWAITED &&
       ((task == IDLE && attempt < ATTEMPTS && MAY_START_AGAIN) ||
-       (task == SENT && !stop_requested && !ANY(IS_AWAITED_START))) ->
+       (MAY_REPEAT && task == SENT && !stop_requested && !ANY(IS_AWAITED_START))) ->
       if
       :: task == IDLE -> attempt++; task = SENT
       :: else
