Review: a waiting acknowledgement ends no gang, and a forgotten worker is fenced

- a worker that was left out for a waiting acknowledgement, although only a start that may be carried out once more held that back, ended gangs that had begun to start (WaitingAcknowledgementEndsAGangThatStarts)
- a late hold reached a worker whose entry had expired and which came back as a later incarnation under the same token (LateHoldReachesAWorkerThatWasForgotten) Both cases fail before.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -288,6 +288,8 @@
   // has waited for the answers to starts.
   bool acknowledgement_in_flight = false;
   std::optional<MonotonicTime> acknowledgement_waits_since;
+  // Since when ends have waited to be acknowledged, for whatever reason.
+  std::optional<MonotonicTime> acknowledgement_due_since;
   // Until when starts of ended runs may be carried out once more.
   MonotonicTime spare_starts_until;
   std::uint64_t seen_end = 0;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -141,8 +141,8 @@
     state.listed = false;
     const bool is_idle = state.runs.empty();
     if (is_idle) {
-      if (state.acknowledgement_in_flight ||
-          state.spare_starts_until > now.steady) {
+      // Orders on their way must not reach an incarnation that comes back.
+      if (state.contact_at.has_value()) {
         impl_->RaiseToken(state, impl_->options.token_count,
                           "worker not registered");
       }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -525,15 +525,23 @@
 bool ShardCore::Impl::MayAcknowledge(WorkerState& worker) {
   if (worker.acknowledged_end <= worker.forgotten_end) {
     worker.acknowledgement_waits_since.reset();
+    worker.acknowledgement_due_since.reset();
     return false;
   }
-  if (!worker.acknowledgement_waits_since.has_value()) {
-    worker.acknowledgement_waits_since = now.steady;
+  if (!worker.acknowledgement_due_since.has_value()) {
+    worker.acknowledgement_due_since = now.steady;
   }
+  if (HasStartInDoubt(worker)) {
+    if (!worker.acknowledgement_waits_since.has_value()) {
+      worker.acknowledgement_waits_since = now.steady;
+    }
+    return false;
+  }
+  worker.acknowledgement_waits_since.reset();
   // Starts may be left without an answer again and again.
-  const bool has_waited = now.steady - *worker.acknowledgement_waits_since >
-                          options.max_order_delay;
-  return !HasStartInDoubt(worker) && (has_waited || !HasSpareStarts(worker));
+  return now.steady - *worker.acknowledgement_due_since >
+             options.max_order_delay ||
+         !HasSpareStarts(worker);
 }
 
 bool ShardCore::Impl::HasStartInDoubt(const WorkerState& worker) const {
@@ -593,7 +601,7 @@
       answer.born_ms == worker.born_ms) {
     worker.forgotten_end =
         std::max(worker.forgotten_end, order.acknowledged_end);
-    worker.acknowledgement_waits_since.reset();
+    worker.acknowledgement_due_since.reset();
   } else if (answer.outcome == contracts::OrderOutcome::kUnknown) {
     // A later incarnation that has carried out a later start refuses it.
     // Half of the tokens are left for restarts.
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(FinishedTaskOfAGivenUpRunRunsAgain);
   CPPUNIT_TEST(FailureOfAGivenUpRunIsNotCounted);
   CPPUNIT_TEST(LateAcknowledgementReachesAWorkerThatWasForgotten);
+  CPPUNIT_TEST(LateHoldReachesAWorkerThatWasForgotten);
+  CPPUNIT_TEST(WaitingAcknowledgementEndsAGangThatStarts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -284,6 +286,53 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later_attempts);
   }
 
+  // Guards against a lease that a hold for the former incarnation extends.
+  void LateHoldReachesAWorkerThatWasForgotten() {
+    Hold();
+    const HoldPlan late = bench_->core->PlanHold("w", bench_->now);
+    CPPUNIT_ASSERT(late.order.lease_end.has_value());
+    // Its registry entry expires, and then it is back.
+    bench_->core->SetWorkers({}, bench_->now.steady, bench_->now);
+    worker_->Crash();
+    Advance(kStep);
+    Hold();
+    Hold();
+    Deliver(SubmitTask("j", "runs 60000"));
+    Hold();
+    CutOff(milliseconds(5000));
+    worker_->Hold(late.order);
+    CutOff(2 * kLongestLease);
+    CheckHistory();
+  }
+
+  // Guards against members that are planned and never sent, which ends the
+  // others.
+  void WaitingAcknowledgementEndsAGangThatStarts() {
+    LoseAnswer(SubmitTask("j", "runs 100"));
+    for (int i = 0; i < 60; ++i) {
+      for (const SentStart& copy : bench_->TakeStarts()) Deliver(copy);
+      Hold();
+      bench_->Store();
+    }
+    JobSpec gang = MakeJob(2);
+    gang.text = "runs 60000";
+    gang.steps[0].gang = true;
+    bench_->Submit("gang", gang);
+    bench_->Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench_->stops.size());
+    std::size_t sent = 0;
+    for (int i = 0; i < 20; ++i) {
+      for (const SentStart& start : bench_->TakeStarts()) {
+        CPPUNIT_ASSERT_EQUAL(1U, start.order.attempt);
+        ++sent;
+        Deliver(start);
+      }
+      Hold();
+      bench_->Store();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent);
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
