--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -457,6 +457,7 @@
       task->step->spec->standing || task->step->occurrence->job->IsOver()) {
     return;
   }
+  task->step->occurrence->job->started = true;
   // An end that a former owner has counted may be listed once more.
   const bool was_given_up = task->given_up.erase(end.attempt) > 0;
   if (end.kind == contracts::EndKind::kFailed && was_given_up) {
