--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -244,7 +244,8 @@
   if (!worker.contact_at.has_value()) return true;
   // It says nothing of the present incarnation and its clock.
   if (incarnation != worker.born_ms) return true;
-  if (answer.clock.has_value() && !MayShow(worker, *answer.clock, sent_at)) {
+  if (answer.clock.has_value() && worker.clock.has_value() &&
+      !MayShow(worker, *answer.clock, sent_at)) {
     ++counters.clock_mismatches;
     hooks.decided("clock of another incarnation",
                   {{"worker", worker.id},
