Contracts: an order may reach an incarnation that is not known

The header still said that no other incarnation receives an order, which ADR 0039 no longer takes for true.

--- a/src/contracts/task_workers.h
+++ b/src/contracts/task_workers.h
@@ -34,8 +34,8 @@
   net::Address address;
 };
 
-// Each order is carried out by its incarnation only: another one does not
-// receive it, and the outcome is kNotSent.
+// Each order is meant for its incarnation. Another one that is known to answer
+// does not receive it (kNotSent); one that is not known may carry it out.
 struct StartOrder {
   Incarnation incarnation = 0;
   TaskKey task;
