--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -252,6 +252,7 @@
                  advice=None):
         if not (ROOT / COMMAND[0]).exists():
             raise CannotRun(f"{COMMAND[0]} is not built")
+        self.over, self.nodes = False, []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="carobmast-review-"))
         self.record = Record(case)
         self.ip = f"127.{64 + os.getpid() // 62500 % 64}." \
@@ -264,14 +265,15 @@
             self.cloud.add(machine, self.make_minion(
                 machine, zone, cores, [labels[number % len(labels)],
                                        f"r{number % racks}"]))
-        self.nodes = [Node(self, number) for number in range(nodes)]
-        for node in self.nodes:
-            node.start()
+        for number in range(nodes):
+            self.nodes.append(Node(self, number))
+            self.nodes[-1].start()
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        self.over = True
         for node in self.nodes:
             if node.process.poll() is None:
                 os.kill(node.process.pid, signal.SIGCONT)
@@ -331,7 +333,8 @@
     def restart_later(self, node):
         def restart():
             time.sleep(RESTART_SECONDS)
-            node.start()
+            if not self.over:
+                node.start()
         threading.Thread(target=restart, daemon=True).start()
 
     def request_wave(self, number, machines, most):
@@ -362,6 +365,8 @@
 def main(case, run):
     """Runs a case: `run(fleet)` returns a text that says how the rule was broken, or
     an empty one."""
+    # Whoever ends the script early ends the processes that it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = run(case)
     except CannotRun as error:
