--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 leaves out the disruption.
-cd "$(dirname "$0")" && exec timeout -k 5 115 python3 case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run; writes
+# record.txt beside it. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")" && exec timeout --preserve-status -k 5 115 python3 case.py
