Waves: the owner knows the stored progress before it knows of a wave

What callers saw: after a wave of maintenance and a change of owner accepted jobs were never run (LOST), and status/wave/1 went back to running for good. With the owner lost during a wave, more VMs were down than allowed (LIMIT).

Cause: StartOwning handed the waves to the owner while the shard's restoration had only been started. SetWave looks for the stored progress once, and Restore came later: each owner that knew of a wave began it anew, waited for new workers on VMs that the service had maintained before, and kept up to three times max-parallel workers cordoned.

Ruled out: progress not stored or not readable, and an outdated list of VMs.

Change: MaintenanceCore takes all restored progress when it is made, and the owner makes it when the shard is restored; waves that come earlier are kept. No call is left that can come too early.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -1,7 +1,5 @@
 #include "maintenance/maintenance_core.h"
 
-#include <sstream>
-
 namespace carobmast::maintenance {
 
 namespace {
@@ -17,8 +15,9 @@
 
 }  // namespace
 
-MaintenanceCore::MaintenanceCore(MaintenanceHooks hooks)
-    : hooks_(std::move(hooks)) {}
+MaintenanceCore::MaintenanceCore(MaintenanceHooks hooks,
+                                 std::map<std::uint64_t, WaveProgress> restored)
+    : hooks_(std::move(hooks)), restored_(std::move(restored)) {}
 
 void MaintenanceCore::SetWave(const Wave& wave) {
   if (waves_.contains(wave.number)) return;
@@ -26,35 +25,26 @@
   state.wave = wave;
   state.earlier_list_requests = list_requests_;
   for (const std::string& vm : wave.vms) state.vms[vm];
-  const auto restored = restored_progress_.find(wave.number);
-  if (restored == restored_progress_.end()) return;
-  // One line per VM: its name, its worker ("-" for none), and whether its
-  // maintenance is done. Orders that aren't done are repeated, as it is unknown
-  // whether the earlier owner sent them.
-  std::istringstream lines(restored->second);
-  std::string vm;
-  std::string worker;
-  bool done = false;
-  while (lines >> vm >> worker >> done) {
-    if (!state.vms.contains(vm)) continue;
-    state.vms[vm] = {.state = done ? State::kDone : State::kIntentStored,
-                     .worker = worker};
+  const auto restored = restored_.find(wave.number);
+  if (restored == restored_.end()) return;
+  // Orders that aren't done are repeated, as it is unknown whether the earlier
+  // owner sent them.
+  for (const auto& [name, progress] : restored->second) {
+    const auto vm = state.vms.find(name);
+    if (vm == state.vms.end()) continue;
+    vm->second = {.state = progress.done ? State::kDone : State::kIntentStored,
+                  .worker = progress.worker};
   }
 }
 
-void MaintenanceCore::Restore(std::uint64_t wave, const std::string& progress) {
-  restored_progress_[wave] = progress;
-}
-
 void MaintenanceCore::Store(const WaveState& wave) {
-  std::ostringstream lines;
+  WaveProgress progress;
   for (const auto& [name, vm] : wave.vms) {
     if (vm.state < State::kStoringIntent) continue;
-    lines << name << " " << (vm.worker.empty() ? "-" : vm.worker) << " "
-          << (vm.state == State::kDone) << "\n";
+    progress[name] = {.worker = vm.worker, .done = vm.state == State::kDone};
   }
   ++stores_;
-  hooks_.store(wave.wave.number, lines.str());
+  hooks_.store(wave.wave.number, progress);
 }
 
 void MaintenanceCore::OnStored(std::uint64_t stores) {
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -13,17 +13,10 @@
 
 #include "contracts/vm_service.h"
 #include "framework/base/time.h"
+#include "maintenance/types/wave.h"
 
 namespace carobmast::maintenance {
 
-// A request of an operator to maintain a set of VMs.
-struct Wave {
-  std::uint64_t number = 0;
-  std::vector<std::string> vms;
-  // Maximum number of the wave's VMs that are down at once.
-  std::size_t max_parallel = 1;
-};
-
 // Calls out of MaintenanceCore; all return at once.
 struct MaintenanceHooks {
   // Asks for the list of VMs; answered with OnVmList, also on failure. Not
@@ -36,20 +29,19 @@
   // Whether no task is left on the worker that must move to another one.
   std::function<bool(const std::string& worker)> is_drained;
   // Stores the progress of a wave durably; answered with OnStored.
-  std::function<void(std::uint64_t wave, const std::string& progress)> store;
+  std::function<void(std::uint64_t wave, const WaveProgress& progress)> store;
   // Reports that a wave has started or, if `completed`, that it is over.
   std::function<void(std::uint64_t wave, bool completed)> report_wave;
 };
 
 class MaintenanceCore {
  public:
-  explicit MaintenanceCore(MaintenanceHooks hooks);
+  // `restored`: all progress that earlier owners stored, by wave.
+  MaintenanceCore(MaintenanceHooks hooks,
+                  std::map<std::uint64_t, WaveProgress> restored);
 
   // Adds a wave; a wave with the number of an earlier one is ignored.
   void SetWave(const Wave& wave);
-  // Sets the progress stored by an earlier owner. To be called before SetWave
-  // of the same wave and before the first Tick.
-  void Restore(std::uint64_t wave, const std::string& progress);
   // To be called when the progress of the first `stores` calls of
   // MaintenanceHooks::store is durable: the orders that waited for it may go
   // out.
@@ -100,7 +92,7 @@
   // Number of calls of MaintenanceHooks::store.
   std::uint64_t stores_ = 0;
   std::map<std::uint64_t, WaveState> waves_;
-  std::map<std::uint64_t, std::string> restored_progress_;
+  std::map<std::uint64_t, WaveProgress> restored_;
   std::map<std::string, contracts::WorkerVm> listed_vms_;
   std::set<std::string> cordoned_;
   // When a list was last requested, and when the one in `listed_vms_` was.
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 struct Fixture {
-  Fixture()
+  explicit Fixture(std::map<std::uint64_t, WaveProgress> restored = {})
       : core({.list_vms = [this] { ++list_requests; },
               .maintain = [this](const std::string& vm,
                                  std::uint64_t) { maintained.push_back(vm); },
@@ -22,12 +22,13 @@
                     return !busy.contains(worker);
                   },
               .store =
-                  [this](std::uint64_t, const std::string& text) {
-                    progress = text;
+                  [this](std::uint64_t, const WaveProgress& stored) {
+                    progress = stored;
                     ++stores;
                   },
               .report_wave = [this](std::uint64_t,
-                                    bool done) { completed = done; }}) {}
+                                    bool done) { completed = done; }},
+             std::move(restored)) {}
 
   void DeliverList(const std::string& a, const std::string& b) {
     core.OnVmList({.ok = true,
@@ -51,7 +52,7 @@
   std::vector<std::string> maintained;
   std::set<std::string> cordoned;
   std::set<std::string> busy;
-  std::string progress;
+  WaveProgress progress;
   std::uint64_t stores = 0;
   bool completed = false;
   MaintenanceCore core;
@@ -188,8 +189,7 @@
   }
 
   void NewOwnerRepeatsUnconfirmedOrder() {
-    Fixture fixture;
-    fixture.core.Restore(1, "a wa 0\n");
+    Fixture fixture({{1, {{"a", {.worker = "wa"}}}}});
     fixture.BeginWave({"a", "b"});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a"), fixture.maintained[0]);
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -9,6 +9,7 @@
 
 #include "framework/base/error.h"
 #include "jobs/job_record.h"
+#include "maintenance/wave_progress.h"
 #include "node/lease_clock.h"
 #include "node/record_groups.h"
 
@@ -66,7 +67,6 @@
       vms_(std::move(vms)),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
-      maintenance_(MakeMaintenanceHooks()),
       changes_timer_(executor) {
   core_ = std::make_unique<jobs::ShardCore>(options_.shard, MakeHooks());
 }
@@ -127,9 +127,10 @@
       .is_drained =
           [this](const std::string& worker) { return core_->IsEmpty(worker); },
       .store =
-          [this](std::uint64_t wave, const std::string& progress) {
+          [this](std::uint64_t wave,
+                 const maintenance::WaveProgress& progress) {
             unstored_waves_[std::string(kWavePrefix) + std::to_string(wave)] =
-                progress;
+                maintenance::EncodeWaveProgress(progress);
             ++wave_stores_;
             changes_timer_.cancel();
           },
@@ -143,7 +144,14 @@
 }
 
 void Owner::SetWave(const maintenance::Wave& wave) {
-  if (vms_ != nullptr) maintenance_.SetWave(wave);
+  if (!waves_.emplace(wave.number, wave).second) return;
+  if (maintenance_.has_value()) maintenance_->SetWave(wave);
+}
+
+void Owner::StartMaintenance() {
+  if (vms_ == nullptr) return;
+  maintenance_.emplace(MakeMaintenanceHooks(), std::move(restored_waves_));
+  for (const auto& [number, wave] : waves_) maintenance_->SetWave(wave);
 }
 
 asio::awaitable<void> Owner::ListVms(Ref<Owner> self) {
@@ -152,7 +160,7 @@
   if (!list.ok) {
     self->hooks_.log_event("VM list failed", {{"reason", list.error}});
   }
-  if (!self->stopped_) self->maintenance_.OnVmList(list);
+  if (!self->stopped_) self->maintenance_->OnVmList(list);
 }
 
 asio::awaitable<void> Owner::Maintain(Ref<Owner> self, std::string vm,
@@ -175,7 +183,7 @@
   if (outcome != contracts::MaintainOutcome::kBegun) {
     co_await self->Sleep(kRetryDelay);
   }
-  if (!self->stopped_) self->maintenance_.OnMaintainOutcome(vm, wave, outcome);
+  if (!self->stopped_) self->maintenance_->OnMaintainOutcome(vm, wave, outcome);
 }
 
 asio::awaitable<void> Owner::PublishWaveStatus(Ref<Owner> self,
@@ -262,6 +270,7 @@
   co_await self->Restore();
   if (self->stopped_) co_return;
   self->core_->FinishRestore(ShardNow());
+  self->StartMaintenance();
   self->ready_ = true;
   self->hooks_.log_event("shard restored",
                          {{"token", self->options_.shard.token},
@@ -280,7 +289,7 @@
   if (result.ec != std::errc() || !record.value.has_value()) {
     throw Error("restore", record.key, "not a record of a wave");
   }
-  maintenance_.Restore(wave, *record.value);
+  restored_waves_[wave] = maintenance::DecodeWaveProgress(*record.value);
 }
 
 void Owner::RestoreRecord(const contracts::KeyedRecord& record) {
@@ -422,7 +431,7 @@
     }
     if (stopped_) co_return;
     core_->OnStored(batch.number, ShardNow());
-    maintenance_.OnStored(wave_stores);
+    if (maintenance_.has_value()) maintenance_->OnStored(wave_stores);
     WakeStoreWaiters();
   }
 }
@@ -432,7 +441,7 @@
   while (!self->stopped_) {
     self->LogRegistryStatus(LeaseNow() - next_tick_at);
     self->core_->Tick(ShardNow());
-    self->maintenance_.Tick(LeaseNow());
+    if (self->maintenance_.has_value()) self->maintenance_->Tick(LeaseNow());
     next_tick_at = LeaseNow() + self->options_.tick_interval;
     co_await self->Sleep(self->options_.tick_interval);
   }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -75,6 +76,7 @@
   // See ShardCore::OnNodeAnswered.
   void OnNodeAnswered(const jobs::WitnessCandidate& node,
                       MonotonicTime asked_at);
+  // Waves that come before the shard is restored are kept until then.
   void SetWave(const maintenance::Wave& wave);
 
   // Callers' requests, received by this node or passed on by another one.
@@ -118,6 +120,8 @@
   // skipped.
   void RestoreRecord(const contracts::KeyedRecord& record);
   void RestoreWave(const contracts::KeyedRecord& record);
+  // To be called once, with all that was restored.
+  void StartMaintenance();
   boost::asio::awaitable<void> StoreChanges();
   boost::asio::awaitable<bool> Append(
       std::vector<contracts::KeyedRecord> records);
@@ -157,7 +161,12 @@
   OwnerOptions options_;
   OwnerHooks hooks_;
   std::unique_ptr<jobs::ShardCore> core_;
-  maintenance::MaintenanceCore maintenance_;
+  // The waves that are known, by number.
+  std::map<std::uint64_t, maintenance::Wave> waves_;
+  // The stored progress of waves, until `maintenance_` exists.
+  std::map<std::uint64_t, maintenance::WaveProgress> restored_waves_;
+  // Empty until the shard is restored, and without a VM service.
+  std::optional<maintenance::MaintenanceCore> maintenance_;
   // Progress of waves by record key, to be stored with the next batch.
   std::map<std::string, std::string> unstored_waves_;
   // Number of times that the progress of a wave was set to be stored.
