Owner: a sequence number stands for one append only

Cause: the first append of an epoch had no records, and the owner adopted the number that the store named for the next one, though a sending under the former number had no answer; carried out late, it took the number of other records, which the store then took for its repetition.

Change: an owner begins its epoch with a record, so no number is in doubt, and SequencedWriter repeats an append under its number until it is stored.

--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -25,6 +25,8 @@
 // Prefix of the keys of maintenance waves in the shard's stream; the number of
 // the wave follows.
 constexpr std::string_view kWavePrefix = "w/";
+// Key of the record with which an owner begins its epoch.
+constexpr char kEpochKey[] = "e/owner";
 // Pause before the status of a wave is published again after a failure.
 constexpr milliseconds kStatusRetryDelay{300};
 // Pause after a failed call to the store or a refused maintenance order.
@@ -67,7 +69,8 @@
       vms_(std::move(vms)),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
-      changes_timer_(executor) {
+      changes_timer_(executor),
+      writer_(kWriterName, options_.shard.token) {
   core_ = std::make_unique<jobs::ShardCore>(options_.shard, MakeHooks());
 }
 
@@ -293,6 +296,7 @@
 }
 
 void Owner::RestoreRecord(const contracts::KeyedRecord& record) {
+  if (record.key == kEpochKey) return;
   try {
     if (record.key.starts_with(kWavePrefix)) {
       RestoreWave(record);
@@ -305,10 +309,11 @@
   }
 }
 
-// An append without records, but with the epoch of this owner, fences writers
-// of earlier epochs.
+// The first append of an epoch fences writers of earlier ones.
 asio::awaitable<bool> Owner::FenceEarlierWriters() {
-  co_return co_await Append({});
+  std::vector<contracts::KeyedRecord> records = {
+      {.key = kEpochKey, .value = std::to_string(options_.shard.token)}};
+  co_return co_await Append(std::move(records));
 }
 
 // Retries a failed page on its own: starting over might never finish on a slow
@@ -337,20 +342,18 @@
 
 asio::awaitable<bool> Owner::Append(
     std::vector<contracts::KeyedRecord> records) {
-  bool unanswered = false;
   while (!stopped_) {
-    const contracts::Writer writer{.name = kWriterName,
-                                   .epoch = options_.shard.token,
-                                   .sequence = sequence_};
     const contracts::KeyedAppendAnswer answer =
         co_await log_->Append({.stream = options_.stream,
                                .records = records,
-                               .writer = writer,
+                               .writer = writer_.Next(),
                                .timeout = options_.append_timeout});
-    switch (OnAppendAnswer(answer, records.empty(), unanswered)) {
+    NoteStoreAnswer(answer);
+    switch (writer_.OnAnswer(answer)) {
       case AppendResult::kStored:
         co_return true;
       case AppendResult::kSuperseded:
+        hooks_.on_superseded(answer.error);
         co_return false;
       case AppendResult::kRetryAfterPause:
         co_await Sleep(kRetryDelay);
@@ -358,16 +361,11 @@
       case AppendResult::kRetryNow:
         break;
     }
-    if (answer.outcome == contracts::KeyedAppendOutcome::kUnknown) {
-      unanswered = true;
-    }
   }
   co_return false;
 }
 
-Owner::AppendResult Owner::OnAppendAnswer(
-    const contracts::KeyedAppendAnswer& answer, bool only_epoch,
-    bool unanswered) {
+void Owner::NoteStoreAnswer(const contracts::KeyedAppendAnswer& answer) {
   const bool reached =
       answer.outcome != contracts::KeyedAppendOutcome::kUnknown &&
       answer.outcome != contracts::KeyedAppendOutcome::kNotStored;
@@ -377,36 +375,6 @@
   } else if (!store_failing_since_.has_value()) {
     store_failing_since_ = LeaseNow();
   }
-  switch (answer.outcome) {
-    case contracts::KeyedAppendOutcome::kStored:
-      // The store may count an append without records, and would take the next
-      // one for its repetition.
-      ++sequence_;
-      if (!only_epoch) first_append_done_ = true;
-      return AppendResult::kStored;
-    case contracts::KeyedAppendOutcome::kUnknown:
-      return AppendResult::kRetryNow;
-    case contracts::KeyedAppendOutcome::kNotStored:
-      return AppendResult::kRetryAfterPause;
-    case contracts::KeyedAppendOutcome::kOutOfSequence:
-      // The earlier, unanswered attempt was stored.
-      if (unanswered && answer.expected_sequence == sequence_ + 1) {
-        ++sequence_;
-        return AppendResult::kStored;
-      }
-      // It does not count an append without records.
-      if (!first_append_done_ && answer.expected_sequence.has_value()) {
-        first_append_done_ = true;
-        sequence_ = *answer.expected_sequence;
-        return AppendResult::kRetryNow;
-      }
-      break;
-    case contracts::KeyedAppendOutcome::kFenced:
-    case contracts::KeyedAppendOutcome::kEndMoved:
-      break;
-  }
-  hooks_.on_superseded(answer.error);
-  return AppendResult::kSuperseded;
 }
 
 asio::awaitable<void> Owner::StoreChanges() {
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -21,6 +21,7 @@
 #include "jobs/generated/jobs.pb.h"
 #include "jobs/shard_core.h"
 #include "maintenance/maintenance_core.h"
+#include "node/sequenced_writer.h"
 #include "node/stream_follower.h"
 
 namespace carobmast::node {
@@ -102,9 +103,6 @@
     boost::asio::steady_timer timer;
   };
 
-  // What to do after the answer to an append.
-  enum class AppendResult { kStored, kRetryNow, kRetryAfterPause, kSuperseded };
-
   jobs::ShardHooks MakeHooks();
   maintenance::MaintenanceHooks MakeMaintenanceHooks();
   boost::asio::awaitable<void> ListVms(Ref<Owner> self);
@@ -125,10 +123,8 @@
   boost::asio::awaitable<void> StoreChanges();
   boost::asio::awaitable<bool> Append(
       std::vector<contracts::KeyedRecord> records);
-  // `only_epoch`: the append has no records and only sets the writer's epoch.
-  // `unanswered`: an earlier attempt of the same append got no answer.
-  AppendResult OnAppendAnswer(const contracts::KeyedAppendAnswer& answer,
-                              bool only_epoch, bool unanswered);
+  // Notes whether the store can be reached.
+  void NoteStoreAnswer(const contracts::KeyedAppendAnswer& answer);
   boost::asio::awaitable<void> TickLoop(Ref<Owner> self);
   // Sends holds to one worker until it is no longer a target.
   boost::asio::awaitable<void> Hold(Ref<Owner> self, std::string worker);
@@ -180,9 +176,7 @@
   boost::asio::steady_timer changes_timer_;
   // Of calls that wait until their change is stored.
   std::list<boost::asio::steady_timer*> store_waiters_;
-  // Of the next append, for the store to detect repeated appends.
-  std::uint64_t sequence_ = 0;
-  bool first_append_done_ = false;
+  SequencedWriter writer_;
   std::optional<MonotonicTime> store_failing_since_;
   bool ready_ = false;
   bool stopped_ = false;
