Starts: pool and label are asked for at each sending

Cause: a repeated or queued start went to the worker's next incarnation, which was of another kind, on the check made when its run was planned.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -128,8 +128,10 @@
   static bool IsLeaving(const WorkerState& worker);
   // Whether the worker accepts new tasks at all.
   bool AcceptsTasks(const WorkerState& worker) const;
-  // Whether the worker accepts tasks and has the step's pool and label.
+  // Whether the worker accepts tasks and is suitable for the step.
   bool IsUsable(const WorkerState& worker, const Step& step) const;
+  // Whether the worker's present incarnation has the step's pool and label.
+  static bool IsSuitable(const WorkerState& worker, const Step& step);
   // Whether the worker has resources for `copies` more tasks of the step.
   bool Fits(WorkerState& worker, const Step& step,
             std::uint32_t copies = 1) const;
--- a/src/jobs/internal/shard_orders.cc
+++ b/src/jobs/internal/shard_orders.cc
@@ -134,8 +134,8 @@
       continue;
     }
     // The worker may have become silent, quarantined or draining since it was
-    // chosen.
-    if (AcceptsTasks(*worker->second)) {
+    // chosen, or may have been replaced by one of another kind.
+    if (IsUsable(*worker->second, *run->task->step)) {
       SendStart(*run);
     } else {
       EndRun(*run, RunEnd::kNeverStarted, "");
@@ -326,6 +326,7 @@
         run.task->avoided_worker = worker.id;
         RequestStop(run, "start not answered");
       } else if (!IsRegistryStale() && !worker.restart_suspected &&
+                 IsSuitable(worker, *run.task->step) &&
                  (run.IsStartInDoubt() || !IsAcknowledging(worker)) &&
                  MayGrantLease(worker) && MayStart()) {
         SendStart(run);
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -350,7 +350,10 @@
 
 bool ShardCore::Impl::IsUsable(const WorkerState& worker,
                                const Step& step) const {
-  if (!AcceptsTasks(worker)) return false;
+  return AcceptsTasks(worker) && IsSuitable(worker, step);
+}
+
+bool ShardCore::Impl::IsSuitable(const WorkerState& worker, const Step& step) {
   if (worker.entry.pool != step.occurrence->job->policy.pool) return false;
   const std::string& label = step.spec->required_label;
   if (label.empty()) return true;
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(AcknowledgementForTheFormerIncarnationHidesAnEnd);
   CPPUNIT_TEST(AnswerOfTheFormerIncarnationDelaysTheNextRun);
   CPPUNIT_TEST(TaskStartsByALabelOfTheFormerIncarnation);
+  CPPUNIT_TEST(StartIsRepeatedOnAnIncarnationWithoutTheLabel);
+  CPPUNIT_TEST(QueuedStartGoesToAnIncarnationWithoutTheLabel);
   CPPUNIT_TEST(EndsSeenByAFormerOwnerCountAsMissing);
   CPPUNIT_TEST(OrderSentBeforeTheRestartIsCarriedOutAfterIt);
   CPPUNIT_TEST(RefusalOfAnEarlierOrderEndsTheOwner);
@@ -102,6 +104,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
   }
 
+  void StartIsRepeatedOnAnIncarnationWithoutTheLabel() {
+    ShardBench bench;
+    const SentStart start = SubmitLabelled(bench, 1).at(0);
+    bench.core->OnStart(start.worker, start.order,
+                        {.outcome = contracts::OrderOutcome::kNotSent},
+                        bench.now);
+    bench.SetLabels("w", {"b"});
+    bench.AdvanceTime(milliseconds(1000));
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
+  void QueuedStartGoesToAnIncarnationWithoutTheLabel() {
+    ShardBench bench;
+    bench.max_starts_in_flight = 1;
+    bench.TakeOver();
+    const std::vector<SentStart> starts = SubmitLabelled(bench, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    bench.SetLabels("w", {"b"});
+    bench.ConfirmStart(starts.front());
+    CPPUNIT_ASSERT(bench.starts.empty());
+  }
+
   void EndsSeenByAFormerOwnerCountAsMissing() {
     ShardBench bench;
     const SentStart start = bench.RunOneTask();
@@ -345,6 +369,18 @@
     bench_->Store();
   }
 
+  // Submits a job whose tasks need label "a", which worker "w" has.
+  static std::vector<SentStart> SubmitLabelled(ShardBench& bench,
+                                               std::uint32_t count) {
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    JobSpec spec = MakeJob(count);
+    spec.steps.front().required_label = "a";
+    bench.Submit("j", spec);
+    bench.Store();
+    return bench.TakeStarts();
+  }
+
   SentStart SubmitTask(const std::string& job, const std::string& work) {
     SubmitJob(job, work);
     return bench_->TakeStarts().at(0);
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -103,6 +103,12 @@
   SetWorkers();
 }
 
+void ShardBench::SetLabels(const std::string& worker,
+                           std::vector<std::string> labels) {
+  entries_[worker].labels = std::move(labels);
+  SetWorkers();
+}
+
 void ShardBench::MoveWorker(const std::string& worker) {
   ++entries_[worker].address.port;
   SetWorkers();
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -58,6 +58,8 @@
   // answers is 1.
   void SetEntryIncarnation(const std::string& worker,
                            contracts::Incarnation incarnation);
+  // Registers the worker with other labels.
+  void SetLabels(const std::string& worker, std::vector<std::string> labels);
   // Registers the worker at another address.
   void MoveWorker(const std::string& worker);
   void Drain(const std::string& worker);
