Waves: a completed wave is not published as running again

What operators saw: status/wave/N went from completed to running at a change of owner, and back if nothing came between. Causes: a new owner reported every wave of the past as running; the states of one wave were sent by tasks of their own, each until stored; completed was published before the progress was durable, so a next owner went on with the wave; and an owner that had been replaced could publish after its successor.

Change: a wave whose stored progress is complete is reported as completed only; states are sent one at a time, under the owner's epoch and with sequence numbers; completed waits until the progress is stored, also of VMs that are gone or not in the wave.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -1,5 +1,7 @@
 #include "maintenance/maintenance_core.h"
 
+#include <algorithm>
+
 namespace carobmast::maintenance {
 
 namespace {
@@ -35,19 +37,23 @@
     vm->second = {.state = progress.done ? State::kDone : State::kIntentStored,
                   .worker = progress.worker};
   }
+  // The earlier owner may not have published that the wave is over.
+  CompleteIfDone(state);
 }
 
-void MaintenanceCore::Store(const WaveState& wave) {
+void MaintenanceCore::Store(WaveState& wave) {
   WaveProgress progress;
   for (const auto& [name, vm] : wave.vms) {
     if (vm.state < State::kStoringIntent) continue;
     progress[name] = {.worker = vm.worker, .done = vm.state == State::kDone};
   }
-  ++stores_;
+  wave.is_unstored = false;
+  wave.last_store = ++stores_;
   hooks_.store(wave.wave.number, progress);
 }
 
 void MaintenanceCore::OnStored(std::uint64_t stores) {
+  stored_ = stores;
   for (auto& [number, wave] : waves_) {
     for (auto& [name, vm] : wave.vms) {
       if (vm.state == State::kStoringIntent && vm.intent_store <= stores) {
@@ -83,6 +89,7 @@
   if (outcome == contracts::MaintainOutcome::kNotInWave ||
       outcome == contracts::MaintainOutcome::kInvalid) {
     state.state = State::kDone;
+    found->second.is_unstored = true;
   }
 }
 
@@ -96,7 +103,11 @@
   // A VM that no longer exists needs no maintenance. An earlier list may lack a
   // VM that is newer.
   if (listed == listed_vms_.end()) {
-    if (listed_request_ > wave.earlier_list_requests) vm.state = State::kDone;
+    if (vm.state != State::kDone &&
+        listed_request_ > wave.earlier_list_requests) {
+      vm.state = State::kDone;
+      wave.is_unstored = true;
+    }
     return;
   }
   const contracts::WorkerVm& entry = listed->second;
@@ -112,7 +123,7 @@
       vm.state = State::kStoringIntent;
       vm.intent_store = stores_ + 1;
       ++down;
-      Store(wave);
+      wave.is_unstored = true;
     }
   }
   if (vm.state == State::kIntentStored && !vm.order_in_flight) {
@@ -123,10 +134,20 @@
       entry.worker != vm.worker) {
     vm.state = State::kDone;
     --down;
-    Store(wave);
+    wave.is_unstored = true;
   }
 }
 
+void MaintenanceCore::CompleteIfDone(WaveState& wave) {
+  const bool all_done = std::all_of(
+      wave.vms.begin(), wave.vms.end(),
+      [](const auto& vm) { return vm.second.state == State::kDone; });
+  // A next owner must not report the wave as running again.
+  if (!all_done || stored_ < wave.last_store) return;
+  wave.completed = true;
+  hooks_.report_wave(wave.wave.number, true);
+}
+
 void MaintenanceCore::AdvanceWave(WaveState& wave) {
   if (!wave.running_reported) {
     wave.running_reported = true;
@@ -141,14 +162,11 @@
     down += is_down ? 1 : 0;
     draining += vm.state == State::kDraining ? 1 : 0;
   }
-  bool all_done = true;
   for (auto& [name, vm] : wave.vms) {
     AdvanceVm(wave, name, vm, down, draining);
-    all_done = all_done && vm.state == State::kDone;
   }
-  if (!all_done) return;
-  wave.completed = true;
-  hooks_.report_wave(wave.wave.number, true);
+  if (wave.is_unstored) Store(wave);
+  CompleteIfDone(wave);
 }
 
 void MaintenanceCore::Cordon() {
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -43,8 +43,8 @@
   // Adds a wave; a wave with the number of an earlier one is ignored.
   void SetWave(const Wave& wave);
   // To be called when the progress of the first `stores` calls of
-  // MaintenanceHooks::store is durable: the orders that waited for it may go
-  // out.
+  // MaintenanceHooks::store is durable: the orders and the reports that waited
+  // for it may go out.
   void OnStored(std::uint64_t stores);
   void OnVmList(const contracts::VmList& list);
   void OnMaintainOutcome(const std::string& vm, std::uint64_t wave,
@@ -78,19 +78,26 @@
     std::map<std::string, VmState> vms;
     // The number of list requests before the wave was known.
     std::uint64_t earlier_list_requests = 0;
+    // The progress has changed since the last store call of the wave.
+    bool is_unstored = false;
+    // The number of the last store call of the wave.
+    std::uint64_t last_store = 0;
     bool running_reported = false;
     bool completed = false;
   };
 
   void AdvanceWave(WaveState& wave);
+  void CompleteIfDone(WaveState& wave);
   void AdvanceVm(WaveState& wave, const std::string& name, VmState& vm,
                  std::size_t& down, std::size_t& draining);
-  void Store(const WaveState& wave);
+  void Store(WaveState& wave);
   void Cordon();
 
   MaintenanceHooks hooks_;
   // Number of calls of MaintenanceHooks::store.
   std::uint64_t stores_ = 0;
+  // Number of them whose progress is durable.
+  std::uint64_t stored_ = 0;
   std::map<std::uint64_t, WaveState> waves_;
   std::map<std::uint64_t, WaveProgress> restored_;
   std::map<std::string, contracts::WorkerVm> listed_vms_;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -70,7 +70,8 @@
       options_(std::move(options)),
       hooks_(std::move(hooks)),
       changes_timer_(executor),
-      writer_(kWriterName, options_.shard.token) {
+      writer_(kWriterName, options_.shard.token),
+      status_writer_(kWriterName, options_.shard.token) {
   core_ = std::make_unique<jobs::ShardCore>(options_.shard, MakeHooks());
 }
 
@@ -141,8 +142,10 @@
           [this](std::uint64_t wave, bool completed) {
             hooks_.log_event("wave",
                              {{"wave", wave}, {"completed", completed}});
-            asio::co_spawn(executor_, PublishWaveStatus(this, wave, completed),
-                           asio::detached);
+            const bool is_publishing = !unpublished_waves_.empty();
+            unpublished_waves_[wave] = completed;
+            if (is_publishing) return;
+            asio::co_spawn(executor_, PublishWaves(this), asio::detached);
           }};
 }
 
@@ -189,16 +192,32 @@
   if (!self->stopped_) self->maintenance_->OnMaintainOutcome(vm, wave, outcome);
 }
 
-asio::awaitable<void> Owner::PublishWaveStatus(Ref<Owner> self,
-                                               std::uint64_t wave,
-                                               bool completed) {
-  while (!self->stopped_) {
-    const contracts::KeyedAppendAnswer answer = co_await self->log_->Append(
-        {.stream = self->options_.status,
-         .records = {self->hooks_.encode_wave(wave, completed)},
-         .timeout = self->options_.append_timeout});
-    if (answer.outcome == contracts::KeyedAppendOutcome::kStored) co_return;
-    co_await self->Sleep(kStatusRetryDelay);
+// One append at a time: a retried state must not follow a later one.
+asio::awaitable<void> Owner::PublishWaves(Ref<Owner> self) {
+  SequencedWriter& writer = self->status_writer_;
+  while (!self->stopped_ && !self->unpublished_waves_.empty()) {
+    const auto [wave, completed] = *self->unpublished_waves_.begin();
+    const contracts::KeyedRecord record =
+        self->hooks_.encode_wave(wave, completed);
+    AppendResult result = AppendResult::kRetryNow;
+    while (!self->stopped_ && result != AppendResult::kStored) {
+      const contracts::KeyedAppendAnswer answer = co_await self->log_->Append(
+          {.stream = self->options_.status,
+           .records = {record},
+           .writer = writer.Next(),
+           .timeout = self->options_.append_timeout});
+      result = writer.OnAnswer(answer);
+      if (result == AppendResult::kSuperseded) {
+        self->hooks_.on_superseded(answer.error);
+        co_return;
+      }
+      if (result != AppendResult::kStored) {
+        co_await self->Sleep(kStatusRetryDelay);
+      }
+    }
+    // It may have been completed in the meantime.
+    const auto state = self->unpublished_waves_.find(wave);
+    if (state->second == completed) self->unpublished_waves_.erase(state);
   }
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -108,9 +108,8 @@
   boost::asio::awaitable<void> ListVms(Ref<Owner> self);
   boost::asio::awaitable<void> Maintain(Ref<Owner> self, std::string vm,
                                         std::uint64_t wave);
-  boost::asio::awaitable<void> PublishWaveStatus(Ref<Owner> self,
-                                                 std::uint64_t wave,
-                                                 bool completed);
+  // Publishes the states of `unpublished_waves_` until there is none.
+  boost::asio::awaitable<void> PublishWaves(Ref<Owner> self);
   boost::asio::awaitable<void> Run(Ref<Owner> self);
   boost::asio::awaitable<bool> FenceEarlierWriters();
   boost::asio::awaitable<void> Restore();
@@ -167,6 +166,8 @@
   std::map<std::string, std::string> unstored_waves_;
   // Number of times that the progress of a wave was set to be stored.
   std::uint64_t wave_stores_ = 0;
+  // Whether each wave of which the state is to be published is completed.
+  std::map<std::uint64_t, bool> unpublished_waves_;
   Ref<StreamFollower> registry_;
   std::map<std::string, jobs::WorkerEntry> registry_entries_;
   bool registry_read_ = false;
@@ -176,7 +177,9 @@
   boost::asio::steady_timer changes_timer_;
   // Of calls that wait until their change is stored.
   std::list<boost::asio::steady_timer*> store_waiters_;
+  // Of the shard's stream, and of that with the states of waves.
   SequencedWriter writer_;
+  SequencedWriter status_writer_;
   std::optional<MonotonicTime> store_failing_since_;
   bool ready_ = false;
   bool stopped_ = false;
