Waves: a repeated order for maintenance ends no task

What callers saw: tasks ended by the maintenance of a VM that a next owner had just given them. Cause: an order that is repeated, or that waited for its intent to be stored, went out without asking again for a recent list and a drained worker; and a new owner cordoned no worker before its first list of VMs.

Change: each sending asks for both; workers of VMs that may be ordered down are cordoned from the moment the wave is known, also one that started there since.

In maintenance_core_test OrderWaitsForStoredIntent delivers a second list, since its only one is 3 s old when the order is due; three new cases.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -39,6 +39,8 @@
   }
   // The earlier owner may not have published that the wave is over.
   CompleteIfDone(state);
+  // No task may start on a worker whose VM may be ordered down.
+  Cordon();
 }
 
 void MaintenanceCore::Store(WaveState& wave) {
@@ -127,8 +129,14 @@
     }
   }
   if (vm.state == State::kIntentStored && !vm.order_in_flight) {
-    vm.order_in_flight = true;
-    hooks_.maintain(name, wave.wave.number);
+    // Since the intent was stored another worker may have started on the VM, or
+    // tasks on the same one under an earlier owner.
+    vm.later_worker = entry.worker;
+    if (!list_is_stale_ &&
+        (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
+      vm.order_in_flight = true;
+      hooks_.maintain(name, wave.wave.number);
+    }
   }
   if (vm.state == State::kInMaintenance && entry.up && !entry.worker.empty() &&
       entry.worker != vm.worker) {
@@ -175,7 +183,9 @@
     for (const auto& [name, vm] : wave.vms) {
       const bool is_affected =
           vm.state != State::kWaiting && vm.state != State::kDone;
-      if (is_affected && !vm.worker.empty()) workers.insert(vm.worker);
+      if (!is_affected) continue;
+      if (!vm.worker.empty()) workers.insert(vm.worker);
+      if (!vm.later_worker.empty()) workers.insert(vm.later_worker);
     }
   }
   if (workers == cordoned_) return;
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -66,6 +66,9 @@
     State state = State::kWaiting;
     // The worker to drain, which the maintenance ends.
     std::string worker;
+    // The worker on the VM when the order was last considered, if there was
+    // one.
+    std::string later_worker;
     // The number of the store call that has the intent of the order.
     std::uint64_t intent_store = 0;
     bool order_in_flight = false;
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -80,6 +80,9 @@
   CPPUNIT_TEST(OrderGoesOutOnAnEarlierAppend);
   CPPUNIT_TEST(NewOwnerRepeatsUnconfirmedOrder);
   CPPUNIT_TEST(NewOwnerReportsACompletedWaveAsRunning);
+  CPPUNIT_TEST(RepeatedOrderEndsTasksOfALaterWorker);
+  CPPUNIT_TEST(NewOwnerStartsTasksBeforeItKnowsTheVms);
+  CPPUNIT_TEST(OrderGoesOutOnAListFromBeforeAnOutage);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
   CPPUNIT_TEST_SUITE_END();
@@ -180,6 +183,8 @@
     fixture.BeginWave({"a"});
     fixture.Tick();
     CPPUNIT_ASSERT(fixture.maintained.empty());
+    // The first list is too old by now.
+    fixture.DeliverList("wa", "wb");
     fixture.StoreAndTick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
   }
@@ -202,6 +207,38 @@
     CPPUNIT_ASSERT_EQUAL(0, fixture.list_requests);
   }
 
+  // The order of the earlier owner was never carried out, and its worker was
+  // replaced.
+  void RepeatedOrderEndsTasksOfALaterWorker() {
+    Fixture fixture({{1, {{"a", {.worker = "w0"}}}}});
+    fixture.busy = {"wa"};
+    fixture.BeginWave({"a"});
+    CPPUNIT_ASSERT(fixture.maintained.empty());
+    CPPUNIT_ASSERT(fixture.cordoned.contains("wa"));
+    fixture.busy.clear();
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+  }
+
+  void NewOwnerStartsTasksBeforeItKnowsTheVms() {
+    Fixture fixture({{1, {{"a", {.worker = "wa"}}}}});
+    fixture.core.SetWave({.number = 1, .vms = {"a", "b"}});
+    CPPUNIT_ASSERT(fixture.cordoned == std::set<std::string>{"wa"});
+  }
+
+  void OrderGoesOutOnAListFromBeforeAnOutage() {
+    Fixture fixture;
+    fixture.BeginWave({"a"});
+    fixture.now += std::chrono::seconds(3);
+    fixture.StoreAndTick();
+    CPPUNIT_ASSERT(fixture.maintained.empty());
+    fixture.DeliverList("wa", "wb");
+    fixture.Tick();
+    fixture.DeliverList("wa", "wb");
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+  }
+
   void NewOwnerRepeatsUnconfirmedOrder() {
     Fixture fixture({{1, {{"a", {.worker = "wa"}}}}});
     fixture.BeginWave({"a", "b"});
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -189,7 +189,8 @@
   if (outcome != contracts::MaintainOutcome::kBegun) {
     co_await self->Sleep(kRetryDelay);
   }
-  if (!self->stopped_) self->maintenance_->OnMaintainOutcome(vm, wave, outcome);
+  if (self->stopped_) co_return;
+  self->maintenance_->OnMaintainOutcome(vm, wave, outcome);
 }
 
 // One append at a time: a retried state must not follow a later one.
