Waves: a VM that was maintained before is not out of use for good

Cause: the service confirms an order that it carried out before, and the VM's worker stays; the owner waited for another one without end.

Change: a VM that is up in a list of more than 2 s after the confirmation is done.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -14,6 +14,9 @@
 constexpr Duration kMaxListAge = std::chrono::milliseconds(2000);
 // VMs of a wave that are drained ahead, as a multiple of Wave::max_parallel.
 constexpr std::size_t kDrainAheadFactor = 2;
+// A VM that is listed as up with its former worker so long after an order for
+// it was confirmed had its maintenance before that order.
+constexpr Duration kMaintenanceShownAfter = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -77,7 +80,8 @@
 
 void MaintenanceCore::OnMaintainOutcome(const std::string& vm,
                                         std::uint64_t wave,
-                                        contracts::MaintainOutcome outcome) {
+                                        contracts::MaintainOutcome outcome,
+                                        MonotonicTime now) {
   const auto found = waves_.find(wave);
   if (found == waves_.end()) return;
   VmState& state = found->second.vms[vm];
@@ -86,6 +90,7 @@
       state.state == State::kIntentStored) {
     state.state = State::kInMaintenance;
     state.earlier_list_requests = list_requests_;
+    state.confirmed_at = now;
   }
   // The VM isn't part of the wave or doesn't exist: nothing is left to do.
   if (outcome == contracts::MaintainOutcome::kNotInWave ||
@@ -139,7 +144,8 @@
     }
   }
   if (vm.state == State::kInMaintenance && entry.up && !entry.worker.empty() &&
-      entry.worker != vm.worker) {
+      (entry.worker != vm.worker ||
+       list_as_of_ - vm.confirmed_at > kMaintenanceShownAfter)) {
     vm.state = State::kDone;
     --down;
     wave.is_unstored = true;
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -48,7 +48,7 @@
   void OnStored(std::uint64_t stores);
   void OnVmList(const contracts::VmList& list);
   void OnMaintainOutcome(const std::string& vm, std::uint64_t wave,
-                         contracts::MaintainOutcome outcome);
+                         contracts::MaintainOutcome outcome, MonotonicTime now);
   // To be called periodically: advances the waves and asks for lists.
   void Tick(MonotonicTime now);
 
@@ -75,6 +75,8 @@
     // The number of list requests before the outcome of the order, which show
     // nothing of its maintenance.
     std::uint64_t earlier_list_requests = 0;
+    // When the order was confirmed.
+    MonotonicTime confirmed_at;
   };
   struct WaveState {
     Wave wave;
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(RepeatedOrderEndsTasksOfALaterWorker);
   CPPUNIT_TEST(NewOwnerStartsTasksBeforeItKnowsTheVms);
   CPPUNIT_TEST(OrderGoesOutOnAListFromBeforeAnOutage);
+  CPPUNIT_TEST(VmThatWasMaintainedBeforeStaysOutOfUse);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
   CPPUNIT_TEST_SUITE_END();
@@ -106,7 +107,7 @@
     fixture.BeginWave({"a", "b"});
     fixture.StoreAndTick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
-    fixture.core.OnMaintainOutcome("a", 1, kBegun);
+    fixture.core.OnMaintainOutcome("a", 1, kBegun, fixture.now);
     fixture.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
     CPPUNIT_ASSERT(!fixture.completed);
@@ -118,7 +119,7 @@
     fixture.Tick();
     fixture.StoreAndTick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
-    fixture.core.OnMaintainOutcome("b", 1, kBegun);
+    fixture.core.OnMaintainOutcome("b", 1, kBegun, fixture.now);
     // The answer to a request from before the order.
     fixture.DeliverList("wa2", "wb2");
     fixture.Tick();
@@ -137,7 +138,7 @@
     Fixture fixture;
     fixture.BeginWave({"a", "b"});
     fixture.StoreAndTick();
-    fixture.core.OnMaintainOutcome("a", 1, kBegun);
+    fixture.core.OnMaintainOutcome("a", 1, kBegun, fixture.now);
     CPPUNIT_ASSERT_EQUAL(2, fixture.list_requests);
     fixture.DeliverList("wa2", "wb");
     fixture.Tick();
@@ -239,6 +240,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
   }
 
+  // The service confirms an order that it has carried out before, and the
+  // worker stays. An owner gives one if the progress can't be read.
+  void VmThatWasMaintainedBeforeStaysOutOfUse() {
+    Fixture fixture;
+    fixture.BeginWave({"a"});
+    fixture.StoreAndTick();
+    fixture.core.OnMaintainOutcome("a", 1, kBegun, fixture.now);
+    for (int i = 0; i < 2; ++i) {
+      fixture.DeliverList("wa", "wb");
+      fixture.Tick();
+    }
+    CPPUNIT_ASSERT(fixture.cordoned.contains("wa"));
+    for (int i = 0; i < 3; ++i) {
+      fixture.DeliverList("wa", "wb");
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT(fixture.completed);
+    CPPUNIT_ASSERT(fixture.cordoned.empty());
+  }
+
   void NewOwnerRepeatsUnconfirmedOrder() {
     Fixture fixture({{1, {{"a", {.worker = "wa"}}}}});
     fixture.BeginWave({"a", "b"});
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -190,7 +190,7 @@
     co_await self->Sleep(kRetryDelay);
   }
   if (self->stopped_) co_return;
-  self->maintenance_->OnMaintainOutcome(vm, wave, outcome);
+  self->maintenance_->OnMaintainOutcome(vm, wave, outcome, LeaseNow());
 }
 
 // One append at a time: a retried state must not follow a later one.
