--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -151,12 +151,13 @@
 
 void Owner::SetWave(const maintenance::Wave& wave) {
   if (!waves_.emplace(wave.number, wave).second) return;
-  if (maintenance_.has_value()) maintenance_->SetWave(wave);
+  if (maintenance_ != nullptr) maintenance_->SetWave(wave);
 }
 
 void Owner::StartMaintenance() {
   if (vms_ == nullptr) return;
-  maintenance_.emplace(MakeMaintenanceHooks(), std::move(restored_waves_));
+  maintenance_ = std::make_unique<maintenance::MaintenanceCore>(
+      MakeMaintenanceHooks(), std::move(restored_waves_));
   for (const auto& [number, wave] : waves_) maintenance_->SetWave(wave);
 }
 
@@ -419,7 +420,7 @@
     }
     if (stopped_) co_return;
     core_->OnStored(batch.number, ShardNow());
-    if (maintenance_.has_value()) maintenance_->OnStored(wave_stores);
+    if (maintenance_ != nullptr) maintenance_->OnStored(wave_stores);
     WakeStoreWaiters();
   }
 }
@@ -429,7 +430,7 @@
   while (!self->stopped_) {
     self->LogRegistryStatus(LeaseNow() - next_tick_at);
     self->core_->Tick(ShardNow());
-    if (self->maintenance_.has_value()) self->maintenance_->Tick(LeaseNow());
+    if (self->maintenance_ != nullptr) self->maintenance_->Tick(LeaseNow());
     next_tick_at = LeaseNow() + self->options_.tick_interval;
     co_await self->Sleep(self->options_.tick_interval);
   }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -160,8 +160,8 @@
   std::map<std::uint64_t, maintenance::Wave> waves_;
   // The stored progress of waves, until `maintenance_` exists.
   std::map<std::uint64_t, maintenance::WaveProgress> restored_waves_;
-  // Empty until the shard is restored, and without a VM service.
-  std::optional<maintenance::MaintenanceCore> maintenance_;
+  // Null until the shard is restored, and without a VM service.
+  std::unique_ptr<maintenance::MaintenanceCore> maintenance_;
   // Progress of waves by record key, to be stored with the next batch.
   std::map<std::string, std::string> unstored_waves_;
   // Number of times that the progress of a wave was set to be stored.
