Soak: waves of maintenance beside changes of the owner

--waves requests overlapping waves while nodes, the store and the machines' service fail, and judges LIMIT, LOST, runs that an upkeep ended, and published states.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,8 +2,8 @@
 """Randomized soak test that injects faults into node processes from outside.
 
 Usage: soak.py PROGRAM [--seed N] [--seeds COUNT] [--seconds S]
-               [--overlap | --losses | --cancels | --restarts] [--orders KIND]
-               [--nodes N] [--workers N]
+               [--overlap | --losses | --cancels | --restarts | --waves]
+               [--orders KIND] [--nodes N] [--workers N]
 Each seed is one round: jobs are submitted through all nodes while nodes are killed,
 paused, stopped gracefully and restarted, workers are drained, the configuration is
 changed and reloaded, and connections to the store are delayed, reset, cut in one
@@ -23,6 +23,10 @@
 and the store fail beside that. Each restart draws whether open connections to the worker
 outlive it, and whether calls before it are late: they get no answer, and are carried out
 by whichever incarnation is there seconds later. --orders fixes what is drawn.
+With --waves, waves of upkeep are requested that overlap, while the owner is lost again
+and again, and the store and the service of the machines fail. No more machines of a wave
+than it allows may be down at once, no upkeep may end a run, each wave must be completed
+once the faults are over, and then all processors must be in use again.
 Prints one line per seed; exits with 1 if an invariant was violated.
 """
 
@@ -87,6 +91,14 @@
 OWNER_LOSSES = ("kill", "pause", "replace")
 QUIET_FAULTS = ("configuration", "reload")
 
+# With --waves: nodes and machines of a round, machines of a wave, how many of them may be
+# down at once, and the time from one wave to the next.
+WAVES_SIZE = (3, 6)
+WAVE_MACHINES, WAVE_MOST_DOWN, WAVE_PAUSE_SECONDS = (2, 6), (1, 2), (1, 5)
+# A worker that drains could register again after its machine's upkeep.
+WAVES_FAULTS = tuple(kind for kind in FAULT_KINDS if kind != "drain")
+MACHINE_FAULT_KINDS = ("orders", "all")
+
 # With --cancels nodes and workers are as many as needed to have former owners, and room
 # for the tasks of jobs that are cancelled late.
 CANCELS_SIZE = (5, 8)
@@ -112,9 +124,13 @@
         self.random = random.Random(seed)
         nodes, workers = (LOSSES_SIZE if options.losses
                           else CANCELS_SIZE if options.cancels
-                          else RESTARTS_SIZE if options.restarts else DEFAULT_SIZE)
+                          else RESTARTS_SIZE if options.restarts
+                          else WAVES_SIZE if options.waves else DEFAULT_SIZE)
+        workers = options.workers or workers
         self.cluster = Cluster(
-            program, nodes=options.nodes or nodes, workers=options.workers or workers,
+            program, nodes=options.nodes or nodes,
+            workers=0 if options.waves else workers,
+            machines=workers if options.waves else 0,
             hold_max_ms=(REAL_HOLD_MAX_MS if options.losses or options.cancels
                          else LONG_HOLD_MAX_MS if options.restarts else HOLD_MAX_MS))
         self.milliseconds = (50, 300, 1500)
@@ -500,6 +516,83 @@
         self.wait_standing(0, "have stopped")
 
 
+class WavesRound(Round):
+    """Waves of upkeep overlap, beside overlapping faults."""
+
+    def __init__(self, program, seed, options):
+        super().__init__(program, seed, options)
+        # The waves and faults of a seed don't depend on how often other threads draw.
+        self.wave_random = random.Random(f"waves {seed}")
+        self.machines = self.cluster.machines
+        self.client = Client(self.cluster, random.Random(seed))
+
+    def inject_fault(self, generator, kinds=WAVES_FAULTS):
+        kind = generator.choice(WAVES_FAULTS + STORE_FAULT_KINDS + MACHINE_FAULT_KINDS)
+        node, length = generator.choice(self.cluster.nodes), generator.uniform(0.2, 3)
+        if generator.random() < OWNER_SHARE:
+            node = self.cluster.owner()
+        self.faults.append(kind)
+        if kind in MACHINE_FAULT_KINDS:
+            self.machines.trouble = kind
+            time.sleep(length)
+            self.machines.trouble = ""
+        else:
+            self.apply_fault(generator, kind, node, length)
+
+    def inject_faults(self, deadline, _generator):
+        generator = self.wave_random
+        waves = threading.Thread(target=self.request_waves, args=(
+            deadline, random.Random(generator.random())))
+        series = threading.Thread(target=super().inject_faults, args=(
+            deadline, random.Random(generator.random())))
+        waves.start()
+        series.start()
+        super().inject_faults(deadline, generator)
+        series.join()
+        waves.join()
+
+    def request_waves(self, deadline, generator):
+        names = sorted(self.machines.machines)
+        while time.monotonic() < deadline:
+            count = min(generator.randint(*WAVE_MACHINES), len(names))
+            self.machines.request_wave(len(self.machines.waves) + 1,
+                                       generator.sample(names, count),
+                                       generator.randint(*WAVE_MOST_DOWN))
+            time.sleep(generator.uniform(*WAVE_PAUSE_SECONDS))
+
+    def counts(self):
+        return (f"{super().counts()}, {len(self.machines.waves)} waves, "
+                f"{len(self.machines.begun)} upkeeps")
+
+    def check_invariants(self):
+        broken = super().check_invariants()
+        until = time.monotonic() + SETTLE_SECONDS
+        open_waves = set(self.machines.waves)
+        while open_waves and time.monotonic() < until:
+            time.sleep(0.1)
+            open_waves = {number for number in open_waves if "completed"
+                          not in self.machines.wave_states(number)}
+        broken += [f"wave {number} was not completed" for number in open_waves]
+        broken += self.machines.find_broken()
+        self.check_all_processors_are_used()
+        return broken
+
+    def check_all_processors_are_used(self):
+        job = "f" * 16
+        tasks = sum(machine["worker"].capacity // 1000
+                    for machine in self.machines.machines.values())
+        if not self.client.repeat_call("POST", job, make_job(1, tasks, LONG_MILLISECONDS)):
+            self.violations.append(f"job {job} was not accepted")
+        until = time.monotonic() + SETTLE_SECONDS
+        running = 0
+        while running < tasks and time.monotonic() < until:
+            time.sleep(0.1)
+            running = sum(run["end"] is None and run["task"].startswith(job)
+                          for run in list(self.cluster.history))
+        if running < tasks:
+            self.violations.append(f"{running} of {tasks} processors are used")
+
+
 class CancelJob:
     """A job of --cancels, as its client knows it."""
 
@@ -767,6 +860,7 @@
     modes.add_argument("--losses", action="store_true")
     modes.add_argument("--cancels", action="store_true")
     modes.add_argument("--restarts", action="store_true")
+    modes.add_argument("--waves", action="store_true")
     parser.add_argument("--orders", choices=list(RESTART_KINDS))
     parser.add_argument("--nodes", type=int)
     parser.add_argument("--workers", type=int)
@@ -775,7 +869,8 @@
     for seed in range(options.seed, options.seed + options.seeds):
         kind = (LossesRound if options.losses
                 else CancelsRound if options.cancels
-                else RestartsRound if options.restarts else Round)
+                else RestartsRound if options.restarts
+                else WavesRound if options.waves else Round)
         soak_round = kind(options.program, seed, options)
         threading.excepthook = soak_round.on_thread_failed
         try:
