Waves: an order goes out on a list from after any earlier order for its VM

Cause: a VM that was down for another wave, or for an order without an answer, got its next order again and again until the service took it, when the next worker had just begun its tasks.

Change: an order goes out only if the list shows the VM as up, and was requested after the outcome of any wave's last order for that VM.

Before: OrderOfAnotherWaveEndsTasksOfTheNextWorker and OrderIsRepeatedUntilTheNextWorkerIsUp of maintenance_core_test fail without the change.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -86,10 +86,13 @@
   if (found == waves_.end()) return;
   VmState& state = found->second.vms[vm];
   state.order_in_flight = false;
+  if (outcome == contracts::MaintainOutcome::kBegun ||
+      outcome == contracts::MaintainOutcome::kUnknown) {
+    state.earlier_list_requests = list_requests_;
+  }
   if (outcome == contracts::MaintainOutcome::kBegun &&
       state.state == State::kIntentStored) {
     state.state = State::kInMaintenance;
-    state.earlier_list_requests = list_requests_;
     state.confirmed_at = now;
   }
   // The VM isn't part of the wave or doesn't exist: nothing is left to do.
@@ -118,6 +121,15 @@
     return;
   }
   const contracts::WorkerVm& entry = listed->second;
+  // An order of any wave may have ended the listed worker since.
+  const bool is_outdated =
+      std::any_of(waves_.begin(), waves_.end(), [this, &name](const auto& any) {
+        const auto found = any.second.vms.find(name);
+        if (found == any.second.vms.end()) return false;
+        return found->second.order_in_flight ||
+               found->second.state == State::kInMaintenance ||
+               listed_request_ <= found->second.earlier_list_requests;
+      });
   const std::size_t max_draining = kDrainAheadFactor * wave.wave.max_parallel;
   if (vm.state == State::kWaiting && draining < max_draining) {
     vm.state = State::kDraining;
@@ -125,7 +137,8 @@
   }
   if (vm.state == State::kDraining) {
     vm.worker = entry.worker;
-    if (entry.up && !list_is_stale_ && down < wave.wave.max_parallel &&
+    if (entry.up && !is_outdated && !list_is_stale_ &&
+        down < wave.wave.max_parallel &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.state = State::kStoringIntent;
       vm.intent_store = stores_ + 1;
@@ -137,7 +150,7 @@
     // Since the intent was stored another worker may have started on the VM, or
     // tasks on the same one under an earlier owner.
     vm.later_worker = entry.worker;
-    if (!list_is_stale_ &&
+    if (entry.up && !is_outdated && !list_is_stale_ &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.order_in_flight = true;
       hooks_.maintain(name, wave.wave.number);
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -83,6 +83,9 @@
   CPPUNIT_TEST(RepeatedOrderEndsTasksOfALaterWorker);
   CPPUNIT_TEST(NewOwnerStartsTasksBeforeItKnowsTheVms);
   CPPUNIT_TEST(OrderGoesOutOnAListFromBeforeAnOutage);
+  CPPUNIT_TEST(OrderOfAnotherWaveEndsTasksOfTheNextWorker);
+  CPPUNIT_TEST(OrderIsRepeatedUntilTheNextWorkerIsUp);
+  CPPUNIT_TEST(UnansweredOrderIsRepeatedOnAListFromBefore);
   CPPUNIT_TEST(VmThatWasMaintainedBeforeStaysOutOfUse);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
@@ -240,6 +243,63 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
   }
 
+  // Two waves have the VM. The order of the second one would reach a worker
+  // that the last list doesn't name.
+  void OrderOfAnotherWaveEndsTasksOfTheNextWorker() {
+    Fixture fixture;
+    fixture.core.SetWave({.number = 2, .vms = {"a"}});
+    fixture.BeginWave({"a"});
+    fixture.StoreAndTick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    fixture.core.OnMaintainOutcome("a", 1, kBegun, fixture.now);
+    fixture.busy = {"wa2"};
+    fixture.DeliverList("wa", "wb");
+    fixture.Tick();
+    fixture.DeliverList("wa2", "wb");
+    fixture.StoreAndTick();
+    fixture.DeliverList("wa2", "wb");
+    fixture.StoreAndTick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    CPPUNIT_ASSERT(fixture.cordoned.contains("wa2"));
+    fixture.busy.clear();
+    for (int i = 0; i < 2; ++i) {
+      fixture.DeliverList("wa2", "wb");
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
+  }
+
+  // While a VM is down the service refuses orders for it. The one that it
+  // accepts would end what the next worker has begun.
+  void OrderIsRepeatedUntilTheNextWorkerIsUp() {
+    Fixture fixture({{1, {{"a", {.worker = "wa"}}}}});
+    fixture.core.SetWave({.number = 1, .vms = {"a"}});
+    fixture.Tick();
+    fixture.core.OnVmList({.ok = true, .vms = {{.name = "a"}}});
+    fixture.Tick();
+    CPPUNIT_ASSERT(fixture.maintained.empty());
+    fixture.DeliverList("wa2", "wb");
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+  }
+
+  void UnansweredOrderIsRepeatedOnAListFromBefore() {
+    Fixture fixture;
+    fixture.BeginWave({"a"});
+    fixture.DeliverList("wa", "wb");
+    fixture.StoreAndTick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    fixture.core.OnMaintainOutcome("a", 1, contracts::MaintainOutcome::kUnknown,
+                                   fixture.now);
+    // Requested before the outcome.
+    fixture.DeliverList("wa", "wb");
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    fixture.DeliverList("wa2", "wb");
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
+  }
+
   // The service confirms an order that it has carried out before, and the
   // worker stays. An owner gives one if the progress can't be read.
   void VmThatWasMaintainedBeforeStaysOutOfUse() {
