--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -122,14 +122,16 @@
   }
   const contracts::WorkerVm& entry = listed->second;
   // An order of any wave may have ended the listed worker since.
-  const bool is_outdated =
-      std::any_of(waves_.begin(), waves_.end(), [this, &name](const auto& any) {
-        const auto found = any.second.vms.find(name);
-        if (found == any.second.vms.end()) return false;
-        return found->second.order_in_flight ||
-               found->second.state == State::kInMaintenance ||
-               listed_request_ <= found->second.earlier_list_requests;
-      });
+  const auto is_outdated = [this, &name] {
+    return std::any_of(
+        waves_.begin(), waves_.end(), [this, &name](const auto& any) {
+          const auto found = any.second.vms.find(name);
+          if (found == any.second.vms.end()) return false;
+          return found->second.order_in_flight ||
+                 found->second.state == State::kInMaintenance ||
+                 listed_request_ <= found->second.earlier_list_requests;
+        });
+  };
   const std::size_t max_draining = kDrainAheadFactor * wave.wave.max_parallel;
   if (vm.state == State::kWaiting && draining < max_draining) {
     vm.state = State::kDraining;
@@ -137,8 +139,8 @@
   }
   if (vm.state == State::kDraining) {
     vm.worker = entry.worker;
-    if (entry.up && !is_outdated && !list_is_stale_ &&
-        down < wave.wave.max_parallel &&
+    if (entry.up && !list_is_stale_ && down < wave.wave.max_parallel &&
+        !is_outdated() &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.state = State::kStoringIntent;
       vm.intent_store = stores_ + 1;
@@ -150,7 +152,7 @@
     // Since the intent was stored another worker may have started on the VM, or
     // tasks on the same one under an earlier owner.
     vm.later_worker = entry.worker;
-    if (entry.up && !is_outdated && !list_is_stale_ &&
+    if (entry.up && !list_is_stale_ && !is_outdated() &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.order_in_flight = true;
       hooks_.maintain(name, wave.wave.number);
