Review: each script names its record.txt, and ends its nodes if they aren't ready

The shared harness opened record.txt, so the folders of the cases did not show it. A start of the nodes that failed, or a SIGTERM of the script, left nodes running.

The checks, bounds and disruptions are unchanged.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -72,8 +72,8 @@
                     worker.end(run["task"], how)
 
 
-def main(folder):
-    case = harness.Case(folder, worker_class=GangWorker)
+def main(record_path):
+    case = harness.Case(record_path, worker_class=GangWorker)
     try:
         Gangs(case.workers, case.history).start()
         if harness.TROUBLE:
@@ -109,4 +109,5 @@
         case.close()
 
 
-harness.run_case(main, FOLDER)
+# What was sent, answered and run is written there.
+harness.run_case(main, FOLDER / "record.txt")
--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -40,10 +41,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt of the case."""
+    """Writes what was sent, answered and run to the record.txt of a case."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begin = time.monotonic()
         self.lock = threading.Lock()
 
@@ -125,9 +126,9 @@
 class Case:
     """Store, workers and nodes. Must be closed."""
 
-    def __init__(self, folder, nodes=3, workers=12, worker_class=Worker, configure=None,
+    def __init__(self, record_path, nodes=3, workers=12, worker_class=Worker, configure=None,
                  worker_options=None, far_x=None, machines=None):
-        self.record = Record(folder)
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="carobmast-review-")
         self.store, self.history, self.nodes = Store(), [], []
         (configure or (lambda store: put_config(store, 1)))(self.store)
@@ -144,7 +145,11 @@
             node.write_settings()
             node.start()
             self.nodes.append(node)
-        self.wait_ready()
+        try:
+            self.wait_ready()
+        except BaseException:
+            self.close()
+            raise
 
     def wait_ready(self, seconds=20):
         until = time.monotonic() + seconds
@@ -193,13 +198,15 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(main, folder):
-    """Runs main(case folder), which returns whether the rule held."""
+def run_case(main, record_path):
+    """Runs main(path of record.txt), which returns whether the rule held."""
+    # Ends the nodes too, as main closes its case.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     if not pathlib.Path(PROGRAM).exists():
         print("the program is not built")
         sys.exit(2)
     try:
-        held = main(folder)
+        held = main(record_path)
     except Exception as error:  # pylint: disable=broad-except
         print(f"could not run: {error!r}")
         code = 2
