Jobs: an attempt of a gang fails once, however many of its members fail

Cause: the first task of a gang keeps its failures, and each member that ended as failed added one. Only the number was kept, so nothing could tell a further report about an attempt from a further attempt.

The new line "attempt failed" tells what counts.

Change: attempts that failed are counted by their numbers, which are recorded: members that fail together, reports that come one by one, to the next owner (also one that has a part of a batch only) or late count as one. The job still fails at exactly max-attempts failed attempts.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -16,6 +16,7 @@
 
 #include "contracts/task_workers.h"
 #include "jobs/interference_model.h"
+#include "jobs/internal/failed_attempts.h"
 #include "jobs/types/job.h"
 
 namespace carobmast::jobs {
@@ -118,7 +119,8 @@
   std::uint32_t index = 0;
   // The highest attempt number assigned so far.
   std::uint32_t attempt = 0;
-  std::uint32_t failures = 0;
+  // Of a gang, its first task keeps them.
+  FailedAttempts failures;
   std::string checkpoint;
   // Whether a checkpoint was too long to be kept.
   bool checkpoint_refused = false;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -263,8 +263,9 @@
   void OnAcknowledgement(WorkerState& worker, const contracts::HoldOrder& order,
                          const contracts::HoldAnswer& answer);
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
-  // Returns whether the job has failed with this failure.
-  bool CountFailure(Task& task);
+  // Counts an attempt that has failed, unless it has been counted before.
+  // Returns whether the job has failed with it.
+  bool CountFailure(Task& task, std::uint32_t attempt);
   // What is left to be done about starts of an ended run that may still be
   // carried out.
   void KeepSpareStarts(const Run& run, RunEnd end);
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -32,7 +32,7 @@
   proto::Task& record = *step.add_tasks();
   record.set_index(task.index);
   record.set_attempt(task.attempt);
-  record.set_failures(task.failures);
+  task.failures.Encode(record);
   record.set_checkpoint(task.checkpoint);
   record.set_finished(task.finished);
   for (const Run& run : task.runs) {
@@ -229,7 +229,7 @@
   if (record.index() >= step.tasks.size()) return;
   Task& task = step.tasks[record.index()];
   task.attempt = record.attempt();
-  task.failures = record.failures();
+  task.failures.Decode(record);
   task.checkpoint = record.checkpoint();
   if (record.finished() && !task.finished) {
     task.finished = true;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -174,6 +174,7 @@
     task.given_up.insert(run.attempt);
   }
   const bool was_stalled = run.stop_requested;
+  const std::uint32_t attempt = run.attempt;
   if (--job.run_count == 0) job.idle_since = now.steady;
   task.runs.remove_if([&run](const Run& each) { return &each == &run; });
   task.idle_since = now.steady;
@@ -193,20 +194,29 @@
   if (end == RunEnd::kFailed) {
     task.avoided_worker = worker.id;
     if (!was_stalled) RecordFailure(worker, task);
-    if (!step.spec->standing && CountFailure(task)) return;
+    if (!step.spec->standing && CountFailure(task, attempt)) return;
   }
   if (step.spec->gang) StopGang(step, "another gang member ended");
   if (HasWaitingTasks(step)) AddReady(step);
 }
 
-bool ShardCore::Impl::CountFailure(Task& task) {
+bool ShardCore::Impl::CountFailure(Task& task, std::uint32_t attempt) {
   Step& step = *task.step;
   Job& job = *step.occurrence->job;
   Task& keeper = step.spec->gang ? step.tasks.front() : task;
-  ++keeper.failures;
+  if (!keeper.failures.Add(attempt)) return false;
   MarkChanged(keeper);
   const std::uint32_t attempt_limit = job.policy.max_attempts;
-  if (attempt_limit == 0 || keeper.failures < attempt_limit) return false;
+  hooks.decided("attempt failed", {{"job", job.id},
+                                   {"step", step.number},
+                                   {"task", task.index},
+                                   {"gang", step.spec->gang},
+                                   {"attempt", attempt},
+                                   {"failures", keeper.failures.count()},
+                                   {"limit", attempt_limit}});
+  if (attempt_limit == 0 || keeper.failures.count() < attempt_limit) {
+    return false;
+  }
   EndJob(job, JobState::kFailed);
   return true;
 }
@@ -461,7 +471,7 @@
   // An end that a former owner has counted may be listed once more.
   const bool was_given_up = task->given_up.erase(end.attempt) > 0;
   if (end.kind == contracts::EndKind::kFailed && was_given_up) {
-    CountFailure(*task);
+    CountFailure(*task, end.attempt);
   }
   if (end.kind != contracts::EndKind::kFinished) return;
   // Once this end is acknowledged the task must not run again.
