Jobs: a failure told late counts under the next owner too

What callers saw: nothing yet; a task could run once more than its queue allows. A worker that was given up tells of a failed run after a change of owner, the end is acknowledged, and the attempt didn't count (BUDGET).

Cause: an owner counted late failures only of attempts that it had given up itself, as it could not tell which ends its predecessor had counted. The attempts that failed are recorded by number now, so that list is needless.

Change: a failure of an unknown run counts if its attempt has not counted yet.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -128,8 +128,6 @@
   std::list<Run> runs;
   // The end of its last run that this owner has followed.
   MonotonicTime idle_since;
-  // Attempts that this owner gave up although their starts may have arrived.
-  std::set<std::uint32_t> given_up;
   // No attempt before: a start of an earlier one may still be carried out.
   MonotonicTime not_before;
   // The worker where the task failed last or from which it was moved.
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -169,10 +169,6 @@
   SetCheckpoint(keeper, checkpoint);
   ReleaseResources(run);
   KeepSpareStarts(run, end);
-  if (run.may_have_arrived &&
-      (end == RunEnd::kLost || end == RunEnd::kNeverStarted)) {
-    task.given_up.insert(run.attempt);
-  }
   const bool was_stalled = run.stop_requested;
   const std::uint32_t attempt = run.attempt;
   if (--job.run_count == 0) job.idle_since = now.steady;
@@ -468,9 +464,7 @@
     return;
   }
   task->step->occurrence->job->started = true;
-  // An end that a former owner has counted may be listed once more.
-  const bool was_given_up = task->given_up.erase(end.attempt) > 0;
-  if (end.kind == contracts::EndKind::kFailed && was_given_up) {
+  if (end.kind == contracts::EndKind::kFailed) {
     CountFailure(*task, end.attempt);
   }
   if (end.kind != contracts::EndKind::kFinished) return;
