Jobs: the next attempt of a gang avoids workers that failed a member

What callers saw: a gang used up its attempts on one bad worker.

Cause: the place of a gang depended on free room only, and a worker that fails all that it starts has the most. The worker to avoid was kept for the task that failed, and used for single tasks only.

Change: a gang keeps the workers on which a member failed, in its record too. They are used only if the others have no room; for that it waits 2.5 s, twice as long after each further attempt, but not when all usable workers have failed it, nor when it is starved while much of the pool is free. Single tasks are placed as before.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -155,6 +155,10 @@
   MonotonicTime ready_at;
   // By worker ID; only for queues that require advice.
   std::map<std::string, Ticket> tickets;
+  // Of a gang: workers on which a member has failed, the latest last. Until the
+  // time it waits for room on others.
+  std::vector<std::string> avoided_workers;
+  MonotonicTime avoided_until;
   // For a standing step with a latency target: the level that the load of its
   // users causes on all its tasks.
   LoadEstimate load;
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -117,6 +117,16 @@
   bool HasWaitingTasks(const Step& step) const;
   void ScheduleStep(Step& step);
   void ScheduleGang(Step& step);
+  // Workers for all members of a gang, in the order of its tasks. Empty when
+  // they don't fit.
+  std::vector<WorkerState*> FindGangWorkers(const Step& step, bool use_avoided);
+  // The same on workers of one rack, or of any if the name is empty.
+  std::vector<WorkerState*> FindGangWorkersIn(const std::string& rack,
+                                              const Step& step,
+                                              bool use_avoided);
+  // Whether a gang that has failed on some workers goes on waiting for room on
+  // others.
+  bool WaitsForOtherWorkers(const Step& step) const;
   // See AdmissionInput::without_room.
   std::optional<Duration> TimeWithoutRoom(const std::string& queue) const;
   // Whether the view of the registry is so old that a worker may have announced
@@ -265,7 +275,11 @@
   void EndRun(Run& run, RunEnd end, const std::string& checkpoint);
   // Counts an attempt that has failed, unless it has been counted before.
   // Returns whether the job has failed with it.
-  bool CountFailure(Task& task, std::uint32_t attempt);
+  bool CountFailure(Task& task, std::uint32_t attempt,
+                    const WorkerState& worker);
+  // The next attempts of the gang avoid the worker, on which a member has
+  // failed.
+  void AvoidForGang(Step& step, const WorkerState& worker);
   // What is left to be done about starts of an ended run that may still be
   // carried out.
   void KeepSpareStarts(const Run& run, RunEnd end);
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -35,6 +35,11 @@
   task.failures.Encode(record);
   record.set_checkpoint(task.checkpoint);
   record.set_finished(task.finished);
+  if (task.index == 0) {
+    for (const std::string& worker : task.step->avoided_workers) {
+      record.add_avoided_workers(worker);
+    }
+  }
   for (const Run& run : task.runs) {
     proto::Run& run_record = *record.add_runs();
     run_record.set_worker(run.worker->id);
@@ -231,6 +236,10 @@
   task.attempt = record.attempt();
   task.failures.Decode(record);
   task.checkpoint = record.checkpoint();
+  if (task.index == 0) {
+    step.avoided_workers = {record.avoided_workers().begin(),
+                            record.avoided_workers().end()};
+  }
   if (record.finished() && !task.finished) {
     task.finished = true;
     ++step.finished;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -61,6 +61,11 @@
 constexpr double kAvoidedPenalty = 5;
 double ToDouble(std::uint64_t value) { return static_cast<double>(value); }
 
+bool IsAvoided(const Step& step, const WorkerState& worker) {
+  return std::find(step.avoided_workers.begin(), step.avoided_workers.end(),
+                   worker.id) != step.avoided_workers.end();
+}
+
 }  // namespace
 
 std::int64_t ShardCore::Impl::ObjectiveOf(const Step& step) const {
@@ -271,50 +276,77 @@
       step.tasks.begin(), step.tasks.end(),
       [this](const Task& task) { return task.not_before > now.steady; });
   if (runs_left || must_wait || step.finished == step.tasks.size()) return;
+  std::vector<WorkerState*> chosen = FindGangWorkers(step, false);
+  if (chosen.empty() && !step.avoided_workers.empty() &&
+      !WaitsForOtherWorkers(step)) {
+    chosen = FindGangWorkers(step, true);
+  }
+  if (chosen.empty()) return;
   std::uint32_t attempt = 0;
   for (const Task& task : step.tasks) attempt = std::max(attempt, task.attempt);
-  // An empty rack name stands for workers of any rack.
-  std::set<std::string> racks = {""};
-  if (step.spec->same_rack) {
-    racks.clear();
-    if (!step.spec->preferred_rack.empty()) {
-      racks.insert(step.spec->preferred_rack);
-    }
-    for (const auto& [id, worker] : workers) racks.insert(worker->entry.rack);
+  for (std::size_t i = 0; i < chosen.size(); ++i) {
+    step.tasks[i].checkpoint = step.tasks.front().checkpoint;
+    Plan(step.tasks[i], *chosen[i], attempt + 1);
+  }
+  RemoveReady(step);
+}
+
+bool ShardCore::Impl::WaitsForOtherWorkers(const Step& step) const {
+  if (now.steady >= step.avoided_until || IsStarved(*step.occurrence->job)) {
+    return false;
   }
+  return std::any_of(
+      workers.begin(), workers.end(), [this, &step](const auto& entry) {
+        return IsUsable(*entry.second, step) && !IsAvoided(step, *entry.second);
+      });
+}
+
+std::vector<WorkerState*> ShardCore::Impl::FindGangWorkers(const Step& step,
+                                                           bool use_avoided) {
+  if (!step.spec->same_rack) return FindGangWorkersIn("", step, use_avoided);
+  std::set<std::string> racks;
+  if (!step.spec->preferred_rack.empty()) {
+    racks.insert(step.spec->preferred_rack);
+  }
+  for (const auto& [id, worker] : workers) racks.insert(worker->entry.rack);
   for (const std::string& rack : racks) {
-    std::vector<WorkerState*> chosen;
-    std::map<WorkerState*, std::uint32_t> planned;
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-      WorkerState* best = nullptr;
-      double best_score = -std::numeric_limits<double>::infinity();
-      for (const auto& [id, worker] : workers) {
-        if (!rack.empty() && worker->entry.rack != rack) continue;
-        if (!IsUsable(*worker, step)) continue;
-        if (NeedsTicket(step) && FindTicket(step, *worker) == nullptr) continue;
-        const std::uint32_t tasks_here = planned[worker.get()];
-        if (!Fits(*worker, step, tasks_here + 1)) continue;
-        if (step.spec->max_per_worker > 0 &&
-            tasks_here + 1 > step.spec->max_per_worker) {
-          continue;
-        }
-        const double score = Score(*worker, step) - tasks_here;
-        if (score <= best_score) continue;
-        best = worker.get();
-        best_score = score;
+    std::vector<WorkerState*> chosen =
+        FindGangWorkersIn(rack, step, use_avoided);
+    if (!chosen.empty()) return chosen;
+  }
+  return {};
+}
+
+std::vector<WorkerState*> ShardCore::Impl::FindGangWorkersIn(
+    const std::string& rack, const Step& step, bool use_avoided) {
+  std::vector<WorkerState*> chosen;
+  std::map<WorkerState*, std::uint32_t> planned;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    WorkerState* best = nullptr;
+    double best_score = -std::numeric_limits<double>::infinity();
+    for (const auto& [id, worker] : workers) {
+      if (!rack.empty() && worker->entry.rack != rack) continue;
+      if (!IsUsable(*worker, step)) continue;
+      const bool is_avoided = IsAvoided(step, *worker);
+      if (is_avoided && !use_avoided) continue;
+      if (NeedsTicket(step) && FindTicket(step, *worker) == nullptr) continue;
+      const std::uint32_t tasks_here = planned[worker.get()];
+      if (!Fits(*worker, step, tasks_here + 1)) continue;
+      if (step.spec->max_per_worker > 0 &&
+          tasks_here + 1 > step.spec->max_per_worker) {
+        continue;
       }
-      if (best == nullptr) break;
-      ++planned[best];
-      chosen.push_back(best);
+      const double score = Score(*worker, step) - tasks_here -
+                           (is_avoided ? kAvoidedPenalty : 0);
+      if (score <= best_score) continue;
+      best = worker.get();
+      best_score = score;
     }
-    if (chosen.size() < step.tasks.size()) continue;
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-      step.tasks[i].checkpoint = step.tasks.front().checkpoint;
-      Plan(step.tasks[i], *chosen[i], attempt + 1);
-    }
-    RemoveReady(step);
-    return;
+    if (best == nullptr) return {};
+    ++planned[best];
+    chosen.push_back(best);
   }
+  return chosen;
 }
 
 bool ShardCore::Impl::IsRegistryStale() const {
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -20,6 +20,13 @@
 constexpr std::uint32_t kFailuresToQuarantine = 3;
 constexpr milliseconds kInitialQuarantine{2500};
 constexpr std::uint32_t kMaxQuarantineDoublings = 3;
+// A gang whose member has failed on a worker waits for room on others for this
+// long, which doubles with each further attempt that fails. Faults of a worker
+// often last for some seconds.
+constexpr milliseconds kInitialGangWait{2500};
+constexpr std::uint32_t kMaxGangWaitDoublings = 2;
+// Bounds the record of a gang.
+constexpr std::size_t kMaxAvoidedWorkers = 16;
 // A task is stalled when it makes no progress for this time and for this share
 // of its estimate.
 constexpr milliseconds kStalledAfter{2200};
@@ -190,24 +197,30 @@
   if (end == RunEnd::kFailed) {
     task.avoided_worker = worker.id;
     if (!was_stalled) RecordFailure(worker, task);
-    if (!step.spec->standing && CountFailure(task, attempt)) return;
+    if (step.spec->gang) AvoidForGang(step, worker);
+    if (!step.spec->standing && CountFailure(task, attempt, worker)) return;
   }
   if (step.spec->gang) StopGang(step, "another gang member ended");
   if (HasWaitingTasks(step)) AddReady(step);
 }
 
-bool ShardCore::Impl::CountFailure(Task& task, std::uint32_t attempt) {
+bool ShardCore::Impl::CountFailure(Task& task, std::uint32_t attempt,
+                                   const WorkerState& worker) {
   Step& step = *task.step;
   Job& job = *step.occurrence->job;
   Task& keeper = step.spec->gang ? step.tasks.front() : task;
   if (!keeper.failures.Add(attempt)) return false;
   MarkChanged(keeper);
+  const std::uint32_t doublings =
+      std::min(keeper.failures.count() - 1, kMaxGangWaitDoublings);
+  step.avoided_until = now.steady + kInitialGangWait * (1 << doublings);
   const std::uint32_t attempt_limit = job.policy.max_attempts;
   hooks.decided("attempt failed", {{"job", job.id},
                                    {"step", step.number},
                                    {"task", task.index},
                                    {"gang", step.spec->gang},
                                    {"attempt", attempt},
+                                   {"worker", worker.id},
                                    {"failures", keeper.failures.count()},
                                    {"limit", attempt_limit}});
   if (attempt_limit == 0 || keeper.failures.count() < attempt_limit) {
@@ -217,6 +230,14 @@
   return true;
 }
 
+void ShardCore::Impl::AvoidForGang(Step& step, const WorkerState& worker) {
+  std::vector<std::string>& avoided = step.avoided_workers;
+  std::erase(avoided, worker.id);
+  if (avoided.size() >= kMaxAvoidedWorkers) avoided.erase(avoided.begin());
+  avoided.push_back(worker.id);
+  MarkChanged(step.tasks.front());
+}
+
 // A longer checkpoint would let a block exceed one record.
 void ShardCore::Impl::SetCheckpoint(Task& task, const std::string& checkpoint) {
   if (!task.step->spec->checkpoints || checkpoint.empty()) return;
@@ -465,7 +486,8 @@
   }
   task->step->occurrence->job->started = true;
   if (end.kind == contracts::EndKind::kFailed) {
-    CountFailure(*task, end.attempt);
+    if (task->step->spec->gang) AvoidForGang(*task->step, worker);
+    CountFailure(*task, end.attempt, worker);
   }
   if (end.kind != contracts::EndKind::kFinished) return;
   // Once this end is acknowledged the task must not run again.
--- a/src/jobs/tests/gang_failure_test.cc
+++ b/src/jobs/tests/gang_failure_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/generated/jobs.pb.h"
@@ -24,6 +25,10 @@
   CPPUNIT_TEST(FailureToldLateCountsAnAttemptAgain);
   CPPUNIT_TEST(GangThatAlwaysFailsIsTriedOn);
   CPPUNIT_TEST(EarlierVersionCountedEachMember);
+  CPPUNIT_TEST(FaultyWorkerUsesUpTheAttempts);
+  CPPUNIT_TEST(FaultyWorkerUsesUpTheAttemptsOfAnotherOwner);
+  CPPUNIT_TEST(FaultyWorkerHasTheOnlyRoomAndUsesUpTheAttempts);
+  CPPUNIT_TEST(GangWaitsForRoomThatNeverComes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -137,7 +142,103 @@
     CheckNextAttemptFinishes(2);
   }
 
+  // Guards against a next attempt on the worker that has just failed a member,
+  // while others have room.
+  void FaultyWorkerUsesUpTheAttempts() {
+    const std::vector<SentStart> members = BeginGang(6);
+    AddWorker("x", 6000);
+    FailOnV(members);
+    CheckAvoidsV(TakeStarts());
+  }
+
+  // Guards against the same when the owner changes between the attempts.
+  void FaultyWorkerUsesUpTheAttemptsOfAnotherOwner() {
+    const std::vector<SentStart> members = BeginGang(6);
+    AddWorker("x", 6000);
+    EndMembersOn("v", members, EndKind::kFailed);
+    bench_.TakeOver();
+    bench_.AnswerHold("v");
+    bench_.AnswerHold("x");
+    EndMembersOn("w", members, EndKind::kGangBroken);
+    CheckAvoidsV(TakeStarts());
+  }
+
+  // Guards against the same when the others are busy: a worker that fails all
+  // that it starts has room at any time.
+  void FaultyWorkerHasTheOnlyRoomAndUsesUpTheAttempts() {
+    const std::vector<SentStart> members = BeginGang(6);
+    FillOtherWorkers();
+    FailOnV(members);
+    for (int i = 0; i < 10; ++i) {
+      KeepOthersRunning();
+      bench_.Store();
+      CPPUNIT_ASSERT(bench_.starts.empty());
+    }
+    const std::vector<SentStart> others = std::exchange(others_, {});
+    for (const char* worker : {"w", "x", "v"}) {
+      EndMembersOn(worker, others, EndKind::kFinished);
+    }
+    CheckAvoidsV(TakeStarts());
+  }
+
+  // Guards against a gang that waits for good: no other worker gets room.
+  void GangWaitsForRoomThatNeverComes() {
+    const std::vector<SentStart> members = BeginGang(6);
+    FillOtherWorkers();
+    FailOnV(members);
+    for (int i = 0; i < 60 && bench_.starts.empty(); ++i) {
+      KeepOthersRunning();
+      bench_.Store();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, bench_.starts.size());
+  }
+
  private:
+  void AddWorker(const std::string& worker, std::uint64_t milli_cpus) {
+    bench_.AddWorker(worker, milli_cpus);
+    bench_.AnswerHold(worker);
+  }
+
+  // Adds worker "x", and runs so many tasks of another job that the gang has no
+  // room without worker "v".
+  void FillOtherWorkers() {
+    AddWorker("x", 6000);
+    bench_.Submit("k", MakeJob(11));
+    bench_.Store();
+    others_ = TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{11}, others_.size());
+  }
+
+  void FailOnV(const std::vector<SentStart>& members) {
+    EndMembersOn("v", members, EndKind::kFailed);
+    EndMembersOn("w", members, EndKind::kGangBroken);
+  }
+
+  static void CheckAvoidsV(const std::vector<SentStart>& members) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, members.size());
+    for (const SentStart& member : members) {
+      CPPUNIT_ASSERT_EQUAL(2U, member.order.attempt);
+      CPPUNIT_ASSERT(member.worker != "v");
+    }
+  }
+
+  void KeepOthersRunning() {
+    bench_.AdvanceTime(milliseconds(200));
+    for (const char* worker : {"v", "w", "x"}) {
+      bench_.AnswerHold(worker, ListOthers(worker));
+    }
+  }
+
+  std::vector<contracts::RunningTask> ListOthers(const std::string& worker) {
+    std::vector<contracts::RunningTask> running;
+    for (const SentStart& start : others_) {
+      if (start.worker != worker) continue;
+      running.push_back(bench_.RunningRow(start));
+      running.back().percent = ++percent_ % 100;
+    }
+    return running;
+  }
+
   // Starts a gang on the workers "v" and "w", each of which has room for half
   // of it twice over.
   std::vector<SentStart> BeginGang(std::uint32_t count) {
@@ -178,7 +279,7 @@
       ended.push_back(bench_.EndedRow(++number, member, kind));
     }
     last_ends_[worker] = number;
-    bench_.AnswerHold(worker, {}, ended);
+    bench_.AnswerHold(worker, ListOthers(worker), ended);
     bench_.Store();
   }
 
@@ -218,6 +319,10 @@
   }
 
   ShardBench bench_;
+  // Runs of another job.
+  std::vector<SentStart> others_;
+  // Of the last run that was listed: it changes from report to report.
+  std::uint32_t percent_ = 0;
   // By worker.
   std::map<std::string, std::uint64_t> last_ends_;
 };
