Jobs: a run that ends before the answer to its only start holds nothing up

What callers saw: a task, or a whole gang, waited 12 s for its next attempt when its end was listed before the answer to its start had been handled, which is usual for members that fail as soon as all are present.

Cause: KeepSpareStarts took a start on its way for one that may still be carried out, also when the run is known to have begun and no other start was sent.

Change: starts on their way are counted with those without an answer; the one that has begun the run is used up. One that is left still delays acknowledgements and attempts.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -97,7 +97,8 @@
   // run is known to have begun, with an answered start if there was one.
   bool HasSpareStart(bool has_begun) const {
     const std::uint32_t used = has_begun && answered_starts == 0 ? 1 : 0;
-    return unanswered_starts > used;
+    const std::uint32_t in_flight = order_in_flight ? 1 : 0;
+    return unanswered_starts + in_flight > used;
   }
   // The last time that the filler was not paused.
   MonotonicTime idle_since;
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -593,10 +593,9 @@
   const bool has_begun =
       end != RunEnd::kNeverStarted &&
       (end != RunEnd::kLost || run.state == RunState::kRunning);
-  const std::uint32_t in_flight = run.order_in_flight ? 1 : 0;
-  if (!run.HasSpareStart(has_begun) && in_flight == 0) return;
+  if (!run.HasSpareStart(has_begun)) return;
   const MonotonicTime until =
-      (in_flight > 0 ? run.ordered_at : run.unanswered_start_at) +
+      (run.order_in_flight ? run.ordered_at : run.unanswered_start_at) +
       options.max_order_delay;
   WorkerState& worker = *run.worker;
   worker.spare_starts_until = std::max(worker.spare_starts_until, until);
--- a/src/jobs/tests/restarted_worker_test.cc
+++ b/src/jobs/tests/restarted_worker_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(LateAcknowledgementReachesAWorkerThatWasForgotten);
   CPPUNIT_TEST(LateHoldReachesAWorkerThatWasForgotten);
   CPPUNIT_TEST(WaitingAcknowledgementEndsAGangThatStarts);
+  CPPUNIT_TEST(EndBeforeTheAnswerToItsStartDelaysTheNextAttempt);
+  CPPUNIT_TEST(EndBeforeTheAnswerToACopyLetsThatRunBesideTheNextAttempt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -357,6 +359,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent);
   }
 
+  // Guards against a wait for the only start that was sent, which has begun the
+  // run.
+  void EndBeforeTheAnswerToItsStartDelaysTheNextAttempt() {
+    const SentStart start = SubmitTask("j", "fails 20");
+    const contracts::OrderAnswer answer = worker_->Start(start.order);
+    Advance(kStep);
+    Hold();
+    Answer(start, answer);
+    bench_->Store();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench_->starts.size());
+    CPPUNIT_ASSERT_EQUAL(2U, bench_->starts[0].order.attempt);
+  }
+
+  // Guards against the opposite: the run began with an earlier start, so the
+  // one on its way is left.
+  void EndBeforeTheAnswerToACopyLetsThatRunBesideTheNextAttempt() {
+    const SentStart start = SubmitTask("j", "fails 100");
+    LoseAnswer(start);
+    Advance(milliseconds(100));
+    const SentStart copy = bench_->TakeStarts().at(0);
+    CPPUNIT_ASSERT_EQUAL(1U, copy.order.attempt);
+    Hold();
+    bench_->Store();
+    worker_->Crash();
+    worker_->Start(copy.order);
+    for (int i = 0; i < 20; ++i) {
+      for (const SentStart& next : bench_->TakeStarts()) {
+        CPPUNIT_ASSERT_EQUAL(1U, next.order.attempt);
+      }
+      Advance(kStep);
+      bench_->Store();
+    }
+  }
+
  private:
   // The longest that a worker grants.
   static constexpr milliseconds kLongestLease{10000};
