Jobs: a starved gang of fillers is placed beside slowed-down tasks too

What callers saw: a job whose step is a gang of fillers waited for good while each worker had a standing task near its latency target, with most of the processors free.

Cause: ScheduleGang had no part for starved jobs.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -118,9 +118,11 @@
   void ScheduleStep(Step& step);
   void ScheduleGang(Step& step);
   // Workers for all members of a gang, in the order of its tasks. Empty when
-  // they don't fit.
+  // they don't fit, or when the gang waits for others than those on which it
+  // has failed.
+  std::vector<WorkerState*> ChooseGangWorkers(const Step& step);
   std::vector<WorkerState*> FindGangWorkers(const Step& step, bool use_avoided);
-  // The same on workers of one rack, or of any if the name is empty.
+  // On workers of one rack, or of any if the name is empty.
   std::vector<WorkerState*> FindGangWorkersIn(const std::string& rack,
                                               const Step& step,
                                               bool use_avoided);
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -276,10 +276,11 @@
       step.tasks.begin(), step.tasks.end(),
       [this](const Task& task) { return task.not_before > now.steady; });
   if (runs_left || must_wait || step.finished == step.tasks.size()) return;
-  std::vector<WorkerState*> chosen = FindGangWorkers(step, false);
-  if (chosen.empty() && !step.avoided_workers.empty() &&
-      !WaitsForOtherWorkers(step)) {
-    chosen = FindGangWorkers(step, true);
+  std::vector<WorkerState*> chosen = ChooseGangWorkers(step);
+  if (chosen.empty() && IsStarved(*step.occurrence->job)) {
+    ignore_slowdown = true;
+    chosen = ChooseGangWorkers(step);
+    ignore_slowdown = false;
   }
   if (chosen.empty()) return;
   std::uint32_t attempt = 0;
@@ -291,6 +292,16 @@
   RemoveReady(step);
 }
 
+std::vector<WorkerState*> ShardCore::Impl::ChooseGangWorkers(
+    const Step& step) {
+  std::vector<WorkerState*> chosen = FindGangWorkers(step, false);
+  if (chosen.empty() && !step.avoided_workers.empty() &&
+      !WaitsForOtherWorkers(step)) {
+    chosen = FindGangWorkers(step, true);
+  }
+  return chosen;
+}
+
 bool ShardCore::Impl::WaitsForOtherWorkers(const Step& step) const {
   if (now.steady >= step.avoided_until || IsStarved(*step.occurrence->job)) {
     return false;
--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(GangStartsTogetherUnderOneAttempt);
   CPPUNIT_TEST(MaxPerWorkerIsKept);
   CPPUNIT_TEST(FillerIsNotStarvedWhileThePoolHasFreeCpus);
+  CPPUNIT_TEST(GangOfFillersIsStarvedWhileThePoolHasFreeCpus);
   CPPUNIT_TEST(NothingIsAcknowledgedAfterAnUnansweredHold);
   CPPUNIT_TEST(FullLargePoolIsNotRescannedAfterEachEnd);
   CPPUNIT_TEST(WorkersOfALargePoolReportTooOften);
@@ -843,6 +844,23 @@
   }
 
   void FillerIsNotStarvedWhileThePoolHasFreeCpus() {
+    JobSpec filler = MakeJob(1);
+    filler.steps[0].fills = true;
+    StartBesideABusyStandingTask(filler);
+  }
+
+  // Guards against a gang that waits for good, as each worker has a standing
+  // task near its target.
+  void GangOfFillersIsStarvedWhileThePoolHasFreeCpus() {
+    JobSpec fillers = MakeJob(2);
+    fillers.steps[0].fills = true;
+    fillers.steps[0].gang = true;
+    StartBesideABusyStandingTask(fillers);
+  }
+
+  // Submits fillers beside a standing task near its target, and checks that all
+  // start within 2 s.
+  static void StartBesideABusyStandingTask(JobSpec filler) {
     ShardBench bench;
     bench.AddWorker("w");
     bench.AnswerHold("w");
@@ -854,11 +872,8 @@
     bench.Store();
     const SentStart start = bench.TakeStarts().at(0);
     bench.ConfirmStart(start);
-    JobSpec filler = MakeJob(1);
-    filler.steps[0].fills = true;
     filler.steps[0].image = "filler";
     bench.Submit("f", filler);
-    // The standing task stays near its target.
     for (int i = 0; i < 40; ++i) {
       contracts::RunningTask row = bench.RunningRow(start);
       row.percent = 100;
@@ -869,7 +884,8 @@
       if (!bench.starts.empty()) break;
       bench.AdvanceTime(milliseconds(50));
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{filler.steps[0].count},
+                         bench.starts.size());
   }
 
   void JobIsPendingUntilAStartIsConfirmed() {
