Leases: a new owner knows which young incarnations were followed

Cause: a new owner counts the longest lease (10 s) of each worker that was born within 52 s, since an order for an earlier incarnation may have set it. It could not know that there was none.

Change: owners record the young incarnations that no order for an earlier one can have reached (ADR 0040): the shard's first owner knows this of all, a later one of those that are recorded, and of all once the orders and leases of former owners are over. A worker that restarts or is not registered for a while is taken out. For the others the longest lease counts as before.

--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -143,6 +143,7 @@
     if (is_idle) {
       // Orders on their way must not reach an incarnation that comes back.
       if (state.contact_at.has_value()) {
+        impl_->restarted_ids.insert(state.id);
         impl_->RaiseToken(state, impl_->options.token_count,
                           "worker not registered");
       }
@@ -400,7 +401,7 @@
     worker.lease_end = answer.clock.value_or(contracts::WorkerClock(0));
     // Runs that a former owner started may have the longest lease.
     if (!has_restarted) {
-      worker.lease_end += impl_->IsNewborn(answer.born_ms)
+      worker.lease_end += impl_->MayHaveForeignLease(worker, answer.born_ms)
                               ? impl_->options.longest_lease
                               : impl_->options.max_lease;
     }
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -334,9 +334,18 @@
   // How long leases on a worker that does not answer may still last, allowing
   // for the drift of its clock.
   Duration LeaseWait(const WorkerState& worker) const;
-  // Whether an order for a former incarnation may still be carried out, or the
-  // lease that it set may last.
+  // Whether the incarnation is so young that an order for an earlier one may
+  // still be carried out, or the lease that it set may last.
   bool IsNewborn(contracts::Incarnation incarnation) const;
+  // Whether an order for an earlier incarnation of the worker may have set the
+  // leases of this one, which are then the longest that workers grant.
+  bool MayHaveForeignLease(const WorkerState& worker,
+                           contracts::Incarnation incarnation) const;
+  // Those that a successor needs to know of have no such leases.
+  std::map<std::string, contracts::Incarnation> FollowedIncarnations() const;
+  bool NeedsToStoreIncarnations() const;
+  bool RestoreIncarnations(const std::string& bytes);
+  std::string TakeIncarnations();
   // A new incarnation has answered. Orders for the former one may have set its
   // lease, and may do so until it refuses them.
   void OnRestarted(WorkerState& worker);
@@ -487,6 +496,15 @@
   std::set<std::string> stored_lease_waits;
   std::optional<std::set<std::string>> storing_lease_waits;
   bool store_lease_waits = false;
+  // By worker ID, the incarnations in the stored record or the one that is
+  // being stored: see FollowedIncarnations.
+  std::map<std::string, contracts::Incarnation> stored_incarnations;
+  bool store_incarnations = false;
+  // As a former owner stored them.
+  std::map<std::string, contracts::Incarnation> restored_incarnations;
+  // IDs whose worker has restarted, or was not registered for a while, under
+  // this owner.
+  std::set<std::string> restarted_ids;
   // By worker, the waits that a former owner stored.
   std::map<std::string, Duration> restored_lease_waits;
   // By name, the latest answer of each node.
--- a/src/jobs/internal/shard_leases.cc
+++ b/src/jobs/internal/shard_leases.cc
@@ -35,6 +35,9 @@
 constexpr std::size_t kMaxLeaseWaitsBytes = std::size_t{64} * 1024;
 // Of an entry of the record, besides the worker's ID.
 constexpr std::size_t kLeaseWaitBytes = 10;
+// As kMaxLeaseWaitsBytes and kLeaseWaitBytes, of the record of incarnations.
+constexpr std::size_t kMaxIncarnationsBytes = std::size_t{64} * 1024;
+constexpr std::size_t kIncarnationBytes = 12;
 
 // An order that is neither lost nor held up arrives within this time.
 constexpr milliseconds kUsualOrderDelay{500};
@@ -154,7 +157,81 @@
          options.max_order_delay + options.longest_lease + kWallClockMargin;
 }
 
+bool ShardCore::Impl::MayHaveForeignLease(
+    const WorkerState& worker, contracts::Incarnation incarnation) const {
+  if (!IsNewborn(incarnation)) return false;
+  if (restarted_ids.contains(worker.id)) return true;
+  if (!options.has_former_owners) return false;
+  const Duration longest = options.max_order_delay +
+                           OnSlowestClock(options.longest_lease) +
+                           kLeaseEndMargin;
+  if (former_owners_stopped_at.has_value() &&
+      now.steady - *former_owners_stopped_at > longest) {
+    return false;
+  }
+  const auto known = restored_incarnations.find(worker.id);
+  return known == restored_incarnations.end() || known->second != incarnation;
+}
+
+std::map<std::string, contracts::Incarnation>
+ShardCore::Impl::FollowedIncarnations() const {
+  std::map<std::string, contracts::Incarnation> followed;
+  std::size_t bytes = 0;
+  for (const auto& [id, worker] : workers) {
+    if (!worker->listed || !worker->contact_at.has_value() ||
+        worker->restart_suspected ||
+        worker->entry.incarnation != worker->born_ms ||
+        !IsNewborn(worker->born_ms) ||
+        MayHaveForeignLease(*worker, worker->born_ms)) {
+      continue;
+    }
+    bytes += id.size() + kIncarnationBytes;
+    if (bytes > kMaxIncarnationsBytes) break;
+    followed.emplace(id, worker->born_ms);
+  }
+  return followed;
+}
+
+bool ShardCore::Impl::NeedsToStoreIncarnations() const {
+  const bool some_restarted =
+      std::any_of(stored_incarnations.begin(), stored_incarnations.end(),
+                  [this](const auto& stored) {
+                    return restarted_ids.contains(stored.first);
+                  });
+  if (some_restarted) return true;
+  const std::map<std::string, contracts::Incarnation> followed =
+      FollowedIncarnations();
+  return std::any_of(followed.begin(), followed.end(),
+                     [this](const auto& each) {
+                       const auto stored = stored_incarnations.find(each.first);
+                       return stored == stored_incarnations.end() ||
+                              stored->second != each.second;
+                     });
+}
+
+bool ShardCore::Impl::RestoreIncarnations(const std::string& bytes) {
+  proto::FollowedIncarnations record;
+  if (!record.ParseFromString(bytes)) return false;
+  for (const proto::FollowedIncarnations::Worker& worker : record.workers()) {
+    restored_incarnations[worker.id()] = worker.incarnation();
+  }
+  stored_incarnations = restored_incarnations;
+  return true;
+}
+
+std::string ShardCore::Impl::TakeIncarnations() {
+  stored_incarnations = FollowedIncarnations();
+  proto::FollowedIncarnations record;
+  for (const auto& [id, incarnation] : stored_incarnations) {
+    proto::FollowedIncarnations::Worker& worker = *record.add_workers();
+    worker.set_id(id);
+    worker.set_incarnation(incarnation);
+  }
+  return record.SerializeAsString();
+}
+
 void ShardCore::Impl::OnRestarted(WorkerState& worker) {
+  restarted_ids.insert(worker.id);
   worker.foreign_leases_until = worker.leased_at + options.max_order_delay +
                                 OnSlowestClock(options.longest_lease) +
                                 kLeaseEndMargin;
@@ -180,8 +257,9 @@
       restored_at + options.former_owner_timeout);
   const Duration wait =
       last_order +
-      OnSlowestClock(IsNewborn(worker.entry.incarnation) ? options.longest_lease
-                                                         : options.max_lease) +
+      OnSlowestClock(MayHaveForeignLease(worker, worker.entry.incarnation)
+                         ? options.longest_lease
+                         : options.max_lease) +
       kLeaseEndMargin - now.steady;
   const auto stored = restored_lease_waits.find(worker.id);
   if (stored == restored_lease_waits.end()) return wait;
@@ -267,7 +345,8 @@
 }
 
 bool ShardCore::Impl::HasLeaseRecords() const {
-  return store_witnesses || store_node_witnesses || store_lease_waits;
+  return store_witnesses || store_node_witnesses || store_lease_waits ||
+         store_incarnations;
 }
 
 void ShardCore::Impl::AddLeaseRecords(Batch& batch) {
@@ -282,6 +361,9 @@
   if (std::exchange(store_lease_waits, false)) {
     batch.records.push_back({kLeaseWaitsKey, TakeLeaseWaits()});
   }
+  if (std::exchange(store_incarnations, false)) {
+    batch.records.push_back({kIncarnationsKey, TakeIncarnations()});
+  }
 }
 
 void ShardCore::Impl::OnLeaseRecordsStored() {
@@ -362,6 +444,7 @@
       workers.begin(), workers.end(),
       [this](const auto& entry) { return IsLeaseWaitRecorded(*entry.second); });
   if (has_lease_waits || !stored_lease_waits.empty()) store_lease_waits = true;
+  if (NeedsToStoreIncarnations()) store_incarnations = true;
   if (HasLeaseRecords() && hooks.changed) hooks.changed();
 }
 
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -162,6 +162,12 @@
     }
     return;
   }
+  if (key == kIncarnationsKey) {
+    if (record.value.has_value() && !RestoreIncarnations(*record.value)) {
+      throw Error(kRestoreStep, record.key, "malformed record of incarnations");
+    }
+    return;
+  }
   const bool is_job = key.starts_with(kJobPrefix);
   const bool is_progress = key.starts_with(kProgressPrefix);
   if (!is_job && !is_progress) {
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -292,8 +292,7 @@
   RemoveReady(step);
 }
 
-std::vector<WorkerState*> ShardCore::Impl::ChooseGangWorkers(
-    const Step& step) {
+std::vector<WorkerState*> ShardCore::Impl::ChooseGangWorkers(const Step& step) {
   std::vector<WorkerState*> chosen = FindGangWorkers(step, false);
   if (chosen.empty() && !step.avoided_workers.empty() &&
       !WaitsForOtherWorkers(step)) {
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -12,8 +12,8 @@
 using contracts::WorkerClock;
 using std::chrono::milliseconds;
 
-// A block of a divided job then takes at most 70 KB, a quarter of the smallest
-// record that the stream must accept.
+// A block of a divided job then takes at most 83 KB, below the smallest record
+// that the stream must accept.
 constexpr std::size_t kMaxCheckpointBytes = 256;
 // Consecutive failures, of more than one job, after which a worker is
 // quarantined.
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -22,6 +22,7 @@
 inline constexpr char kWitnessesKey[] = "m/witnesses";
 inline constexpr char kNodeWitnessesKey[] = "m/node-witnesses";
 inline constexpr char kLeaseWaitsKey[] = "m/lease-waits";
+inline constexpr char kIncarnationsKey[] = "m/incarnations";
 
 proto::Step EncodeStep(const StepSpec& step);
 StepSpec DecodeStep(const proto::Step& step);
--- a/src/jobs/tests/jobs_fuzz_test.cc
+++ b/src/jobs/tests/jobs_fuzz_test.cc
@@ -432,6 +432,7 @@
         ShardOptions{.token = owner->token,
                      .token_count = kTokensPerOwner,
                      .node = WitnessOf(owner->node),
+                     .has_former_owners = !owners_.empty(),
                      .former_owners_need_nodes = true,
                      .longest_lease = kLongestLease,
                      .keep_ended = kKeepEnded,
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -37,6 +37,7 @@
                    .token_count = kTokenCount,
                    .node = own_node.value_or(
                        Witness{.id = "node-" + std::to_string(token)}),
+                   .has_former_owners = !is_first_owner,
                    .former_owners_need_nodes = former_owners_need_nodes,
                    .longest_lease = std::chrono::milliseconds(10000),
                    .max_starts_in_flight = max_starts_in_flight,
@@ -147,7 +148,7 @@
   now.steady += std::chrono::milliseconds(1);
   answer.outcome = contracts::OrderOutcome::kDone;
   answer.clock = Clock();
-  answer.born_ms = 1;
+  answer.born_ms = born_ms;
   core->OnHold(worker, plan.order, answer, sent_at, now);
 }
 
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -123,6 +123,10 @@
   double far_factor = 1;
   // Whether owners that start from here on have no configuration.
   bool config_unread = false;
+  // Whether owners that start from here on have no predecessor.
+  bool is_first_owner = false;
+  // The incarnation of workers that answer.
+  contracts::Incarnation born_ms = 1;
   // Whether the registry is not read while time passes.
   bool registry_unread = false;
   std::unique_ptr<ShardCore> core;
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -34,6 +34,8 @@
   std::optional<MonotonicTime> confirmed_at;
   // The node of this owner; it stands by its own owner.
   Witness node;
+  // Whether the shard had an owner before.
+  bool has_former_owners = true;
   // Whether no former owner extends leases without being confirmed by nodes.
   bool former_owners_need_nodes = false;
   // Longest lease that this owner asks for.
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -50,6 +50,8 @@
 // Earlier owners that may still believe they own the shard.
 struct FormerOwners {
   std::set<std::string> names;
+  // Whether the shard had an owner before, of whichever node.
+  bool any = true;
   // Whether all of them extend leases without the store only while nodes
   // confirm them.
   bool need_nodes = true;
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -30,8 +30,8 @@
 
 FormerOwners FindFormerOwners(const std::optional<OwnerClaim>& previous,
                               const std::string& node, WallTime now) {
-  FormerOwners former;
-  if (!previous.has_value()) return former;
+  FormerOwners former{.any = previous.has_value()};
+  if (!former.any) return former;
   former.need_nodes = previous->needs_nodes;
   if (now - previous->claimed_at < kFormerOwnerRetention) {
     former.names.insert(previous->former.begin(), previous->former.end());
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -69,12 +69,13 @@
 jobs::ShardOptions MakeShardOptions(const NodeSettings& settings,
                                     contracts::FencingToken token,
                                     std::int64_t incarnation,
-                                    bool former_owners_need_nodes) {
+                                    const FormerOwners& former) {
   return {.token = token,
           .token_count = kTokensPerClaim,
           .confirmed_at = LeaseNow(),
           .node = {.id = settings.name, .incarnation = incarnation},
-          .former_owners_need_nodes = former_owners_need_nodes,
+          .has_former_owners = former.any,
+          .former_owners_need_nodes = former.need_nodes,
           .max_lease = std::min(settings.max_lease, kMaxLease),
           .longest_lease = settings.max_lease,
           .keep_ended = settings.keep_ended,
@@ -346,14 +347,13 @@
 void NodeProcess::StartOwning() {
   owner_ = MakeRef<Owner>(
       context_.get_executor(), store_, workers_, advice_, vms_,
-      OwnerOptions{
-          .shard = MakeShardOptions(settings_, election_.claim().token,
-                                    incarnation_, former_owners_.need_nodes),
-          .stream = {.name = kShardStream},
-          .registry = settings_.registry_stream,
-          .status = settings_.status_stream,
-          .holder = settings_.name,
-          .order_timeout = kOrderTimeout},
+      OwnerOptions{.shard = MakeShardOptions(settings_, election_.claim().token,
+                                             incarnation_, former_owners_),
+                   .stream = {.name = kShardStream},
+                   .registry = settings_.registry_stream,
+                   .status = settings_.status_stream,
+                   .holder = settings_.name,
+                   .order_timeout = kOrderTimeout},
       OwnerHooks{.encode_wave = services_.encode_wave,
                  .decode_worker =
                      [this](const contracts::KeyedRecord& record) {
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -521,12 +521,15 @@
   void FirstOwnerCountsAsSucceedingAnEarlierVersion() {
     const WallTime now{std::chrono::hours(1)};
     FormerOwners former = FindFormerOwners(std::nullopt, "a", now);
-    CPPUNIT_ASSERT(former.names.empty() && former.need_nodes);
+    CPPUNIT_ASSERT(former.names.empty() && former.need_nodes && !former.any);
     const OwnerClaim first{.token = 1,
                            .node = "a",
                            .claimed_at = now,
                            .needs_nodes = true,
                            .former_need_nodes = former.need_nodes};
+    // The process before may have sent orders that are still on their way.
+    former = FindFormerOwners(first, "a", now + std::chrono::seconds(1));
+    CPPUNIT_ASSERT(former.names.empty() && former.any);
     former = FindFormerOwners(first, "b", now + std::chrono::seconds(1));
     CPPUNIT_ASSERT(former.names == std::set<std::string>{"a"});
     CPPUNIT_ASSERT(former.need_nodes);
