Waves: a new owner keeps the lease of the former one's orders

Cause: a new owner repeats each order whose outcome isn't stored as soon as the VM is up, and nothing read lease-ms.

Change: a VM that the stored progress of any wave names gets no order until lease-ms and the time-out of an order have passed since the restoration, or since a former owner was heard to have stopped. Other VMs are ordered at once.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -20,9 +20,21 @@
 
 }  // namespace
 
-MaintenanceCore::MaintenanceCore(MaintenanceHooks hooks,
-                                 std::map<std::uint64_t, WaveProgress> restored)
-    : hooks_(std::move(hooks)), restored_(std::move(restored)) {}
+MaintenanceCore::MaintenanceCore(MaintenanceHooks hooks, FormerWaves former)
+    : hooks_(std::move(hooks)),
+      restored_(std::move(former.progress)),
+      former_orders_until_(former.orders_until) {}
+
+void MaintenanceCore::ExtendFormerOrders(MonotonicTime until) {
+  former_orders_until_ = std::max(former_orders_until_, until);
+}
+
+bool MaintenanceCore::IsLeftToFormerOwner(const std::string& vm) const {
+  return now_ < former_orders_until_ &&
+         std::any_of(
+             restored_.begin(), restored_.end(),
+             [&vm](const auto& wave) { return wave.second.contains(vm); });
+}
 
 void MaintenanceCore::SetWave(const Wave& wave) {
   if (waves_.contains(wave.number)) return;
@@ -153,6 +165,7 @@
     // tasks on the same one under an earlier owner.
     vm.later_worker = entry.worker;
     if (entry.up && !list_is_stale_ && !is_outdated() &&
+        !IsLeftToFormerOwner(name) &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.order_in_flight = true;
       hooks_.maintain(name, wave.wave.number);
@@ -215,6 +228,7 @@
 }
 
 void MaintenanceCore::Tick(MonotonicTime now) {
+  now_ = now;
   bool has_open_wave = false;
   for (const auto& [number, wave] : waves_) {
     has_open_wave = has_open_wave || !wave.completed;
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -34,11 +34,21 @@
   std::function<void(std::uint64_t wave, bool completed)> report_wave;
 };
 
+// What earlier owners have left.
+struct FormerWaves {
+  // All progress that they stored, by wave.
+  std::map<std::uint64_t, WaveProgress> progress;
+  // Until when a VM that they may have ordered down gets no order of another
+  // owner.
+  MonotonicTime orders_until;
+};
+
 class MaintenanceCore {
  public:
-  // `restored`: all progress that earlier owners stored, by wave.
-  MaintenanceCore(MaintenanceHooks hooks,
-                  std::map<std::uint64_t, WaveProgress> restored);
+  MaintenanceCore(MaintenanceHooks hooks, FormerWaves former);
+
+  // Extends FormerWaves::orders_until: an earlier owner has stopped only now.
+  void ExtendFormerOrders(MonotonicTime until);
 
   // Adds a wave; a wave with the number of an earlier one is ignored.
   void SetWave(const Wave& wave);
@@ -97,6 +107,9 @@
                  std::size_t& down, std::size_t& draining);
   void Store(WaveState& wave);
   void Cordon();
+  // Whether an earlier owner may have ordered the VM's maintenance so recently
+  // that this one must not.
+  bool IsLeftToFormerOwner(const std::string& vm) const;
 
   MaintenanceHooks hooks_;
   // Number of calls of MaintenanceHooks::store.
@@ -104,7 +117,10 @@
   // Number of them whose progress is durable.
   std::uint64_t stored_ = 0;
   std::map<std::uint64_t, WaveState> waves_;
-  std::map<std::uint64_t, WaveProgress> restored_;
+  const std::map<std::uint64_t, WaveProgress> restored_;
+  MonotonicTime former_orders_until_;
+  // The time of the last Tick.
+  MonotonicTime now_;
   std::map<std::string, contracts::WorkerVm> listed_vms_;
   std::set<std::string> cordoned_;
   // When a list was last requested, and when the one in `listed_vms_` was.
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -9,7 +9,8 @@
 namespace {
 
 struct Fixture {
-  explicit Fixture(std::map<std::uint64_t, WaveProgress> restored = {})
+  explicit Fixture(std::map<std::uint64_t, WaveProgress> restored = {},
+                   Duration former_orders = Duration::zero())
       : core({.list_vms = [this] { ++list_requests; },
               .maintain = [this](const std::string& vm,
                                  std::uint64_t) { maintained.push_back(vm); },
@@ -31,7 +32,8 @@
                     completed = done;
                     reports.push_back(done);
                   }},
-             std::move(restored)) {}
+             {.progress = std::move(restored),
+              .orders_until = now + former_orders}) {}
 
   void DeliverList(const std::string& a, const std::string& b) {
     core.OnVmList({.ok = true,
@@ -89,9 +91,52 @@
   CPPUNIT_TEST(VmThatWasMaintainedBeforeStaysOutOfUse);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
+  CPPUNIT_TEST(NewOwnerOrdersWithinTheLeaseOfTheOwnerBefore);
+  CPPUNIT_TEST(NewOwnerOrdersWithinTheLeaseForALaterWave);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against orders of two owners, who are both in contact, for one VM
+  // within the time that one of them may count on.
+  void NewOwnerOrdersWithinTheLeaseOfTheOwnerBefore() {
+    Fixture fixture({{1, {{"a", {.worker = "wa"}}}}}, std::chrono::seconds(4));
+    fixture.core.SetWave({.number = 1, .vms = {"a", "b"}, .max_parallel = 2});
+    fixture.Tick();
+    fixture.DeliverList("wa", "wb");
+    fixture.Tick();
+    fixture.StoreAndTick();
+    // The owner before can't have ordered "b".
+    CPPUNIT_ASSERT(fixture.maintained == std::vector<std::string>{"b"});
+    // The owner before is heard to stop only now.
+    fixture.core.ExtendFormerOrders(fixture.now + std::chrono::seconds(4));
+    for (int i = 0; i < 3; ++i) {
+      fixture.DeliverList("wa", "wb2");
+      fixture.Tick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    fixture.DeliverList("wa", "wb2");
+    fixture.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), fixture.maintained.back());
+  }
+
+  // Guards against the same for another wave than that of the owner before.
+  void NewOwnerOrdersWithinTheLeaseForALaterWave() {
+    Fixture fixture({{1, {{"a", {.worker = "wa", .done = true}}}}},
+                    std::chrono::seconds(4));
+    fixture.core.SetWave({.number = 2, .vms = {"a"}});
+    fixture.Tick();
+    for (int i = 0; i < 2; ++i) {
+      fixture.DeliverList("wa", "wb");
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT(fixture.maintained.empty());
+    for (int i = 0; i < 2; ++i) {
+      fixture.DeliverList("wa", "wb");
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+  }
+
   // VM "c" is newer than the only list, which was read for an earlier wave.
   void ListFromBeforeTheWaveCompletesIt() {
     Fixture fixture;
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -353,6 +353,7 @@
                    .registry = settings_.registry_stream,
                    .status = settings_.status_stream,
                    .holder = settings_.name,
+                   .vm_order_lease = settings_.vm_order_lease,
                    .order_timeout = kOrderTimeout},
       OwnerHooks{.encode_wave = services_.encode_wave,
                  .decode_worker =
@@ -514,6 +515,7 @@
     // These take effect when this node next becomes the owner: granted leases
     // and known jobs are based on the former values.
     settings_.max_lease = new_settings.max_lease;
+    settings_.vm_order_lease = new_settings.vm_order_lease;
     settings_.keep_ended = new_settings.keep_ended;
     settings_.stop_time = new_settings.stop_time;
     settings_.far_factor = new_settings.far_factor;
--- a/src/node/internal/owner.cc
+++ b/src/node/internal/owner.cc
@@ -157,10 +157,17 @@
 void Owner::StartMaintenance() {
   if (vms_ == nullptr) return;
   maintenance_ = std::make_unique<maintenance::MaintenanceCore>(
-      MakeMaintenanceHooks(), std::move(restored_waves_));
+      MakeMaintenanceHooks(),
+      maintenance::FormerWaves{.progress = std::move(restored_waves_),
+                               .orders_until = FormerVmOrdersUntil()});
   for (const auto& [number, wave] : waves_) maintenance_->SetWave(wave);
 }
 
+MonotonicTime Owner::FormerVmOrdersUntil() const {
+  // An order on its way arrives within its timeout, or has no answer.
+  return LeaseNow() + options_.append_timeout + options_.vm_order_lease;
+}
+
 asio::awaitable<void> Owner::ListVms(Ref<Owner> self) {
   const contracts::VmList list =
       co_await self->vms_->List(self->options_.append_timeout);
@@ -271,6 +278,8 @@
 
 void Owner::OnFormerOwnersStopped() {
   core_->OnFormerOwnersStopped(ShardNow());
+  if (maintenance_ == nullptr) return;
+  maintenance_->ExtendFormerOrders(FormerVmOrdersUntil());
 }
 
 void Owner::OnNodeAnswered(const jobs::WitnessCandidate& node,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,6 +38,8 @@
   contracts::StreamId registry_stream;
   contracts::StreamId status_stream;
   std::chrono::milliseconds max_lease{6000};
+  // Minimum time between orders of two owners for the same VM.
+  std::chrono::milliseconds vm_order_lease{3000};
   // How long the state of an ended job is kept.
   std::chrono::milliseconds keep_ended{120000};
   // Maximum time that a worker takes to end a run once it has confirmed a stop.
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -33,6 +33,8 @@
   contracts::StreamId status;
   // Identifies the owner to the VM service when it orders maintenance.
   std::string holder;
+  // Minimum time between orders of two owners for the same VM.
+  Duration vm_order_lease = std::chrono::seconds(3);
   Duration order_timeout;
   Duration append_timeout = std::chrono::milliseconds(700);
   // For reading a page of the stream. A page has up to 1 MB, which takes 0.9 s
@@ -119,6 +121,9 @@
   void RestoreWave(const contracts::KeyedRecord& record);
   // To be called once, with all that was restored.
   void StartMaintenance();
+  // When the VM service takes an order of this owner for a VM that a former
+  // owner has ordered down, if that stops now.
+  MonotonicTime FormerVmOrdersUntil() const;
   boost::asio::awaitable<void> StoreChanges();
   boost::asio::awaitable<bool> Append(
       std::vector<contracts::KeyedRecord> records);
