Jobs: tasks wait for the rack of their data only while it has workers

Cause: a task kept to that rack for (far-x - 1) times its estimate, whether or not a worker was left there, and also when its job was starved. Evidence: the wait was 2 x 10 s; the registry had dropped the workers 6 s before.

Change: the rack holds a task back only while a worker there accepts it, and until the job is starved.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -166,6 +166,9 @@
   };
   std::optional<double> ScoreIfEligible(WorkerState& worker,
                                         const Step& step) const;
+  // Whether the step's tasks wait for room in the rack of their data, which has
+  // a worker that accepts them.
+  bool WaitsForDataRack(const Step& step) const;
   // Eligible workers with their scores: all of a small pool, or enough of a
   // large one.
   std::vector<Candidate> Rank(const Step& step);
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -510,14 +510,29 @@
          worker.failures_in_row;
 }
 
+bool ShardCore::Impl::WaitsForDataRack(const Step& step) const {
+  const StepSpec& spec = *step.spec;
+  // A standing task never gains back the time that it has waited.
+  if (spec.standing || spec.preferred_rack.empty()) return false;
+  // A longer wait costs more than another rack.
+  const milliseconds longest_wait(static_cast<std::int64_t>(
+      (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
+  if (now.steady - step.ready_at >= longest_wait ||
+      IsStarved(*step.occurrence->job)) {
+    return false;
+  }
+  return std::any_of(workers.begin(), workers.end(),
+                     [this, &step](const auto& entry) {
+                       const WorkerState& worker = *entry.second;
+                       return worker.entry.rack == step.spec->preferred_rack &&
+                              IsUsable(worker, step);
+                     });
+}
+
 std::vector<ShardCore::Impl::Candidate> ShardCore::Impl::Rank(
     const Step& step) {
   const StepSpec& spec = *step.spec;
-  const milliseconds locality_wait(static_cast<std::int64_t>(
-      (options.far_factor - 1) * static_cast<double>(spec.estimate.count())));
-  // A standing task never gains back the time that it has waited.
-  const bool data_rack_only = !spec.standing && !spec.preferred_rack.empty() &&
-                              now.steady - step.ready_at < locality_wait;
+  const bool data_rack_only = WaitsForDataRack(step);
   // The racks of the data and workers to avoid need a look at the whole pool.
   const std::size_t enough =
       spec.preferred_rack.empty()
