Nodes: a line for each claim of the shard, with its reason

Why the small twins change their owner every 1.5 to 4 s could not be read from the nodes' lines: "hand over" explains 5 of 20 changes, and nothing said why the next owner claimed. "claim" tells the reason, who asked, for how long the owner was not heard and how many nodes answered the probe.

--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -135,10 +135,21 @@
   Duration max_unconfirmed_ownership = std::chrono::seconds(10);
 };
 
+// Why a node claims the shard.
+struct ClaimBasis {
+  std::string reason;
+  // The owner that asked the node to take over, if one did.
+  std::string asked_by;
+  // How long the node had not heard from the owner, and how many nodes answered
+  // its last probe.
+  Duration owner_silent{0};
+  std::size_t answers = 0;
+};
+
 struct ElectionHooks {
   std::function<void(const net::Address&, const NodeMessage&)> send;
   // Tries to store a claim. The result is passed to OnClaimed or OnClaimFailed.
-  std::function<void()> claim;
+  std::function<void(const ClaimBasis& basis)> claim;
   // Called when this node no longer owns the shard.
   std::function<void(const std::string& reason)> stop_owning;
   // A node's answer shows that it knew no later owner at `owner_time`. Called
@@ -235,7 +246,8 @@
   // Says hello to an owner that is not heard, and begins its probe anew.
   void LookForOwner(MonotonicTime now);
   void EndProbe(MonotonicTime now);
-  void Claim(MonotonicTime now);
+  void Claim(const ClaimBasis& basis);
+  Duration OwnerSilence(MonotonicTime now) const;
   // Whether a much larger node has been available for `stability_period`.
   bool HasLargerNode(MonotonicTime now) const;
   // Whether the node is in contact, stays, and has not been asked in vain.
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -135,7 +135,7 @@
   owner_silent_since_ = now;
   state_ = State::kFollowing;
   if (claim_.token == 0) {
-    Claim(now);
+    Claim({.reason = "no owner yet"});
   } else if (claim_.node == options_.self.name) {
     // The other nodes say hello to this one, as it was the owner.
     const bool may_be_replaced =
@@ -168,7 +168,7 @@
     owner_heard_at_ = now;
   } else if (now >= *reclaim_at_) {
     reclaim_at_.reset();
-    Claim(now);
+    Claim({.reason = "owner before its restart"});
   }
 }
 
@@ -328,7 +328,10 @@
 
 void ElectionCore::OnTakeOver(const NodeMessage& message, MonotonicTime now) {
   if (message.claim.token != claim_.token || leaving_) return;
-  if (state_ == State::kFollowing || state_ == State::kProbing) Claim(now);
+  if (state_ != State::kFollowing && state_ != State::kProbing) return;
+  Claim({.reason = "asked to take over",
+         .asked_by = message.sender.name,
+         .owner_silent = OwnerSilence(now)});
 }
 
 void ElectionCore::StartProbe(MonotonicTime now) {
@@ -368,13 +371,20 @@
   if (preferred_node && ++deferrals_ <= kMaxDeferrals) return;
   const bool isolated = probe_answers_.empty() && !members_.empty();
   if (isolated && now - owner_silent_since_ < options_.isolated_wait) return;
-  Claim(now);
+  Claim({.reason = isolated ? "no node answers" : "no node hears the owner",
+         .owner_silent = OwnerSilence(now),
+         .answers = probe_answers_.size()});
+}
+
+Duration ElectionCore::OwnerSilence(MonotonicTime now) const {
+  return owner_silent_since_ == MonotonicTime() ? Duration::zero()
+                                                : now - owner_silent_since_;
 }
 
-void ElectionCore::Claim(MonotonicTime) {
+void ElectionCore::Claim(const ClaimBasis& basis) {
   if (leaving_) return;
   state_ = State::kClaiming;
-  hooks_.claim();
+  hooks_.claim(basis);
 }
 
 void ElectionCore::StopOwning(const std::string& reason) {
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -114,7 +114,15 @@
       .send = [this](const net::Address& to,
                      const NodeMessage& message) { SendDatagram(to, message); },
       .claim =
-          [this] { asio::co_spawn(context_, StoreClaim(), asio::detached); },
+          [this](const ClaimBasis& basis) {
+            log_.Write("claim", {{"reason", basis.reason},
+                                 {"asked_by", basis.asked_by},
+                                 {"owner", election_.claim().node},
+                                 {"token", election_.claim().token},
+                                 {"owner_silent", basis.owner_silent},
+                                 {"answers", basis.answers}});
+            asio::co_spawn(context_, StoreClaim(), asio::detached);
+          },
       .stop_owning = [this](const std::string& reason) { StopOwning(reason); },
       .node_answered =
           [this](const NodeMessage& answer) {
--- a/src/node/tests/election_core_test.cc
+++ b/src/node/tests/election_core_test.cc
@@ -27,7 +27,11 @@
                   [this](const net::Address&, const NodeMessage& message) {
                     sent.push_back(message);
                   },
-              .claim = [this] { ++claim_attempts; },
+              .claim =
+                  [this](const ClaimBasis& basis) {
+                    ++claim_attempts;
+                    claim_reason = basis.reason;
+                  },
               .stop_owning =
                   [this](const std::string& reason) { stop_reason = reason; },
               .node_answered =
@@ -69,6 +73,7 @@
   MonotonicTime now{std::chrono::hours(1)};
   std::vector<NodeMessage> sent;
   int claim_attempts = 0;
+  std::string claim_reason;
   std::string stop_reason;
   std::vector<NodeMessage> answers;
   // The nodes that were asked to take over, in this order.
@@ -128,6 +133,7 @@
     NodeFixture fixture;
     fixture.core.OnClaimsRead(fixture.now);
     CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("no owner yet"), fixture.claim_reason);
     fixture.core.OnClaimed(MakeClaim("b", 1), fixture.now);
     CPPUNIT_ASSERT(fixture.core.owns());
   }
@@ -146,6 +152,8 @@
     fixture.core.OnClaimsRead(fixture.now);
     CPPUNIT_ASSERT(!fixture.core.owns());
     CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("owner before its restart"),
+                         fixture.claim_reason);
   }
 
   void SilentOwnerIsReplacedAfterProbe() {
@@ -155,6 +163,8 @@
     fixture.AnswerProbe("c", false);
     fixture.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("no node hears the owner"),
+                         fixture.claim_reason);
   }
 
   void OwnerHeardByOthersIsNotReplaced() {
@@ -177,6 +187,7 @@
     CPPUNIT_ASSERT_EQUAL(0, fixture.claim_attempts);
     fixture.Advance(milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(1, fixture.claim_attempts);
+    CPPUNIT_ASSERT_EQUAL(std::string("no node answers"), fixture.claim_reason);
   }
 
   // Guards against a probe that was sent while the node was cut off and ends
