--- a/src/jobs/tests/shard_core_test.cc
+++ b/src/jobs/tests/shard_core_test.cc
@@ -858,36 +858,6 @@
     StartBesideABusyStandingTask(fillers);
   }
 
-  // Submits fillers beside a standing task near its target, and checks that all
-  // start within 2 s.
-  static void StartBesideABusyStandingTask(JobSpec filler) {
-    ShardBench bench;
-    bench.AddWorker("w");
-    bench.AnswerHold("w");
-    JobSpec standing = MakeJob(1);
-    standing.steps[0].standing = true;
-    standing.steps[0].image = "standing";
-    standing.steps[0].latency_target = milliseconds(10);
-    bench.Submit("s", standing);
-    bench.Store();
-    const SentStart start = bench.TakeStarts().at(0);
-    bench.ConfirmStart(start);
-    filler.steps[0].image = "filler";
-    bench.Submit("f", filler);
-    for (int i = 0; i < 40; ++i) {
-      contracts::RunningTask row = bench.RunningRow(start);
-      row.percent = 100;
-      row.measured = 9;
-      bench.now.steady += milliseconds(1);
-      bench.AnswerHold("w", {row});
-      bench.Store();
-      if (!bench.starts.empty()) break;
-      bench.AdvanceTime(milliseconds(50));
-    }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{filler.steps[0].count},
-                         bench.starts.size());
-  }
-
   void JobIsPendingUntilAStartIsConfirmed() {
     ShardBench bench;
     const SentStart start = bench.SubmitAndTakeStart();
@@ -987,6 +957,36 @@
   }
 
  private:
+  // Submits fillers beside a standing task near its target, and checks that all
+  // start within 2 s.
+  static void StartBesideABusyStandingTask(JobSpec filler) {
+    ShardBench bench;
+    bench.AddWorker("w");
+    bench.AnswerHold("w");
+    JobSpec standing = MakeJob(1);
+    standing.steps[0].standing = true;
+    standing.steps[0].image = "standing";
+    standing.steps[0].latency_target = milliseconds(10);
+    bench.Submit("s", standing);
+    bench.Store();
+    const SentStart start = bench.TakeStarts().at(0);
+    bench.ConfirmStart(start);
+    filler.steps[0].image = "filler";
+    bench.Submit("f", filler);
+    for (int i = 0; i < 40; ++i) {
+      contracts::RunningTask row = bench.RunningRow(start);
+      row.percent = 100;
+      row.measured = 9;
+      bench.now.steady += milliseconds(1);
+      bench.AnswerHold("w", {row});
+      bench.Store();
+      if (!bench.starts.empty()) break;
+      bench.AdvanceTime(milliseconds(50));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{filler.steps[0].count},
+                         bench.starts.size());
+  }
+
   // Submits four tasks that fit on one worker, with a limit of starts in
   // flight.
   static void SubmitFourTasksWithStartLimit(ShardBench& bench,
--- a/src/node/election_core.h
+++ b/src/node/election_core.h
@@ -140,9 +140,9 @@
   std::string reason;
   // The owner that asked the node to take over, if one did.
   std::string asked_by;
-  // How long the node had not heard from the owner, and how many nodes answered
-  // its last probe.
-  Duration owner_silent{0};
+  // The age of the owner's last state; empty if none has come since its claim.
+  std::optional<Duration> owner_state_age;
+  // Number of nodes that answered the last probe.
   std::size_t answers = 0;
 };
 
@@ -247,7 +247,7 @@
   void LookForOwner(MonotonicTime now);
   void EndProbe(MonotonicTime now);
   void Claim(const ClaimBasis& basis);
-  Duration OwnerSilence(MonotonicTime now) const;
+  std::optional<Duration> OwnerStateAge(MonotonicTime now) const;
   // Whether a much larger node has been available for `stability_period`.
   bool HasLargerNode(MonotonicTime now) const;
   // Whether the node is in contact, stays, and has not been asked in vain.
--- a/src/node/internal/election_core.cc
+++ b/src/node/internal/election_core.cc
@@ -331,7 +331,7 @@
   if (state_ != State::kFollowing && state_ != State::kProbing) return;
   Claim({.reason = "asked to take over",
          .asked_by = message.sender.name,
-         .owner_silent = OwnerSilence(now)});
+         .owner_state_age = OwnerStateAge(now)});
 }
 
 void ElectionCore::StartProbe(MonotonicTime now) {
@@ -372,13 +372,13 @@
   const bool isolated = probe_answers_.empty() && !members_.empty();
   if (isolated && now - owner_silent_since_ < options_.isolated_wait) return;
   Claim({.reason = isolated ? "no node answers" : "no node hears the owner",
-         .owner_silent = OwnerSilence(now),
+         .owner_state_age = OwnerStateAge(now),
          .answers = probe_answers_.size()});
 }
 
-Duration ElectionCore::OwnerSilence(MonotonicTime now) const {
-  return owner_silent_since_ == MonotonicTime() ? Duration::zero()
-                                                : now - owner_silent_since_;
+std::optional<Duration> ElectionCore::OwnerStateAge(MonotonicTime now) const {
+  if (!owner_state_at_.has_value()) return std::nullopt;
+  return now - *owner_state_at_;
 }
 
 void ElectionCore::Claim(const ClaimBasis& basis) {
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -115,12 +115,16 @@
                      const NodeMessage& message) { SendDatagram(to, message); },
       .claim =
           [this](const ClaimBasis& basis) {
-            log_.Write("claim", {{"reason", basis.reason},
-                                 {"asked_by", basis.asked_by},
-                                 {"owner", election_.claim().node},
-                                 {"token", election_.claim().token},
-                                 {"owner_silent", basis.owner_silent},
-                                 {"answers", basis.answers}});
+            std::vector<telemetry::Field> fields = {
+                {"reason", basis.reason},
+                {"owner", election_.claim().node},
+                {"token", election_.claim().token},
+                {"asked_by", basis.asked_by},
+                {"answers", basis.answers}};
+            if (basis.owner_state_age.has_value()) {
+              fields.emplace_back("owner_state_age", *basis.owner_state_age);
+            }
+            log_.Write("claim", fields);
             asio::co_spawn(context_, StoreClaim(), asio::detached);
           },
       .stop_owning = [this](const std::string& reason) { StopOwning(reason); },
