Waves: a VM that is down for any wave counts for each that names it

What operators could see: more VMs of a wave down than allowed, as one that two waves name was down for the other one.

Cause: a wave counted the VMs that are down for itself.

Before: maintenance_core_test VmThatIsDownForAnotherWaveDoesNotCount fails; 19 of 19 pass now.

--- a/src/maintenance/internal/maintenance_core.cc
+++ b/src/maintenance/internal/maintenance_core.cc
@@ -116,7 +116,7 @@
 }
 
 void MaintenanceCore::AdvanceVm(WaveState& wave, const std::string& name,
-                                VmState& vm, std::size_t& down,
+                                VmState& vm, std::set<std::string>& down,
                                 std::size_t& draining) {
   const bool is_list_too_old = vm.state == State::kInMaintenance &&
                                listed_request_ <= vm.earlier_list_requests;
@@ -151,12 +151,12 @@
   }
   if (vm.state == State::kDraining) {
     vm.worker = entry.worker;
-    if (entry.up && !list_is_stale_ && down < wave.wave.max_parallel &&
+    if (entry.up && !list_is_stale_ && down.size() < wave.wave.max_parallel &&
         !is_outdated() &&
         (entry.worker.empty() || hooks_.is_drained(entry.worker))) {
       vm.state = State::kStoringIntent;
       vm.intent_store = stores_ + 1;
-      ++down;
+      down.insert(name);
       wave.is_unstored = true;
     }
   }
@@ -175,7 +175,7 @@
       (entry.worker != vm.worker ||
        list_as_of_ - vm.confirmed_at > kMaintenanceShownAfter)) {
     vm.state = State::kDone;
-    --down;
+    if (!IsDown(name)) down.erase(name);
     wave.is_unstored = true;
   }
 }
@@ -190,18 +190,25 @@
   hooks_.report_wave(wave.wave.number, true);
 }
 
+bool MaintenanceCore::IsDown(const std::string& vm) const {
+  return std::any_of(waves_.begin(), waves_.end(), [&vm](const auto& wave) {
+    const auto found = wave.second.vms.find(vm);
+    if (found == wave.second.vms.end()) return false;
+    const State state = found->second.state;
+    return state == State::kStoringIntent || state == State::kIntentStored ||
+           state == State::kInMaintenance;
+  });
+}
+
 void MaintenanceCore::AdvanceWave(WaveState& wave) {
   if (!wave.running_reported) {
     wave.running_reported = true;
     hooks_.report_wave(wave.wave.number, false);
   }
-  std::size_t down = 0;
+  std::set<std::string> down;
   std::size_t draining = 0;
   for (const auto& [name, vm] : wave.vms) {
-    const bool is_down = vm.state == State::kStoringIntent ||
-                         vm.state == State::kIntentStored ||
-                         vm.state == State::kInMaintenance;
-    down += is_down ? 1 : 0;
+    if (IsDown(name)) down.insert(name);
     draining += vm.state == State::kDraining ? 1 : 0;
   }
   for (auto& [name, vm] : wave.vms) {
--- a/src/maintenance/maintenance_core.h
+++ b/src/maintenance/maintenance_core.h
@@ -103,8 +103,11 @@
 
   void AdvanceWave(WaveState& wave);
   void CompleteIfDone(WaveState& wave);
+  // `down`: the VMs of the wave that are down for any wave.
   void AdvanceVm(WaveState& wave, const std::string& name, VmState& vm,
-                 std::size_t& down, std::size_t& draining);
+                 std::set<std::string>& down, std::size_t& draining);
+  // Whether the VM may be down for the maintenance of some wave.
+  bool IsDown(const std::string& vm) const;
   void Store(WaveState& wave);
   void Cordon();
   // Whether an earlier owner may have ordered the VM's maintenance so recently
--- a/src/maintenance/tests/maintenance_core_test.cc
+++ b/src/maintenance/tests/maintenance_core_test.cc
@@ -91,11 +91,36 @@
   CPPUNIT_TEST(VmThatWasMaintainedBeforeStaysOutOfUse);
   CPPUNIT_TEST(StaleListTakesNoVmDown);
   CPPUNIT_TEST(ListFromBeforeTheWaveCompletesIt);
+  CPPUNIT_TEST(VmThatIsDownForAnotherWaveDoesNotCount);
   CPPUNIT_TEST(NewOwnerOrdersWithinTheLeaseOfTheOwnerBefore);
   CPPUNIT_TEST(NewOwnerOrdersWithinTheLeaseForALaterWave);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against more VMs of a wave down than allowed, as one of them is down
+  // for an earlier wave that names it too.
+  void VmThatIsDownForAnotherWaveDoesNotCount() {
+    Fixture fixture;
+    fixture.BeginWave({"a"});
+    fixture.StoreAndTick();
+    CPPUNIT_ASSERT(fixture.maintained == std::vector<std::string>{"a"});
+    fixture.core.OnMaintainOutcome("a", 1, kBegun, fixture.now);
+    fixture.core.SetWave({.number = 2, .vms = {"a", "b"}});
+    for (int i = 0; i < 3; ++i) {
+      fixture.core.OnVmList(
+          {.ok = true,
+           .vms = {{.name = "a"}, {.name = "b", .up = true, .worker = "wb"}}});
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.maintained.size());
+    // "a" is up again, and may now go down for the second wave.
+    for (int i = 0; i < 3; ++i) {
+      fixture.DeliverList("wa2", "wb");
+      fixture.StoreAndTick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.maintained.size());
+  }
+
   // Guards against orders of two owners, who are both in contact, for one VM
   // within the time that one of them may count on.
   void NewOwnerOrdersWithinTheLeaseOfTheOwnerBefore() {
