--- a/src/jobs/tests/failed_attempts_test.cc
+++ b/src/jobs/tests/failed_attempts_test.cc
@@ -97,7 +97,7 @@
       bench.AnswerHold("v");
       bench.Store();
     }
-    const SentStart start = bench.TakeStarts().at(0);
+    SentStart start = bench.TakeStarts().at(0);
     CPPUNIT_ASSERT_EQUAL(2U, start.order.attempt);
     bench.ConfirmStart(start);
     return start;
