--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -316,6 +316,29 @@
   std::vector<WaitingTask> FindStandingWaits() const;
   void LogStandingWaits();
 
+  // shard_room.cc: what waits for room, and how the room is divided.
+  // Waiting tasks of a queue that reserve processors; `milli_cpus` and
+  // `memory_bytes` are sums over all of them, `largest` is the highest
+  // processor request of one.
+  struct QueueDemand {
+    std::string pool;
+    std::uint64_t tasks = 0;
+    std::uint64_t milli_cpus = 0;
+    std::uint64_t memory_bytes = 0;
+    std::uint64_t largest = 0;
+  };
+  std::map<std::string, QueueDemand> WaitingDemand() const;
+  // Processors that are not reserved on the workers that accept tasks: in all,
+  // the most on one worker, and how many tasks of the demand's mean size fit.
+  struct PoolRoom {
+    std::uint64_t free_milli_cpus = 0;
+    std::uint64_t largest = 0;
+    std::uint64_t fits_by_cpu = 0;
+    std::uint64_t fits = 0;
+  };
+  PoolRoom RoomFor(const QueueDemand& demand) const;
+  void LogWaitingDemand() const;
+
   // shard_leases.cc: how long this owner may extend leases, and how long those
   // of its predecessors last.
   void OnWitnessAnswered(const WorkerState& worker, MonotonicTime sent_at);
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -768,6 +768,7 @@
                           {"fillers", fillers},
                           {"slowed", slowed},
                           {"changes_unstored", changes - stored_changes}});
+  LogWaitingDemand();
   LogStandingWaits();
 }
 
