Placement: short tasks fill workers up where room is scarce

Change: where over half of a pool is reserved, a task that reserves processors goes to the worker with the least free. Emptier pools are filled evenly as before. short_room_test WideTasksWaitAsNarrowOnesAreSpreadOverAllWorkers fails before.

--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -182,8 +182,10 @@
   // Whether the job has waited long for its first or next run while its pool
   // has free processors.
   bool IsStarved(const Job& job) const;
-  // The share of the pool's processors that is reserved by tasks other than
-  // fillers.
+  // Counts what PoolUtilization tells.
+  void UpdatePoolUse();
+  // The share of the pool's processors that was reserved by tasks other than
+  // fillers at the last schedule.
   double PoolUtilization(const std::string& pool) const;
   // Schedules waiting steps before the next batch is taken.
   void RequestSchedule();
@@ -549,6 +551,12 @@
   MonotonicTime last_rebalance_at;
   // Where the next search for misplaced tasks begins.
   std::size_t rebalance_offset = 0;
+  // Processors of a pool, in thousandths of one.
+  struct PoolUse {
+    double reserved = 0;
+    double total = 0;
+  };
+  std::map<std::string, PoolUse> pool_use;
   // The worker with which the next ranking begins.
   std::string rank_cursor;
   MonotonicTime restored_at;
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -38,6 +38,12 @@
 // Penalty, for a filler that harms no standing task, of a worker without
 // standing tasks.
 constexpr double kEmptyWorkerPenalty = 0.5;
+// Room in a pool is scarce when more than this share of its processors is
+// reserved.
+constexpr double kScarcePoolUse = 0.5;
+// Weight of the processors that fillers want against those that are reserved, in
+// the score of a worker for a short task of such a pool.
+constexpr double kFillerWeight = 0.25;
 // Weight of similarity in the score: standing tasks that are slowed down by the
 // same fillers share workers, which leaves more workers to each filler.
 constexpr double kSimilarityWeight = 1;
@@ -181,6 +187,7 @@
     unplaceable.clear();
     unplaceable_since = now.steady;
   }
+  UpdatePoolUse();
   for (Step* step : StepsInOrder()) {
     if (step->spec->gang) {
       ScheduleGang(*step);
@@ -202,15 +209,20 @@
          PoolUtilization(job.policy.pool) < kMaxStarvedPoolUse;
 }
 
-double ShardCore::Impl::PoolUtilization(const std::string& pool) const {
-  double used = 0;
-  double total = 0;
+void ShardCore::Impl::UpdatePoolUse() {
+  pool_use.clear();
   for (const auto& [id, worker] : workers) {
-    if (!worker->listed || worker->entry.pool != pool) continue;
-    used += ToDouble(worker->used.milli_cpus);
-    total += ToDouble(worker->entry.capacity.milli_cpus);
+    if (!worker->listed) continue;
+    PoolUse& use = pool_use[worker->entry.pool];
+    use.reserved += ToDouble(worker->used.milli_cpus);
+    use.total += ToDouble(worker->entry.capacity.milli_cpus);
   }
-  return total == 0 ? 1 : used / total;
+}
+
+double ShardCore::Impl::PoolUtilization(const std::string& pool) const {
+  const auto use = pool_use.find(pool);
+  if (use == pool_use.end() || use->second.total == 0) return 1;
+  return use->second.reserved / use->second.total;
 }
 
 void ShardCore::Impl::ScheduleStep(Step& step) {
@@ -492,6 +504,11 @@
         std::min(1.0, interference.MeanFactor(step.image));
     return spare - kEmptyWorkerPenalty * (1 - mean_factor);
   }
+  // Where room is scarce, short tasks fill workers up. The rest stays in one
+  // piece, for tasks that need much of a worker.
+  if (PoolUtilization(step.occurrence->job->policy.pool) > kScarcePoolUse) {
+    return (used - kFillerWeight * fills) / total;
+  }
   return (total - used - fills / 2) / total;
 }
 
--- /dev/null
+++ b/src/jobs/tests/short_room_test.cc
@@ -0,0 +1,76 @@
+// Short tasks beside standing ones that hold most of the pool.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "jobs/admission.h"
+#include "load_replay.h"
+
+namespace carobmast::jobs {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kWorkers = 10;
+constexpr std::uint64_t kWorkerMilliCpus = 4000;
+// Later than this a job of MakeJob is worthless in the queue of ShardBench.
+constexpr milliseconds kUsefulTime = kUsefulObjectives * milliseconds(500);
+
+JobSpec MakeJobOfWidth(std::uint32_t count, std::uint64_t milli_cpus) {
+  JobSpec spec = MakeJob(count);
+  spec.steps.front().need.milli_cpus = milli_cpus;
+  return spec;
+}
+
+// From `first` until `end`, a job of `spec` each `interval`. IDs begin with
+// `kind`.
+void AddJobs(std::vector<PatternEvent>& events, char kind, const JobSpec& spec,
+             milliseconds first, milliseconds end, milliseconds interval) {
+  for (milliseconds at = first; at < end; at += interval) {
+    events.push_back({at, [kind, spec, at](LoadReplay& replay) {
+                        replay.Submit(kind + std::to_string(at.count()), spec,
+                                      kUsefulTime);
+                      }});
+  }
+}
+
+void SortByTime(std::vector<PatternEvent>& events) {
+  std::stable_sort(events.begin(), events.end(),
+                   [](const PatternEvent& left, const PatternEvent& right) {
+                     return left.at < right.at;
+                   });
+}
+
+}  // namespace
+
+class ShortRoomTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShortRoomTest);
+  CPPUNIT_TEST(WideTasksWaitAsNarrowOnesAreSpreadOverAllWorkers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A quarter of the pool is free all the time, and each wide task needs a tenth
+  // for half a second.
+  void WideTasksWaitAsNarrowOnesAreSpreadOverAllWorkers() {
+    LoadReplay replay(kWorkers, kWorkerMilliCpus);
+    std::vector<PatternEvent> events;
+    AddJobs(events, 'n', MakeJob(3), milliseconds(0), seconds(10),
+            milliseconds(50));
+    AddJobs(events, 'w', MakeJobOfWidth(1, kWorkerMilliCpus), seconds(2),
+            seconds(10), milliseconds(500));
+    SortByTime(events);
+    replay.Run(events, seconds(12));
+    const ServiceCounts& wide = replay.Counts('w');
+    CPPUNIT_ASSERT_EQUAL(std::size_t{16}, wide.submitted);
+    CPPUNIT_ASSERT_EQUAL(wide.submitted, wide.completed);
+    CPPUNIT_ASSERT(wide.in_aim * 10 >= wide.submitted * 9);
+    CPPUNIT_ASSERT_EQUAL(replay.Counts('n').submitted,
+                         replay.Counts('n').completed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShortRoomTest, "short_room_test");
+
+}  // namespace carobmast::jobs
