Admission: a job wider than the room beside standing tasks is turned away

Cause: tasks of 7 to 9.7 processors waited for room that could not come, as standing tasks left 6 or less on each worker; admission asked only whether any task of the queue found room, and narrow ones did. Change: such a job is turned away at once, with a Retry-After, once another that needs no more has waited longer than its job should take. short_room_test TaskWiderThanAnyRoomBesideStandingOnesIsAccepted fails before.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -278,6 +278,8 @@
   // The time of the last report about its runs, on the worker's clock.
   contracts::WorkerClock reported_clock{0};
   contracts::Resources used;
+  // The part of `used` that standing tasks hold.
+  contracts::Resources standing;
   // Processors requested by fillers, in thousandths of one.
   std::uint64_t filler_milli_cpus = 0;
   // Processors requested by standing tasks with a latency target, in
--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -61,11 +61,15 @@
   // See RetryAfterIfRejected. Logs and counts a rejection.
   std::optional<std::chrono::milliseconds> RejectForLoad(
       const std::string& id, const QueuePolicy& queue, const JobSpec& spec);
-  // The same for a job of standing tasks.
-  std::optional<std::chrono::milliseconds> RejectStanding(
-      const std::string& id, const QueuePolicy& queue);
+  // Logs and counts that a job is turned away since its pool has no room now.
+  std::chrono::milliseconds RejectForShortage(const std::string& id,
+                                              const QueuePolicy& queue,
+                                              const std::string& reason);
   // Whether short jobs that are no less urgent lack room in the queue's pool.
   bool IsShortOfRoom(const QueuePolicy& queue);
+  // Whether a step of the queue that needs no more has lacked room for longer
+  // than its job should take.
+  bool HasWaitedInVain(const StepSpec& spec, const std::string& queue) const;
   // Tells the queues' admissions of jobs that waited too long to be on time or
   // of use.
   void CountWorthlessJobs();
@@ -183,6 +187,9 @@
   // The best candidate for the task; null when there is none.
   static Candidate* Best(std::vector<Candidate>& candidates, const Task& task);
   WorkerState* Pick(const Task& task);
+  // Whether standing tasks keep each worker of the pool that is large enough for
+  // a task of the step from ever having room for it.
+  bool IsBlockedByStanding(const StepSpec& step, const std::string& pool) const;
   Run& Plan(Task& task, WorkerState& worker, std::uint32_t attempt);
   void ReserveResources(const Run& run);
   void ReleaseResources(const Run& run);
--- a/src/jobs/internal/shard_jobs.cc
+++ b/src/jobs/internal/shard_jobs.cc
@@ -82,13 +82,38 @@
   });
 }
 
+bool ShardCore::Impl::HasWaitedInVain(const StepSpec& spec,
+                                      const std::string& queue) const {
+  return std::any_of(ready.begin(), ready.end(), [&](const auto& entry) {
+    const Step& step = *entry.second;
+    const Job& job = *step.occurrence->job;
+    const milliseconds span(job.objective_ms - job.accepted_at_ms);
+    return step.lacks_room && job.queue == queue && !step.spec->fills &&
+           !step.spec->standing &&
+           step.spec->need.milli_cpus <= spec.need.milli_cpus &&
+           step.spec->need.memory.bytes <= spec.need.memory.bytes &&
+           now.steady - step.ready_at > span;
+  });
+}
+
 std::optional<milliseconds> ShardCore::Impl::RejectForLoad(
     const std::string& id, const QueuePolicy& queue, const JobSpec& spec) {
   if (spec.occurrences > 0) return std::nullopt;
   const bool is_standing =
       std::any_of(spec.steps.begin(), spec.steps.end(),
                   [](const StepSpec& step) { return step.standing; });
-  if (is_standing) return RejectStanding(id, queue);
+  if (is_standing) {
+    if (!IsShortOfRoom(queue)) return std::nullopt;
+    return RejectForShortage(id, queue, "short jobs lack room");
+  }
+  const bool is_blocked = std::any_of(
+      spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
+        return !step.fills && HasWaitedInVain(step, queue.name) &&
+               IsBlockedByStanding(step, queue.pool);
+      });
+  if (is_blocked) {
+    return RejectForShortage(id, queue, "standing tasks hold the room");
+  }
   const std::optional<Duration> without_room = TimeWithoutRoom(queue.name);
   const std::optional<milliseconds> retry_after =
       admissions[queue.name].RetryAfterIfRejected(
@@ -110,14 +135,14 @@
   return retry_after;
 }
 
-std::optional<milliseconds> ShardCore::Impl::RejectStanding(
-    const std::string& id, const QueuePolicy& queue) {
-  if (!IsShortOfRoom(queue)) return std::nullopt;
+milliseconds ShardCore::Impl::RejectForShortage(const std::string& id,
+                                                const QueuePolicy& queue,
+                                                const std::string& reason) {
   const milliseconds retry_after = RetryAfterShortage(id);
   ++counters.rejected;
   hooks.decided("job rejected", {{"job", id},
                                  {"queue", queue.name},
-                                 {"reason", "short jobs lack room"},
+                                 {"reason", reason},
                                  {"retry_after", Duration(retry_after)}});
   return retry_after;
 }
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -620,6 +620,23 @@
   return run;
 }
 
+bool ShardCore::Impl::IsBlockedByStanding(const StepSpec& step,
+                                          const std::string& pool) const {
+  const auto fits = [&step](const contracts::Resources& total,
+                            const contracts::Resources& held) {
+    return held.milli_cpus + step.need.milli_cpus <= total.milli_cpus &&
+           held.memory.bytes + step.need.memory.bytes <= total.memory.bytes;
+  };
+  bool is_any_large_enough = false;
+  for (const auto& [id, worker] : workers) {
+    if (!worker->listed || worker->entry.pool != pool) continue;
+    const contracts::Resources& total = worker->entry.capacity;
+    if (fits(total, worker->standing)) return false;
+    is_any_large_enough = is_any_large_enough || fits(total, {});
+  }
+  return is_any_large_enough;
+}
+
 void ShardCore::Impl::ReserveResources(const Run& run) {
   const StepSpec& spec = *run.task->step->spec;
   run.worker->latency_levels_valid = false;
@@ -631,6 +648,10 @@
     return;
   }
   used.milli_cpus += spec.need.milli_cpus;
+  if (spec.standing) {
+    run.worker->standing.milli_cpus += spec.need.milli_cpus;
+    run.worker->standing.memory.bytes += spec.need.memory.bytes;
+  }
   if (spec.latency_target > milliseconds::zero()) {
     run.worker->critical_milli_cpus += spec.need.milli_cpus;
   }
@@ -647,6 +668,10 @@
     return;
   }
   used.milli_cpus -= spec.need.milli_cpus;
+  if (spec.standing) {
+    run.worker->standing.milli_cpus -= spec.need.milli_cpus;
+    run.worker->standing.memory.bytes -= spec.need.memory.bytes;
+  }
   if (spec.latency_target > milliseconds::zero()) {
     run.worker->critical_milli_cpus -= spec.need.milli_cpus;
   }
--- a/src/jobs/tests/short_room_test.cc
+++ b/src/jobs/tests/short_room_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(WideTasksWaitAsNarrowOnesAreSpreadOverAllWorkers);
   CPPUNIT_TEST(StandingJobsTakeTheRoomOfLateShortOnes);
   CPPUNIT_TEST(StandingJobIsTurnedAwayThoughShortOnesHaveRoom);
+  CPPUNIT_TEST(TaskWiderThanAnyRoomBesideStandingOnesIsAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +115,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, replay.Counts('s').submitted);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, replay.Counts('s').rejected);
   }
+
+  // One standing task of one processor is on each worker of four.
+  void TaskWiderThanAnyRoomBesideStandingOnesIsAccepted() {
+    LoadReplay replay(kWorkers, kWorkerMilliCpus);
+    JobSpec standing = StandingJob(kWorkers);
+    standing.steps.front().max_per_worker = 1;
+    std::vector<PatternEvent> events;
+    AddJobs(events, 's', standing, milliseconds(0), milliseconds(1),
+            seconds(1));
+    AddJobs(events, 'w', MakeJobOfWidth(1, kWorkerMilliCpus), seconds(2),
+            seconds(5), milliseconds(250));
+    AddJobs(events, 'f', MakeJobOfWidth(1, 3000), seconds(2), seconds(5),
+            milliseconds(250));
+    events.push_back(
+        {seconds(5), [](LoadReplay& pool) { pool.Cancel("s0"); }});
+    AddJobs(events, 'v', MakeJobOfWidth(1, kWorkerMilliCpus), seconds(6),
+            seconds(7), milliseconds(250));
+    SortByTime(events);
+    replay.Run(events, seconds(9));
+    // Those of the first second are taken: standing tasks may end.
+    CPPUNIT_ASSERT(replay.Counts('w').rejected >= 8);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, replay.Counts('f').completed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, replay.Counts('v').completed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShortRoomTest, "short_room_test");
