Owner: latencies in reports are evaluated four times a second at most

Cause: the owner's processor. Its time by kind of work, a trial with CPU clocks around the calls of the core, at x 1: at the peak 150 ms of each second go into 2,900 holds, 79 of them into the latencies of standing tasks, for reports that cover the same half second. Change: latencies, model and speeds are evaluated at most every 250 ms for each worker. colocation_test LatenciesAreEvaluatedAtEachEndOfARun fails before: there is an update for each report.

--- a/src/jobs/internal/model.h
+++ b/src/jobs/internal/model.h
@@ -156,6 +156,10 @@
   MonotonicTime ready_at;
   // Whether a task of it found no room in the last schedule.
   bool lacks_room = false;
+  // Whether it has planned runs that are in no batch yet, and the last batch
+  // that has taken such.
+  bool has_new_runs = false;
+  std::uint64_t runs_batch = 0;
   // By worker ID; only for queues that require advice.
   std::map<std::string, Ticket> tickets;
   // Of a gang: workers on which a member has failed, the latest last. Until the
@@ -318,6 +322,8 @@
   // until a run is added or removed.
   std::vector<LatencyLevel> latency_levels;
   bool latency_levels_valid = false;
+  // When the latencies and speeds in a report were last evaluated.
+  MonotonicTime latencies_at;
   // The highest ratio of latency to target in the last report, and since when a
   // standing task here has been over its target.
   double worst_latency_ratio = 0;
--- a/src/jobs/internal/shard_core.cc
+++ b/src/jobs/internal/shard_core.cc
@@ -18,6 +18,9 @@
 // Like kHoldWait, while fillers run beside standing tasks, whose latency must
 // be reported often.
 constexpr milliseconds kColocatedHoldWait{500};
+// Latencies in reports that follow one another faster are not evaluated: they
+// cover half a second, and busy workers report at each end of a run.
+constexpr milliseconds kMinLatencyInterval{250};
 // Holds wait at least this long for each worker of the shard, up to the longest
 // wait that workers accept: otherwise an owner of thousands of workers would
 // only read reports.
@@ -425,7 +428,11 @@
   impl_->OnWitnessAnswered(worker, sent_at);
   impl_->OnRunningList(worker, answer, sent_at);
   impl_->OnEndedList(worker, answer);
-  impl_->UpdateLatencies(worker);
+  if (now.steady - worker.latencies_at >= kMinLatencyInterval) {
+    worker.latencies_at = now.steady;
+    ++impl_->counters.latency_updates;
+    impl_->UpdateLatencies(worker);
+  }
   if (!impl_->MayGrantLease(worker)) impl_->store_lease_waits = true;
   if (contact_regained) {
     impl_->hooks.decided(
--- a/src/jobs/tests/colocation_test.cc
+++ b/src/jobs/tests/colocation_test.cc
@@ -189,6 +189,7 @@
   CPPUNIT_TEST(FillersSlowDownAtLoadPeaksAndRecover);
   CPPUNIT_TEST(DissimilarStandingTasksAreSeparatedWithinMaxAway);
   CPPUNIT_TEST(StandingTasksWithZeroMaxAwayStay);
+  CPPUNIT_TEST(LatenciesAreEvaluatedAtEachEndOfARun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -227,6 +228,24 @@
     CPPUNIT_ASSERT(simulation.longest_over < kMaxTimeOverTarget);
   }
 
+  // Guards against an owner whose processor time goes into reports that cover
+  // the same half second.
+  void LatenciesAreEvaluatedAtEachEndOfARun() {
+    constexpr std::uint64_t kMaxUpdatesASecond = 4;
+    ShardBench bench;
+    bench.AddWorker("w");
+    const std::uint64_t before = bench.core->counters().latency_updates;
+    const MonotonicTime end = bench.now.steady + milliseconds(2000);
+    while (bench.now.steady < end) {
+      bench.now.steady += milliseconds(9);
+      bench.AnswerHold("w");
+    }
+    const std::uint64_t updates =
+        bench.core->counters().latency_updates - before;
+    CPPUNIT_ASSERT(updates >= kMaxUpdatesASecond);
+    CPPUNIT_ASSERT(updates <= 2 * kMaxUpdatesASecond + 1);
+  }
+
   void DissimilarStandingTasksAreSeparatedWithinMaxAway() {
     SimulatedWorkers simulation;
     RunTwoDissimilarJobs(simulation, 1);
--- a/src/jobs/types/shard_types.h
+++ b/src/jobs/types/shard_types.h
@@ -157,6 +157,8 @@
   // Answers to orders with a clock that the incarnation which they were meant
   // for can't have shown.
   std::uint64_t clock_mismatches = 0;
+  // Reports of workers whose latencies were evaluated.
+  std::uint64_t latency_updates = 0;
   std::uint64_t copies = 0;
   std::uint64_t quarantines = 0;
   // Standing tasks stopped in order to be moved to a better worker.
--- a/src/node/internal/node_process.cc
+++ b/src/node/internal/node_process.cc
@@ -626,6 +626,9 @@
             "Answers of another incarnation of a worker than was meant",
             counters.clock_mismatches);
   set_gauge("carobmast_copies", "Copies of slow tasks", counters.copies);
+  set_gauge("carobmast_latency_updates",
+            "Reports of workers whose latencies were evaluated",
+            counters.latency_updates);
   set_gauge("carobmast_quarantines", "Workers set aside", counters.quarantines);
   set_gauge("carobmast_moves", "Standing tasks moved to others like them",
             counters.moves);
