--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -252,6 +252,11 @@
   WorkerState& GetWorker(const std::string& id);
   Run* FindRun(WorkerState& worker, const contracts::TaskKey& key,
                std::uint32_t attempt);
+  // Like FindRun, by a search in the worker's runs, which is faster while these
+  // are few.
+  static Run* FindRunOnWorker(WorkerState& worker,
+                              const contracts::TaskKey& key,
+                              std::uint32_t attempt);
   Task* FindTask(const contracts::TaskKey& key);
   void OnClock(WorkerState& worker, contracts::WorkerClock clock);
   // Asks for the worker's next report now, unless its last one was so large
@@ -450,7 +455,8 @@
   // a standing task of `image`.
   double SlowdownOf(const WorkerState& worker, ImageId image) const;
   void PaceFillers(WorkerState& worker);
-  std::map<Run*, double> ComputeSpeeds(WorkerState& worker) const;
+  std::vector<std::pair<Run*, double>> ComputeSpeeds(
+      WorkerState& worker) const;
   void SetPace(Run& run, std::uint32_t percent);
   void SendPace(Run& run);
   void MovePausedFillers(WorkerState& worker);
--- a/src/jobs/internal/shard_pacing.cc
+++ b/src/jobs/internal/shard_pacing.cc
@@ -188,31 +188,32 @@
 // The speed of each filler, from 0 to 1, at which no standing task is expected
 // above kMaxPacedLevel. Fillers that affect a task are slowed down by the same
 // factor.
-std::map<Run*, double> ShardCore::Impl::ComputeSpeeds(
+std::vector<std::pair<Run*, double>> ShardCore::Impl::ComputeSpeeds(
     WorkerState& worker) const {
-  std::map<Run*, double> speeds;
+  std::vector<std::pair<Run*, double>> speeds;
   for (Run& run : worker.runs) {
-    if (IsFiller(run)) speeds[&run] = 1;
+    if (IsFiller(run)) speeds.emplace_back(&run, 1);
   }
+  if (speeds.empty()) return speeds;
   UpdateLatencyLevels(worker);
   for (const LatencyLevel& level : worker.latency_levels) {
     double budget = kMaxPacedLevel - level.base_level;
     double slowdown = 0;
-    std::vector<Run*> affecting;
-    for (const auto& [run, speed] : speeds) {
+    std::vector<double*> affected_speeds;
+    for (auto& [run, speed] : speeds) {
       const double contribution =
           interference.Factor(level.step->image, run->task->step->image) *
           FullShare(*run);
       if (contribution > kNegligibleSlowdown) {
         slowdown += contribution;
-        affecting.push_back(run);
+        affected_speeds.push_back(&speed);
       } else {
         budget -= contribution;
       }
     }
     if (slowdown <= budget) continue;
     const double max_speed = std::max(0.0, budget / slowdown);
-    for (Run* run : affecting) speeds[run] = std::min(speeds[run], max_speed);
+    for (double* speed : affected_speeds) *speed = std::min(*speed, max_speed);
   }
   return speeds;
 }
--- a/src/jobs/internal/shard_records.cc
+++ b/src/jobs/internal/shard_records.cc
@@ -480,6 +480,8 @@
     batch_jobs.emplace_back(job.id, job.state);
     for (const auto& [number, occurrence] : job.occurrences) {
       for (Step& step : occurrence->steps) {
+        if (!std::exchange(step.has_new_runs, false)) continue;
+        step.runs_batch = batch.number;
         for (Task& task : step.tasks) {
           for (Run& run : task.runs) {
             if (run.state == RunState::kPlanned && run.intent_batch == 0) {
@@ -525,7 +527,7 @@
     job.stored_state = stored.second;
     for (const auto& [index, occurrence] : job.occurrences) {
       for (Step& step : occurrence->steps) {
-        QueueStarts(step, number);
+        if (step.runs_batch == number) QueueStarts(step, number);
       }
     }
   }
--- a/src/jobs/internal/shard_schedule.cc
+++ b/src/jobs/internal/shard_schedule.cc
@@ -616,6 +616,7 @@
     job.state = JobState::kRunning;
     admissions[job.queue].OnBegun(now.steady);
   }
+  task.step->has_new_runs = true;
   MarkChanged(task);
   return run;
 }
--- a/src/jobs/internal/shard_workers.cc
+++ b/src/jobs/internal/shard_workers.cc
@@ -44,6 +44,8 @@
 constexpr std::size_t kMaxLeftoverLines = 8;
 // Time after which an acknowledgement goes before further starts.
 constexpr milliseconds kMaxAcknowledgementWait{200};
+// Up to this number of listed runs, each is looked for among the worker's.
+constexpr std::size_t kMaxSearchedRuns = 32;
 // Maximum number of lines about unknown runs for one list of ends.
 constexpr std::size_t kMaxUnknownEndLines = 8;
 
@@ -108,6 +110,20 @@
   return nullptr;
 }
 
+Run* ShardCore::Impl::FindRunOnWorker(WorkerState& worker,
+                                      const contracts::TaskKey& key,
+                                      std::uint32_t attempt) {
+  for (Run& run : worker.runs) {
+    const Step& step = *run.task->step;
+    if (run.attempt == attempt && run.task->index == key.index &&
+        step.number == key.step && step.occurrence->number == key.occurrence &&
+        step.occurrence->job->id == key.job) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
 Task* ShardCore::Impl::FindTask(const contracts::TaskKey& key) {
   const auto job = jobs.find(key.job);
   if (job == jobs.end()) return nullptr;
@@ -360,18 +376,21 @@
 void ShardCore::Impl::OnRunningList(WorkerState& worker,
                                     const contracts::HoldAnswer& answer,
                                     MonotonicTime sent_at) {
-  std::set<const Run*> listed;
+  std::vector<const Run*> listed;
+  listed.reserve(answer.running.size());
   std::vector<Run*> leftover;
   const std::map<RunKey, UnknownRun> unknown_before =
       std::exchange(worker.unknown_runs, {});
   worker.reported_clock = answer.clock.value_or(worker.reported_clock);
   for (const contracts::RunningTask& row : answer.running) {
-    Run* run = FindRun(worker, row.task, row.attempt);
+    Run* run = answer.running.size() <= kMaxSearchedRuns
+                   ? FindRunOnWorker(worker, row.task, row.attempt)
+                   : FindRun(worker, row.task, row.attempt);
     if (run == nullptr) {
       StopUnknownRun(worker, row, unknown_before);
       continue;
     }
-    listed.insert(run);
+    listed.push_back(run);
     if (IsLeftover(*run, sent_at)) leftover.push_back(run);
     run->task->step->occurrence->job->started = true;
     if (run->state != RunState::kRunning) {
@@ -397,8 +416,13 @@
     ended.emplace(row.task, row.attempt);
   }
   std::vector<RunKey> missing;
+  std::sort(listed.begin(), listed.end(), std::less<const Run*>());
   for (Run& run : worker.runs) {
-    if (listed.contains(&run) || ended.contains(KeyOfRun(run))) continue;
+    if (std::binary_search(listed.begin(), listed.end(), &run,
+                           std::less<const Run*>()) ||
+        ended.contains(KeyOfRun(run))) {
+      continue;
+    }
     if (answer.more_ended) {
       // It may have ended; its end follows once the listed ones are
       // acknowledged.
