--- a/src/jobs/internal/shard_impl.h
+++ b/src/jobs/internal/shard_impl.h
@@ -363,6 +363,7 @@
   };
   PoolRoom RoomFor(const QueueDemand& demand) const;
   void LogWaitingDemand() const;
+  void LogDemand(const std::string& queue, const QueueDemand& demand) const;
 
   // shard_leases.cc: how long this owner may extend leases, and how long those
   // of its predecessors last.
--- a/src/jobs/internal/shard_room.cc
+++ b/src/jobs/internal/shard_room.cc
@@ -58,24 +58,29 @@
 
 void ShardCore::Impl::LogWaitingDemand() const {
   std::size_t lines = 0;
-  for (const auto& [queue, demand] : WaitingDemand()) {
+  for (const auto& entry : WaitingDemand()) {
     if (++lines > kMaxRoomLines) return;
-    const PoolRoom room = RoomFor(demand);
-    const std::uint64_t mean = demand.milli_cpus / demand.tasks;
-    hooks.decided(
-        "room",
-        {{"queue", queue},
-         {"waiting", demand.tasks},
-         {"mean_need", mean},
-         {"largest_need", demand.largest},
-         {"free", room.free_milli_cpus},
-         {"largest_free", room.largest},
-         {"fits", room.fits},
-         {"fits_by_cpu", room.fits_by_cpu},
-         {"fits_undivided",
-          room.free_milli_cpus / std::max<std::uint64_t>(1, mean)},
-         {"without_room", TimeWithoutRoom(queue).value_or(Duration::zero())}});
+    LogDemand(entry.first, entry.second);
   }
 }
 
+void ShardCore::Impl::LogDemand(const std::string& queue,
+                                const QueueDemand& demand) const {
+  const PoolRoom room = RoomFor(demand);
+  const std::uint64_t mean = demand.milli_cpus / demand.tasks;
+  const std::uint64_t fits_undivided =
+      room.free_milli_cpus / std::max<std::uint64_t>(1, mean);
+  hooks.decided("room", {{"queue", queue},
+                         {"waiting", demand.tasks},
+                         {"mean_need", mean},
+                         {"largest_need", demand.largest},
+                         {"free", room.free_milli_cpus},
+                         {"largest_free", room.largest},
+                         {"fits", room.fits},
+                         {"fits_by_cpu", room.fits_by_cpu},
+                         {"fits_undivided", fits_undivided},
+                         {"without_room",
+                          TimeWithoutRoom(queue).value_or(Duration::zero())}});
+}
+
 }  // namespace carobmast::jobs
