--- a/src/jobs/tests/overload_test.cc
+++ b/src/jobs/tests/overload_test.cc
@@ -20,12 +20,6 @@
 // Standing jobs that fill the pool, four tasks each.
 constexpr int kStandingJobs = 10;
 
-JobSpec StandingJob() {
-  JobSpec spec = MakeJob(4);
-  spec.steps.front().standing = true;
-  return spec;
-}
-
 // From `first` on, `count` short jobs arrive one by one.
 void AddShortJobs(std::vector<PatternEvent>& events, milliseconds first,
                   int count) {
@@ -46,8 +40,8 @@
   events.reserve(kStandingJobs);
   for (int i = 0; i < kStandingJobs; ++i) {
     events.push_back({milliseconds(0), [i](LoadReplay& replay) {
-                        replay.Submit("s" + std::to_string(i), StandingJob(),
-                                      seconds(60));
+                        replay.Submit("s" + std::to_string(i),
+                                      MakeStandingJob(4), seconds(60));
                       }});
   }
   AddShortJobs(events, seconds(2), 20);
@@ -147,7 +141,7 @@
     LoadReplay replay(kWorkers, kWorkerMilliCpus);
     std::vector<PatternEvent> events = HeldPool();
     events.push_back({seconds(23), [](LoadReplay& held) {
-                        held.Submit("s-late", StandingJob(), seconds(60));
+                        held.Submit("s-late", MakeStandingJob(4), seconds(60));
                       }});
     replay.Run(events, seconds(24));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, replay.Counts('s').rejected);
--- a/src/jobs/tests/shard_bench.cc
+++ b/src/jobs/tests/shard_bench.cc
@@ -27,6 +27,12 @@
   return {.text = "work", .steps = {step}};
 }
 
+JobSpec MakeStandingJob(std::uint32_t count) {
+  JobSpec spec = MakeJob(count);
+  spec.steps.front().standing = true;
+  return spec;
+}
+
 void ShardBench::StartOwner(contracts::FencingToken token) {
   token_ = token;
   starts.clear();
--- a/src/jobs/tests/shard_bench.h
+++ b/src/jobs/tests/shard_bench.h
@@ -156,6 +156,8 @@
 
 // A job of one step with `count` tasks of one processor each.
 JobSpec MakeJob(std::uint32_t count);
+// The same with standing tasks.
+JobSpec MakeStandingJob(std::uint32_t count);
 
 }  // namespace carobmast::jobs
 
--- a/src/jobs/tests/short_room_test.cc
+++ b/src/jobs/tests/short_room_test.cc
@@ -24,12 +24,6 @@
   return spec;
 }
 
-JobSpec StandingJob(std::uint32_t count) {
-  JobSpec spec = MakeJob(count);
-  spec.steps.front().standing = true;
-  return spec;
-}
-
 // From `first` until `end`, a job of `spec` each `interval`. IDs begin with
 // `kind`.
 void AddJobs(std::vector<PatternEvent>& events, char kind, const JobSpec& spec,
@@ -85,11 +79,12 @@
   void StandingJobsTakeTheRoomOfLateShortOnes() {
     LoadReplay replay(kWorkers, kWorkerMilliCpus);
     std::vector<PatternEvent> events;
-    AddJobs(events, 's', StandingJob(32), milliseconds(0), milliseconds(1),
+    AddJobs(events, 's', MakeStandingJob(32), milliseconds(0), milliseconds(1),
             seconds(1));
     AddJobs(events, 'f', MakeJob(3), seconds(2), seconds(40),
             milliseconds(250));
-    AddJobs(events, 't', StandingJob(1), seconds(5), seconds(30), seconds(1));
+    AddJobs(events, 't', MakeStandingJob(1), seconds(5), seconds(30),
+            seconds(1));
     SortByTime(events);
     replay.Run(events, seconds(42));
     // There is room for two, and short jobs are late some seconds after that.
@@ -110,7 +105,8 @@
             milliseconds(100));
     AddJobs(events, 'f', MakeJob(3), seconds(5), seconds(40),
             milliseconds(250));
-    AddJobs(events, 's', StandingJob(4), seconds(20), seconds(25), seconds(1));
+    AddJobs(events, 's', MakeStandingJob(4), seconds(20), seconds(25),
+            seconds(1));
     SortByTime(events);
     replay.Run(events, seconds(42));
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, replay.Counts('s').submitted);
@@ -120,7 +116,7 @@
   // One standing task of one processor is on each worker of four.
   void TaskWiderThanAnyRoomBesideStandingOnesIsAccepted() {
     LoadReplay replay(kWorkers, kWorkerMilliCpus);
-    JobSpec standing = StandingJob(kWorkers);
+    JobSpec standing = MakeStandingJob(kWorkers);
     standing.steps.front().max_per_worker = 1;
     std::vector<PatternEvent> events;
     AddJobs(events, 's', standing, milliseconds(0), milliseconds(1),
